--- /dev/null
+++ b/wigeonwalk/base/base_test.cc
@@ -0,0 +1,63 @@
+#include "wigeonwalk/base/hash128.h"
+#include "wigeonwalk/base/ids.h"
+#include "wigeonwalk/base/last_reason.h"
+#include "wigeonwalk/base/time.h"
+#include "wigeonwalk/base/verdict.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wigeonwalk;
+
+// Guards against a value that is printed under one name and parsed under
+// another, or that has no name at all.
+TEMPLATE_TEST_CASE("every name in a table parses back to its value",
+                   "[enum]",
+                   Verdict,
+                   ReasonCode)
+{
+  for (const auto& row : EnumNames<TestType>::kTable) {
+    CHECK(NameOf(row.value) == row.name);
+    CHECK(ParseName<TestType>(row.name) == row.value);
+  }
+  CHECK_FALSE(ParseName<TestType>("no such name").has_value());
+}
+
+// Guards against error texts that lose the place of the fault.
+SCENARIO("a failure carries its last reason", "[reason]")
+{
+  GIVEN("a reason that was never set")
+  {
+    LastReason reason;
+    THEN("it prints as none")
+    {
+      CHECK(reason.ToString() == "none");
+    }
+
+    WHEN("a function fails")
+    {
+      const std::optional<int> result =
+        Fail(reason, ReasonCode::UnknownKey, "did you mean zone?", "/zoen");
+      THEN("nothing is returned and the reason names code, place and detail")
+      {
+        CHECK_FALSE(result.has_value());
+        CHECK(reason.ToString() == "unknown-key at /zoen: did you mean zone?");
+      }
+    }
+  }
+}
+
+// Guards against hashes that change on their way through text.
+SCENARIO("a 128-bit hash survives printing", "[hash]")
+{
+  const Hash128 hash = HashBytes("prompt", 7);
+  CHECK(ParseHash128(hash.ToHex()) == hash);
+  CHECK(HashBytes("prompt", 8) != hash);
+  CHECK_FALSE(ParseHash128("12").has_value());
+  CHECK_FALSE(ParseHash128(std::string(32, 'g')).has_value());
+}
+
+TEST_CASE("an attempt prints all its parts", "[ids]")
+{
+  const AttemptId attempt{ HostId("isar-1"), 3, 12, 40 };
+  CHECK(attempt.ToString() == "isar-1.3.12.40");
+}
--- /dev/null
+++ b/wigeonwalk/base/ids.h
@@ -0,0 +1,73 @@
+// Identifiers that cannot be mixed up with each other.
+//
+//   OrganisationId organisation("tofu-lenga");
+//   organisation.Text();   // "tofu-lenga"
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace wigeonwalk {
+
+// A string identifier of one kind. The tag only tells the kinds apart.
+template<typename Tag>
+class Id
+{
+public:
+  Id() = default;
+  explicit Id(std::string aText)
+    : text(std::move(aText))
+  {
+  }
+
+  const std::string& Text() const { return this->text; }
+  bool Empty() const { return this->text.empty(); }
+
+  auto operator<=>(const Id&) const = default;
+
+private:
+  std::string text;
+};
+
+using OrganisationId = Id<struct OrganisationTag>;
+using ServiceName = Id<struct ServiceTag>;
+using ModelName = Id<struct ModelTag>;
+using WeightVersion = Id<struct WeightVersionTag>;
+using AdapterName = Id<struct AdapterTag>;
+using AvailabilityZone = Id<struct AvailabilityZoneTag>;
+using HostId = Id<struct HostTag>;
+using UpstreamId = Id<struct UpstreamTag>;
+using RequestId = Id<struct RequestTag>;
+
+// Identifies one try of one request. No two tries anywhere share it, so an
+// upstream's answer that carries another identity is dropped.
+struct AttemptId
+{
+  HostId daemon;
+  // Rises each time a daemon starts.
+  std::uint64_t incarnation = 0;
+  // Number of the upstream connection within the daemon's run.
+  std::uint64_t connection = 0;
+  // Number of the try within the daemon's run.
+  std::uint64_t attempt = 0;
+
+  auto operator<=>(const AttemptId&) const = default;
+
+  // Returns "daemon.incarnation.connection.attempt" for headers and logs.
+  std::string ToString() const;
+};
+
+} // namespace wigeonwalk
+
+template<typename Tag>
+struct std::hash<wigeonwalk::Id<Tag>>
+{
+  std::size_t operator()(const wigeonwalk::Id<Tag>& aId) const noexcept
+  {
+    return std::hash<std::string>()(aId.Text());
+  }
+};
--- /dev/null
+++ b/wigeonwalk/ports/clock.h
@@ -0,0 +1,35 @@
+// Ports for the present time and for waiting.
+//
+//   template<Timer T>
+//   Task<> Beat(T& aTimer) {
+//     co_await aTimer.WaitUntil(aTimer.Now() + std::chrono::seconds(1));
+//   }
+#pragma once
+
+#include "wigeonwalk/base/time.h"
+#include "wigeonwalk/ports/task.h"
+
+#include <concepts>
+
+namespace wigeonwalk {
+
+// Says the present time. Never steps back within a process.
+template<typename T>
+concept Clock = requires(const T& aClock)
+{
+  {
+    aClock.Now()
+    } -> std::same_as<TimePoint>;
+};
+
+// A clock that a coroutine can wait on. Waiting for a past time returns at
+// once. Cancellation of the coroutine ends the wait.
+template<typename T>
+concept Timer = Clock<T> && requires(T& aTimer, TimePoint aTime)
+{
+  {
+    aTimer.WaitUntil(aTime)
+    } -> std::same_as<Task<void>>;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/ports/event_sink.h
@@ -0,0 +1,127 @@
+// Port for the time line of events.
+//
+//   sink.Record({ .kind = EventKind::Placed, .request = id, .subject = "r3" });
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/base/ids.h"
+#include "wigeonwalk/base/time.h"
+#include "wigeonwalk/base/verdict.h"
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace wigeonwalk {
+
+// What happened. Each step of a request and each change of a daemon's view.
+enum class EventKind
+{
+  RequestReceived,
+  RequestRefused,
+  RequestQueued,
+  RequestClaimed,
+  DirectoryLookedUp,
+  RequestPlaced,
+  RestoreStarted,
+  RestoreFinished,
+  StreamOpened,
+  FirstToken,
+  StreamResumed,
+  StreamBroken,
+  RequestRetried,
+  RequestFinished,
+  AnswerDropped,
+  CallerGone,
+  MemberJoined,
+  MemberSuspected,
+  MemberLost,
+  MemberLeft,
+  DocumentAccepted,
+  DocumentInForce,
+  KeyValueUnavailable,
+  KeyValueAvailable,
+  LeaseHeld,
+  LeaseLost,
+  OrderSent,
+  OrderAnswered,
+  UpstreamLeaving,
+  UpstreamLost,
+  PoisonSuspected,
+  PoisonRefused,
+  PieceExported,
+  PieceDropped,
+  LimitRebalanced,
+  StopRequested,
+  StopFinished,
+};
+
+template<>
+struct EnumNames<EventKind>
+{
+  static constexpr std::array<EnumName<EventKind>, 37> kTable{ {
+    { EventKind::RequestReceived, "request-received" },
+    { EventKind::RequestRefused, "request-refused" },
+    { EventKind::RequestQueued, "request-queued" },
+    { EventKind::RequestClaimed, "request-claimed" },
+    { EventKind::DirectoryLookedUp, "directory-looked-up" },
+    { EventKind::RequestPlaced, "request-placed" },
+    { EventKind::RestoreStarted, "restore-started" },
+    { EventKind::RestoreFinished, "restore-finished" },
+    { EventKind::StreamOpened, "stream-opened" },
+    { EventKind::FirstToken, "first-token" },
+    { EventKind::StreamResumed, "stream-resumed" },
+    { EventKind::StreamBroken, "stream-broken" },
+    { EventKind::RequestRetried, "request-retried" },
+    { EventKind::RequestFinished, "request-finished" },
+    { EventKind::AnswerDropped, "answer-dropped" },
+    { EventKind::CallerGone, "caller-gone" },
+    { EventKind::MemberJoined, "member-joined" },
+    { EventKind::MemberSuspected, "member-suspected" },
+    { EventKind::MemberLost, "member-lost" },
+    { EventKind::MemberLeft, "member-left" },
+    { EventKind::DocumentAccepted, "document-accepted" },
+    { EventKind::DocumentInForce, "document-in-force" },
+    { EventKind::KeyValueUnavailable, "key-value-unavailable" },
+    { EventKind::KeyValueAvailable, "key-value-available" },
+    { EventKind::LeaseHeld, "lease-held" },
+    { EventKind::LeaseLost, "lease-lost" },
+    { EventKind::OrderSent, "order-sent" },
+    { EventKind::OrderAnswered, "order-answered" },
+    { EventKind::UpstreamLeaving, "upstream-leaving" },
+    { EventKind::UpstreamLost, "upstream-lost" },
+    { EventKind::PoisonSuspected, "poison-suspected" },
+    { EventKind::PoisonRefused, "poison-refused" },
+    { EventKind::PieceExported, "piece-exported" },
+    { EventKind::PieceDropped, "piece-dropped" },
+    { EventKind::LimitRebalanced, "limit-rebalanced" },
+    { EventKind::StopRequested, "stop-requested" },
+    { EventKind::StopFinished, "stop-finished" },
+  } };
+};
+static_assert(HasCompleteTable<EventKind>());
+
+// One event. It never holds prompt text, answer text or a key.
+struct Event
+{
+  EventKind kind = EventKind::RequestReceived;
+  TimePoint at;
+  RequestId request;
+  // The upstream, member, service or piece that the event is about.
+  std::string subject;
+  std::optional<Verdict> verdict;
+  // A short text for people, such as a count or a reason code.
+  std::string detail;
+};
+
+// Takes events. Recording never blocks and never fails.
+template<typename T>
+concept EventSink = requires(T& aSink, Event aEvent)
+{
+  {
+    aSink.Record(std::move(aEvent))
+    } -> std::same_as<void>;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/ports/model_engine.h
@@ -0,0 +1,251 @@
+// Port for a model engine: streams of tokens, cache events, load reports,
+// export and import of KV cache, and orders.
+//
+//   auto stream = co_await engine.Open(request, deadline, reason);
+//   while (auto chunk = co_await stream->Next(deadline, reason)) { ... }
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/base/hash128.h"
+#include "wigeonwalk/base/ids.h"
+#include "wigeonwalk/base/last_reason.h"
+#include "wigeonwalk/base/time.h"
+#include "wigeonwalk/ports/task.h"
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Key of one piece of kept cache; see cache/piece_key.h.
+using PieceKey = Hash128;
+
+// Order in which an engine serves its queue. Lower values first.
+enum class RequestClass
+{
+  Interactive,
+  Standard,
+  Background,
+};
+
+template<>
+struct EnumNames<RequestClass>
+{
+  static constexpr std::array<EnumName<RequestClass>, 3> kTable{ {
+    { RequestClass::Interactive, "interactive" },
+    { RequestClass::Standard, "standard" },
+    { RequestClass::Background, "background" },
+  } };
+};
+static_assert(HasCompleteTable<RequestClass>());
+
+// One generation request to one engine.
+struct EngineRequest
+{
+  AttemptId attempt;
+  ModelName model;
+  WeightVersion version;
+  AdapterName adapter;
+  // Separates the engine's own prefix cache by organisation.
+  std::string cacheSalt;
+  std::string prompt;
+  std::uint32_t maxTokens = 0;
+  double temperature = 1.0;
+  std::optional<std::int64_t> seed;
+  RequestClass requestClass = RequestClass::Standard;
+  // Tokens already delivered to the caller; the engine goes on after them.
+  std::uint32_t resumeAt = 0;
+  // The attempt whose generation to resume, where resumeAt is above zero.
+  std::optional<AttemptId> resumes;
+  // Sealed pieces of the prompt's prefix that were imported for this request.
+  std::vector<PieceKey> importedPieces;
+};
+
+// One token of an answer.
+struct AnswerChunk
+{
+  AttemptId attempt;
+  // Position of this token in the answer, from zero.
+  std::uint32_t index = 0;
+  std::string text;
+  // Set on the last chunk: "stop", "length".
+  std::string finishReason;
+  // Set on the last chunk: prompt tokens in all, and those found in a cache.
+  std::uint32_t promptTokens = 0;
+  std::uint32_t cachedTokens = 0;
+
+  bool Last() const { return !this->finishReason.empty(); }
+};
+
+// What an engine says of its load. Reports lag.
+struct LoadReport
+{
+  std::uint64_t incarnation = 0;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  // Prompt tokens waiting for prefill.
+  std::uint64_t waitingTokens = 0;
+  // Tokens of free prefix-cache memory.
+  std::uint64_t freeCacheTokens = 0;
+  TimePoint measuredAt;
+};
+
+// What happened to a piece in an engine's own memory.
+enum class CacheEventKind
+{
+  Stored,
+  Evicted,
+  Cleared,
+};
+
+template<>
+struct EnumNames<CacheEventKind>
+{
+  static constexpr std::array<EnumName<CacheEventKind>, 3> kTable{ {
+    { CacheEventKind::Stored, "stored" },
+    { CacheEventKind::Evicted, "evicted" },
+    { CacheEventKind::Cleared, "cleared" },
+  } };
+};
+static_assert(HasCompleteTable<CacheEventKind>());
+
+// One cache event. Sequences rise by one within an engine's incarnation; events
+// arrive late and with gaps.
+struct CacheEvent
+{
+  std::uint64_t sequence = 0;
+  CacheEventKind kind = CacheEventKind::Stored;
+  PieceKey piece;
+};
+
+// Cache events since a sequence, with the engine's incarnation.
+struct CacheEventBatch
+{
+  std::uint64_t incarnation = 0;
+  std::vector<CacheEvent> events;
+};
+
+// What an order asks of an engine.
+enum class OrderKind
+{
+  LoadVersion,
+  LoadAdapter,
+  ChangeRole,
+  Drain,
+};
+
+template<>
+struct EnumNames<OrderKind>
+{
+  static constexpr std::array<EnumName<OrderKind>, 4> kTable{ {
+    { OrderKind::LoadVersion, "load-version" },
+    { OrderKind::LoadAdapter, "load-adapter" },
+    { OrderKind::ChangeRole, "change-role" },
+    { OrderKind::Drain, "drain" },
+  } };
+};
+static_assert(HasCompleteTable<OrderKind>());
+
+// One order. It states the wanted end state, so that a late copy is detected.
+struct EngineOrder
+{
+  std::string orderId;
+  std::uint64_t fencingNumber = 0;
+  OrderKind kind = OrderKind::LoadVersion;
+  ModelName model;
+  // Version, adapter or role, by kind.
+  std::string target;
+};
+
+// How an engine answered an order.
+enum class OrderAnswer
+{
+  Done,
+  RefusedOldFencingNumber,
+  Failed,
+};
+
+template<>
+struct EnumNames<OrderAnswer>
+{
+  static constexpr std::array<EnumName<OrderAnswer>, 3> kTable{ {
+    { OrderAnswer::Done, "done" },
+    { OrderAnswer::RefusedOldFencingNumber, "refused-old-fencing-number" },
+    { OrderAnswer::Failed, "failed" },
+  } };
+};
+static_assert(HasCompleteTable<OrderAnswer>());
+
+// What an engine runs now.
+struct EngineState
+{
+  std::uint64_t incarnation = 0;
+  ModelName model;
+  WeightVersion version;
+  std::vector<AdapterName> adapters;
+  std::string role;
+  std::uint64_t lastFencingNumber = 0;
+};
+
+// An open stream of tokens. Next returns nothing at the end of the stream (the
+// reason stays None) or on failure (the reason says how far it got).
+template<typename T>
+concept EngineStream = requires(T& aStream,
+                                TimePoint aDeadline,
+                                LastReason& aReason)
+{
+  {
+    aStream.Next(aDeadline, aReason)
+    } -> std::same_as<Task<std::optional<AnswerChunk>>>;
+  {
+    aStream.Cancel()
+    } -> std::same_as<Task<void>>;
+};
+
+// Opens streams on one engine.
+template<typename T>
+concept StreamingEngine = EngineStream<typename T::Stream> &&
+  requires(T& aEngine,
+           const EngineRequest& aRequest,
+           TimePoint aDeadline,
+           LastReason& aReason)
+{
+  {
+    aEngine.Open(aRequest, aDeadline, aReason)
+    } -> std::same_as<Task<std::optional<typename T::Stream>>>;
+};
+
+// Takes orders and says what it runs.
+template<typename T>
+concept OrderableEngine = requires(T& aEngine,
+                                   const EngineOrder& aOrder,
+                                   TimePoint aDeadline,
+                                   LastReason& aReason)
+{
+  {
+    aEngine.Order(aOrder, aDeadline, aReason)
+    } -> std::same_as<Task<std::optional<OrderAnswer>>>;
+  {
+    aEngine.State(aDeadline, aReason)
+    } -> std::same_as<Task<std::optional<EngineState>>>;
+};
+
+// Reports load and cache events.
+template<typename T>
+concept ObservableEngine = requires(T& aEngine,
+                                    std::uint64_t aSequence,
+                                    TimePoint aDeadline,
+                                    LastReason& aReason)
+{
+  {
+    aEngine.Load(aDeadline, aReason)
+    } -> std::same_as<Task<std::optional<LoadReport>>>;
+  {
+    aEngine.CacheEvents(aSequence, aDeadline, aReason)
+    } -> std::same_as<Task<std::optional<CacheEventBatch>>>;
+};
+
+} // namespace wigeonwalk
