documents, serving: add the typed service document and daemon settings

Cause: settings, placement, limits and rollout all read these types. Change: plain structs without encoding; the JSON adapters fill them. Conclusion: parsing can be written apart from its users.

--- /dev/null
+++ b/wigeonwalk/documents/service_document.h
@@ -0,0 +1,187 @@
+// The service document: everything that a service's team decides.
+//
+// The JSON form is parsed and checked by adapters/settings; decisions and flows
+// see only this type.
+//
+//   const ServiceDocument& document = ...;
+//   if (document.weighing == Weighing::ShareRecomputed) { ... }
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/base/ids.h"
+#include "wigeonwalk/base/time.h"
+#include "wigeonwalk/ports/model_engine.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// What stands behind a service.
+enum class ServiceKind
+{
+  Engine,
+  Plain,
+};
+
+template<>
+struct EnumNames<ServiceKind>
+{
+  static constexpr std::array<EnumName<ServiceKind>, 2> kTable{ {
+    { ServiceKind::Engine, "engine" },
+    { ServiceKind::Plain, "plain" },
+  } };
+};
+static_assert(HasCompleteTable<ServiceKind>());
+
+// What the service weighs most when a request is placed.
+enum class Weighing
+{
+  TimeToFirstToken,
+  ShareRecomputed,
+};
+
+template<>
+struct EnumNames<Weighing>
+{
+  static constexpr std::array<EnumName<Weighing>, 2> kTable{ {
+    { Weighing::TimeToFirstToken, "time-to-first-token" },
+    { Weighing::ShareRecomputed, "share-recomputed" },
+  } };
+};
+static_assert(HasCompleteTable<Weighing>());
+
+// Where a non-idempotent call's key comes from.
+enum class KeySource
+{
+  Header,
+  BodyField,
+};
+
+template<>
+struct EnumNames<KeySource>
+{
+  static constexpr std::array<EnumName<KeySource>, 2> kTable{ {
+    { KeySource::Header, "header" },
+    { KeySource::BodyField, "body-field" },
+  } };
+};
+static_assert(HasCompleteTable<KeySource>());
+
+// One upstream that runs requests: a runner, or an instance of a plain service.
+struct RunnerSpec
+{
+  UpstreamId id;
+  AvailabilityZone zone;
+  // IP address and port, "127.0.0.1:9000".
+  std::string address;
+  std::uint32_t accelerators = 1;
+  // Whether the runner refuses an order with an old fencing number.
+  bool checksFencingNumbers = false;
+
+  bool operator==(const RunnerSpec&) const = default;
+};
+
+// One store host of the service's cache store. Rates are in bytes a second.
+struct StoreSpec
+{
+  UpstreamId id;
+  AvailabilityZone zone;
+  std::string address;
+  std::uint64_t memoryBytes = 0;
+  std::uint64_t diskBytes = 0;
+  std::uint64_t memoryLinkRate = 0;
+  std::uint64_t diskLinkRate = 0;
+
+  bool operator==(const StoreSpec&) const = default;
+};
+
+// The model that the service's runners should run.
+struct ModelSpec
+{
+  ModelName name;
+  WeightVersion version;
+  std::vector<AdapterName> adapters;
+  // Bytes of KV cache for each token.
+  std::uint64_t cacheBytesPerToken = 0;
+  // Prompt tokens a second that one runner prefills.
+  double prefillTokensPerSecond = 0;
+
+  bool operator==(const ModelSpec&) const = default;
+};
+
+// Limits of one organisation in the service, over all daemons. Nothing means
+// no limit.
+struct OrganisationLimits
+{
+  std::optional<std::uint32_t> concurrentRequests;
+  std::optional<double> requestsPerSecond;
+  std::optional<double> tokensPerSecond;
+
+  bool operator==(const OrganisationLimits&) const = default;
+};
+
+// One organisation that may use the service.
+struct OrganisationSpec
+{
+  OrganisationId id;
+  // SHA-256 digests of its API keys, in hexadecimal.
+  std::vector<std::string> keyDigests;
+  // Share of the service under contention, relative to the other weights.
+  double weight = 1;
+  RequestClass requestClass = RequestClass::Standard;
+  OrganisationLimits limits;
+
+  bool operator==(const OrganisationSpec&) const = default;
+};
+
+// One call of a plain service.
+struct RouteSpec
+{
+  std::string method;
+  // Path prefix under the service, "/reservations".
+  std::string path;
+  bool idempotent = true;
+  KeySource keySource = KeySource::Header;
+  // Header name, or JSON pointer into the body.
+  std::string keyName;
+
+  bool operator==(const RouteSpec&) const = default;
+};
+
+// The whole document of one service.
+struct ServiceDocument
+{
+  ServiceName name;
+  ServiceKind kind = ServiceKind::Engine;
+  Weighing weighing = Weighing::TimeToFirstToken;
+  ModelSpec model;
+  std::vector<RunnerSpec> runners;
+  std::vector<StoreSpec> stores;
+  std::vector<OrganisationSpec> organisations;
+  std::vector<RouteSpec> routes;
+  // Longest time a request may take.
+  Duration requestTimeout = std::chrono::seconds(120);
+  // Longest expected time to the next token before a stream is probed.
+  Duration tokenTimeout = std::chrono::seconds(2);
+  // Runners that must serve while others load.
+  std::uint32_t minimumServing = 1;
+
+  bool operator==(const ServiceDocument&) const = default;
+};
+
+// A document with the revision under which it was accepted. Revisions of one
+// service rise by one with each accepted edit.
+struct AcceptedDocument
+{
+  std::uint64_t revision = 0;
+  // The edit that made it, for settling a lost answer.
+  std::string editId;
+  // The text as the team wrote it, and its parsed form.
+  std::string text;
+  ServiceDocument document;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/serving/daemon_settings.h
@@ -0,0 +1,73 @@
+// Settings of one daemon, as read from its JSON file by adapters/settings.
+//
+//   DaemonSettings settings = ...;
+//   server.Listen(settings.entry.address);
+#pragma once
+
+#include "wigeonwalk/base/ids.h"
+#include "wigeonwalk/base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Limits on what a caller may send.
+struct CallerLimits
+{
+  std::uint32_t headerBytes = 16 * 1024;
+  std::uint64_t bodyBytes = 4 * 1024 * 1024;
+  // Longest time from the first byte of a request to its last.
+  Duration readTimeout = std::chrono::seconds(10);
+  std::uint32_t connections = 20'000;
+};
+
+// One other daemon that is known from the settings.
+struct PeerSettings
+{
+  HostId host;
+  AvailabilityZone zone;
+  // IP address and port of its peer listener.
+  std::string address;
+};
+
+// How a planned stop proceeds.
+struct StopSettings
+{
+  // Time that the balancer needs to notice a failing health check.
+  Duration balancerDelay = std::chrono::seconds(5);
+  // Longest time for open streams to end; the operator may cut it short.
+  Duration drainTimeout = std::chrono::minutes(10);
+};
+
+// Everything a daemon learns from its settings. Addresses are "IP:port".
+struct DaemonSettings
+{
+  HostId host;
+  AvailabilityZone zone;
+  std::string region;
+  // Listener for callers; empty for none.
+  std::string entryAddress;
+  // Listener for operators (JSON-RPC, metrics, health); empty for none.
+  std::string operatorAddress;
+  // Listener for other daemons, TCP and UDP on the same port; empty for none.
+  std::string peerAddress;
+  std::vector<PeerSettings> peers;
+  // File that holds the key shared by the cluster's daemons.
+  std::string clusterKeyFile;
+  std::vector<std::string> keyValueAddresses;
+  std::string hostListAddress;
+  std::string weightStoreAddress;
+  // Documents read at the start, for runs without a key-value service.
+  std::vector<std::string> documentFiles;
+  CallerLimits callerLimits;
+  StopSettings stop;
+  // Worker threads for CPU work; zero means one for each core.
+  std::uint32_t workerThreads = 0;
+  std::string logLevel = "info";
+  std::uint32_t timelineEvents = 16'384;
+};
+
+} // namespace wigeonwalk
