testing: add a fake key-value service in virtual time

Change: FakeKeyValue keeps entries, revisions, leases and watches in memory and takes each call through a table of faults: down, silent, slow, answer lost after the write, quiet watch, lapsed lease. Connections made by Connect share the data and can have faults of their own.

--- /dev/null
+++ b/wigeonwalk/testing/fake_key_value.h
@@ -0,0 +1,185 @@
+// An in-memory key-value service in virtual time, with faults set by a table.
+//
+//   VirtualTime time;
+//   FakeKeyValue service(time);
+//   service.AddFault({ KeyValueFault::Down, time.Now() + 1s, time.Now() + 1h
+//   }); FakeKeyValue other = service.Connect();   // a second daemon's
+//   connection WriteResult result = co_await service.Put(put, deadline,
+//   reason);
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/ports/key_value.h"
+#include "wigeonwalk/testing/virtual_time.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+namespace testing_internal {
+struct KeyValueState;
+} // namespace testing_internal
+
+// What goes wrong with the service.
+enum class KeyValueFault
+{
+  // Connections are refused; nothing is sent.
+  Down,
+  // Requests vanish and nothing answers; the caller waits to its deadline.
+  Silent,
+  // The service handles a request only after `delay`, even where the caller
+  // has given up by then.
+  Slow,
+  // The service handles the request; the connection breaks before the answer.
+  AnswerLost,
+  // Watches report nothing up to their deadline.
+  QuietWatch,
+  // At `from`, all leases lapse that are attached to keys under the prefix.
+  LeaseLapsed,
+};
+
+template<>
+struct EnumNames<KeyValueFault>
+{
+  static constexpr std::array<EnumName<KeyValueFault>, 6> kTable{ {
+    { KeyValueFault::Down, "down" },
+    { KeyValueFault::Silent, "silent" },
+    { KeyValueFault::Slow, "slow" },
+    { KeyValueFault::AnswerLost, "answer-lost" },
+    { KeyValueFault::QuietWatch, "quiet-watch" },
+    { KeyValueFault::LeaseLapsed, "lease-lapsed" },
+  } };
+};
+static_assert(HasCompleteTable<KeyValueFault>());
+
+// One row of the table of faults: in force in [from, until) for calls on keys
+// under a prefix. Lease calls have the empty key, so only rows with an empty
+// prefix reach them.
+struct KeyValueFaultRow
+{
+  KeyValueFault fault = KeyValueFault::Down;
+  TimePoint from;
+  TimePoint until = TimePoint::max();
+  Duration delay{ 0 };
+  std::string keyPrefix;
+};
+
+// The kinds of call that the service counts.
+enum class KeyValueCall
+{
+  Get,
+  List,
+  Put,
+  Delete,
+  GrantLease,
+  KeepAlive,
+  Watch,
+};
+
+template<>
+struct EnumNames<KeyValueCall>
+{
+  static constexpr std::array<EnumName<KeyValueCall>, 7> kTable{ {
+    { KeyValueCall::Get, "get" },
+    { KeyValueCall::List, "list" },
+    { KeyValueCall::Put, "put" },
+    { KeyValueCall::Delete, "delete" },
+    { KeyValueCall::GrantLease, "grant-lease" },
+    { KeyValueCall::KeepAlive, "keep-alive" },
+    { KeyValueCall::Watch, "watch" },
+  } };
+};
+static_assert(HasCompleteTable<KeyValueCall>());
+
+// One connection to the fake service. Copies and connections made by Connect
+// share the data. Every call counts, also one that a fault stops. A refusal by
+// the service (lapsed lease, value too large) is NotSent with its reason.
+class FakeKeyValue
+{
+public:
+  // Time from a call to its answer without faults.
+  static constexpr Duration kLatency = std::chrono::milliseconds(2);
+
+  explicit FakeKeyValue(VirtualTime& aTime);
+
+  // Returns another connection to the same data, without link faults.
+  FakeKeyValue Connect() const;
+
+  // Adds a fault for all connections.
+  void AddFault(KeyValueFaultRow aRow);
+  // Adds a fault for this connection only; not for LeaseLapsed.
+  void AddLinkFault(KeyValueFaultRow aRow);
+
+  // Ends a lease now and deletes its keys.
+  void LapseLease(LeaseId aLease);
+
+  // Calls of one kind, of all kinds, and in the busiest second so far.
+  std::uint64_t Count(KeyValueCall aCall) const;
+  std::uint64_t CountAll() const;
+  std::uint64_t PeakPerSecond() const;
+  // Calls in [aFrom, aUntil), by whole seconds.
+  std::uint64_t CountBetween(TimePoint aFrom, TimePoint aUntil) const;
+
+  // Reads and writes the data without a call, for tests.
+  std::optional<KeyValueEntry> Peek(const std::string& aKey) const;
+  std::int64_t Store(const std::string& aKey, const std::string& aValue);
+
+  Task<std::optional<ReadResult>> Get(std::string aKey,
+                                      TimePoint aDeadline,
+                                      LastReason& aReason);
+  Task<std::optional<std::vector<KeyValueEntry>>> List(std::string aPrefix,
+                                                       TimePoint aDeadline,
+                                                       LastReason& aReason);
+  Task<WriteResult> Put(PutRequest aPut,
+                        TimePoint aDeadline,
+                        LastReason& aReason);
+  Task<WriteResult> Delete(std::string aKey,
+                           std::optional<std::int64_t> aExpectedRevision,
+                           TimePoint aDeadline,
+                           LastReason& aReason);
+  Task<std::optional<LeaseId>> GrantLease(Duration aTimeToLive,
+                                          TimePoint aDeadline,
+                                          LastReason& aReason);
+  Task<std::optional<Duration>> KeepAlive(LeaseId aLease,
+                                          TimePoint aDeadline,
+                                          LastReason& aReason);
+  Task<std::optional<WatchBatch>> Watch(std::string aPrefix,
+                                        std::int64_t aRevision,
+                                        TimePoint aDeadline,
+                                        LastReason& aReason);
+
+private:
+  struct Reply;
+
+  explicit FakeKeyValue(
+    std::shared_ptr<testing_internal::KeyValueState> aState);
+
+  const KeyValueFaultRow* FindFault(KeyValueFault aFault,
+                                    const std::string& aKey) const;
+  void CountCall(KeyValueCall aCall);
+
+  template<typename R, typename F>
+  Task<std::optional<R>> Call(KeyValueCall aCall,
+                              std::string aKey,
+                              TimePoint aDeadline,
+                              LastReason& aReason,
+                              F aApply);
+  Task<WriteResult> Write(KeyValueCall aCall,
+                          std::string aKey,
+                          TimePoint aDeadline,
+                          LastReason& aReason,
+                          std::function<Reply()> aApply);
+
+  std::shared_ptr<testing_internal::KeyValueState> state;
+  std::vector<KeyValueFaultRow> linkFaults;
+};
+
+static_assert(KeyValueService<FakeKeyValue>);
+
+} // namespace wigeonwalk
