platform: add the budgeted client of the key-value service and lease keeper

Change: KeyValueClient gives each user a handle that satisfies KeyValueService. Calls wait for a token bucket with claims first, are held back by a jittered backoff while the service does not answer, and settle lost answers by reading back; a write is sent again only under compare-and-swap. Reads are hedged once. Watches are re-opened every 3 s and compared with a listing every 30 s. LeaseKeeper relies on 90% of the time to live, counted from before the call. The fake service gains pauses of a process and a list of changes.

Conclusion: the tests failed with each of these breaks: unchanged keys taken for superseded, lease validity without the clock, no jitter, no reserve for claims, no listing against a quiet watch.

--- /dev/null
+++ b/wigeonwalk/platform/backoff_gate.cc
@@ -0,0 +1,58 @@
+#include "wigeonwalk/platform/backoff_gate.h"
+
+#include <algorithm>
+
+namespace wigeonwalk {
+
+BackoffGate::BackoffGate(std::uint64_t aSeed)
+  : random(aSeed)
+{
+}
+
+Admission
+BackoffGate::Admit(TimePoint aNow)
+{
+  if (!this->closed) {
+    return Admission::Open;
+  }
+  if (aNow < this->retryAt) {
+    return Admission::Closed;
+  }
+  this->retryAt = aNow + kProbeTimeout;
+  this->probing = true;
+  return Admission::Probe;
+}
+
+bool
+BackoffGate::Succeeded(TimePoint)
+{
+  const bool opened = this->closed;
+  this->closed = false;
+  this->probing = false;
+  this->failures = 0;
+  this->backoff = kFirstBackoff;
+  return opened;
+}
+
+bool
+BackoffGate::Failed(TimePoint aNow)
+{
+  // Calls that were under way when the gate closed say nothing new.
+  if (this->closed && !this->probing) {
+    return false;
+  }
+  ++this->failures;
+  if (this->failures < kFailuresToClose) {
+    return false;
+  }
+  this->probing = false;
+  const bool justClosed = !this->closed;
+  this->closed = true;
+  std::uniform_real_distribution<double> jitter(0.5, 1.0);
+  this->retryAt =
+    aNow + FromSeconds(ToSeconds(this->backoff) * jitter(this->random));
+  this->backoff = std::min(this->backoff * 2, kLongestBackoff);
+  return justClosed;
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/platform/call_budget_test.cc
@@ -0,0 +1,178 @@
+#include "wigeonwalk/platform/backoff_gate.h"
+#include "wigeonwalk/platform/call_budget.h"
+#include "wigeonwalk/platform/read_back.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart{ 24h };
+
+// Takes as many calls as the budget gives to one user in a span of time.
+std::uint32_t
+TakeAll(CallBudget& aBudget,
+        KeyValueUser aUser,
+        TimePoint aFrom,
+        Duration aSpan)
+{
+  std::uint32_t taken = 0;
+  for (TimePoint now = aFrom; now < aFrom + aSpan;) {
+    const auto later = aBudget.Take(aUser, now);
+    taken += later ? 0 : 1;
+    now = later.value_or(now);
+  }
+  return taken;
+}
+
+} // namespace
+
+// Guards against a fleet that asks more of the service than it answers, and
+// against claims that wait behind other users.
+SCENARIO("a call budget bounds and orders a daemon's calls", "[budget]")
+{
+  GIVEN("the rates at the target and at today's size")
+  {
+    const BudgetRate target = BudgetFor(350, 0);
+    THEN("350 daemons with 48 claim shards stay under 2,000 calls a second")
+    {
+      CHECK(350 * target.callsPerSecond + 48 * kCallsPerClaimShard <= 1'300);
+      CHECK(BudgetFor(6, 8).callsPerSecond == 148);
+    }
+  }
+  GIVEN("a budget of 10 calls a second and a burst of 20")
+  {
+    CallBudget budget({ 10, 20 }, kStart);
+    WHEN("all users ask for more")
+    {
+      std::uint32_t taken = 0;
+      for (const UserRule& rule : kUserRules) {
+        CallBudget fresh({ 10, 20 }, kStart);
+        const std::uint32_t alone = TakeAll(fresh, rule.user, kStart, 60s);
+        CAPTURE(NameOf(rule.user));
+        CHECK(alone <= 60 * 10 + 20 + 1);
+        CHECK(alone >= 60 * 10 * 3 / 4);
+      }
+      for (TimePoint now = kStart; now < kStart + 60s; now += 10ms) {
+        for (const UserRule& rule : kUserRules) {
+          taken += budget.Take(rule.user, now) ? 0 : 1;
+        }
+      }
+      THEN("together they get the rate and the burst")
+      {
+        CHECK(taken <= 60 * 10 + 20 + kKeyValueUsers);
+        CHECK(taken >= 60 * 10);
+      }
+    }
+    WHEN("an operator drains what he may")
+    {
+      while (!budget.Take(KeyValueUser::Operators, kStart)) {
+      }
+      THEN("claims still find half of the burst")
+      {
+        std::uint32_t claims = 0;
+        while (!budget.Take(KeyValueUser::Claims, kStart)) {
+          ++claims;
+        }
+        CHECK(claims >= 10);
+        CHECK(budget.Take(KeyValueUser::Leases, kStart) == std::nullopt);
+      }
+    }
+    WHEN("an outage ended")
+    {
+      budget.Drain(kStart);
+      THEN("one call goes at once and the next at the rate")
+      {
+        CHECK_FALSE(budget.Take(KeyValueUser::Claims, kStart));
+        const auto later = budget.Take(KeyValueUser::Claims, kStart);
+        REQUIRE(later);
+        CHECK(*later >= kStart + 100ms);
+      }
+    }
+  }
+}
+
+// Guards against 350 daemons that return to a recovered service in one burst.
+SCENARIO("a backoff gate spreads the probes of many daemons", "[backoff]")
+{
+  GIVEN("350 daemons whose service has been down for a minute")
+  {
+    std::map<std::int64_t, std::uint32_t> perSecond;
+    for (std::uint64_t seed = 0; seed < 350; ++seed) {
+      BackoffGate gate(seed);
+      for (TimePoint now = kStart; now < kStart + 120s; now += 10ms) {
+        if (gate.Admit(now) != Admission::Closed) {
+          gate.Failed(now);
+          ++perSecond[(now - kStart) / 1s];
+        }
+      }
+    }
+    THEN("no later second sees more than 120 of them")
+    {
+      for (const auto& [second, probes] : perSecond) {
+        CAPTURE(second);
+        CHECK((second < 15 || probes <= 120));
+      }
+    }
+  }
+  GIVEN("one closed gate")
+  {
+    BackoffGate gate(7);
+    CHECK_FALSE(gate.Failed(kStart));
+    CHECK_FALSE(gate.Failed(kStart));
+    CHECK(gate.Admit(kStart) == Admission::Open);
+    REQUIRE(gate.Failed(kStart));
+    THEN("late failures of older calls change nothing")
+    {
+      const TimePoint retryAt = gate.RetryAt();
+      CHECK_FALSE(gate.Failed(kStart + 1ms));
+      CHECK(gate.RetryAt() == retryAt);
+      AND_THEN("one probe goes at its time, and its success opens the gate")
+      {
+        CHECK(gate.Admit(retryAt) == Admission::Probe);
+        CHECK(gate.Admit(retryAt) == Admission::Closed);
+        CHECK(gate.Succeeded(retryAt + 2ms));
+        CHECK(gate.Admit(retryAt + 2ms) == Admission::Open);
+      }
+    }
+  }
+}
+
+// Guards against a lost answer reported as success or refusal without proof.
+SCENARIO("a read settles a write whose answer was lost", "[read-back]")
+{
+  struct Case
+  {
+    std::optional<std::int64_t> expected;
+    std::int64_t revision;
+    const char* value;
+    Settlement settlement;
+  };
+  const auto row = GENERATE(values<Case>({
+    { 0, 0, "", Settlement::Unchanged },
+    { 0, 9, "ours", Settlement::Applied },
+    { 0, 9, "other", Settlement::Superseded },
+    { 5, 5, "old", Settlement::Unchanged },
+    { 5, 5, "ours", Settlement::Unchanged },
+    { 5, 9, "ours", Settlement::Applied },
+    { 5, 9, "other", Settlement::Superseded },
+    { 5, 0, "", Settlement::Superseded },
+    { std::nullopt, 9, "ours", Settlement::Applied },
+    { std::nullopt, 9, "other", Settlement::Superseded },
+    { std::nullopt, 0, "", Settlement::Superseded },
+  }));
+  CAPTURE(row.expected.value_or(-1), row.revision, row.value);
+  const PutRequest put{ .key = "a",
+                        .value = "ours",
+                        .expectedRevision = row.expected };
+  std::optional<KeyValueEntry> now;
+  if (row.revision != 0) {
+    now = KeyValueEntry{ "a", row.value, 1, row.revision, 0 };
+  }
+  CHECK(NameOf(SettlePut(put, now)) == NameOf(row.settlement));
+}
--- /dev/null
+++ b/wigeonwalk/platform/key_value_client.h
@@ -0,0 +1,537 @@
+// The one client of the key-value service in a daemon.
+//
+//   KeyValueClient client(service, timer, { .seed = seed });
+//   KeyValueHandle claims = client.For(KeyValueUser::Claims);
+//   WriteResult result = co_await claims.Put(put, deadline, reason);
+//
+// A handle satisfies KeyValueService. Its calls wait for the daemon's budget by
+// priority, are stopped while the service does not answer, and settle lost
+// answers of writes by reading back. Reads are hedged once, writes never.
+#pragma once
+
+#include "wigeonwalk/platform/backoff_gate.h"
+#include "wigeonwalk/platform/call_budget.h"
+#include "wigeonwalk/platform/key_value_user.h"
+#include "wigeonwalk/platform/read_back.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/key_value.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace wigeonwalk {
+
+// What a client is made with.
+struct KeyValueClientSettings
+{
+  // Differs between daemons, so that their backoffs differ.
+  std::uint64_t seed = 0;
+  BudgetRate budget{ 10, 20 };
+  // Longest time that one attempt waits for its answer.
+  Duration attemptTimeout = std::chrono::seconds(1);
+  // Time after which a read is sent a second time. The service answers in
+  // milliseconds, so few reads are.
+  Duration hedgeAfter = std::chrono::milliseconds(50);
+  // Longest time of one watch call, so that a connection that went silent
+  // hides a change for no longer than this.
+  Duration watchPeriod = std::chrono::seconds(3);
+  // How often a watch without changes is compared with a listing, for a service
+  // that accepts watches but reports nothing.
+  Duration watchCheck = std::chrono::seconds(30);
+};
+
+// Counts of one client since its start.
+struct KeyValueClientCounts
+{
+  // Calls sent, by user.
+  std::array<std::uint64_t, kKeyValueUsers> sent{};
+  // Calls not sent because the service does not answer.
+  std::uint64_t heldBack = 0;
+  // Calls not sent because the budget gave nothing before their deadline.
+  std::uint64_t overBudget = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t readBacks = 0;
+  // Changes that a listing found and the watch had not reported.
+  std::uint64_t missedByWatch = 0;
+};
+
+template<typename Client>
+class KeyValueHandle;
+
+// See the top of the file. Calls of one daemon run on its I/O thread.
+template<KeyValueService S, Timer T>
+class KeyValueClient
+{
+public:
+  using Handle = KeyValueHandle<KeyValueClient>;
+
+  KeyValueClient(S& aService, T& aTimer, KeyValueClientSettings aSettings)
+    : service(aService)
+    , timer(aTimer)
+    , settings(aSettings)
+    , budget(aSettings.budget, aTimer.Now())
+    , gate(aSettings.seed)
+  {
+  }
+
+  // Returns the service as one user sees it. The client must outlive it.
+  Handle For(KeyValueUser aUser) { return Handle(*this, aUser); }
+
+  void SetBudget(BudgetRate aRate)
+  {
+    this->budget.SetRate(aRate, this->timer.Now());
+  }
+
+  // False while the service does not answer.
+  bool IsAvailable() const { return !this->gate.IsClosed(); }
+
+  const KeyValueClientCounts& Counts() const { return this->counts; }
+
+  // Watch calls that wait now; each is one call.
+  std::uint32_t PendingWatches() const { return *this->pendingWatches; }
+
+private:
+  friend class KeyValueHandle<KeyValueClient>;
+
+  // Waits for the gate and the budget. Returns false where the call must not
+  // be sent, with the reason set.
+  Task<bool> Enter(KeyValueUser aUser, TimePoint aDeadline, LastReason& aReason)
+  {
+    while (true) {
+      if (this->gate.IsClosed() && this->timer.Now() < this->gate.RetryAt()) {
+        ++this->counts.heldBack;
+        Fail(aReason,
+             ReasonCode::Unavailable,
+             "the key-value service does not answer; not sent");
+        co_return false;
+      }
+      const auto later = this->budget.Take(aUser, this->timer.Now());
+      if (!later) {
+        break;
+      }
+      if (*later > aDeadline) {
+        ++this->counts.overBudget;
+        Fail(aReason,
+             ReasonCode::Overloaded,
+             "the call budget of the key-value service is used up; not sent");
+        co_return false;
+      }
+      co_await this->timer.WaitUntil(*later);
+    }
+    this->gate.Admit(this->timer.Now());
+    ++this->counts.sent[static_cast<std::size_t>(aUser)];
+    co_return true;
+  }
+
+  // Records whether the service answered at all.
+  void Leave(bool aAnswered)
+  {
+    const TimePoint now = this->timer.Now();
+    if (!aAnswered) {
+      this->gate.Failed(now);
+    } else if (this->gate.Succeeded(now)) {
+      this->budget.Drain(now);
+    }
+  }
+
+  TimePoint AttemptDeadline(TimePoint aDeadline) const
+  {
+    return std::min(aDeadline,
+                    this->timer.Now() + this->settings.attemptTimeout);
+  }
+
+  // Leaves a third of the time for reading back.
+  TimePoint WriteDeadline(TimePoint aDeadline) const
+  {
+    const TimePoint now = this->timer.Now();
+    const Duration left = std::max(aDeadline - now, Duration(0));
+    return this->AttemptDeadline(now + left * 2 / 3);
+  }
+
+  // Runs a read. A second copy is sent where the first takes long; a failed
+  // second copy waits for the first.
+  template<typename R, typename F>
+  Task<std::optional<R>> Read(KeyValueUser aUser,
+                              F aCall,
+                              TimePoint aDeadline,
+                              LastReason& aReason)
+  {
+    using boost::asio::experimental::awaitable_operators::operator||;
+    if (!co_await this->Enter(aUser, aDeadline, aReason)) {
+      co_return std::nullopt;
+    }
+    const TimePoint deadline = this->AttemptDeadline(aDeadline);
+    LastReason hedgeReason;
+    std::variant<std::optional<R>, std::optional<R>> first =
+      co_await (aCall(deadline, aReason) ||
+                this->Hedge<R>(aUser, aCall, deadline, hedgeReason));
+    std::optional<R> answer =
+      first.index() == 0 ? std::get<0>(first) : std::get<1>(first);
+    this->Leave(answer.has_value());
+    co_return answer;
+  }
+
+  template<typename R, typename F>
+  Task<std::optional<R>> Hedge(KeyValueUser aUser,
+                               F aCall,
+                               TimePoint aDeadline,
+                               LastReason& aReason)
+  {
+    co_await this->timer.WaitUntil(this->timer.Now() +
+                                   this->settings.hedgeAfter);
+    std::optional<R> answer;
+    if (!this->gate.IsClosed() &&
+        !this->budget.Take(aUser, this->timer.Now())) {
+      ++this->counts.hedges;
+      ++this->counts.sent[static_cast<std::size_t>(aUser)];
+      answer = co_await aCall(aDeadline, aReason);
+    }
+    if (!answer) {
+      // The first copy has its own deadline and ends this wait.
+      co_await this->timer.WaitUntil(aDeadline + this->settings.hedgeAfter);
+    }
+    co_return answer;
+  }
+
+  Task<std::optional<ReadResult>> Get(KeyValueUser aUser,
+                                      std::string aKey,
+                                      TimePoint aDeadline,
+                                      LastReason& aReason)
+  {
+    const auto call = [this, &aKey](TimePoint aLimit, LastReason& aWhy) {
+      return this->service.Get(aKey, aLimit, aWhy);
+    };
+    co_return co_await this->Read<ReadResult>(aUser, call, aDeadline, aReason);
+  }
+
+  Task<std::optional<std::vector<KeyValueEntry>>> List(KeyValueUser aUser,
+                                                       std::string aPrefix,
+                                                       TimePoint aDeadline,
+                                                       LastReason& aReason)
+  {
+    using Entries = std::vector<KeyValueEntry>;
+    const auto call = [this, &aPrefix](TimePoint aLimit, LastReason& aWhy) {
+      return this->service.List(aPrefix, aLimit, aWhy);
+    };
+    co_return co_await this->Read<Entries>(aUser, call, aDeadline, aReason);
+  }
+
+  // Sends a write once. Every answer, also a refusal, shows a live service.
+  template<typename F>
+  Task<WriteResult> Send(KeyValueUser aUser,
+                         F aCall,
+                         TimePoint aDeadline,
+                         LastReason& aReason)
+  {
+    WriteResult result;
+    if (!co_await this->Enter(aUser, aDeadline, aReason)) {
+      co_return result;
+    }
+    LastReason why;
+    result = co_await aCall(this->WriteDeadline(aDeadline), why);
+    const bool answered = result.outcome == WriteOutcome::Applied ||
+                          result.outcome == WriteOutcome::Conflict ||
+                          why.code == ReasonCode::Expired ||
+                          why.code == ReasonCode::TooLarge ||
+                          why.code == ReasonCode::InvalidArgument;
+    this->Leave(answered);
+    if (result.outcome != WriteOutcome::Applied) {
+      aReason = why;
+    }
+    co_return result;
+  }
+
+  // Sends a write and settles a lost answer: reads the key back, and sends the
+  // write once more where the key is unchanged. `aSettle` interprets the key.
+  template<typename F, typename G>
+  Task<WriteResult> Write(KeyValueUser aUser,
+                          std::string aKey,
+                          F aCall,
+                          G aSettle,
+                          TimePoint aDeadline,
+                          LastReason& aReason)
+  {
+    WriteResult result = co_await this->Send(aUser, aCall, aDeadline, aReason);
+    if (result.outcome != WriteOutcome::Unknown) {
+      co_return result;
+    }
+    constexpr int kResends = 1;
+    for (int resends = 0;; ++resends) {
+      ++this->counts.readBacks;
+      LastReason ignored;
+      const auto read = co_await this->Get(aUser, aKey, aDeadline, ignored);
+      if (!read) {
+        co_return result;
+      }
+      const Settlement settlement = aSettle(read->entry);
+      result.current = read->entry;
+      if (settlement == Settlement::Applied) {
+        result.outcome = WriteOutcome::Applied;
+        result.revision =
+          read->entry ? read->entry->modRevision : read->revision;
+        co_return result;
+      }
+      if (settlement == Settlement::Superseded || resends == kResends) {
+        co_return result;
+      }
+      const WriteResult again =
+        co_await this->Send(aUser, aCall, aDeadline, ignored);
+      if (again.outcome == WriteOutcome::Applied) {
+        co_return again;
+      }
+    }
+  }
+
+  Task<WriteResult> Put(KeyValueUser aUser,
+                        PutRequest aPut,
+                        TimePoint aDeadline,
+                        LastReason& aReason)
+  {
+    const auto call = [this, &aPut](TimePoint aLimit, LastReason& aWhy) {
+      return this->service.Put(aPut, aLimit, aWhy);
+    };
+    const auto settle = [&aPut](const std::optional<KeyValueEntry>& aNow) {
+      return SettlePut(aPut, aNow);
+    };
+    co_return co_await this->Write(
+      aUser, aPut.key, call, settle, aDeadline, aReason);
+  }
+
+  Task<WriteResult> Delete(KeyValueUser aUser,
+                           std::string aKey,
+                           std::optional<std::int64_t> aExpectedRevision,
+                           TimePoint aDeadline,
+                           LastReason& aReason)
+  {
+    const auto call = [this, &aKey, aExpectedRevision](TimePoint aLimit,
+                                                       LastReason& aWhy) {
+      return this->service.Delete(aKey, aExpectedRevision, aLimit, aWhy);
+    };
+    const auto settle =
+      [aExpectedRevision](const std::optional<KeyValueEntry>& aNow) {
+        return SettleDelete(aExpectedRevision, aNow);
+      };
+    co_return co_await this->Write(
+      aUser, aKey, call, settle, aDeadline, aReason);
+  }
+
+  Task<std::optional<LeaseId>> GrantLease(KeyValueUser aUser,
+                                          Duration aTimeToLive,
+                                          TimePoint aDeadline,
+                                          LastReason& aReason)
+  {
+    if (!co_await this->Enter(aUser, aDeadline, aReason)) {
+      co_return std::nullopt;
+    }
+    // A lease whose grant was lost is left to expire.
+    const auto lease = co_await this->service.GrantLease(
+      aTimeToLive, this->AttemptDeadline(aDeadline), aReason);
+    this->Leave(lease.has_value());
+    co_return lease;
+  }
+
+  Task<std::optional<Duration>> KeepAlive(KeyValueUser aUser,
+                                          LeaseId aLease,
+                                          TimePoint aDeadline,
+                                          LastReason& aReason)
+  {
+    if (!co_await this->Enter(aUser, aDeadline, aReason)) {
+      co_return std::nullopt;
+    }
+    LastReason why;
+    const auto remaining = co_await this->service.KeepAlive(
+      aLease, this->AttemptDeadline(aDeadline), why);
+    this->Leave(remaining.has_value() || why.code == ReasonCode::Expired);
+    if (!remaining) {
+      aReason = why;
+    }
+    co_return remaining;
+  }
+
+  // Watches in calls of at most watchPeriod and compares with a listing every
+  // watchCheck. Deletions that a watch misses are not found by the listing.
+  Task<std::optional<WatchBatch>> Watch(KeyValueUser aUser,
+                                        std::string aPrefix,
+                                        std::int64_t aRevision,
+                                        TimePoint aDeadline,
+                                        LastReason& aReason)
+  {
+    TimePoint checkAt = this->timer.Now() + this->settings.watchCheck;
+    WatchBatch batch{ {}, aRevision };
+    while (true) {
+      const TimePoint until =
+        std::min(aDeadline, this->timer.Now() + this->settings.watchPeriod);
+      auto part = co_await this->WatchOnce(
+        aUser, aPrefix, batch.nextRevision, until, aReason);
+      if (!part) {
+        co_return std::nullopt;
+      }
+      batch = std::move(*part);
+      if (!batch.events.empty() || this->timer.Now() >= aDeadline) {
+        co_return batch;
+      }
+      if (this->timer.Now() >= checkAt) {
+        checkAt = this->timer.Now() + this->settings.watchCheck;
+        co_await this->Check(aUser, aPrefix, batch, aDeadline);
+        if (!batch.events.empty()) {
+          co_return batch;
+        }
+      }
+    }
+  }
+
+  Task<std::optional<WatchBatch>> WatchOnce(KeyValueUser aUser,
+                                            std::string aPrefix,
+                                            std::int64_t aRevision,
+                                            TimePoint aUntil,
+                                            LastReason& aReason)
+  {
+    if (this->gate.IsClosed()) {
+      // A watch says nothing for seconds; a read finds out at once.
+      const auto probe = co_await this->Get(aUser, aPrefix, aUntil, aReason);
+      if (!probe) {
+        co_return std::nullopt;
+      }
+    }
+    if (!co_await this->Enter(aUser, aUntil, aReason)) {
+      co_return std::nullopt;
+    }
+    const PendingWatch pending(this->pendingWatches);
+    auto part =
+      co_await this->service.Watch(aPrefix, aRevision, aUntil, aReason);
+    this->Leave(part.has_value());
+    co_return part;
+  }
+
+  // Adds to the batch what a listing shows from its revision on.
+  Task<void> Check(KeyValueUser aUser,
+                   std::string aPrefix,
+                   WatchBatch& aBatch,
+                   TimePoint aDeadline)
+  {
+    LastReason ignored;
+    const auto entries =
+      co_await this->List(aUser, aPrefix, aDeadline, ignored);
+    if (!entries) {
+      co_return;
+    }
+    std::int64_t next = aBatch.nextRevision;
+    for (const KeyValueEntry& entry : *entries) {
+      if (entry.modRevision >= aBatch.nextRevision) {
+        ++this->counts.missedByWatch;
+        aBatch.events.push_back({ false, entry });
+        next = std::max(next, entry.modRevision + 1);
+      }
+    }
+    aBatch.nextRevision = next;
+  }
+
+  // Counts one waiting watch. It shares the count, because a cancelled
+  // coroutine can end after the client.
+  class PendingWatch
+  {
+  public:
+    explicit PendingWatch(std::shared_ptr<std::uint32_t> aCount)
+      : count(std::move(aCount))
+    {
+      ++*this->count;
+    }
+    PendingWatch(const PendingWatch&) = delete;
+    PendingWatch& operator=(const PendingWatch&) = delete;
+    ~PendingWatch() { --*this->count; }
+
+  private:
+    std::shared_ptr<std::uint32_t> count;
+  };
+
+  S& service;
+  T& timer;
+  KeyValueClientSettings settings;
+  CallBudget budget;
+  BackoffGate gate;
+  KeyValueClientCounts counts;
+  std::shared_ptr<std::uint32_t> pendingWatches =
+    std::make_shared<std::uint32_t>(0);
+};
+
+// The key-value service as one user sees it; see KeyValueClient.
+template<typename Client>
+class KeyValueHandle
+{
+public:
+  KeyValueHandle(Client& aClient, KeyValueUser aUser)
+    : client(&aClient)
+    , user(aUser)
+  {
+  }
+
+  Task<std::optional<ReadResult>> Get(std::string aKey,
+                                      TimePoint aDeadline,
+                                      LastReason& aReason)
+  {
+    return this->client->Get(this->user, std::move(aKey), aDeadline, aReason);
+  }
+
+  Task<std::optional<std::vector<KeyValueEntry>>> List(std::string aPrefix,
+                                                       TimePoint aDeadline,
+                                                       LastReason& aReason)
+  {
+    return this->client->List(
+      this->user, std::move(aPrefix), aDeadline, aReason);
+  }
+
+  Task<WriteResult> Put(PutRequest aPut,
+                        TimePoint aDeadline,
+                        LastReason& aReason)
+  {
+    return this->client->Put(this->user, std::move(aPut), aDeadline, aReason);
+  }
+
+  Task<WriteResult> Delete(std::string aKey,
+                           std::optional<std::int64_t> aExpectedRevision,
+                           TimePoint aDeadline,
+                           LastReason& aReason)
+  {
+    return this->client->Delete(
+      this->user, std::move(aKey), aExpectedRevision, aDeadline, aReason);
+  }
+
+  Task<std::optional<LeaseId>> GrantLease(Duration aTimeToLive,
+                                          TimePoint aDeadline,
+                                          LastReason& aReason)
+  {
+    return this->client->GrantLease(
+      this->user, aTimeToLive, aDeadline, aReason);
+  }
+
+  Task<std::optional<Duration>> KeepAlive(LeaseId aLease,
+                                          TimePoint aDeadline,
+                                          LastReason& aReason)
+  {
+    return this->client->KeepAlive(this->user, aLease, aDeadline, aReason);
+  }
+
+  Task<std::optional<WatchBatch>> Watch(std::string aPrefix,
+                                        std::int64_t aRevision,
+                                        TimePoint aDeadline,
+                                        LastReason& aReason)
+  {
+    return this->client->Watch(
+      this->user, std::move(aPrefix), aRevision, aDeadline, aReason);
+  }
+
+private:
+  Client* client;
+  KeyValueUser user;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/platform/key_value_client_test.cc
@@ -0,0 +1,268 @@
+#include "wigeonwalk/platform/key_value_client.h"
+#include "wigeonwalk/testing/fake_key_value.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Client = KeyValueClient<FakeKeyValue, VirtualTime>;
+static_assert(KeyValueService<Client::Handle>);
+
+struct Outcome
+{
+  WriteResult result;
+  LastReason reason;
+  std::optional<TimePoint> endedAt;
+};
+
+Task<void>
+Put(Client& aClient,
+    VirtualTime& aTime,
+    PutRequest aPut,
+    Duration aTimeout,
+    Outcome& aOut)
+{
+  auto handle = aClient.For(KeyValueUser::Claims);
+  const TimePoint deadline = aTime.Now() + aTimeout;
+  aOut.result = co_await handle.Put(aPut, deadline, aOut.reason);
+  aOut.endedAt = aTime.Now();
+}
+
+Task<void>
+Get(Client& aClient,
+    VirtualTime& aTime,
+    KeyValueUser aUser,
+    Duration aTimeout,
+    std::optional<ReadResult>& aOut,
+    LastReason& aReason)
+{
+  auto handle = aClient.For(aUser);
+  const TimePoint deadline = aTime.Now() + aTimeout;
+  aOut = co_await handle.Get("a", deadline, aReason);
+}
+
+Task<void>
+Watch(Client& aClient, TimePoint aDeadline, std::optional<WatchBatch>& aOut)
+{
+  auto handle = aClient.For(KeyValueUser::Documents);
+  LastReason reason;
+  aOut = co_await handle.Watch("a", 1, aDeadline, reason);
+}
+
+struct LostCase
+{
+  const char* name;
+  KeyValueFault fault;
+  Duration delay;
+  Duration lasts;
+  // What another writer stores meanwhile, if anything.
+  const char* other;
+  WriteOutcome outcome;
+  const char* finalValue;
+};
+
+} // namespace
+
+// Guards against a write that is reported as not made though it took effect,
+// made twice, or sent again over a later write.
+SCENARIO("the client settles writes whose answers are lost", "[client]")
+{
+  VirtualTime time;
+  const TimePoint start = time.Now();
+  FakeKeyValue service(time);
+  Client client(service, time, {});
+  const auto row = GENERATE(values<LostCase>({
+    { "no fault",
+      KeyValueFault::QuietWatch,
+      0s,
+      1s,
+      nullptr,
+      WriteOutcome::Applied,
+      "ours" },
+    { "answer lost",
+      KeyValueFault::AnswerLost,
+      0s,
+      1ms,
+      nullptr,
+      WriteOutcome::Applied,
+      "ours" },
+    { "answer lost, then overwritten",
+      KeyValueFault::AnswerLost,
+      0s,
+      1ms,
+      "other",
+      WriteOutcome::Unknown,
+      "other" },
+    { "request lost",
+      KeyValueFault::Silent,
+      0s,
+      1ms,
+      nullptr,
+      WriteOutcome::Applied,
+      "ours" },
+    { "handled after the attempt's end",
+      KeyValueFault::Slow,
+      1500ms,
+      1ms,
+      nullptr,
+      WriteOutcome::Applied,
+      "ours" },
+    { "lost for longer than the deadline",
+      KeyValueFault::AnswerLost,
+      0s,
+      10s,
+      nullptr,
+      WriteOutcome::Unknown,
+      "ours" },
+    { "refused",
+      KeyValueFault::Down,
+      0s,
+      10s,
+      nullptr,
+      WriteOutcome::NotSent,
+      "old" },
+  }));
+  CAPTURE(row.name);
+  const std::int64_t revision = service.Store("a", "old");
+  service.AddFault({ row.fault, start, start + row.lasts, row.delay });
+  Outcome outcome;
+  time.Spawn(Put(client,
+                 time,
+                 { .key = "a", .value = "ours", .expectedRevision = revision },
+                 3s,
+                 outcome));
+  if (row.other) {
+    // Between the write, which took effect after 1 ms, and the read.
+    time.RunUntil(start + 1ms);
+    service.Store("a", row.other);
+  }
+  time.RunUntil(start + 5s);
+  REQUIRE(outcome.endedAt);
+  CHECK(NameOf(outcome.result.outcome) == NameOf(row.outcome));
+  CHECK(*outcome.endedAt <= start + 3s);
+  CHECK(service.Peek("a")->value == row.finalValue);
+  // One read-back, one further write at most, never more.
+  CHECK(service.Count(KeyValueCall::Put) <= 2);
+  // "ours" was written once: a second copy fails by revision.
+  CHECK(service.Peek("a")->modRevision <= revision + 1 + (row.other ? 1 : 0));
+}
+
+// Guards against callers that wait on a dead service, and against a flood of
+// calls at it.
+SCENARIO("the client holds calls back while the service is down", "[client]")
+{
+  VirtualTime time;
+  const TimePoint start = time.Now();
+  FakeKeyValue service(time);
+  Client client(service, time, {});
+  GIVEN("a service that is silent for an hour and a claim every 100 ms")
+  {
+    service.AddFault({ KeyValueFault::Silent, start, start + 1h });
+    std::vector<Outcome> outcomes(36'000);
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+      time.RunUntil(start + i * 100ms);
+      time.Spawn(Put(client,
+                     time,
+                     { .key = "a", .value = "x", .expectedRevision = 0 },
+                     300ms,
+                     outcomes[i]));
+    }
+    time.RunUntil(start + 1h + 10s);
+    THEN("each ends within 300 ms and the service sees under 900 calls")
+    {
+      for (std::size_t i = 0; i < outcomes.size(); ++i) {
+        REQUIRE(outcomes[i].endedAt);
+        REQUIRE(*outcomes[i].endedAt <= start + i * 100ms + 300ms);
+      }
+      // One probe in at least 4 s, and those before the gate closed.
+      CHECK(service.CountAll() <= 3'600 / 4 + 20);
+      CHECK(outcomes.back().result.outcome == WriteOutcome::NotSent);
+      CHECK(outcomes.back().reason.code == ReasonCode::Unavailable);
+    }
+    AND_THEN("the first call after the backoff finds the service again")
+    {
+      Outcome later;
+      time.Spawn(Put(client,
+                     time,
+                     { .key = "b", .value = "x", .expectedRevision = 0 },
+                     300ms,
+                     later));
+      time.RunUntil(time.Now() + 1s);
+      CHECK(later.result.outcome == WriteOutcome::Applied);
+      CHECK(client.IsAvailable());
+    }
+  }
+}
+
+// Guards against a slow copy that delays a read, and against hedged writes.
+SCENARIO("the client hedges reads once and writes never", "[client]")
+{
+  VirtualTime time;
+  const TimePoint start = time.Now();
+  FakeKeyValue service(time);
+  Client client(service, time, {});
+  service.Store("a", "x");
+  service.AddFault({ KeyValueFault::Slow, start, start + 1ms, 800ms });
+  GIVEN("a service that handles the first request after 800 ms")
+  {
+    std::optional<ReadResult> read;
+    LastReason reason;
+    time.Spawn(Get(client, time, KeyValueUser::Claims, 1s, read, reason));
+    time.RunUntil(start + 60ms);
+    THEN("the second copy has answered after 52 ms")
+    {
+      REQUIRE(read);
+      CHECK(service.CountAll() == 2);
+      CHECK(client.Counts().hedges == 1);
+    }
+  }
+  GIVEN("a write instead")
+  {
+    Outcome outcome;
+    time.Spawn(Put(client, time, { .key = "a", .value = "y" }, 2s, outcome));
+    time.RunUntil(start + 2s);
+    THEN("it is sent once")
+    {
+      CHECK(outcome.result.outcome == WriteOutcome::Applied);
+      CHECK(service.Count(KeyValueCall::Put) == 1);
+      CHECK(client.Counts().hedges == 0);
+    }
+  }
+}
+
+// Guards against a change that nobody learns of because a watch went silent.
+SCENARIO("the client finds changes that a watch hides", "[client]")
+{
+  struct Case
+  {
+    Duration quietFor;
+    Duration knownWithin;
+  };
+  const auto row = GENERATE(values<Case>({
+    { 0s, 1s },
+    { 2s, 3100ms },
+    { 1h, 33s },
+  }));
+  CAPTURE(row.quietFor.count());
+  VirtualTime time;
+  const TimePoint start = time.Now();
+  FakeKeyValue service(time);
+  Client client(service, time, {});
+  service.AddFault({ KeyValueFault::QuietWatch, start, start + row.quietFor });
+  std::optional<WatchBatch> batch;
+  time.Spawn(Watch(client, start + 2min, batch));
+  time.RunUntil(start + 500ms);
+  CHECK(client.PendingWatches() == 1);
+  service.Store("a", "x");
+  time.RunUntil(start + row.knownWithin);
+  REQUIRE(batch);
+  REQUIRE(batch->events.size() == 1);
+  CHECK(batch->events[0].entry.value == "x");
+  CHECK(client.PendingWatches() == 0);
+  // A hidden change waits for the next call: a watch each 3 s, a listing each
+  // 30 s.
+  CHECK(service.CountAll() <= 33 / 3 + 2);
+}
--- /dev/null
+++ b/wigeonwalk/platform/lease_keeper.h
@@ -0,0 +1,201 @@
+// Holds one lease in the key-value service.
+//
+//   LeaseKeeper keeper(handle, timer, { .key = "rollout/orders/lease",
+//                                       .holder = "host-7" });
+//   spawn(keeper.Keep());
+//   if (auto fencing = keeper.FencingNumber()) { ... send an order ... }
+#pragma once
+
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/key_value.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace wigeonwalk {
+
+// What a lease is kept with.
+struct LeaseSettings
+{
+  std::string key;
+  // Names this process; part of the key's value.
+  std::string holder;
+  Duration timeToLive = std::chrono::seconds(10);
+};
+
+// A lease that this process holds or held.
+struct HeldLease
+{
+  LeaseId lease = 0;
+  // Revision with which the key was created. Every later holder's is higher.
+  std::uint64_t fencingNumber = 0;
+  // Until then the service keeps the lease, by this process's clock.
+  TimePoint validUntil;
+};
+
+// Acquires and renews a lease. A lease counts as lost when it may have lapsed:
+// its time is counted from before the renewal was sent, less a margin for
+// clocks that run at different rates. A process that was paused for longer
+// finds it lost on the first look. Two or three daemons, chosen by rendezvous
+// rank, should try for one lease, since each waiting one costs a watch. One
+// thread.
+template<KeyValueService S, Timer T>
+class LeaseKeeper
+{
+public:
+  // Part of the time to live that a holder relies on.
+  static constexpr double kReliedOn = 0.9;
+
+  LeaseKeeper(S& aService, T& aTimer, LeaseSettings aSettings)
+    : service(aService)
+    , timer(aTimer)
+    , settings(std::move(aSettings))
+  {
+  }
+
+  // The number to fence orders with, or nothing where this process does not
+  // hold the lease for certain.
+  std::optional<std::uint64_t> FencingNumber() const
+  {
+    if (!this->held || this->timer.Now() >= this->held->validUntil) {
+      return std::nullopt;
+    }
+    return this->held->fencingNumber;
+  }
+
+  // The end of the time that this process relies on; the epoch without a lease.
+  TimePoint ValidUntil() const
+  {
+    return this->held ? this->held->validUntil : TimePoint();
+  }
+
+  // Acquires, renews and acquires again until Stop.
+  Task<void> Keep()
+  {
+    const Duration step = this->settings.timeToLive / 3;
+    while (!this->stopping) {
+      LastReason reason;
+      const TimePoint deadline = this->timer.Now() + step;
+      if (this->FencingNumber()) {
+        co_await this->Renew(deadline, reason);
+      } else if (!co_await this->Acquire(deadline, reason)) {
+        co_await this->WaitForTurn(reason);
+        continue;
+      }
+      co_await this->timer.WaitUntil(deadline);
+    }
+    co_await this->Release();
+  }
+
+  // Makes Keep return after its present step and give the lease back.
+  void Stop() { this->stopping = true; }
+
+  // Tries once. The reason is Conflict where another process holds the lease.
+  Task<bool> Acquire(TimePoint aDeadline, LastReason& aReason)
+  {
+    this->held.reset();
+    const TimePoint sentAt = this->timer.Now();
+    const auto lease = co_await this->service.GrantLease(
+      this->settings.timeToLive, aDeadline, aReason);
+    if (!lease) {
+      co_return false;
+    }
+    const PutRequest put{ .key = this->settings.key,
+                          .value = this->settings.holder + " " +
+                                   std::to_string(*lease),
+                          .expectedRevision = 0,
+                          .lease = *lease };
+    const WriteResult result =
+      co_await this->service.Put(put, aDeadline, aReason);
+    if (result.outcome != WriteOutcome::Applied) {
+      this->blockedBy = result.current ? result.current->modRevision : 0;
+      co_return false;
+    }
+    this->held = HeldLease{ *lease,
+                            static_cast<std::uint64_t>(result.revision),
+                            this->RelyUntil(sentAt) };
+    co_return this->FencingNumber().has_value();
+  }
+
+  // Renews once. A failure keeps the lease until its time is over, except where
+  // the service says that it has lapsed.
+  Task<bool> Renew(TimePoint aDeadline, LastReason& aReason)
+  {
+    const TimePoint sentAt = this->timer.Now();
+    LastReason why;
+    const auto remaining =
+      co_await this->service.KeepAlive(this->held->lease, aDeadline, why);
+    if (remaining) {
+      this->held->validUntil = this->RelyUntil(sentAt);
+      co_return true;
+    }
+    if (why.code == ReasonCode::Expired) {
+      this->held.reset();
+    }
+    aReason = why;
+    co_return false;
+  }
+
+  // Gives the lease back, so that the next holder need not wait for its end.
+  Task<void> Release()
+  {
+    if (!this->FencingNumber()) {
+      co_return;
+    }
+    const auto revision = static_cast<std::int64_t>(this->held->fencingNumber);
+    this->held.reset();
+    LastReason ignored;
+    const TimePoint deadline =
+      this->timer.Now() + this->settings.timeToLive / 3;
+    co_await this->service.Delete(
+      this->settings.key, revision, deadline, ignored);
+  }
+
+private:
+  TimePoint RelyUntil(TimePoint aSentAt) const
+  {
+    return aSentAt +
+           FromSeconds(kReliedOn * ToSeconds(this->settings.timeToLive));
+  }
+
+  // Waits until the key may be free: for its deletion where another process
+  // holds it, otherwise for a moment.
+  Task<void> WaitForTurn(LastReason aWhy)
+  {
+    const TimePoint end = this->timer.Now() + this->settings.timeToLive;
+    if (aWhy.code != ReasonCode::Conflict) {
+      co_await this->timer.WaitUntil(this->timer.Now() +
+                                     this->settings.timeToLive / 5);
+      co_return;
+    }
+    std::int64_t next = this->blockedBy + 1;
+    while (!this->stopping) {
+      LastReason reason;
+      const auto batch =
+        co_await this->service.Watch(this->settings.key, next, end, reason);
+      if (!batch || this->timer.Now() >= end) {
+        co_await this->timer.WaitUntil(
+          std::min(end, this->timer.Now() + this->settings.timeToLive / 5));
+        co_return;
+      }
+      next = batch->nextRevision;
+      for (const WatchEvent& event : batch->events) {
+        if (event.deleted) {
+          co_return;
+        }
+      }
+    }
+  }
+
+  S& service;
+  T& timer;
+  LeaseSettings settings;
+  std::optional<HeldLease> held;
+  std::int64_t blockedBy = 0;
+  bool stopping = false;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/testing/fake_key_value.cc
+++ b/wigeonwalk/testing/fake_key_value.cc
@@ -120,6 +120,12 @@
   return sum;
 }
 
+std::vector<WatchEvent>
+FakeKeyValue::Changes(const std::string& aPrefix) const
+{
+  return this->state->EventsFrom(aPrefix, 0);
+}
+
 std::optional<KeyValueEntry>
 FakeKeyValue::Peek(const std::string& aKey) const
 {
@@ -161,8 +167,8 @@
   ++this->state->perSecond[SecondOf(this->state->time.Now())];
 }
 
-// Takes one call through the table of faults. `aApply` is what the service
-// does.
+// Callers pass `aApply` as a named variable: g++ 12 destroys a lambda that is a
+// temporary of a co_await expression twice.
 template<typename R, typename F>
 Task<std::optional<R>>
 FakeKeyValue::Call(KeyValueCall aCall,
@@ -170,6 +176,30 @@
                    TimePoint aDeadline,
                    LastReason& aReason,
                    F aApply)
+{
+  co_await this->PassPause();
+  auto answer = co_await this->Deliver<R>(
+    aCall, std::move(aKey), aDeadline, aReason, std::move(aApply));
+  co_await this->PassPause();
+  co_return answer;
+}
+
+Task<void>
+FakeKeyValue::PassPause()
+{
+  if (this->pause) {
+    VirtualTime& time = this->state->time;
+    co_await time.WaitUntil(this->pause->RunsAt(time.Now()));
+  }
+}
+
+template<typename R, typename F>
+Task<std::optional<R>>
+FakeKeyValue::Deliver(KeyValueCall aCall,
+                      std::string aKey,
+                      TimePoint aDeadline,
+                      LastReason& aReason,
+                      F aApply)
 {
   const std::shared_ptr<KeyValueState> shared = this->state;
   VirtualTime& time = shared->time;
@@ -377,12 +407,13 @@
     }
     auto signal = std::make_shared<boost::asio::steady_timer>(
       shared->time.Context(), boost::asio::steady_timer::time_point::max());
-    shared->signals.push_back(signal);
+    shared->signals.push_back({ aPrefix, signal });
     boost::system::error_code ignored;
     co_await (signal->async_wait(boost::asio::redirect_error(
                 boost::asio::use_awaitable, ignored)) ||
               shared->time.WaitUntil(aDeadline));
-    std::erase(shared->signals, signal);
+    std::erase_if(shared->signals,
+                  [&](const auto& aRow) { return aRow.timer == signal; });
   }
   batch.nextRevision = std::max(aRevision, shared->revision + 1);
   co_return batch;
--- a/wigeonwalk/testing/fake_key_value.h
+++ b/wigeonwalk/testing/fake_key_value.h
@@ -10,6 +10,7 @@
 
 #include "wigeonwalk/base/enum_names.h"
 #include "wigeonwalk/ports/key_value.h"
+#include "wigeonwalk/testing/process_pause.h"
 #include "wigeonwalk/testing/virtual_time.h"
 
 #include <array>
@@ -116,6 +117,10 @@
   // Adds a fault for this connection only; not for LeaseLapsed.
   void AddLinkFault(KeyValueFaultRow aRow);
 
+  // Makes this connection that of a process that pauses: no call leaves it and
+  // no answer reaches it during the pause.
+  void SetPause(const ProcessPause* aPause) { this->pause = aPause; }
+
   // Ends a lease now and deletes its keys.
   void LapseLease(LeaseId aLease);
 
@@ -126,6 +131,9 @@
   // Calls in [aFrom, aUntil), by whole seconds.
   std::uint64_t CountBetween(TimePoint aFrom, TimePoint aUntil) const;
 
+  // All changes under a prefix since the start, in order.
+  std::vector<WatchEvent> Changes(const std::string& aPrefix) const;
+
   // Reads and writes the data without a call, for tests.
   std::optional<KeyValueEntry> Peek(const std::string& aKey) const;
   std::int64_t Store(const std::string& aKey, const std::string& aValue);
@@ -163,6 +171,7 @@
   const KeyValueFaultRow* FindFault(KeyValueFault aFault,
                                     const std::string& aKey) const;
   void CountCall(KeyValueCall aCall);
+  Task<void> PassPause();
 
   template<typename R, typename F>
   Task<std::optional<R>> Call(KeyValueCall aCall,
@@ -170,6 +179,14 @@
                               TimePoint aDeadline,
                               LastReason& aReason,
                               F aApply);
+  // Takes one call through the table of faults; `aApply` is what the service
+  // does.
+  template<typename R, typename F>
+  Task<std::optional<R>> Deliver(KeyValueCall aCall,
+                                 std::string aKey,
+                                 TimePoint aDeadline,
+                                 LastReason& aReason,
+                                 F aApply);
   Task<WriteResult> Write(KeyValueCall aCall,
                           std::string aKey,
                           TimePoint aDeadline,
@@ -178,6 +195,7 @@
 
   std::shared_ptr<testing_internal::KeyValueState> state;
   std::vector<KeyValueFaultRow> linkFaults;
+  const ProcessPause* pause = nullptr;
 };
 
 static_assert(KeyValueService<FakeKeyValue>);
--- a/wigeonwalk/testing/internal/key_value_state.cc
+++ b/wigeonwalk/testing/internal/key_value_state.cc
@@ -13,8 +13,10 @@
 KeyValueState::Announce(bool aDeleted, const KeyValueEntry& aEntry)
 {
   this->history.push_back({ aDeleted, aEntry });
-  for (const auto& signal : this->signals) {
-    signal->cancel();
+  for (const Signal& signal : this->signals) {
+    if (aEntry.key.starts_with(signal.prefix)) {
+      signal.timer->cancel();
+    }
   }
 }
 
--- a/wigeonwalk/testing/internal/key_value_state.h
+++ b/wigeonwalk/testing/internal/key_value_state.h
@@ -49,8 +49,13 @@
   std::vector<WatchEvent> history;
   std::map<LeaseId, FakeLease> leases;
   std::vector<KeyValueFaultRow> faults;
-  // Cancelled at each change, to wake the watches.
-  std::vector<std::shared_ptr<boost::asio::steady_timer>> signals;
+  // Cancelled at a change under the prefix, to wake a watch.
+  struct Signal
+  {
+    std::string prefix;
+    std::shared_ptr<boost::asio::steady_timer> timer;
+  };
+  std::vector<Signal> signals;
   std::array<std::uint64_t, EnumNames<KeyValueCall>::kTable.size()> counts{};
   std::map<std::int64_t, std::uint64_t> perSecond;
   std::int64_t revision = 0;
