ports, membership, base: add peer messages, member table, rendezvous, hybrid clock

Cause: daemons need one set of typed messages and one set of rules for what they believe of each other before any flow or codec is written. Change: ports/peer_messages.h and peer_channel.h; the member table with incarnations, suspicion, refutation and leaving; rendezvous ranking of shard owners; a hybrid logical clock in base/. clang-tidy 14 reports the zero of a rewritten three-way comparison as a null pointer; the two lines are exempted.

--- a/wigeonwalk/base/ids.h
+++ b/wigeonwalk/base/ids.h
@@ -27,6 +27,8 @@
   const std::string& Text() const { return this->text; }
   bool Empty() const { return this->text.empty(); }
 
+  // clang-tidy 14 takes the zero of a rewritten comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Id&) const = default;
 
 private:
--- /dev/null
+++ b/wigeonwalk/membership/rendezvous_test.cc
@@ -0,0 +1,65 @@
+#include "wigeonwalk/membership/rendezvous.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+using namespace wigeonwalk;
+
+// Guards against a departure that reshuffles shards of members that stay, and
+// against one member owning far more than its share.
+SCENARIO("one departure moves only the departed member's shards",
+         "[rendezvous]")
+{
+  std::vector<HostId> hosts;
+  for (int i = 0; i < 350; ++i) {
+    hosts.emplace_back("entry-" + std::to_string(i));
+  }
+  constexpr int kShards = 7'000;
+  std::map<HostId, int> owned;
+  std::vector<HostId> before;
+  for (int shard = 0; shard < kShards; ++shard) {
+    before.push_back(RankOwners("s/" + std::to_string(shard), hosts, 1).at(0));
+    owned[before.back()] += 1;
+  }
+
+  THEN("no member owns more than three times the average")
+  {
+    for (const auto& [host, count] : owned) {
+      CHECK(count <= 3 * kShards / 350);
+    }
+  }
+  WHEN("one member departs and the list is in another order")
+  {
+    const HostId gone = hosts.back();
+    hosts.pop_back();
+    std::reverse(hosts.begin(), hosts.end());
+    int moved = 0;
+    for (int shard = 0; shard < kShards; ++shard) {
+      const std::string name = "s/" + std::to_string(shard);
+      const HostId now = RankOwners(name, hosts, 1).at(0);
+      const auto index = static_cast<std::size_t>(shard);
+      moved += now != before[index] ? 1 : 0;
+      if (before[index] != gone && now != before[index]) {
+        FAIL("a shard of a remaining member moved");
+      }
+    }
+    THEN("exactly its shards have moved")
+    {
+      CHECK(moved == owned[gone]);
+      WARN("shards moved: " << moved << " of " << kShards);
+    }
+  }
+  WHEN("two owners are asked for")
+  {
+    const auto owners = RankOwners("s/1", hosts, 2);
+    THEN("the second takes over when the first departs")
+    {
+      hosts.erase(std::find(hosts.begin(), hosts.end(), owners[0]));
+      CHECK(RankOwners("s/1", hosts, 1).at(0) == owners[1]);
+      CHECK(IsOwner("s/1", owners[1], hosts, 1));
+    }
+  }
+}
--- /dev/null
+++ b/wigeonwalk/ports/peer_channel.h
@@ -0,0 +1,60 @@
+// Ports between daemons: a channel to send by, and a handler of what arrives.
+//
+//   channel.Send(address, probe);
+//   auto answer = co_await channel.Call(address, call, deadline, reason);
+#pragma once
+
+#include "wigeonwalk/base/last_reason.h"
+#include "wigeonwalk/ports/peer_messages.h"
+#include "wigeonwalk/ports/task.h"
+
+#include <concepts>
+#include <optional>
+#include <string>
+
+namespace wigeonwalk {
+
+// Sends to other daemons by "IP:port". Send never waits and gives no
+// guarantee of delivery. Call returns by its deadline; on failure the reason
+// says how far the call got.
+template<typename T>
+concept PeerChannel = requires(T& aChannel,
+                               const std::string& aAddress,
+                               const PeerDatagram& aDatagram,
+                               const PeerCall& aCall,
+                               TimePoint aDeadline,
+                               LastReason& aReason)
+{
+  {
+    aChannel.Send(aAddress, aDatagram)
+    } -> std::same_as<void>;
+  {
+    aChannel.Call(aAddress, aCall, aDeadline, aReason)
+    } -> std::same_as<Task<std::optional<PeerAnswer>>>;
+};
+
+// Takes what arrives from other daemons. An answer of nothing closes the
+// caller's connection.
+template<typename T>
+concept PeerHandler = requires(T& aHandler,
+                               const PeerDatagram& aDatagram,
+                               const PeerCall& aCall)
+{
+  {
+    aHandler.OnDatagram(aDatagram)
+    } -> std::same_as<void>;
+  {
+    aHandler.OnCall(aCall)
+    } -> std::same_as<Task<std::optional<PeerAnswer>>>;
+};
+
+// Starts coroutines on the daemon's I/O thread.
+template<typename T>
+concept TaskSpawner = requires(T& aSpawner, Task<void> aTask)
+{
+  {
+    aSpawner.Spawn(std::move(aTask))
+    } -> std::same_as<void>;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/ports/peer_messages.h
@@ -0,0 +1,264 @@
+// Messages between daemons, as flows see them. Encoding is in adapters/peer.
+//
+// Datagrams carry probes with what is piggybacked on them; calls carry a
+// request and its answer over a connection.
+//
+//   PeerDatagram probe{ .kind = DatagramKind::Probe, .sender = self };
+//   channel.Send(address, probe);
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/base/hybrid_clock.h"
+#include "wigeonwalk/base/ids.h"
+#include "wigeonwalk/base/time.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wigeonwalk {
+
+// What a daemon believes of another. At the same incarnation a later value
+// overrides an earlier one.
+enum class MemberState
+{
+  Alive,
+  Suspect,
+  Lost,
+  Left,
+};
+
+template<>
+struct EnumNames<MemberState>
+{
+  static constexpr std::array<EnumName<MemberState>, 4> kTable{ {
+    { MemberState::Alive, "alive" },
+    { MemberState::Suspect, "suspect" },
+    { MemberState::Lost, "lost" },
+    { MemberState::Left, "left" },
+  } };
+};
+static_assert(HasCompleteTable<MemberState>());
+
+// One statement about one daemon.
+struct MemberUpdate
+{
+  HostId host;
+  // IP address and port of its peer listener.
+  std::string address;
+  AvailabilityZone zone;
+  std::string region;
+  // Rises with each start of the daemon and each refutation.
+  std::uint64_t incarnation = 0;
+  MemberState state = MemberState::Alive;
+
+  bool operator==(const MemberUpdate&) const = default;
+};
+
+// Summary of the documents that a daemon has in force.
+struct DocumentDigest
+{
+  // Sum of all revisions. Of two daemons with different hashes, the one with
+  // the lower sum lacks something that the other has.
+  std::uint64_t revisionSum = 0;
+  std::uint64_t hash = 0;
+  // Age of the oldest confirmation by the key-value service, at sending.
+  Duration confirmedAge = Duration::max();
+
+  bool operator==(const DocumentDigest&) const = default;
+};
+
+// Notices that ride on probes. Their owners encode the payload.
+enum class NoticeKind
+{
+  Poison,
+  Leaving,
+};
+
+template<>
+struct EnumNames<NoticeKind>
+{
+  static constexpr std::array<EnumName<NoticeKind>, 2> kTable{ {
+    { NoticeKind::Poison, "poison" },
+    { NoticeKind::Leaving, "leaving" },
+  } };
+};
+static_assert(HasCompleteTable<NoticeKind>());
+
+// One notice, about 32 bytes.
+struct PeerNotice
+{
+  NoticeKind kind = NoticeKind::Poison;
+  std::string payload;
+
+  bool operator==(const PeerNotice&) const = default;
+};
+
+// What a datagram asks of its receiver.
+enum class DatagramKind
+{
+  // Answer with a ProbeAck of the same sequence.
+  Probe,
+  ProbeAck,
+  // Probe `target` and forward its ProbeAck.
+  ProbeRequest,
+};
+
+template<>
+struct EnumNames<DatagramKind>
+{
+  static constexpr std::array<EnumName<DatagramKind>, 3> kTable{ {
+    { DatagramKind::Probe, "probe" },
+    { DatagramKind::ProbeAck, "probe-ack" },
+    { DatagramKind::ProbeRequest, "probe-request" },
+  } };
+};
+static_assert(HasCompleteTable<DatagramKind>());
+
+// One datagram. The sender's own update lets a receiver answer a daemon that
+// it has not heard of before.
+struct PeerDatagram
+{
+  DatagramKind kind = DatagramKind::Probe;
+  MemberUpdate sender;
+  HybridTime sentAt;
+  std::uint64_t sequence = 0;
+  // The daemon that a ProbeRequest is about.
+  HostId target;
+  std::string targetAddress;
+  DocumentDigest documents;
+  std::vector<MemberUpdate> updates;
+  std::vector<PeerNotice> notices;
+
+  bool operator==(const PeerDatagram&) const = default;
+};
+
+// Asks for all members that the receiver knows.
+struct MemberSync
+{
+  MemberUpdate sender;
+
+  bool operator==(const MemberSync&) const = default;
+};
+
+struct MemberList
+{
+  std::vector<MemberUpdate> members;
+
+  bool operator==(const MemberList&) const = default;
+};
+
+// One service's document as daemons pass it on: the text, not its parsed form.
+struct DocumentCopy
+{
+  ServiceName service;
+  std::uint64_t revision = 0;
+  std::string editId;
+  std::string text;
+
+  bool operator==(const DocumentCopy&) const = default;
+};
+
+// The revision that a daemon has of one service's document.
+struct DocumentVersion
+{
+  ServiceName service;
+  std::uint64_t revision = 0;
+
+  bool operator==(const DocumentVersion&) const = default;
+};
+
+// Asks for every document newer than the listed versions.
+struct DocumentFetch
+{
+  std::vector<DocumentVersion> known;
+
+  bool operator==(const DocumentFetch&) const = default;
+};
+
+struct DocumentBundle
+{
+  std::vector<DocumentCopy> documents;
+
+  bool operator==(const DocumentBundle&) const = default;
+};
+
+// Hands over a newly learned document.
+struct DocumentPush
+{
+  DocumentCopy document;
+
+  bool operator==(const DocumentPush&) const = default;
+};
+
+// Whether the receiver of a DocumentPush did not have it yet.
+struct DocumentPushAnswer
+{
+  bool wasNew = false;
+
+  bool operator==(const DocumentPushAnswer&) const = default;
+};
+
+// Calls whose payload is encoded by the folder that owns them.
+enum class ForwardedKind
+{
+  ClaimAppend,
+  DirectoryLookup,
+  DirectoryUpdate,
+  DemandReport,
+  Timeline,
+};
+
+template<>
+struct EnumNames<ForwardedKind>
+{
+  static constexpr std::array<EnumName<ForwardedKind>, 5> kTable{ {
+    { ForwardedKind::ClaimAppend, "claim-append" },
+    { ForwardedKind::DirectoryLookup, "directory-lookup" },
+    { ForwardedKind::DirectoryUpdate, "directory-update" },
+    { ForwardedKind::DemandReport, "demand-report" },
+    { ForwardedKind::Timeline, "timeline" },
+  } };
+};
+static_assert(HasCompleteTable<ForwardedKind>());
+
+struct ForwardedCall
+{
+  ForwardedKind kind = ForwardedKind::ClaimAppend;
+  std::string payload;
+
+  bool operator==(const ForwardedCall&) const = default;
+};
+
+// The answer of the owner: ClaimAnswer, directory rows, Allotment.
+struct ForwardedAnswer
+{
+  ForwardedKind kind = ForwardedKind::ClaimAppend;
+  std::string payload;
+
+  bool operator==(const ForwardedAnswer&) const = default;
+};
+
+// One call from a daemon to another.
+struct PeerCall
+{
+  HostId from;
+  HybridTime sentAt;
+  std::variant<MemberSync, DocumentFetch, DocumentPush, ForwardedCall> body;
+
+  bool operator==(const PeerCall&) const = default;
+};
+
+// The answer to a PeerCall. Alternatives are in the order of the calls.
+struct PeerAnswer
+{
+  HostId from;
+  HybridTime sentAt;
+  std::variant<MemberList, DocumentBundle, DocumentPushAnswer, ForwardedAnswer>
+    body;
+
+  bool operator==(const PeerAnswer&) const = default;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/ports/ports_test.cc
+++ b/wigeonwalk/ports/ports_test.cc
@@ -3,6 +3,7 @@
 #include "wigeonwalk/ports/host_list.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/model_engine.h"
+#include "wigeonwalk/ports/peer_channel.h"
 #include "wigeonwalk/ports/store_host.h"
 
 #include <catch2/catch.hpp>
@@ -20,7 +21,11 @@
                    OrderAnswer,
                    StoreTier,
                    HostStatus,
-                   EventKind)
+                   EventKind,
+                   MemberState,
+                   NoticeKind,
+                   DatagramKind,
+                   ForwardedKind)
 {
   for (const auto& row : EnumNames<TestType>::kTable) {
     CHECK(NameOf(row.value) == row.name);
