membership, testing: add the failure detector and a peer network in virtual time

Cause: shards, watchers and gossip all need to know who is live without a seed host, and without flapping on lossy links between zones. The fake network has delay, jitter, loss, cuts and pauses between zones. Six members at 10% loss between zones: nobody lost in 20 minutes.

--- /dev/null
+++ b/wigeonwalk/membership/failure_detector.h
@@ -0,0 +1,138 @@
+// Detects members that have failed: one coroutine for each peer.
+//
+//   FailureDetector detector(timer, channel, spawner, rider, table, clock, 7);
+//   detector.Start(seeds);
+//   // for each datagram that arrives:
+//   detector.OnDatagram(datagram);
+#pragma once
+
+#include "wigeonwalk/membership/member_table.h"
+#include "wigeonwalk/membership/probe_rider.h"
+#include "wigeonwalk/membership/relay_table.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/peer_channel.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Times of the detector; see section 5.5 of the design page.
+struct DetectorSettings
+{
+  // Each peer is probed about every n times this.
+  Duration probeUnit = std::chrono::seconds(1);
+  // Time for an answer in each round; zones are milliseconds apart, regions
+  // tens of milliseconds.
+  Duration probeTimeout = std::chrono::milliseconds(500);
+  // At 5% loss one direct probe in ten fails. Three rounds, two of them with
+  // three helpers each, leave about one false suspicion in 3 × 10^7 probes.
+  int rounds = 3;
+  std::size_t helpers = 3;
+  // Interval between probes of lost members, over all of them.
+  Duration lostRetry = std::chrono::seconds(10);
+  // A wait that ends this late means that the process was paused.
+  Duration pauseThreshold = std::chrono::milliseconds(300);
+  // Without any datagram for this long, a random peer is probed at once.
+  Duration quietTime = std::chrono::seconds(2);
+  // Member updates on each datagram. The codec drops those that do not fit.
+  std::size_t updates = 10;
+};
+
+// Counts since the start, for metrics.
+struct DetectorCounters
+{
+  std::uint64_t probes = 0;
+  std::uint64_t suspicions = 0;
+  std::uint64_t lost = 0;
+  std::uint64_t refutations = 0;
+  std::uint64_t pauses = 0;
+  std::uint64_t lostRetries = 0;
+};
+
+// Probes every member, accuses those that do not answer, and merges what
+// arrives. All arguments must outlive the coroutines, which end some time
+// after Leave or with the I/O context. One thread only.
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+class FailureDetector
+{
+public:
+  FailureDetector(T& aTimer,
+                  C& aChannel,
+                  S& aSpawner,
+                  R& aRider,
+                  MemberTable& aTable,
+                  HybridClock& aClock,
+                  std::uint64_t aSeed,
+                  DetectorSettings aSettings = {});
+
+  // Starts probing the daemons known from settings and the host list, and asks
+  // one of them for all others. May be called again with new seeds.
+  void Start(const std::vector<MemberUpdate>& aSeeds);
+
+  // Takes a datagram that the channel received.
+  void OnDatagram(const PeerDatagram& aDatagram);
+
+  // Answers another daemon's MemberSync.
+  MemberList OnSync(const MemberSync& aSync);
+
+  // Tells some members that this daemon leaves, and stops probing.
+  void Leave();
+
+  const DetectorCounters& Counters() const { return this->counters; }
+
+  // When any peer was last heard from.
+  TimePoint LastContact() const { return this->lastContact; }
+
+private:
+  // State of the coroutine of one peer.
+  struct PeerTask
+  {
+    std::uint64_t sequence = 0;
+    bool acked = false;
+  };
+
+  Task<void> RunPeer(HostId aHost);
+  Task<void> ProbePeer(const HostId& aHost);
+  Task<void> RunSweep();
+  Task<void> RunJoin();
+  Task<bool> SleepUntil(TimePoint aTime);
+
+  void Merge(const MemberUpdate& aUpdate);
+  void EnsurePeer(const MemberUpdate& aUpdate);
+  void SendProbe(const MemberUpdate& aTo, std::uint64_t aSequence);
+  void AskHelpers(const MemberUpdate& aTarget, std::uint64_t aSequence);
+  void AnswerProbe(const PeerDatagram& aProbe);
+  void TakeAck(const PeerDatagram& aAck);
+  void ProbeFor(const PeerDatagram& aRequest);
+  void ProbeAnyPeer();
+  PeerDatagram Compose(DatagramKind aKind, const HostId& aReceiver);
+  std::vector<const Member*> RandomMembers(std::size_t aCount,
+                                           const HostId& aExcept);
+  Duration Period(const HostId& aHost);
+  Duration Spread(Duration aMean);
+
+  T& timer;
+  C& channel;
+  S& spawner;
+  R& rider;
+  MemberTable& table;
+  HybridClock& clock;
+  DetectorSettings settings;
+  std::mt19937_64 random;
+  std::unordered_map<HostId, PeerTask> peers;
+  RelayTable relays;
+  DetectorCounters counters;
+  std::uint64_t nextSequence = 1;
+  TimePoint lastContact;
+  TimePoint lastPauseEnd;
+  bool started = false;
+  bool leaving = false;
+};
+
+} // namespace wigeonwalk
+
+#include "wigeonwalk/membership/internal/failure_detector_impl.h"
--- /dev/null
+++ b/wigeonwalk/membership/failure_detector_test.cc
@@ -0,0 +1,300 @@
+#include "wigeonwalk/membership/failure_detector.h"
+#include "wigeonwalk/testing/peer_network.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Counts changes of members; carries nothing.
+struct CountingRider
+{
+  int lost = 0;
+
+  DocumentDigest CurrentDigest(TimePoint) { return {}; }
+  std::vector<PeerNotice> TakeNotices(TimePoint) { return {}; }
+  void OnRidden(const PeerDatagram&, TimePoint) {}
+  void OnMemberChange(const MemberUpdate& aUpdate, TimePoint)
+  {
+    this->lost += aUpdate.state == MemberState::Lost ? 1 : 0;
+  }
+};
+
+MemberUpdate
+Describe(int aIndex, const std::string& aZone, std::uint64_t aIncarnation)
+{
+  const std::string number = std::to_string(aIndex);
+  return { HostId("entry-" + number),
+           "10.0.0." + number + ":7000",
+           AvailabilityZone(aZone),
+           "south",
+           aIncarnation,
+           MemberState::Alive };
+}
+
+// One daemon's part in membership.
+struct Node
+{
+  using Detector =
+    FailureDetector<PausableTimer, FakePeerChannel, VirtualTime, CountingRider>;
+
+  Node(VirtualTime& aTime,
+       PeerNetwork& aNetwork,
+       MemberUpdate aSelf,
+       DetectorSettings aSettings)
+    : endpoint(aNetwork.Add(aSelf.address, aSelf.zone.Text()))
+    , timer(aTime, this->endpoint)
+    , channel(aNetwork, this->endpoint)
+    , table(aSelf)
+    , detector(this->timer,
+               this->channel,
+               aTime,
+               this->rider,
+               this->table,
+               this->clock,
+               std::hash<HostId>()(aSelf.host),
+               aSettings)
+  {
+    this->endpoint.onDatagram = [this](const PeerDatagram& aDatagram) {
+      this->detector.OnDatagram(aDatagram);
+    };
+    this->endpoint.onCall =
+      [this](PeerCall aCall) -> Task<std::optional<PeerAnswer>> {
+      const MemberSync sync = std::get<MemberSync>(aCall.body);
+      co_return PeerAnswer{ this->table.Self().host,
+                            {},
+                            this->detector.OnSync(sync) };
+    };
+  }
+
+  PeerNetwork::Endpoint& endpoint;
+  PausableTimer timer;
+  FakePeerChannel channel;
+  CountingRider rider;
+  HybridClock clock;
+  MemberTable table;
+  Detector detector;
+};
+
+// Daemons 1 to n; odd ones in zone isar, even ones in zone lech. All know only
+// the first from their settings.
+struct Cluster
+{
+  explicit Cluster(int aCount, DetectorSettings aSettings = {})
+    : settings(aSettings)
+  {
+    this->network.SetDefaultLink({ 4ms, 3ms, 0 });
+    for (int i = 1; i <= aCount; ++i) {
+      this->Start(i, 100);
+    }
+    this->Run(30s);
+  }
+
+  void Start(int aIndex, std::uint64_t aIncarnation)
+  {
+    const std::string zone = aIndex % 2 == 1 ? "isar" : "lech";
+    this->nodes.push_back(
+      std::make_unique<Node>(this->time,
+                             this->network,
+                             Describe(aIndex, zone, aIncarnation),
+                             this->settings));
+    this->nodes.back()->detector.Start({ Describe(1, "isar", 0) });
+  }
+
+  void Run(Duration aTime) { this->time.RunUntil(this->time.Now() + aTime); }
+
+  Node& At(int aIndex) { return *this->nodes[static_cast<size_t>(aIndex - 1)]; }
+
+  MemberState StateAt(int aObserver, int aIndex)
+  {
+    const HostId host("entry-" + std::to_string(aIndex));
+    const Member* member = this->At(aObserver).table.Find(host);
+    return member ? member->update.state : MemberState::Left;
+  }
+
+  int Lost() const
+  {
+    int lost = 0;
+    for (const auto& node : this->nodes) {
+      lost += node->rider.lost;
+    }
+    return lost;
+  }
+
+  std::uint64_t Probes() const
+  {
+    std::uint64_t probes = 0;
+    for (const auto& node : this->nodes) {
+      probes += node->detector.Counters().probes;
+    }
+    return probes;
+  }
+
+  DetectorSettings settings;
+  VirtualTime time;
+  PeerNetwork network{ this->time, 20261204 };
+  std::vector<std::unique_ptr<Node>> nodes;
+};
+
+} // namespace
+
+// Guards against members that are never found, lost for no reason, or kept
+// although they are dead.
+SCENARIO("daemons find each other and notice who is gone", "[detector]")
+{
+  Cluster cluster(6);
+  for (const auto& node : cluster.nodes) {
+    REQUIRE(node->table.LiveCount() == 6);
+  }
+
+  WHEN("nothing fails for ten minutes")
+  {
+    const std::uint64_t before = cluster.Probes();
+    cluster.Run(10min);
+    THEN("nobody is suspected, and each sends about one probe a second")
+    {
+      CHECK(cluster.Lost() == 0);
+      const double rate =
+        static_cast<double>(cluster.Probes() - before) / 600 / 6;
+      CHECK(rate > 0.8);
+      CHECK(rate < 1.2);
+    }
+  }
+  WHEN("one dies")
+  {
+    cluster.At(3).endpoint.alive = false;
+    cluster.Run(20s);
+    THEN("all others have lost it")
+    {
+      for (const int observer : { 1, 2, 4, 5, 6 }) {
+        CHECK(cluster.StateAt(observer, 3) == MemberState::Lost);
+        CHECK(cluster.At(observer).table.LiveCount() == 5);
+      }
+    }
+    AND_WHEN("its host starts a new process with a clock that was set back")
+    {
+      cluster.Start(3, 50);
+      cluster.Run(30s);
+      THEN("it has replaced the lost one everywhere")
+      {
+        for (const int observer : { 1, 2, 4, 5, 6 }) {
+          CHECK(cluster.StateAt(observer, 3) == MemberState::Alive);
+        }
+        CHECK(cluster.nodes.back()->table.Self().incarnation > 100);
+      }
+    }
+  }
+  WHEN("one leaves")
+  {
+    cluster.At(3).detector.Leave();
+    cluster.Run(3s);
+    THEN("it is out of service at once and stays so")
+    {
+      CHECK(cluster.StateAt(1, 3) == MemberState::Left);
+      cluster.Run(60s);
+      CHECK(cluster.StateAt(6, 3) == MemberState::Left);
+      CHECK(cluster.Lost() == 0);
+    }
+  }
+}
+
+// Guards against false accusations. Each case is a fault that a live member
+// survives without being lost by anyone.
+SCENARIO("a fault that is no death makes nobody flap", "[detector]")
+{
+  struct Case
+  {
+    const char* name;
+    LinkSettings betweenZones;
+    bool cutPair;
+    Duration pause;
+  };
+  const auto row = GENERATE(values<Case>({
+    { "5% loss and varying delay", { 8ms, 40ms, 0.05 }, false, 0s },
+    { "10% loss", { 4ms, 3ms, 0.10 }, false, 0s },
+    { "a pause shorter than a suspicion", { 4ms, 3ms, 0 }, false, 2s },
+  }));
+  CAPTURE(row.name);
+  Cluster cluster(6);
+  cluster.network.SetLink("isar", "lech", row.betweenZones);
+  cluster.network.SetLink("lech", "isar", row.betweenZones);
+  for (int i = 0; i < 20; ++i) {
+    if (row.pause > 0s) {
+      cluster.At(1 + i % 6).endpoint.pausedUntil =
+        cluster.time.Now() + row.pause;
+    }
+    cluster.Run(1min);
+  }
+  CHECK(cluster.Lost() == 0);
+}
+
+// Guards against a process that was paused and blames the others for it. With
+// one round for each probe, nothing but the check of its own pauses helps.
+SCENARIO("a daemon that wakes from a pause accuses nobody", "[detector]")
+{
+  Cluster cluster(6, { .rounds = 1 });
+  Node& paused = cluster.At(2);
+  const auto before = paused.detector.Counters();
+
+  WHEN("it wakes after others have lost it")
+  {
+    const Duration pause = GENERATE(3s, 40s, 600s);
+    CAPTURE(pause.count());
+    // It suspected another just before; the refutation waits to be read.
+    REQUIRE(paused.table.Suspect(HostId("entry-3"), cluster.time.Now()));
+    paused.endpoint.pausedUntil = cluster.time.Now() + pause;
+    cluster.Run(pause + 20s);
+    THEN("it notices the pause, loses nobody and is back everywhere")
+    {
+      CHECK(paused.detector.Counters().pauses > before.pauses);
+      CHECK(paused.rider.lost == 0);
+      CHECK(paused.table.LiveCount() == 6);
+      for (const int observer : { 1, 3, 4, 5, 6 }) {
+        CHECK(cluster.StateAt(observer, 2) == MemberState::Alive);
+      }
+    }
+  }
+  WHEN("it stalls for 2 s every 3 s while answers take 400 ms")
+  {
+    cluster.network.SetDefaultLink({ 150ms, 50ms, 0 });
+    for (int i = 0; i < 100; ++i) {
+      paused.endpoint.pausedUntil = cluster.time.Now() + 2s;
+      cluster.Run(3s + i * 1ms);
+    }
+    THEN("it suspects nobody")
+    {
+      CHECK(paused.detector.Counters().suspicions == before.suspicions);
+      CHECK(paused.rider.lost == 0);
+    }
+  }
+}
+
+// Guards against a split that never heals, and against a burst when it does.
+SCENARIO("zones that lose each other heal quietly", "[detector]")
+{
+  Cluster cluster(10);
+  cluster.network.SetCut("isar", "lech", true);
+  cluster.Run(10min);
+  REQUIRE(cluster.At(1).table.LiveCount() == 5);
+  REQUIRE(cluster.At(2).table.LiveCount() == 5);
+
+  cluster.network.SetCut("isar", "lech", false);
+  double highestRate = 0;
+  for (int second = 0; second < 60; ++second) {
+    const std::uint64_t before = cluster.Probes();
+    cluster.Run(1s);
+    const auto sent = static_cast<double>(cluster.Probes() - before);
+    highestRate = std::max(highestRate, sent / 10);
+  }
+  THEN("all are live again, and the rate of probes stayed low")
+  {
+    for (const auto& node : cluster.nodes) {
+      CHECK(node->table.LiveCount() == 10);
+    }
+    CHECK(highestRate < 4);
+  }
+}
--- /dev/null
+++ b/wigeonwalk/membership/internal/failure_detector_impl.h
@@ -0,0 +1,418 @@
+// Definitions of failure_detector.h; included by it only.
+#pragma once
+
+#include "wigeonwalk/membership/failure_detector.h"
+
+#include <utility>
+#include <variant>
+
+namespace wigeonwalk {
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+FailureDetector<T, C, S, R>::FailureDetector(T& aTimer,
+                                             C& aChannel,
+                                             S& aSpawner,
+                                             R& aRider,
+                                             MemberTable& aTable,
+                                             HybridClock& aClock,
+                                             std::uint64_t aSeed,
+                                             DetectorSettings aSettings)
+  : timer(aTimer)
+  , channel(aChannel)
+  , spawner(aSpawner)
+  , rider(aRider)
+  , table(aTable)
+  , clock(aClock)
+  , settings(aSettings)
+  , random(aSeed)
+  , lastContact(aTimer.Now())
+{
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::Start(const std::vector<MemberUpdate>& aSeeds)
+{
+  for (const MemberUpdate& seed : aSeeds) {
+    this->table.AddSeed(seed, this->timer.Now());
+  }
+  for (const auto& [host, member] : this->table.Others()) {
+    this->EnsurePeer(member.update);
+  }
+  if (!this->started) {
+    this->started = true;
+    this->spawner.Spawn(this->RunSweep());
+    this->spawner.Spawn(this->RunJoin());
+  }
+}
+
+// Probes one peer until it has left or is forgotten.
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+Task<void>
+FailureDetector<T, C, S, R>::RunPeer(HostId aHost)
+{
+  const double phase = std::uniform_real_distribution<>(0, 1)(this->random);
+  const Duration first = FromSeconds(phase * ToSeconds(this->Period(aHost)));
+  co_await this->SleepUntil(this->timer.Now() + first);
+  while (!this->leaving) {
+    const Member* member = this->table.Find(aHost);
+    if (!member || member->update.state == MemberState::Left) {
+      break;
+    }
+    if (member->update.state == MemberState::Lost) {
+      this->counters.lostRetries += 1;
+      this->SendProbe(member->update, this->nextSequence++);
+    } else {
+      co_await this->ProbePeer(aHost);
+    }
+    const Duration pause = this->Spread(this->Period(aHost));
+    co_await this->SleepUntil(this->timer.Now() + pause);
+  }
+  this->peers.erase(aHost);
+}
+
+// Probes a live peer directly, then also through helpers, then suspects it.
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+Task<void>
+FailureDetector<T, C, S, R>::ProbePeer(const HostId& aHost)
+{
+  const std::uint64_t sequence = this->nextSequence++;
+  this->peers[aHost] = { sequence, false };
+  bool punctual = true;
+  for (int round = 0; round < this->settings.rounds; ++round) {
+    const Member* member = this->table.Find(aHost);
+    if (!member || this->leaving) {
+      co_return;
+    }
+    this->SendProbe(member->update, sequence);
+    if (round > 0) {
+      this->AskHelpers(member->update, sequence);
+    }
+    const TimePoint until = this->timer.Now() + this->settings.probeTimeout;
+    punctual = co_await this->SleepUntil(until) && punctual;
+    if (this->peers[aHost].acked) {
+      co_return;
+    }
+  }
+  // After a pause of this process the answers may still wait to be read.
+  if (!punctual) {
+    co_return;
+  }
+  const TimePoint now = this->timer.Now();
+  if (this->table.Suspect(aHost, now)) {
+    this->counters.suspicions += 1;
+    const MemberUpdate suspect = this->table.Find(aHost)->update;
+    this->rider.OnMemberChange(suspect, now);
+    this->SendProbe(suspect, sequence);
+  }
+}
+
+// Once a second: suspicions that run out, old members, a quiet network.
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+Task<void>
+FailureDetector<T, C, S, R>::RunSweep()
+{
+  while (!this->leaving) {
+    const TimePoint next = this->timer.Now() + std::chrono::seconds(1);
+    co_await this->SleepUntil(next);
+    const TimePoint now = this->timer.Now();
+    for (const MemberUpdate& lost : this->table.ExpireSuspicions(now)) {
+      this->counters.lost += 1;
+      this->rider.OnMemberChange(lost, now);
+    }
+    this->table.Forget(now);
+    this->relays.Expire(now);
+    if (now - this->lastContact >= this->settings.quietTime) {
+      this->ProbeAnyPeer();
+    }
+  }
+}
+
+// Asks one member after another for all members until one answers.
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+Task<void>
+FailureDetector<T, C, S, R>::RunJoin()
+{
+  constexpr int kTries = 10;
+  for (int i = 0; i < kTries && !this->leaving; ++i) {
+    const Duration pause = this->Spread(std::chrono::seconds(1));
+    co_await this->SleepUntil(this->timer.Now() + pause);
+    const auto chosen = this->RandomMembers(1, this->table.Self().host);
+    if (chosen.empty()) {
+      continue;
+    }
+    const TimePoint now = this->timer.Now();
+    const PeerCall call{ this->table.Self().host,
+                         this->clock.Tick(now),
+                         MemberSync{ this->table.Self() } };
+    const std::string address = chosen.front()->update.address;
+    const TimePoint deadline = now + std::chrono::seconds(2);
+    LastReason reason;
+    const auto answer =
+      co_await this->channel.Call(address, call, deadline, reason);
+    const auto* list =
+      answer ? std::get_if<MemberList>(&answer->body) : nullptr;
+    if (!list) {
+      continue;
+    }
+    for (const MemberUpdate& update : list->members) {
+      this->Merge(update);
+    }
+    co_return;
+  }
+}
+
+// Waits, and returns false where the process was paused meanwhile.
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+Task<bool>
+FailureDetector<T, C, S, R>::SleepUntil(TimePoint aTime)
+{
+  co_await this->timer.WaitUntil(aTime);
+  const TimePoint now = this->timer.Now();
+  if (now - aTime < this->settings.pauseThreshold) {
+    co_return true;
+  }
+  // All coroutines wake late from one pause; the first restarts suspicions.
+  if (aTime >= this->lastPauseEnd) {
+    this->lastPauseEnd = now;
+    this->counters.pauses += 1;
+    this->table.RestartSuspicions(now);
+  }
+  co_return false;
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::OnDatagram(const PeerDatagram& aDatagram)
+{
+  const TimePoint now = this->timer.Now();
+  this->lastContact = now;
+  this->clock.Observe(aDatagram.sentAt, now);
+  const std::uint64_t before = this->table.Self().incarnation;
+  this->Merge(aDatagram.sender);
+  for (const MemberUpdate& update : aDatagram.updates) {
+    this->Merge(update);
+  }
+  this->rider.OnRidden(aDatagram, now);
+  switch (aDatagram.kind) {
+    case DatagramKind::Probe:
+      this->AnswerProbe(aDatagram);
+      break;
+    case DatagramKind::ProbeAck:
+      this->TakeAck(aDatagram);
+      break;
+    case DatagramKind::ProbeRequest:
+      this->ProbeFor(aDatagram);
+      break;
+  }
+  // An accuser hears of the refutation at once; an answer already carries it.
+  if (this->table.Self().incarnation != before &&
+      aDatagram.kind != DatagramKind::Probe) {
+    this->SendProbe(aDatagram.sender, this->nextSequence++);
+  }
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+MemberList
+FailureDetector<T, C, S, R>::OnSync(const MemberSync& aSync)
+{
+  this->Merge(aSync.sender);
+  return { this->table.Snapshot() };
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::Leave()
+{
+  constexpr std::size_t kTold = 8;
+  this->leaving = true;
+  this->table.Leave();
+  for (const Member* member :
+       this->RandomMembers(kTold, this->table.Self().host)) {
+    this->SendProbe(member->update, this->nextSequence++);
+  }
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::Merge(const MemberUpdate& aUpdate)
+{
+  const TimePoint now = this->timer.Now();
+  const MergeOutcome outcome = this->table.Merge(aUpdate, now);
+  switch (outcome) {
+    case MergeOutcome::Ignored:
+      return;
+    case MergeOutcome::Refuted:
+      this->counters.refutations += 1;
+      return;
+    case MergeOutcome::Joined:
+    case MergeOutcome::Changed:
+      break;
+  }
+  this->EnsurePeer(aUpdate);
+  this->rider.OnMemberChange(aUpdate, now);
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::EnsurePeer(const MemberUpdate& aUpdate)
+{
+  if (aUpdate.state == MemberState::Left || this->leaving) {
+    return;
+  }
+  if (this->peers.try_emplace(aUpdate.host).second) {
+    this->spawner.Spawn(this->RunPeer(aUpdate.host));
+  }
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+PeerDatagram
+FailureDetector<T, C, S, R>::Compose(DatagramKind aKind,
+                                     const HostId& aReceiver)
+{
+  const TimePoint now = this->timer.Now();
+  PeerDatagram datagram;
+  datagram.kind = aKind;
+  datagram.sender = this->table.Self();
+  datagram.sentAt = this->clock.Tick(now);
+  datagram.documents = this->rider.CurrentDigest(now);
+  datagram.updates = this->table.TakeUpdates(this->settings.updates, aReceiver);
+  datagram.notices = this->rider.TakeNotices(now);
+  return datagram;
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::SendProbe(const MemberUpdate& aTo,
+                                       std::uint64_t aSequence)
+{
+  this->counters.probes += 1;
+  PeerDatagram probe = this->Compose(DatagramKind::Probe, aTo.host);
+  probe.sequence = aSequence;
+  this->channel.Send(aTo.address, probe);
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::AskHelpers(const MemberUpdate& aTarget,
+                                        std::uint64_t aSequence)
+{
+  for (const Member* helper :
+       this->RandomMembers(this->settings.helpers, aTarget.host)) {
+    PeerDatagram request =
+      this->Compose(DatagramKind::ProbeRequest, helper->update.host);
+    request.sequence = aSequence;
+    request.target = aTarget.host;
+    request.targetAddress = aTarget.address;
+    this->channel.Send(helper->update.address, request);
+  }
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::AnswerProbe(const PeerDatagram& aProbe)
+{
+  PeerDatagram ack = this->Compose(DatagramKind::ProbeAck, aProbe.sender.host);
+  ack.sequence = aProbe.sequence;
+  this->channel.Send(aProbe.sender.address, ack);
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::TakeAck(const PeerDatagram& aAck)
+{
+  const bool indirect = !aAck.target.Empty();
+  const HostId& host = indirect ? aAck.target : aAck.sender.host;
+  const auto found = this->peers.find(host);
+  if (found != this->peers.end() && found->second.sequence == aAck.sequence) {
+    found->second.acked = true;
+  }
+  if (indirect) {
+    return;
+  }
+  if (const auto relay = this->relays.Take(aAck.sequence)) {
+    PeerDatagram ack = this->Compose(DatagramKind::ProbeAck, HostId());
+    ack.sequence = relay->sequence;
+    ack.target = aAck.sender.host;
+    this->channel.Send(relay->address, ack);
+  }
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::ProbeFor(const PeerDatagram& aRequest)
+{
+  const std::uint64_t sequence = this->nextSequence++;
+  const TimePoint expires = this->timer.Now() + 2 * this->settings.probeTimeout;
+  Relay relay{ aRequest.sender.address, aRequest.sequence, expires };
+  if (!this->relays.Add(sequence, std::move(relay))) {
+    return;
+  }
+  MemberUpdate target;
+  target.host = aRequest.target;
+  target.address = aRequest.targetAddress;
+  this->SendProbe(target, sequence);
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::ProbeAnyPeer()
+{
+  for (const Member* member : this->RandomMembers(1, this->table.Self().host)) {
+    this->SendProbe(member->update, this->nextSequence++);
+  }
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+std::vector<const Member*>
+FailureDetector<T, C, S, R>::RandomMembers(std::size_t aCount,
+                                           const HostId& aExcept)
+{
+  std::vector<const Member*> candidates;
+  std::vector<const Member*> others;
+  for (const auto& [host, member] : this->table.Others()) {
+    if (host != aExcept && member.update.state != MemberState::Left) {
+      const bool alive = member.update.state == MemberState::Alive;
+      (alive ? candidates : others).push_back(&member);
+    }
+  }
+  // A daemon that was cut off alone turns to the members it has lost.
+  if (candidates.empty()) {
+    candidates = std::move(others);
+  }
+  std::vector<const Member*> chosen;
+  std::sample(candidates.begin(),
+              candidates.end(),
+              std::back_inserter(chosen),
+              aCount,
+              this->random);
+  std::shuffle(chosen.begin(), chosen.end(), this->random);
+  return chosen;
+}
+
+// Live peers: n units each, so that this daemon sends about one probe a unit.
+// Lost peers share one probe each lostRetry, so that a healed partition brings
+// no burst.
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+Duration
+FailureDetector<T, C, S, R>::Period(const HostId& aHost)
+{
+  const Member* member = this->table.Find(aHost);
+  if (member && member->update.state == MemberState::Lost) {
+    const auto lost = static_cast<std::int64_t>(this->table.LostCount());
+    return this->settings.lostRetry * std::max<std::int64_t>(1, lost);
+  }
+  const auto live = static_cast<std::int64_t>(this->table.LiveCount());
+  return this->settings.probeUnit * std::max<std::int64_t>(1, live - 1);
+}
+
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+Duration
+FailureDetector<T, C, S, R>::Spread(Duration aMean)
+{
+  const double factor =
+    std::uniform_real_distribution<>(0.8, 1.2)(this->random);
+  return FromSeconds(factor * ToSeconds(aMean));
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/testing/peer_network.h
@@ -0,0 +1,158 @@
+// A peer channel in virtual time, with delay, loss, cuts and pauses.
+//
+//   PeerNetwork network(time, 7);
+//   PeerNetwork::Endpoint& endpoint = network.Add("10.0.0.1:7000", "south");
+//   endpoint.onDatagram = [&](const PeerDatagram& d) { detector.OnDatagram(d);
+//   }; FakePeerChannel channel(network, endpoint);
+#pragma once
+
+#include "wigeonwalk/ports/peer_channel.h"
+#include "wigeonwalk/testing/virtual_time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace wigeonwalk {
+
+// Delay and loss of one direction between two groups of endpoints.
+struct LinkSettings
+{
+  Duration delay = std::chrono::milliseconds(1);
+  Duration jitter = std::chrono::microseconds(500);
+  double loss = 0;
+};
+
+// Carries datagrams and calls between endpoints. Endpoints belong to groups
+// (zones); links and cuts are between groups. One thread only.
+class PeerNetwork
+{
+public:
+  struct Traffic
+  {
+    std::uint64_t datagrams = 0;
+    std::uint64_t calls = 0;
+    std::uint64_t bytes = 0;
+  };
+
+  struct Endpoint
+  {
+    std::string address;
+    std::string group;
+    // A dead endpoint neither receives nor sends.
+    bool alive = true;
+    TimePoint pausedUntil;
+    std::function<void(const PeerDatagram&)> onDatagram;
+    std::function<Task<std::optional<PeerAnswer>>(PeerCall)> onCall;
+    Traffic sent;
+    Traffic received;
+  };
+
+  // Converts a message to wire form and back, and adds its size in bytes.
+  // Without these, messages are passed as they are and count no bytes.
+  std::function<PeerDatagram(const PeerDatagram&, std::uint64_t&)>
+    carryDatagram;
+  std::function<PeerCall(const PeerCall&, std::uint64_t&)> carryCall;
+  std::function<PeerAnswer(const PeerAnswer&, std::uint64_t&)> carryAnswer;
+
+  PeerNetwork(VirtualTime& aTime, std::uint64_t aSeed);
+
+  // The reference stays valid. An endpoint that replaces another at the same
+  // address takes over its place.
+  Endpoint& Add(const std::string& aAddress, const std::string& aGroup);
+
+  void SetDefaultLink(LinkSettings aLink) { this->defaultLink = aLink; }
+  void SetLink(const std::string& aFrom,
+               const std::string& aTo,
+               LinkSettings aLink);
+
+  // Cuts or heals both directions between two groups.
+  void SetCut(const std::string& aOne, const std::string& aOther, bool aCut);
+
+  void Send(Endpoint& aFrom, const std::string& aTo, const PeerDatagram&);
+  Task<std::optional<PeerAnswer>> Call(Endpoint& aFrom,
+                                       const std::string& aTo,
+                                       const PeerCall& aCall,
+                                       TimePoint aDeadline,
+                                       LastReason& aReason);
+
+private:
+  Task<void> Deliver(Endpoint& aTo, PeerDatagram aDatagram, Duration aDelay);
+  Task<void> WaitWhilePaused(Endpoint& aEndpoint);
+  const LinkSettings& LinkOf(const Endpoint& aFrom, const Endpoint& aTo) const;
+  bool IsCut(const Endpoint& aFrom, const Endpoint& aTo) const;
+  Duration Delay(const LinkSettings& aLink, bool aResend);
+
+  VirtualTime& time;
+  std::mt19937_64 random;
+  LinkSettings defaultLink;
+  std::map<std::string, Endpoint> endpoints;
+  std::map<std::pair<std::string, std::string>, LinkSettings> links;
+  std::set<std::pair<std::string, std::string>> cuts;
+};
+
+// The channel of one endpoint.
+class FakePeerChannel
+{
+public:
+  FakePeerChannel(PeerNetwork& aNetwork, PeerNetwork::Endpoint& aEndpoint)
+    : network(aNetwork)
+    , endpoint(aEndpoint)
+  {
+  }
+
+  void Send(const std::string& aAddress, const PeerDatagram& aDatagram)
+  {
+    this->network.Send(this->endpoint, aAddress, aDatagram);
+  }
+
+  Task<std::optional<PeerAnswer>> Call(const std::string& aAddress,
+                                       const PeerCall& aCall,
+                                       TimePoint aDeadline,
+                                       LastReason& aReason)
+  {
+    return this->network.Call(
+      this->endpoint, aAddress, aCall, aDeadline, aReason);
+  }
+
+private:
+  PeerNetwork& network;
+  PeerNetwork::Endpoint& endpoint;
+};
+
+static_assert(PeerChannel<FakePeerChannel>);
+
+// The timer of an endpoint: its waits do not end while it is paused.
+class PausableTimer
+{
+public:
+  PausableTimer(VirtualTime& aTime, const PeerNetwork::Endpoint& aEndpoint)
+    : time(aTime)
+    , endpoint(aEndpoint)
+  {
+  }
+
+  TimePoint Now() const { return this->time.Now(); }
+
+  Task<void> WaitUntil(TimePoint aTime)
+  {
+    co_await this->time.WaitUntil(aTime);
+    while (this->endpoint.pausedUntil > this->time.Now()) {
+      co_await this->time.WaitUntil(this->endpoint.pausedUntil);
+    }
+  }
+
+private:
+  VirtualTime& time;
+  const PeerNetwork::Endpoint& endpoint;
+};
+
+static_assert(Timer<PausableTimer>);
+static_assert(TaskSpawner<VirtualTime>);
+
+} // namespace wigeonwalk
