adapters/http, adapters/engine: HTTP server, client and engine adapter

Cause: the thin path needs its two outer faces. Change: Beast listener, connection, client and pool behind .cc files; the engine port over the OpenAI completions protocol with extension calls. Conclusion: the request path can be written against the ports.

--- /dev/null
+++ b/wigeonwalk/adapters/engine/engine_codec.h
@@ -0,0 +1,73 @@
+// JSON form of the messages between daemons and engines. Both the engine
+// adapter and the engine stand-in use it.
+//
+//   std::string body = EncodeCompletion(request);
+//   auto chunk = DecodeChunk(data, reason);
+#pragma once
+
+#include "wigeonwalk/base/last_reason.h"
+#include "wigeonwalk/ports/model_engine.h"
+#include "wigeonwalk/ports/store_host.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace wigeonwalk {
+
+// Header of an engine's error response that says the request was refused before
+// it ran.
+inline constexpr std::string_view kNotRunHeader = "X-Request-Not-Run";
+
+std::string
+EncodeCompletion(const EngineRequest& aRequest);
+std::optional<EngineRequest>
+DecodeCompletion(std::string_view aBody, LastReason& aReason);
+
+// One server-sent event's data, without "data: ".
+std::string
+EncodeChunk(const AnswerChunk& aChunk);
+std::optional<AnswerChunk>
+DecodeChunk(std::string_view aData, LastReason& aReason);
+
+std::string
+EncodeLoad(const LoadReport& aReport);
+std::optional<LoadReport>
+DecodeLoad(std::string_view aBody, LastReason& aReason);
+
+std::string
+EncodeCacheEvents(const CacheEventBatch& aBatch);
+std::optional<CacheEventBatch>
+DecodeCacheEvents(std::string_view aBody, LastReason& aReason);
+
+std::string
+EncodeTicket(const WriteTicket& aTicket);
+std::optional<WriteTicket>
+DecodeTicket(std::string_view aBody, LastReason& aReason);
+
+std::string
+EncodeSealed(const SealedPiece& aPiece);
+std::optional<SealedPiece>
+DecodeSealed(std::string_view aBody, LastReason& aReason);
+
+std::string
+EncodeLease(const ReadLease& aLease);
+std::optional<ReadLease>
+DecodeLease(std::string_view aBody, LastReason& aReason);
+
+std::string
+EncodeOrder(const EngineOrder& aOrder);
+std::optional<EngineOrder>
+DecodeOrder(std::string_view aBody, LastReason& aReason);
+
+std::string
+EncodeOrderAnswer(OrderAnswer aAnswer);
+std::optional<OrderAnswer>
+DecodeOrderAnswer(std::string_view aBody, LastReason& aReason);
+
+std::string
+EncodeState(const EngineState& aState);
+std::optional<EngineState>
+DecodeState(std::string_view aBody, LastReason& aReason);
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -0,0 +1,315 @@
+#include "wigeonwalk/adapters/http/http_client.h"
+
+#include "wigeonwalk/adapters/http/internal/address.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <netinet/tcp.h>
+
+#include <utility>
+
+namespace wigeonwalk {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kBodyBuffer = 16 * 1024;
+
+// The kernel gives up on unacknowledged data after this time, in milliseconds.
+// A connection that went silent is found at the latest then.
+constexpr int kTcpUserTimeoutMs = 5'000;
+
+void
+SetLivenessOptions(asio::ip::tcp::socket& aSocket)
+{
+  error_code ignored;
+  aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  using Option =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  aSocket.set_option(Option(kTcpUserTimeoutMs), ignored);
+}
+
+} // namespace
+
+struct HttpClientConnection::State
+{
+  State(SystemTimer& aTimer,
+        asio::any_io_executor aExecutor,
+        std::string aAddress)
+    : timer(aTimer)
+    , stream(std::move(aExecutor))
+    , address(std::move(aAddress))
+  {
+  }
+
+  void ExpireAt(TimePoint aDeadline)
+  {
+    const Duration left = aDeadline - this->timer.Now();
+    this->stream.expires_after(std::max(left, Duration(1)));
+  }
+
+  SystemTimer& timer;
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::string address;
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  bool failed = false;
+};
+
+HttpClientConnection::HttpClientConnection(std::unique_ptr<State> aState)
+  : state(std::move(aState))
+{
+}
+
+HttpClientConnection::HttpClientConnection(HttpClientConnection&&) noexcept =
+  default;
+HttpClientConnection&
+HttpClientConnection::operator=(HttpClientConnection&&) noexcept = default;
+HttpClientConnection::~HttpClientConnection() = default;
+
+Task<std::optional<HttpClientConnection>>
+HttpClientConnection::Connect(SystemTimer& aTimer,
+                              asio::any_io_executor aExecutor,
+                              const std::string& aAddress,
+                              TimePoint aDeadline,
+                              LastReason& aReason)
+{
+  const auto endpoint = ParseEndpoint(aAddress, aReason);
+  if (!endpoint) {
+    co_return std::nullopt;
+  }
+  auto opened = std::make_unique<State>(aTimer, std::move(aExecutor), aAddress);
+  opened->ExpireAt(aDeadline);
+  error_code error;
+  co_await opened->stream.async_connect(
+    *endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (error == beast::error::timeout) {
+    co_return Fail(
+      aReason, ReasonCode::ConnectTimeout, "no answer to connect", aAddress);
+  }
+  if (error) {
+    co_return Fail(
+      aReason, ReasonCode::ConnectRefused, error.message(), aAddress);
+  }
+  SetLivenessOptions(opened->stream.socket());
+  co_return HttpClientConnection(std::move(opened));
+}
+
+Task<bool>
+HttpClientConnection::Send(const HttpRequest& aRequest,
+                           TimePoint aDeadline,
+                           LastReason& aReason)
+{
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(aRequest.method);
+  message.target(aRequest.target);
+  message.set(http::field::host, this->state->address);
+  for (const HttpHeader& header : aRequest.headers) {
+    message.set(header.name, header.value);
+  }
+  message.keep_alive(aRequest.keepAlive);
+  message.body() = aRequest.body;
+  message.prepare_payload();
+  this->state->parser.reset();
+  this->state->ExpireAt(aDeadline);
+  error_code error;
+  co_await http::async_write(this->state->stream,
+                             message,
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    this->state->failed = true;
+    Fail(aReason,
+         ReasonCode::WriteFailedPartWay,
+         error.message(),
+         this->state->address);
+    co_return false;
+  }
+  co_return true;
+}
+
+namespace {
+
+// Says how far an exchange got when reading its response failed.
+std::nullopt_t
+FailResponse(LastReason& aReason, error_code aError, const std::string& aPlace)
+{
+  if (aError == beast::error::timeout) {
+    return Fail(
+      aReason, ReasonCode::ResponseTimeout, "no response in time", aPlace);
+  }
+  const auto httpErrors = beast::error_code(http::error::bad_method);
+  if (aError.category() == httpErrors.category() &&
+      aError != http::error::end_of_stream &&
+      aError != http::error::partial_message) {
+    return Fail(
+      aReason, ReasonCode::MalformedResponse, aError.message(), aPlace);
+  }
+  return Fail(
+    aReason, ReasonCode::ConnectionLostAfterWrite, aError.message(), aPlace);
+}
+
+} // namespace
+
+Task<std::optional<HttpResponse>>
+HttpClientConnection::ReadHead(TimePoint aDeadline, LastReason& aReason)
+{
+  this->state->parser.emplace();
+  this->state->parser->body_limit(kMaxResponseBytes);
+  this->state->ExpireAt(aDeadline);
+  error_code error;
+  co_await http::async_read_header(
+    this->state->stream,
+    this->state->buffer,
+    *this->state->parser,
+    asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    this->state->failed = true;
+    co_return FailResponse(aReason, error, this->state->address);
+  }
+  HttpResponse response;
+  response.status = this->state->parser->get().result_int();
+  for (const auto& field : this->state->parser->get()) {
+    response.headers.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  co_return response;
+}
+
+Task<std::optional<std::string>>
+HttpClientConnection::ReadSome(TimePoint aDeadline, LastReason& aReason)
+{
+  auto& parser = *this->state->parser;
+  std::string bytes(kBodyBuffer, '\0');
+  while (!parser.is_done()) {
+    parser.get().body().data = bytes.data();
+    parser.get().body().size = bytes.size();
+    this->state->ExpireAt(aDeadline);
+    error_code error;
+    co_await http::async_read_some(
+      this->state->stream,
+      this->state->buffer,
+      parser,
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error && error != http::error::need_buffer) {
+      this->state->failed = true;
+      co_return FailResponse(aReason, error, this->state->address);
+    }
+    const std::size_t count = bytes.size() - parser.get().body().size;
+    if (count > 0) {
+      bytes.resize(count);
+      co_return bytes;
+    }
+  }
+  co_return std::string();
+}
+
+Task<std::optional<HttpResponse>>
+HttpClientConnection::ReadResponse(TimePoint aDeadline, LastReason& aReason)
+{
+  auto response = co_await this->ReadHead(aDeadline, aReason);
+  if (!response) {
+    co_return std::nullopt;
+  }
+  while (true) {
+    const auto bytes = co_await this->ReadSome(aDeadline, aReason);
+    if (!bytes) {
+      co_return std::nullopt;
+    }
+    if (bytes->empty()) {
+      co_return response;
+    }
+    response->body += *bytes;
+  }
+}
+
+bool
+HttpClientConnection::Reusable() const
+{
+  const State& connection = *this->state;
+  return !connection.failed && connection.parser &&
+         connection.parser->is_done() &&
+         connection.parser->get().keep_alive() && connection.buffer.size() == 0;
+}
+
+const std::string&
+HttpClientConnection::Address() const
+{
+  return this->state->address;
+}
+
+void
+HttpClientConnection::Close()
+{
+  this->state->failed = true;
+  this->state->stream.close();
+}
+
+HttpPool::HttpPool(SystemTimer& aTimer,
+                   asio::any_io_executor aExecutor,
+                   Duration aMaxIdle)
+  : timer(aTimer)
+  , executor(std::move(aExecutor))
+  , maxIdle(aMaxIdle)
+{
+}
+
+HttpPool::~HttpPool() = default;
+
+Task<std::optional<HttpClientConnection>>
+HttpPool::Acquire(const std::string& aAddress,
+                  Reuse aReuse,
+                  TimePoint aDeadline,
+                  LastReason& aReason)
+{
+  auto& connections = this->idle[aAddress];
+  const TimePoint oldest = this->timer.Now() - this->maxIdle;
+  std::erase_if(connections,
+                [oldest](const Idle& aIdle) { return aIdle.since < oldest; });
+  if (aReuse == Reuse::Allowed && !connections.empty()) {
+    HttpClientConnection connection = std::move(connections.back().connection);
+    connections.pop_back();
+    co_return connection;
+  }
+  co_return co_await HttpClientConnection::Connect(
+    this->timer, this->executor, aAddress, aDeadline, aReason);
+}
+
+void
+HttpPool::Release(HttpClientConnection aConnection)
+{
+  if (!aConnection.Reusable()) {
+    return;
+  }
+  auto& connections = this->idle[aConnection.Address()];
+  connections.push_back({ std::move(aConnection), this->timer.Now() });
+}
+
+Task<std::optional<HttpResponse>>
+HttpPool::Exchange(const std::string& aAddress,
+                   const HttpRequest& aRequest,
+                   Reuse aReuse,
+                   TimePoint aDeadline,
+                   LastReason& aReason)
+{
+  auto connection =
+    co_await this->Acquire(aAddress, aReuse, aDeadline, aReason);
+  if (!connection || !co_await connection->Send(aRequest, aDeadline, aReason)) {
+    co_return std::nullopt;
+  }
+  auto response = co_await connection->ReadResponse(aDeadline, aReason);
+  if (response) {
+    this->Release(std::move(*connection));
+  }
+  co_return response;
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/http/http_message.cc
@@ -0,0 +1,34 @@
+#include "wigeonwalk/adapters/http/http_message.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace wigeonwalk {
+
+namespace {
+
+bool
+SameLetter(char aLeft, char aRight)
+{
+  return std::tolower(static_cast<unsigned char>(aLeft)) ==
+         std::tolower(static_cast<unsigned char>(aRight));
+}
+
+} // namespace
+
+std::string_view
+FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName)
+{
+  for (const HttpHeader& header : aHeaders) {
+    if (std::equal(header.name.begin(),
+                   header.name.end(),
+                   aName.begin(),
+                   aName.end(),
+                   SameLetter)) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/http/http_message.h
@@ -0,0 +1,42 @@
+// HTTP messages without the library that carries them.
+//
+//   HttpRequest request{ .method = "POST", .target = "/v1/completions" };
+//   request.headers.push_back({ "Content-Type", "application/json" });
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wigeonwalk {
+
+// One header field. Names compare without regard to case.
+struct HttpHeader
+{
+  std::string name;
+  std::string value;
+};
+
+// Returns the value of the first field with the name, or an empty view.
+std::string_view
+FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName);
+
+// A request with its whole body.
+struct HttpRequest
+{
+  std::string method;
+  std::string target;
+  std::vector<HttpHeader> headers;
+  std::string body;
+  bool keepAlive = true;
+};
+
+// A response with its whole body.
+struct HttpResponse
+{
+  unsigned status = 200;
+  std::vector<HttpHeader> headers;
+  std::string body;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/http/http_server.cc
@@ -0,0 +1,306 @@
+#include "wigeonwalk/adapters/http/http_server.h"
+
+#include "wigeonwalk/adapters/http/internal/address.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <utility>
+
+namespace wigeonwalk {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 8 * 1024;
+
+// A pause after a failed accept, such as one without free file descriptors, so
+// that the loop does not spin.
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+struct HttpConnection::State
+{
+  State(asio::ip::tcp::socket aSocket, HttpLimits aLimits)
+    : stream(std::move(aSocket))
+    , limits(aLimits)
+  {
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  HttpLimits limits;
+};
+
+HttpConnection::HttpConnection(std::unique_ptr<State> aState)
+  : state(std::move(aState))
+{
+}
+
+HttpConnection::HttpConnection(HttpConnection&&) noexcept = default;
+HttpConnection&
+HttpConnection::operator=(HttpConnection&&) noexcept = default;
+HttpConnection::~HttpConnection() = default;
+
+namespace {
+
+// Maps a failed read to the reason that decides on the error response.
+std::nullopt_t
+FailRead(LastReason& aReason, error_code aError)
+{
+  if (aError == http::error::header_limit) {
+    return Fail(aReason, ReasonCode::TooLarge, "header too large", "headers");
+  }
+  if (aError == http::error::body_limit) {
+    return Fail(aReason, ReasonCode::TooLarge, "body too large", "body");
+  }
+  if (aError == beast::error::timeout) {
+    return Fail(aReason, ReasonCode::Expired, "request sent too slowly");
+  }
+  if (aError == http::error::end_of_stream ||
+      aError == http::error::partial_message ||
+      aError.category() !=
+        beast::error_code(http::error::bad_method).category()) {
+    return Fail(aReason, ReasonCode::Cancelled, aError.message());
+  }
+  return Fail(aReason, ReasonCode::InvalidArgument, aError.message(), "http");
+}
+
+HttpRequest
+TakeRequest(http::request<http::string_body>&& aMessage)
+{
+  HttpRequest request;
+  request.method = std::string(aMessage.method_string());
+  request.target = std::string(aMessage.target());
+  request.keepAlive = aMessage.keep_alive();
+  for (const auto& field : aMessage) {
+    request.headers.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.body = std::move(aMessage.body());
+  return request;
+}
+
+} // namespace
+
+Task<std::optional<HttpRequest>>
+HttpConnection::ReadRequest(LastReason& aReason)
+{
+  State& connection = *this->state;
+  error_code error;
+  if (connection.buffer.size() == 0) {
+    connection.stream.expires_after(connection.limits.idleTimeout);
+    const std::size_t bytes = co_await connection.stream.async_read_some(
+      connection.buffer.prepare(kReadBytes),
+      asio::redirect_error(asio::use_awaitable, error));
+    connection.buffer.commit(bytes);
+    if (error) {
+      co_return Fail(aReason, ReasonCode::Cancelled, error.message());
+    }
+  }
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(connection.limits.headerBytes);
+  parser.body_limit(connection.limits.bodyBytes);
+  connection.stream.expires_after(connection.limits.readTimeout);
+  co_await http::async_read(connection.stream,
+                            connection.buffer,
+                            parser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  connection.stream.expires_never();
+  if (error) {
+    co_return FailRead(aReason, error);
+  }
+  co_return TakeRequest(parser.release());
+}
+
+Task<bool>
+HttpConnection::WriteResponse(HttpResponse aResponse, bool aKeepAlive)
+{
+  http::response<http::string_body> message;
+  message.version(11);
+  message.result(aResponse.status);
+  for (const HttpHeader& header : aResponse.headers) {
+    message.set(header.name, header.value);
+  }
+  message.keep_alive(aKeepAlive);
+  message.body() = std::move(aResponse.body);
+  message.prepare_payload();
+  error_code error;
+  this->state->stream.expires_after(this->state->limits.writeTimeout);
+  co_await http::async_write(this->state->stream,
+                             message,
+                             asio::redirect_error(asio::use_awaitable, error));
+  this->state->stream.expires_never();
+  co_return !error;
+}
+
+Task<bool>
+HttpConnection::BeginStream(unsigned aStatus, std::vector<HttpHeader> aHeaders)
+{
+  http::response<http::empty_body> message;
+  message.version(11);
+  message.result(aStatus);
+  for (const HttpHeader& header : aHeaders) {
+    message.set(header.name, header.value);
+  }
+  message.chunked(true);
+  http::response_serializer<http::empty_body> serializer(message);
+  error_code error;
+  this->state->stream.expires_after(this->state->limits.writeTimeout);
+  co_await http::async_write_header(
+    this->state->stream,
+    serializer,
+    asio::redirect_error(asio::use_awaitable, error));
+  this->state->stream.expires_never();
+  co_return !error;
+}
+
+Task<bool>
+HttpConnection::WriteChunk(std::string aChunk)
+{
+  error_code error;
+  this->state->stream.expires_after(this->state->limits.writeTimeout);
+  co_await asio::async_write(this->state->stream,
+                             http::make_chunk(asio::buffer(aChunk)),
+                             asio::redirect_error(asio::use_awaitable, error));
+  this->state->stream.expires_never();
+  co_return !error;
+}
+
+Task<bool>
+HttpConnection::EndStream()
+{
+  error_code error;
+  this->state->stream.expires_after(this->state->limits.writeTimeout);
+  co_await asio::async_write(this->state->stream,
+                             http::make_chunk_last(),
+                             asio::redirect_error(asio::use_awaitable, error));
+  this->state->stream.expires_never();
+  co_return !error;
+}
+
+Task<void>
+HttpConnection::WaitClosed()
+{
+  asio::ip::tcp::socket& socket = this->state->stream.socket();
+  error_code error;
+  co_await socket.async_wait(asio::ip::tcp::socket::wait_read,
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return;
+  }
+  char byte = 0;
+  socket.non_blocking(true, error);
+  const std::size_t bytes = socket.receive(
+    asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+  if (error == asio::error::eof || (error && bytes == 0)) {
+    co_return;
+  }
+  asio::steady_timer never(socket.get_executor(),
+                           asio::steady_timer::time_point::max());
+  co_await never.async_wait(asio::use_awaitable);
+}
+
+void
+HttpConnection::Close()
+{
+  error_code ignored;
+  this->state->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both,
+                                        ignored);
+  this->state->stream.close();
+}
+
+struct HttpListener::State
+{
+  State(asio::any_io_executor aExecutor, HttpLimits aLimits)
+    : acceptor(aExecutor)
+    , limits(aLimits)
+  {
+  }
+
+  asio::ip::tcp::acceptor acceptor;
+  HttpLimits limits;
+};
+
+HttpListener::HttpListener(std::unique_ptr<State> aState)
+  : state(std::move(aState))
+{
+}
+
+HttpListener::HttpListener(HttpListener&&) noexcept = default;
+HttpListener::~HttpListener() = default;
+
+std::optional<HttpListener>
+HttpListener::Open(asio::any_io_executor aExecutor,
+                   const std::string& aAddress,
+                   HttpLimits aLimits,
+                   LastReason& aReason)
+{
+  const auto endpoint = ParseEndpoint(aAddress, aReason);
+  if (!endpoint) {
+    return std::nullopt;
+  }
+  auto listener = std::make_unique<State>(std::move(aExecutor), aLimits);
+  error_code error;
+  asio::ip::tcp::acceptor& acceptor = listener->acceptor;
+  acceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(aReason, ReasonCode::Unavailable, error.message(), aAddress);
+  }
+  return HttpListener(std::move(listener));
+}
+
+std::uint16_t
+HttpListener::Port() const
+{
+  return this->state->acceptor.local_endpoint().port();
+}
+
+Task<std::optional<HttpConnection>>
+HttpListener::Accept(LastReason& aReason)
+{
+  while (this->state->acceptor.is_open()) {
+    error_code error;
+    asio::ip::tcp::socket socket(this->state->acceptor.get_executor());
+    co_await this->state->acceptor.async_accept(
+      socket, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      error_code ignored;
+      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      co_return HttpConnection(std::make_unique<HttpConnection::State>(
+        std::move(socket), this->state->limits));
+    }
+    if (error == asio::error::operation_aborted) {
+      break;
+    }
+    asio::steady_timer pause(this->state->acceptor.get_executor(),
+                             kAcceptPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+  co_return Fail(aReason, ReasonCode::Cancelled, "listener closed");
+}
+
+void
+HttpListener::Close()
+{
+  error_code ignored;
+  this->state->acceptor.close(ignored);
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/base/base_test.cc
+++ b/wigeonwalk/base/base_test.cc
@@ -60,4 +60,7 @@
 {
   const AttemptId attempt{ HostId("isar-1"), 3, 12, 40 };
   CHECK(attempt.ToString() == "isar-1.3.12.40");
+  CHECK(ParseAttemptId(attempt.ToString()) == attempt);
+  CHECK_FALSE(ParseAttemptId("isar-1.3.12").has_value());
+  CHECK_FALSE(ParseAttemptId("isar-1.3.x.40").has_value());
 }
--- a/wigeonwalk/base/ids.cc
+++ b/wigeonwalk/base/ids.cc
@@ -1,7 +1,31 @@
 #include "wigeonwalk/base/ids.h"
 
+#include <charconv>
+
 namespace wigeonwalk {
 
+namespace {
+
+// Cuts the number behind the last dot off the text.
+std::optional<std::uint64_t>
+CutLastNumber(std::string_view& aText)
+{
+  const std::size_t dot = aText.rfind('.');
+  if (dot == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + dot + 1, end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  aText = aText.substr(0, dot);
+  return number;
+}
+
+} // namespace
+
 std::string
 AttemptId::ToString() const
 {
@@ -9,4 +33,18 @@
          std::to_string(this->connection) + '.' + std::to_string(this->attempt);
 }
 
+std::optional<AttemptId>
+ParseAttemptId(std::string_view aText)
+{
+  const auto attempt = CutLastNumber(aText);
+  const auto connection = CutLastNumber(aText);
+  const auto incarnation = CutLastNumber(aText);
+  if (!attempt || !connection || !incarnation || aText.empty()) {
+    return std::nullopt;
+  }
+  return AttemptId{
+    HostId(std::string(aText)), *incarnation, *connection, *attempt
+  };
+}
+
 } // namespace wigeonwalk
--- a/wigeonwalk/base/ids.h
+++ b/wigeonwalk/base/ids.h
@@ -8,7 +8,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace wigeonwalk {
@@ -61,6 +63,10 @@
   std::string ToString() const;
 };
 
+// Returns the attempt that ToString printed, or nothing for any other text.
+std::optional<AttemptId>
+ParseAttemptId(std::string_view aText);
+
 } // namespace wigeonwalk
 
 template<typename Tag>
--- a/wigeonwalk/ports/model_engine.h
+++ b/wigeonwalk/ports/model_engine.h
@@ -60,8 +60,9 @@
   std::uint32_t resumeAt = 0;
   // The attempt whose generation to resume, where resumeAt is above zero.
   std::optional<AttemptId> resumes;
-  // Sealed pieces of the prompt's prefix that were imported for this request.
-  std::vector<PieceKey> importedPieces;
+  // Keys of the prompt's whole pieces in order; the engine's cache events and
+  // imports use the same keys.
+  std::vector<PieceKey> pieces;
 };
 
 // One token of an answer.
