--- /dev/null
+++ b/wigeonwalk/retry/verdict_rules_test.cc
@@ -0,0 +1,124 @@
+#include "wigeonwalk/retry/verdict_rules.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wigeonwalk;
+
+namespace {
+
+struct FailureCase
+{
+  ReasonCode code;
+  // What an upstream may have done, stated independently of the table.
+  bool upstreamCanHaveActed;
+  bool anotherAttemptHelps;
+};
+
+constexpr FailureCase kFailures[] = {
+  { ReasonCode::ConnectRefused, false, true },
+  { ReasonCode::ConnectTimeout, false, true },
+  { ReasonCode::WriteFailedPartWay, true, true },
+  { ReasonCode::ConnectionLostAfterWrite, true, true },
+  { ReasonCode::ResponseTimeout, true, true },
+  { ReasonCode::SilentConnection, true, true },
+  { ReasonCode::StatusClientError, true, false },
+  { ReasonCode::StatusServerError, true, true },
+  { ReasonCode::RefusedBeforeRun, false, true },
+  { ReasonCode::MalformedResponse, true, true },
+  { ReasonCode::Cancelled, true, false },
+  { ReasonCode::DaemonStopping, true, false },
+  { ReasonCode::ClaimUnknown, true, false },
+};
+
+struct StatusCase
+{
+  std::uint32_t status;
+  bool refusedBeforeRun;
+  ReasonCode code;
+};
+
+constexpr StatusCase kStatuses[] = {
+  { 200, false, ReasonCode::None },
+  { 204, false, ReasonCode::None },
+  { 302, false, ReasonCode::MalformedResponse },
+  { 400, false, ReasonCode::StatusClientError },
+  { 409, true, ReasonCode::StatusClientError },
+  { 429, false, ReasonCode::StatusClientError },
+  { 429, true, ReasonCode::RefusedBeforeRun },
+  { 500, true, ReasonCode::StatusServerError },
+  { 503, false, ReasonCode::StatusServerError },
+  { 503, true, ReasonCode::RefusedBeforeRun },
+  { 0, true, ReasonCode::MalformedResponse },
+};
+
+} // namespace
+
+// Guards I5 and I6: a failure that is reported as "not run" although an
+// upstream may have acted leads to a second booking.
+SCENARIO("each failure has one verdict", "[verdict]")
+{
+  static_assert(std::size(kFailures) == kVerdictRules.size());
+  for (const FailureCase& failure : kFailures) {
+    GIVEN("a request that failed with " + std::string(NameOf(failure.code)))
+    {
+      const Verdict expected =
+        failure.upstreamCanHaveActed ? Verdict::MayHaveRun : Verdict::NotRun;
+      CHECK(VerdictOf(failure.code) == expected);
+
+      WHEN("it is a booking")
+      {
+        THEN("it is retried only where it cannot have run")
+        {
+          CHECK(MayRetry(failure.code, RequestProgress::ByteSent, false) ==
+                (!failure.upstreamCanHaveActed && failure.anotherAttemptHelps));
+        }
+      }
+      WHEN("it is idempotent")
+      {
+        THEN("it is retried wherever another attempt can help")
+        {
+          CHECK(MayRetry(failure.code, RequestProgress::ByteSent, true) ==
+                failure.anotherAttemptHelps);
+        }
+      }
+    }
+  }
+  GIVEN("a request of which no byte was sent")
+  {
+    THEN("it did not run, whatever stopped it")
+    {
+      CHECK(VerdictOf(ReasonCode::Cancelled, RequestProgress::NothingSent) ==
+            Verdict::NotRun);
+      CHECK(VerdictOf(ReasonCode::Overloaded, RequestProgress::NothingSent) ==
+            Verdict::NotRun);
+    }
+    THEN("a duplicate still carries the verdict on the earlier call")
+    {
+      CHECK(VerdictOf(ReasonCode::ClaimUnknown, RequestProgress::NothingSent) ==
+            Verdict::MayHaveRun);
+    }
+  }
+  GIVEN("a code that says nothing about the progress")
+  {
+    THEN("it counts as may have run")
+    {
+      CHECK(VerdictOf(ReasonCode::Unavailable) == Verdict::MayHaveRun);
+    }
+  }
+}
+
+// Guards against a plain 503 being taken for a refusal before the run.
+SCENARIO("only an explicit refusal counts as not run", "[verdict]")
+{
+  for (const StatusCase& row : kStatuses) {
+    CAPTURE(row.status, row.refusedBeforeRun);
+    CHECK(ReasonOfStatus(row.status, row.refusedBeforeRun) == row.code);
+  }
+}
+
+TEST_CASE("the progress names parse back", "[verdict]")
+{
+  for (const auto& row : EnumNames<RequestProgress>::kTable) {
+    CHECK(ParseName<RequestProgress>(row.name) == row.value);
+  }
+}
