--- /dev/null
+++ b/daemons/wigeonwalkd.cc
@@ -0,0 +1,74 @@
+// The daemon between callers and upstreams.
+//
+//   wigeonwalkd --settings daemon.json
+
+#include "wigeonwalk/adapters/settings/daemon_settings_json.h"
+#include "wigeonwalk/daemon/daemon.h"
+
+#include <CLI/CLI.hpp>
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+using namespace wigeonwalk;
+
+namespace {
+
+// Exit codes: 0 for a normal end, 1 for a failed start, 2 for bad settings.
+constexpr int kFailedStart = 1;
+constexpr int kBadSettings = 2;
+
+int
+RunDaemon(DaemonSettings aSettings)
+{
+  boost::asio::io_context context(1);
+  Daemon daemon(context, std::move(aSettings));
+  LastReason reason;
+  if (!daemon.Start(reason)) {
+    std::cerr << "wigeonwalkd: " << reason.ToString() << '\n';
+    return kFailedStart;
+  }
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+  std::function<void(boost::system::error_code, int)> onSignal =
+    [&](boost::system::error_code aError, int) {
+      if (!aError) {
+        daemon.RequestStop();
+        signals.async_wait(onSignal);
+      }
+    };
+  signals.async_wait(onSignal);
+  context.run();
+  return 0;
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  CLI::App app("wigeonwalk daemon: serves prompts that return after long gaps");
+  std::string settingsFile;
+  bool check = false;
+  app.add_option("--settings", settingsFile, "JSON file with the settings")
+    ->required()
+    ->check(CLI::ExistingFile);
+  app.add_flag("--check-config", check, "Check the settings and exit");
+  app.set_version_flag("--version", "wigeonwalkd 0.1.0");
+  CLI11_PARSE(app, argc, argv);
+
+  std::ifstream file(settingsFile);
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  std::vector<LastReason> reasons;
+  auto settings = ParseDaemonSettings(text, reasons);
+  if (!settings) {
+    for (const LastReason& reason : reasons) {
+      std::cerr << settingsFile << ": " << reason.ToString() << '\n';
+    }
+    return kBadSettings;
+  }
+  return check ? 0 : RunDaemon(std::move(*settings));
+}
--- a/wigeonwalk/adapters/engine/engine_codec.cc
+++ b/wigeonwalk/adapters/engine/engine_codec.cc
@@ -254,7 +254,8 @@
     return WriteTicket{ UpstreamId(aJson.at("store").get<std::string>()),
                         GetHash(aJson.at("piece")),
                         aJson.at("generation").get<std::uint64_t>(),
-                        GetEnum<StoreTier>(aJson.at("tier")) };
+                        GetEnum<StoreTier>(aJson.at("tier")),
+                        aJson.at("address").get<std::string>() };
   });
 }
 
--- a/wigeonwalk/adapters/http/http_server.cc
+++ b/wigeonwalk/adapters/http/http_server.cc
@@ -237,6 +237,8 @@
 }
 
 HttpListener::HttpListener(HttpListener&&) noexcept = default;
+HttpListener&
+HttpListener::operator=(HttpListener&&) noexcept = default;
 HttpListener::~HttpListener() = default;
 
 std::optional<HttpListener>
--- a/wigeonwalk/adapters/http/http_server.h
+++ b/wigeonwalk/adapters/http/http_server.h
@@ -80,6 +80,7 @@
     LastReason& aReason);
 
   HttpListener(HttpListener&&) noexcept;
+  HttpListener& operator=(HttpListener&&) noexcept;
   ~HttpListener();
 
   // The port in use.
--- /dev/null
+++ b/wigeonwalk/daemon/daemon.h
@@ -0,0 +1,38 @@
+// One daemon: its listeners, its request path and its state, put together from
+// the settings.
+//
+//   Daemon daemon(context, settings);
+//   if (daemon.Start(reason)) { context.run(); }
+#pragma once
+
+#include "wigeonwalk/base/last_reason.h"
+#include "wigeonwalk/serving/daemon_settings.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+
+namespace wigeonwalk {
+
+// Runs on the one I/O thread that runs the context.
+class Daemon
+{
+public:
+  Daemon(boost::asio::io_context& aContext, DaemonSettings aSettings);
+  ~Daemon();
+
+  // Reads the documents and opens the listeners. Returns false with the reason
+  // where one of them fails.
+  bool Start(LastReason& aReason);
+
+  // Begins a graceful stop: fails the health check, waits for the balancer,
+  // ends open streams, then stops the context. A second call stops at once.
+  void RequestStop();
+
+private:
+  struct State;
+
+  std::unique_ptr<State> state;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/ports/store_host.h
+++ b/wigeonwalk/ports/store_host.h
@@ -36,6 +36,8 @@
   PieceKey piece;
   std::uint64_t generation = 0;
   StoreTier tier = StoreTier::Memory;
+  // Where the engine writes the bytes, "IP:port".
+  std::string address;
 };
 
 // A piece that was wholly written: what a reader checks before using it.
@@ -57,6 +59,8 @@
   std::uint64_t lease = 0;
   SealedPiece piece;
   TimePoint expiresAt;
+  // Where the engine reads the bytes, "IP:port".
+  std::string address;
 };
 
 // A store host as flows see it.
