settings: parse daemon settings and service documents

Adds ParseDaemonSettings, ParseServiceDocument and PrintServiceDocument. A file is checked whole against a JSON schema by valijson; unknown keys, text formats and ranges of durations are checked by our own walk over the same schema, because valijson reports an unknown key without a nearest name and knows no formats of ours. Cross checks run once each key is valid by itself. Each error has the JSON pointer of its key. Files above 1 MB, nesting above 16 levels, duplicate keys and invalid UTF-8 are refused before the schema check.

ServiceDocument gains the list of its availability zones, without which a mistyped zone of a runner cannot be told from a new one.

The tests were seen to fail with the filter of repeated errors removed, with the zone check inverted, with the depth check disabled and with two fields left out of the field list.

--- /dev/null
+++ b/wigeonwalk/adapters/settings/internal/formats.h
@@ -0,0 +1,75 @@
+// Texts inside settings and documents: durations, addresses, names, digests.
+//
+//   ParseDuration("300ms");              // 300'000 us
+//   PrintDuration(std::chrono::minutes(10)); // "10m"
+//   CheckFormat("address", "127.0.0.1");     // "expected IP:port, ..."
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/base/time.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace wigeonwalk::settings_internal {
+
+// How a text in a JSON file must be written.
+enum class TextFormat
+{
+  // Letters, digits, '.', '-' and '_'; safe in headers and key paths.
+  Name,
+  // Any UTF-8 text without control characters.
+  Label,
+  Duration,
+  // IP address and port of a server.
+  Address,
+  // As Address; port 0 lets the system choose.
+  Listener,
+  // Lower-case hexadecimal SHA-256.
+  Digest,
+  // Path that starts with '/'.
+  Path,
+};
+
+} // namespace wigeonwalk::settings_internal
+
+namespace wigeonwalk {
+
+template<>
+struct EnumNames<settings_internal::TextFormat>
+{
+  using Format = settings_internal::TextFormat;
+  static constexpr std::array<EnumName<Format>, 7> kTable{ {
+    { Format::Name, "name" },
+    { Format::Label, "label" },
+    { Format::Duration, "duration" },
+    { Format::Address, "address" },
+    { Format::Listener, "listener" },
+    { Format::Digest, "digest" },
+    { Format::Path, "path" },
+  } };
+};
+static_assert(HasCompleteTable<settings_internal::TextFormat>());
+
+} // namespace wigeonwalk
+
+namespace wigeonwalk::settings_internal {
+
+// Longest name and label in bytes; they appear in headers and metric labels.
+inline constexpr std::size_t kMaxNameBytes = 64;
+inline constexpr std::size_t kMaxLabelBytes = 128;
+
+// Returns the duration of a number with a unit: us, ms, s, m or h.
+std::optional<Duration>
+ParseDuration(std::string_view aText);
+
+// Returns the duration in the largest unit that loses nothing.
+std::string
+PrintDuration(Duration aDuration);
+
+// Returns what is wrong with a text of the format, or nothing.
+std::optional<std::string>
+CheckFormat(TextFormat aFormat, std::string_view aText);
+
+} // namespace wigeonwalk::settings_internal
--- a/wigeonwalk/documents/service_document.h
+++ b/wigeonwalk/documents/service_document.h
@@ -157,6 +157,8 @@
   ServiceName name;
   ServiceKind kind = ServiceKind::Engine;
   Weighing weighing = Weighing::TimeToFirstToken;
+  // Availability zones of the service; runners and stores name only these.
+  std::vector<AvailabilityZone> zones;
   ModelSpec model;
   std::vector<RunnerSpec> runners;
   std::vector<StoreSpec> stores;
