cache: add piece keys

SealedPiece gains the root and the index of a piece, because the directory is sharded by root and is rebuilt from store hosts' lists.

--- a/wigeonwalk/ports/store_host.h
+++ b/wigeonwalk/ports/store_host.h
@@ -47,6 +47,11 @@
   std::uint64_t bytes = 0;
   std::uint64_t checksum = 0;
   StoreTier tier = StoreTier::Memory;
+  // Key of the first piece of the chain, and the piece's position in it. A
+  // store host keeps them so that its list suffices to rebuild the directory,
+  // which is sharded by root.
+  PieceKey root;
+  std::uint32_t index = 0;
 
   bool operator==(const SealedPiece&) const = default;
 };
