--- /dev/null
+++ b/wigeonwalk/cache/piece_table.h
@@ -0,0 +1,161 @@
+// The rules of safe reads on a store host.
+//
+// A piece is reserved, written, and sealed with length, generation and
+// checksum; only then can it be read. A read holds a lease. Freeing hides the
+// piece at once and reclaims its space after the last lease ends, or raises the
+// generation so that a late read fails. The bytes themselves are kept
+// elsewhere.
+//
+//   PieceTable table(store, space, incarnation);
+//   auto ticket = table.Reserve(key, bytes, StoreTier::Memory, now, reason);
+//   table.Write(*ticket, 0, bytes, now, reason);
+//   table.Seal(sealed, now, reason);
+//   auto lease = table.Acquire(sealed, now, reason);
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/ports/store_host.h"
+
+#include <array>
+#include <map>
+#include <unordered_map>
+
+namespace wigeonwalk {
+
+// A reservation that is not sealed within this time is reclaimed: its writer
+// has died.
+inline constexpr Duration kReservationTimeout = std::chrono::seconds(30);
+
+// A read lease ends after this time; a reader that needs longer acquires again.
+inline constexpr Duration kReadLeaseTime = std::chrono::seconds(30);
+
+// Bytes that a store host offers.
+struct StoreSpace
+{
+  std::uint64_t memoryBytes = 0;
+  std::uint64_t diskBytes = 0;
+};
+
+// What becomes of a piece's readers when it is freed.
+enum class FreeMode
+{
+  // Space is reclaimed after the last read lease ends.
+  WaitForReaders,
+  // Space is reclaimed at once; present readers fail their final check.
+  RaiseGeneration,
+};
+
+template<>
+struct EnumNames<FreeMode>
+{
+  static constexpr std::array<EnumName<FreeMode>, 2> kTable{ {
+    { FreeMode::WaitForReaders, "wait-for-readers" },
+    { FreeMode::RaiseGeneration, "raise-generation" },
+  } };
+};
+static_assert(HasCompleteTable<FreeMode>());
+
+// Bookkeeping of one store host. One thread only.
+class PieceTable
+{
+public:
+  // `aIncarnation` has to rise with every start of the store host. It forms the
+  // upper half of each generation, so that after a restart no ticket, seal or
+  // lease from before can match.
+  PieceTable(UpstreamId aStore, StoreSpace aSpace, std::uint32_t aIncarnation);
+
+  // Reserves space for one write. Fails with AlreadyExists for a piece that is
+  // sealed or being written, and with Overloaded where the tier is full.
+  std::optional<WriteTicket> Reserve(const PieceKey& aPiece,
+                                     std::uint64_t aBytes,
+                                     StoreTier aTier,
+                                     TimePoint aNow,
+                                     LastReason& aReason);
+
+  // Notes bytes that were written. Writes have to follow each other without
+  // gaps. A false answer means that the bytes must not be stored.
+  bool Write(const WriteTicket& aTicket,
+             std::uint64_t aOffset,
+             std::uint64_t aBytes,
+             TimePoint aNow,
+             LastReason& aReason);
+
+  // Makes a wholly written piece readable. Fails with Corrupt where length or
+  // the caller's own checksum of the stored bytes differs from the seal.
+  bool Seal(const SealedPiece& aSealed,
+            std::uint64_t aStoredChecksum,
+            TimePoint aNow,
+            LastReason& aReason);
+
+  // Grants a read of exactly this generation and checksum.
+  std::optional<ReadLease> Acquire(const SealedPiece& aSealed,
+                                   TimePoint aNow,
+                                   LastReason& aReason);
+
+  // Says whether bytes read up to now under a lease are valid. A reader asks
+  // after its last byte.
+  bool MayRead(const ReadLease& aLease, TimePoint aNow) const;
+
+  bool Release(const ReadLease& aLease, LastReason& aReason);
+
+  bool Free(const SealedPiece& aSealed,
+            FreeMode aMode,
+            TimePoint aNow,
+            LastReason& aReason);
+
+  // Moves a piece without readers to another tier under a new generation.
+  std::optional<SealedPiece> Move(const SealedPiece& aSealed,
+                                  StoreTier aTier,
+                                  TimePoint aNow,
+                                  LastReason& aReason);
+
+  // Reclaims reservations and leases that have lapsed.
+  void Expire(TimePoint aNow);
+
+  // Returns all readable pieces.
+  std::vector<SealedPiece> List() const;
+
+  std::uint64_t UsedBytes(StoreTier aTier) const;
+
+private:
+  enum class State
+  {
+    Writing,
+    Sealed,
+    Freeing,
+  };
+
+  struct Row
+  {
+    State state = State::Writing;
+    SealedPiece piece;
+    std::uint64_t reserved = 0;
+    std::uint64_t written = 0;
+    TimePoint reservedAt;
+    // Expiry of each read lease.
+    std::unordered_map<std::uint64_t, TimePoint> readers;
+  };
+
+  std::uint64_t NextGeneration();
+  bool HasRoom(StoreTier aTier, std::uint64_t aBytes) const;
+  Row* FindWriting(const PieceKey& aPiece,
+                   std::uint64_t aGeneration,
+                   LastReason& aReason);
+  Row* FindSealed(const SealedPiece& aSealed, LastReason& aReason);
+  void Reclaim(std::uint64_t aGeneration);
+
+  UpstreamId store;
+  StoreSpace space;
+  std::uint32_t incarnation;
+  std::uint32_t generations = 0;
+  std::uint64_t leases = 0;
+  // Nothing lapses before this time, so Expire need not scan the rows.
+  TimePoint nextExpiry = TimePoint::max();
+  std::array<std::uint64_t, 2> used{};
+  // Rows by generation; a freeing row may coexist with a newer one of its key.
+  std::map<std::uint64_t, Row> rows;
+  // Generation of the writing or sealed row of each key.
+  std::unordered_map<PieceKey, std::uint64_t> current;
+};
+
+} // namespace wigeonwalk
