cache: add the return model and the worth of keeping a piece

Cause: memory, disk and links are too small for every prompt that may return. Change: chance of return by gap so far for each service and organisation; worth in accelerator seconds decides on export, demotion, prefetch and replication. Conclusion: prices are first estimates.

--- /dev/null
+++ b/wigeonwalk/cache/retention.h
@@ -0,0 +1,128 @@
+// Which pieces of cache are worth keeping, where, and for how long.
+//
+// The worth of keeping a piece is the chance that its prompt returns times the
+// accelerator seconds that it then saves, less the price of the space and of
+// the link.
+//
+//   Retention retention(prices);
+//   switch (retention.BeforeEviction(piece, pressure)) { ... }
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/base/time.h"
+#include "wigeonwalk/ports/store_host.h"
+
+#include <optional>
+
+namespace wigeonwalk {
+
+// What to do with a piece.
+enum class RetentionAction
+{
+  KeepInMemory,
+  KeepOnDisk,
+  Drop,
+};
+
+template<>
+struct EnumNames<RetentionAction>
+{
+  static constexpr std::array<EnumName<RetentionAction>, 3> kTable{ {
+    { RetentionAction::KeepInMemory, "keep-in-memory" },
+    { RetentionAction::KeepOnDisk, "keep-on-disk" },
+    { RetentionAction::Drop, "drop" },
+  } };
+};
+static_assert(HasCompleteTable<RetentionAction>());
+
+// Prices in accelerator seconds. They are small where space and links are
+// idle; `Pressure` raises them.
+struct RetentionPrices
+{
+  // For 1 GiB over one hour.
+  double memorySpace = 0.02;
+  double diskSpace = 0.0005;
+  // For 1 GiB moved once.
+  double link = 0.01;
+};
+
+// How scarce each resource is: the part in use, from 0 to 1.
+struct Pressure
+{
+  double memory = 0;
+  double disk = 0;
+  double link = 0;
+};
+
+// A piece that is or may be kept.
+struct PieceValue
+{
+  std::uint64_t bytes = 0;
+  // Accelerator seconds that recomputing it takes.
+  double recomputeSeconds = 0;
+  // Seconds that reading it back takes from each tier, without queueing.
+  double memoryReadSeconds = 0;
+  double diskReadSeconds = 0;
+  // Chance that its prompt returns within `horizon`.
+  double returnChance = 0;
+  Duration horizon = std::chrono::hours(1);
+  // Copies that other store hosts hold.
+  std::uint32_t otherCopies = 0;
+};
+
+// Part of a tier that is filled without hesitation; above it, space is dear.
+inline constexpr double kFullPressure = 0.9;
+
+// Part of a link's time that prefetch and replication may use.
+inline constexpr double kIdleLinkPressure = 0.5;
+
+// Reads an hour above which a prefix is replicated to a second zone.
+inline constexpr double kHotReadsPerHour = 6;
+
+// Decides about single pieces. Holds only prices; thread-safe.
+class Retention
+{
+public:
+  explicit Retention(RetentionPrices aPrices)
+    : prices(aPrices)
+  {
+  }
+
+  // Net worth in accelerator seconds of keeping a piece in a tier over its
+  // horizon. Negative: keeping it costs more than it saves.
+  double Worth(const PieceValue& aPiece,
+               StoreTier aTier,
+               const Pressure& aPressure) const;
+
+  // Decides where a piece goes that a runner is about to evict. Exporting it
+  // also costs the link.
+  RetentionAction BeforeEviction(const PieceValue& aPiece,
+                                 const Pressure& aPressure) const;
+
+  // Decides about a piece that a store host holds: kept, moved or dropped.
+  RetentionAction Review(const PieceValue& aPiece,
+                         StoreTier aTier,
+                         const Pressure& aPressure) const;
+
+  // Orders pieces for eviction from a full tier: worth for each GiB. The
+  // lowest goes first.
+  double Density(const PieceValue& aPiece, StoreTier aTier) const;
+
+  // True where a piece should move from disk to memory, or be imported, ahead
+  // of a likely return: the link is idle and the seconds saved exceed its
+  // price. `aSoonChance` is the chance of return while the copy would wait.
+  bool ShouldPrefetch(const PieceValue& aPiece,
+                      double aSoonChance,
+                      const Pressure& aPressure) const;
+
+  // True where a prefix that is read often should have a copy in a second
+  // availability zone.
+  bool ShouldReplicate(const PieceValue& aPiece,
+                       double aReadsPerHour,
+                       const Pressure& aPressure) const;
+
+private:
+  RetentionPrices prices;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/cache/retention_test.cc
@@ -0,0 +1,137 @@
+#include "wigeonwalk/cache/retention.h"
+#include "wigeonwalk/cache/return_model.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+TEST_CASE("every retention action parses back to its value", "[enum]")
+{
+  for (const auto& row : EnumNames<RetentionAction>::kTable) {
+    CHECK(ParseName<RetentionAction>(row.name) == row.value);
+  }
+}
+
+SCENARIO("the chance of return follows what callers do", "[return_model]")
+{
+  const ServiceName service("route");
+  const OrganisationId busy("busy");
+  const OrganisationId rare("rare");
+  ReturnModel model;
+
+  GIVEN("an organisation whose prompts return after 20 minutes")
+  {
+    for (int i = 0; i < 400; ++i) {
+      model.NoteServed(service, busy);
+      if (i % 2 == 0) {
+        model.NoteReturn(service, busy, 20min);
+      }
+    }
+    THEN("a fresh prompt is likely within the hour, an old one is not")
+    {
+      CHECK(model.ChanceWithin(service, busy, 0s, 1h) > 0.45);
+      CHECK(model.ChanceWithin(service, busy, 10h, 1h) < 0.05);
+    }
+    // Guards against an organisation without history that keeps nothing.
+    THEN("an organisation without observations follows the service")
+    {
+      CHECK(model.ChanceWithin(service, rare, 0s, 1h) > 0.4);
+    }
+    WHEN("another organisation never returns")
+    {
+      for (int i = 0; i < 400; ++i) {
+        model.NoteServed(service, rare);
+      }
+      CHECK(model.ChanceWithin(service, rare, 0s, 1h) < 0.05);
+      CHECK(model.ChanceWithin(service, busy, 0s, 1h) > 0.4);
+    }
+  }
+  GIVEN("nothing observed")
+  {
+    const double chance = model.ChanceWithin(service, busy, 0s, 24h);
+    CHECK(chance > 0);
+    CHECK(chance < 1);
+  }
+}
+
+// Guards against keeping what is not worth its space, and dropping what is.
+SCENARIO("a piece goes where its worth is highest", "[retention]")
+{
+  const Retention retention{ RetentionPrices{} };
+  const PieceValue base{ .bytes = 128u << 20,
+                         .recomputeSeconds = 0.4,
+                         .memoryReadSeconds = 0.05,
+                         .diskReadSeconds = 0.2,
+                         .returnChance = 0.5 };
+  struct Case
+  {
+    const char* name;
+    double chance;
+    std::uint32_t otherCopies;
+    Pressure pressure;
+    RetentionAction expected;
+  };
+  const Case cases[] = {
+    { "a likely return goes to memory",
+      0.5,
+      0,
+      {},
+      RetentionAction::KeepInMemory },
+    { "a full memory tier sends it to disk",
+      0.5,
+      0,
+      { 0.95, 0, 0 },
+      RetentionAction::KeepOnDisk },
+    { "an unlikely return is not worth memory",
+      0.012,
+      0,
+      { 0.8, 0, 0 },
+      RetentionAction::KeepOnDisk },
+    { "a return that never comes is dropped",
+      0.0001,
+      0,
+      {},
+      RetentionAction::Drop },
+    { "another copy makes an export useless",
+      0.5,
+      1,
+      {},
+      RetentionAction::Drop },
+    { "a saturated link is dearer than a weak chance",
+      0.3,
+      0,
+      { 0.95, 0.5, 0.99 },
+      RetentionAction::Drop },
+  };
+  for (const Case& row : cases) {
+    INFO(row.name);
+    PieceValue piece = base;
+    piece.returnChance = row.chance;
+    piece.otherCopies = row.otherCopies;
+    CHECK(retention.BeforeEviction(piece, row.pressure) == row.expected);
+  }
+  THEN("a stored piece moves down as its chance fades")
+  {
+    PieceValue piece = base;
+    CHECK(retention.Review(piece, StoreTier::Memory, {}) ==
+          RetentionAction::KeepInMemory);
+    piece.returnChance = 0.01;
+    CHECK(retention.Review(piece, StoreTier::Memory, { 0.9, 0, 0 }) ==
+          RetentionAction::KeepOnDisk);
+    piece.returnChance = 0;
+    CHECK(retention.Review(piece, StoreTier::Disk, {}) ==
+          RetentionAction::Drop);
+    CHECK(retention.Density(piece, StoreTier::Disk) <
+          retention.Density(base, StoreTier::Disk));
+  }
+  THEN("idle work stops when the link is needed by callers")
+  {
+    CHECK(retention.ShouldPrefetch(base, 0.5, {}));
+    CHECK_FALSE(retention.ShouldPrefetch(base, 0.5, { 0, 0, 0.6 }));
+    CHECK_FALSE(retention.ShouldPrefetch(base, 0.001, {}));
+    CHECK(retention.ShouldReplicate(base, 10, {}));
+    CHECK_FALSE(retention.ShouldReplicate(base, 10, { 0, 0, 0.6 }));
+    CHECK_FALSE(retention.ShouldReplicate(base, 1, {}));
+  }
+}
--- /dev/null
+++ b/wigeonwalk/cache/return_model.cc
@@ -0,0 +1,136 @@
+#include "wigeonwalk/cache/return_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wigeonwalk {
+
+namespace {
+
+constexpr double kFirstRangeSeconds = 15;
+
+// Weight of the more general estimate, in observations.
+constexpr double kPriorObservations = 20;
+
+// Chance of return assumed for a service that has not been observed.
+constexpr double kPriorReturns = 0.5;
+
+// Counts are halved at this many observations, so that the model follows a
+// change of the callers' habits within that number of requests.
+constexpr double kMaxObservations = 50'000;
+
+double
+RangeStart(std::size_t aRange)
+{
+  return aRange == 0 ? 0 : kFirstRangeSeconds * std::exp2(aRange - 1.0);
+}
+
+double
+RangeEnd(std::size_t aRange)
+{
+  return kFirstRangeSeconds * std::exp2(static_cast<double>(aRange));
+}
+
+} // namespace
+
+void
+ReturnModel::Gaps::AddReturn(Duration aGap)
+{
+  const double ratio = ToSeconds(aGap) / kFirstRangeSeconds;
+  const double range = ratio < 1 ? 0 : std::floor(std::log2(ratio)) + 1;
+  this->counts[std::min<std::size_t>(static_cast<std::size_t>(range),
+                                     kRanges - 1)] += 1;
+  this->returned += 1;
+}
+
+void
+ReturnModel::Gaps::Age()
+{
+  if (this->served < kMaxObservations) {
+    return;
+  }
+  this->served /= 2;
+  this->returned /= 2;
+  for (double& count : this->counts) {
+    count /= 2;
+  }
+}
+
+// Counts the returns with a gap above a number of seconds; within a range they
+// count as spread evenly.
+double
+ReturnModel::Gaps::ReturnsAfter(double aSeconds) const
+{
+  double after = 0;
+  for (std::size_t i = 0; i < kRanges; ++i) {
+    const double start = RangeStart(i);
+    const double end = RangeEnd(i);
+    const double part = (end - std::max(start, aSeconds)) / (end - start);
+    after += this->counts[i] * std::clamp(part, 0.0, 1.0);
+  }
+  return after;
+}
+
+// Of the prompts that had not returned by the gap, the part that returned
+// within the horizon after it, with `aPrior` as further observations.
+double
+ReturnModel::Gaps::ChanceWithin(double aGap,
+                                double aHorizon,
+                                double aPrior) const
+{
+  const double after = this->ReturnsAfter(aGap);
+  const double within = after - this->ReturnsAfter(aGap + aHorizon);
+  const double never = std::max(0.0, this->served - this->returned);
+  return std::clamp((within + aPrior * kPriorObservations) /
+                      (after + never + kPriorObservations),
+                    0.0,
+                    1.0);
+}
+
+void
+ReturnModel::NoteServed(const ServiceName& aService,
+                        const OrganisationId& aOrganisation)
+{
+  Service& service = this->services[aService];
+  for (Gaps* gaps : { &service.all, &service.organisations[aOrganisation] }) {
+    gaps->Age();
+    gaps->served += 1;
+  }
+}
+
+void
+ReturnModel::NoteReturn(const ServiceName& aService,
+                        const OrganisationId& aOrganisation,
+                        Duration aGap)
+{
+  Service& service = this->services[aService];
+  service.all.AddReturn(aGap);
+  service.organisations[aOrganisation].AddReturn(aGap);
+}
+
+double
+ReturnModel::ChanceWithin(const ServiceName& aService,
+                          const OrganisationId& aOrganisation,
+                          Duration aGap,
+                          Duration aHorizon) const
+{
+  const double gap = ToSeconds(aGap);
+  const double horizon = ToSeconds(aHorizon);
+  // Without observations a return is as likely in the next doubling of the gap
+  // as in any other.
+  const double doublings = std::log2((gap + horizon + kFirstRangeSeconds) /
+                                     (gap + kFirstRangeSeconds));
+  double chance = kPriorReturns * std::min(1.0, doublings / kRanges);
+  const auto service = this->services.find(aService);
+  if (service == this->services.end()) {
+    return chance;
+  }
+  chance = service->second.all.ChanceWithin(gap, horizon, chance);
+  const auto own = service->second.organisations.find(aOrganisation);
+  if (own != service->second.organisations.end()) {
+    chance = own->second.ChanceWithin(gap, horizon, chance);
+  }
+  return chance;
+}
+
+} // namespace wigeonwalk
