retry: add retry budget, backoff and leaving marks

Cause: retries must not multiply the load of an outage, and an upstream that is leaving must get no new work even when the lagging list shows it alive (I7). Change: budget for each service and organisation of a tenth of recent successes, with a reserve of the daemon for rare pairs and bounded memory; exponential backoff with half jitter under the deadline; leaving marks that are permanent for an incarnation and spread as notices.

--- /dev/null
+++ b/wigeonwalk/retry/backoff.h
@@ -0,0 +1,56 @@
+// Exponential backoff with jitter, within the caller's deadline.
+//
+//   auto next = NextAttemptAt(settings, failures, now, deadline, random);
+//   if (next) { co_await timer.WaitUntil(*next); }
+#pragma once
+
+#include "wigeonwalk/base/time.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <random>
+
+namespace wigeonwalk {
+
+// How long to wait between attempts of one request.
+struct BackoffSettings
+{
+  Duration first = std::chrono::milliseconds(20);
+  Duration longest = std::chrono::seconds(2);
+  // Least time before the deadline at which another attempt can still finish.
+  Duration attemptTime = std::chrono::milliseconds(50);
+};
+
+// Returns the delay before jitter that follows a number of failures (1, 2...).
+constexpr Duration
+BackoffDelay(const BackoffSettings& aSettings, std::uint32_t aFailures)
+{
+  Duration delay = aSettings.first;
+  for (std::uint32_t i = 1; i < aFailures && delay < aSettings.longest; ++i) {
+    delay *= 2;
+  }
+  return std::min(delay, aSettings.longest);
+}
+
+// Returns when to try again: half the delay is fixed and half random, so that
+// callers that failed together do not return together. Returns nothing where
+// the attempt could not finish before the deadline.
+template<std::uniform_random_bit_generator Random>
+std::optional<TimePoint>
+NextAttemptAt(const BackoffSettings& aSettings,
+              std::uint32_t aFailures,
+              TimePoint aNow,
+              TimePoint aDeadline,
+              Random& aRandom)
+{
+  const Duration delay = BackoffDelay(aSettings, aFailures);
+  std::uniform_int_distribution<Duration::rep> jitter(0, delay.count() / 2);
+  const TimePoint at = aNow + delay / 2 + Duration(jitter(aRandom));
+  if (at + aSettings.attemptTime > aDeadline) {
+    return std::nullopt;
+  }
+  return at;
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/retry/leaving_marks_test.cc
@@ -0,0 +1,73 @@
+#include "wigeonwalk/retry/leaving_marks.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wigeonwalk;
+
+namespace {
+
+ListedHost
+Row(const char* aName, std::uint64_t aIncarnation, HostStatus aStatus)
+{
+  ListedHost host;
+  host.name = aName;
+  host.incarnation = aIncarnation;
+  host.status = aStatus;
+  return host;
+}
+
+} // namespace
+
+// Guards I7: an upstream that is leaving gets new work again because the
+// lagging list still shows it as live.
+SCENARIO("a leaving mark is permanent for its incarnation", "[leaving]")
+{
+  LeavingMarks marks;
+  const UpstreamId upstream("runner-7");
+
+  GIVEN("the list says that incarnation 3 is leaving")
+  {
+    CHECK(marks.MergeList({ Row("runner-7", 3, HostStatus::Leaving),
+                            Row("runner-8", 1, HostStatus::Live) }) == 1);
+
+    WHEN("an older list shows it live again")
+    {
+      CHECK(marks.MergeList({ Row("runner-7", 3, HostStatus::Live) }) == 0);
+      THEN("it is still leaving")
+      {
+        CHECK(marks.IsLeaving(upstream, 3));
+      }
+    }
+    WHEN("another daemon reports an earlier incarnation as leaving")
+    {
+      CHECK_FALSE(marks.MergeNotice({ upstream, 2 }));
+      THEN("the later mark stays")
+      {
+        CHECK(marks.IsLeaving(upstream, 3));
+        CHECK(marks.IsLeaving(upstream, 2));
+      }
+    }
+    THEN("a new incarnation is free, and so is another upstream")
+    {
+      CHECK_FALSE(marks.IsLeaving(upstream, 4));
+      CHECK_FALSE(marks.IsLeaving(UpstreamId("runner-8"), 1));
+    }
+    THEN("the mark reaches a second daemon once")
+    {
+      LeavingMarks other;
+      const auto notices = marks.TakeNotices(8);
+      REQUIRE(notices.size() == 1);
+      CHECK(other.MergeNotice(notices.front()));
+      CHECK_FALSE(other.MergeNotice(notices.front()));
+      CHECK(other.IsLeaving(upstream, 3));
+    }
+    THEN("it is sent a bounded number of times")
+    {
+      std::size_t sends = 0;
+      while (!marks.TakeNotices(1).empty()) {
+        ++sends;
+      }
+      CHECK(sends == NoticeQueue<LeavingNotice>::kSends);
+    }
+  }
+}
--- /dev/null
+++ b/wigeonwalk/retry/notice_queue.h
@@ -0,0 +1,63 @@
+// A bounded queue of notices that ride on messages to other daemons.
+//
+//   queue.Add(notice);
+//   for (const Notice& notice : queue.Take(8)) { ... append to the probe ... }
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <utility>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Holds each notice until it has been sent a number of times, the least sent
+// first. A full queue drops its most often sent notice. One thread only.
+template<typename Notice>
+class NoticeQueue
+{
+public:
+  // Twelve sends reach every member of 350 with a chance of a miss below 1e-4,
+  // since each receiver of a new notice sends it on twelve times as well.
+  static constexpr std::uint32_t kSends = 12;
+  static constexpr std::size_t kMaxNotices = 1024;
+
+  void Add(Notice aNotice)
+  {
+    if (this->waiting.size() >= kMaxNotices) {
+      this->waiting.pop_back();
+    }
+    this->waiting.push_front({ std::move(aNotice), 0 });
+  }
+
+  // Returns up to a number of notices and counts them as sent once.
+  std::vector<Notice> Take(std::size_t aMost)
+  {
+    std::vector<Notice> taken;
+    const std::size_t count = std::min(aMost, this->waiting.size());
+    for (std::size_t i = 0; i < count; ++i) {
+      Waiting first = std::move(this->waiting.front());
+      this->waiting.pop_front();
+      taken.push_back(first.notice);
+      if (++first.sends < kSends) {
+        this->waiting.push_back(std::move(first));
+      }
+    }
+    return taken;
+  }
+
+  std::size_t Size() const { return this->waiting.size(); }
+
+private:
+  struct Waiting
+  {
+    Notice notice;
+    std::uint32_t sends = 0;
+  };
+
+  std::deque<Waiting> waiting;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/retry/retry_budget.cc
@@ -0,0 +1,106 @@
+#include "wigeonwalk/retry/retry_budget.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace wigeonwalk {
+
+std::size_t
+RetryBudget::PairHash::operator()(const PairKey& aKey) const noexcept
+{
+  const std::size_t organisation =
+    std::hash<OrganisationId>()(aKey.organisation);
+  return organisation * 31 + std::hash<ServiceName>()(aKey.service);
+}
+
+RetryBudget::RetryBudget(RetryBudgetSettings aSettings)
+  : settings(aSettings)
+{
+}
+
+void
+RetryBudget::RecordSuccess(const OrganisationId& aOrganisation,
+                           const ServiceName& aService,
+                           TimePoint aNow)
+{
+  Credit& credit = this->Updated({ aOrganisation, aService }, aNow);
+  credit.amount = std::min(credit.amount + this->settings.share,
+                           this->settings.longestCredit);
+  this->UpdateReserve(aNow);
+  this->reserve = std::min(this->reserve + this->settings.reserveShare,
+                           this->settings.longestReserve);
+}
+
+bool
+RetryBudget::TrySpend(const OrganisationId& aOrganisation,
+                      const ServiceName& aService,
+                      TimePoint aNow)
+{
+  Credit& credit = this->Updated({ aOrganisation, aService }, aNow);
+  if (credit.amount >= 1) {
+    credit.amount -= 1;
+    return true;
+  }
+  this->UpdateReserve(aNow);
+  if (this->reserve < 1 ||
+      aNow - credit.usedReserveAt < this->settings.reserveInterval) {
+    return false;
+  }
+  this->reserve -= 1;
+  credit.usedReserveAt = aNow;
+  return true;
+}
+
+RetryBudget::Credit&
+RetryBudget::Updated(const PairKey& aKey, TimePoint aNow)
+{
+  const auto found = this->credits.find(aKey);
+  if (found == this->credits.end()) {
+    if (this->credits.size() >= this->settings.pairs) {
+      this->DropOldest();
+    }
+    return this->credits.emplace(aKey, Credit{ 0, aNow, TimePoint() })
+      .first->second;
+  }
+  Credit& credit = found->second;
+  credit.amount = this->Decayed(credit.amount, aNow - credit.updatedAt);
+  credit.updatedAt = aNow;
+  return credit;
+}
+
+void
+RetryBudget::UpdateReserve(TimePoint aNow)
+{
+  if (this->reserveAt == TimePoint()) {
+    this->reserveAt = aNow;
+  }
+  const Duration elapsed = aNow - this->reserveAt;
+  // The gain decays like the rest, so it settles at gain × memory = 1 retry.
+  const double gained =
+    this->settings.reservePerSecond * ToSeconds(this->settings.memory);
+  const double decayed = this->Decayed(this->reserve - gained, elapsed);
+  this->reserve = std::max(0.0, decayed + gained);
+  this->reserveAt = aNow;
+}
+
+double
+RetryBudget::Decayed(double aAmount, Duration aElapsed) const
+{
+  return aAmount *
+         std::exp(-ToSeconds(aElapsed) / ToSeconds(this->settings.memory));
+}
+
+void
+RetryBudget::DropOldest()
+{
+  const auto oldest =
+    std::min_element(this->credits.begin(),
+                     this->credits.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.second.updatedAt < aRight.second.updatedAt;
+                     });
+  this->credits.erase(oldest);
+}
+
+} // namespace wigeonwalk
