--- /dev/null
+++ b/wigeonwalk/retry/stream_liveness.cc
@@ -0,0 +1,93 @@
+#include "wigeonwalk/retry/stream_liveness.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wigeonwalk {
+
+StreamLiveness::StreamLiveness(LivenessSettings aSettings,
+                               Duration aFirstTokenWait,
+                               TimePoint aNow)
+  : settings(aSettings)
+  , lastAt(aNow)
+  , probeAt(aNow + std::max(aSettings.longest,
+                            aFirstTokenWait * aSettings.firstTokenFactor))
+{
+}
+
+void
+StreamLiveness::RecordToken(TimePoint aNow)
+{
+  // Weights of RFC 6298 for mean and deviation.
+  constexpr double kMeanWeight = 1.0 / 8;
+  constexpr double kDeviationWeight = 1.0 / 4;
+  constexpr double kLargestDecay = 1.0 / 32;
+  const auto gap = static_cast<double>((aNow - this->lastAt).count());
+  if (this->hasGap) {
+    this->deviation +=
+      kDeviationWeight * (std::abs(gap - this->meanGap) - this->deviation);
+    this->meanGap += kMeanWeight * (gap - this->meanGap);
+  } else if (this->hasToken) {
+    this->meanGap = gap;
+    this->deviation = gap / 2;
+    this->hasGap = true;
+  }
+  if (this->hasGap) {
+    this->largestGap = std::max(gap, this->largestGap * (1 - kLargestDecay));
+  }
+  this->hasToken = true;
+  this->extended = 0;
+  this->lastAt = aNow;
+  this->probeAt = aNow + this->ExpectedGap();
+}
+
+LivenessAction
+StreamLiveness::ActOn(ProbeResult aResult, bool aIdempotent, TimePoint aNow)
+{
+  if (aResult == ProbeResult::AnsweredBusy &&
+      this->extended < this->settings.extensions) {
+    ++this->extended;
+    this->probeAt = aNow + this->settings.longest;
+    return LivenessAction::WaitOn;
+  }
+  if (!aIdempotent) {
+    return LivenessAction::Settle;
+  }
+  switch (aResult) {
+    case ProbeResult::Answered:
+    case ProbeResult::AnsweredBusy:
+      return LivenessAction::ResumeSameUpstream;
+    case ProbeResult::Restarted:
+    case ProbeResult::Refused:
+    case ProbeResult::NoAnswer:
+      break;
+  }
+  return LivenessAction::MoveElsewhere;
+}
+
+Duration
+StreamLiveness::ExpectedGap() const
+{
+  if (!this->hasGap) {
+    return this->settings.longest;
+  }
+  const double expected =
+    std::max(this->meanGap + this->settings.deviations * this->deviation,
+             this->settings.largestGapFactor * this->largestGap);
+  return std::clamp(Duration(static_cast<Duration::rep>(expected)),
+                    this->settings.shortest,
+                    std::max(this->settings.shortest, this->settings.longest));
+}
+
+bool
+MayReuse(const PooledConnection& aConnection, bool aIdempotent, TimePoint aNow)
+{
+  if (aConnection.sawCancel || aConnection.sawTimeout ||
+      aConnection.sawLeftoverByte) {
+    return false;
+  }
+  const Duration longest = aIdempotent ? kMaxIdle : kMaxIdleNotRepeatable;
+  return aNow - aConnection.lastUsedAt <= longest;
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/retry/stream_liveness_test.cc
@@ -0,0 +1,149 @@
+#include "wigeonwalk/retry/stream_liveness.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct ProbeCase
+{
+  ProbeResult result;
+  LivenessAction idempotent;
+  LivenessAction booking;
+};
+
+constexpr ProbeCase kProbes[] = {
+  { ProbeResult::Answered,
+    LivenessAction::ResumeSameUpstream,
+    LivenessAction::Settle },
+  { ProbeResult::AnsweredBusy, LivenessAction::WaitOn, LivenessAction::WaitOn },
+  { ProbeResult::Restarted,
+    LivenessAction::MoveElsewhere,
+    LivenessAction::Settle },
+  { ProbeResult::Refused,
+    LivenessAction::MoveElsewhere,
+    LivenessAction::Settle },
+  { ProbeResult::NoAnswer,
+    LivenessAction::MoveElsewhere,
+    LivenessAction::Settle },
+};
+
+struct ReuseCase
+{
+  const char* story;
+  PooledConnection connection;
+  Duration idle;
+  bool idempotentMay;
+  bool bookingMay;
+};
+
+const ReuseCase kReuses[] = {
+  { "a fresh connection", {}, 1s, true, true },
+  { "one that was idle for a while", {}, 5s, true, false },
+  { "one that was idle for long", {}, 31s, false, false },
+  { "one that saw a cancel", { .sawCancel = true }, 0s, false, false },
+  { "one that saw a timeout", { .sawTimeout = true }, 0s, false, false },
+  { "one with a leftover byte", { .sawLeftoverByte = true }, 0s, false, false },
+};
+
+} // namespace
+
+// Guards against streams that hang on a silent connection, and against slow
+// but healthy streams that are cut off.
+SCENARIO("a silent stream is probed and settled", "[liveness]")
+{
+  const TimePoint start(24h);
+  TimePoint now = start;
+
+  GIVEN("a stream with a long prefill")
+  {
+    StreamLiveness liveness({}, 3s, start);
+    THEN("it is not probed before twice the expected wait")
+    {
+      CHECK(liveness.ProbeAt() == start + 6s);
+    }
+  }
+  GIVEN("a stream of tokens every 40 ms")
+  {
+    StreamLiveness liveness({}, 500ms, start);
+    for (int i = 0; i < 50; ++i) {
+      now += 40ms;
+      liveness.RecordToken(now);
+    }
+    THEN("it is probed soon after it falls silent")
+    {
+      CHECK(liveness.ProbeAt() == now + 250ms);
+    }
+    for (const ProbeCase& probe : kProbes) {
+      WHEN("the probe ends with " + std::string(NameOf(probe.result)))
+      {
+        now = liveness.ProbeAt();
+        THEN("idempotent work is " + std::string(NameOf(probe.idempotent)))
+        {
+          CHECK(liveness.ActOn(probe.result, true, now) == probe.idempotent);
+        }
+        THEN("a booking is " + std::string(NameOf(probe.booking)))
+        {
+          CHECK(liveness.ActOn(probe.result, false, now) == probe.booking);
+        }
+      }
+    }
+    WHEN("the upstream claims to be busy for ever")
+    {
+      int waits = 0;
+      while (liveness.ActOn(ProbeResult::AnsweredBusy, true, now) ==
+             LivenessAction::WaitOn) {
+        now = liveness.ProbeAt();
+        ++waits;
+      }
+      THEN("the wait ends")
+      {
+        CHECK(waits == 2);
+      }
+    }
+  }
+  GIVEN("a stream whose gaps vary between 20 and 400 ms")
+  {
+    StreamLiveness liveness({}, 500ms, start);
+    bool probed = false;
+    for (int i = 0; i < 200; ++i) {
+      now += i % 8 == 7 ? 400ms : 20ms;
+      probed = probed || (i > 16 && now > liveness.ProbeAt());
+      liveness.RecordToken(now);
+    }
+    THEN("it is not probed for its ordinary gaps")
+    {
+      CHECK_FALSE(probed);
+    }
+  }
+}
+
+// Guards against a booking on a pooled connection that died while idle, and
+// against answers of an earlier request on a reused connection.
+SCENARIO("pooled connections age out", "[liveness]")
+{
+  const TimePoint now(24h);
+  for (const ReuseCase& row : kReuses) {
+    GIVEN(row.story)
+    {
+      PooledConnection connection = row.connection;
+      connection.lastUsedAt = now - row.idle;
+      CHECK(MayReuse(connection, true, now) == row.idempotentMay);
+      CHECK(MayReuse(connection, false, now) == row.bookingMay);
+    }
+  }
+}
+
+TEMPLATE_TEST_CASE("the names of retry's tables parse back",
+                   "[enum]",
+                   ProbeResult,
+                   LivenessAction)
+{
+  for (const auto& row : EnumNames<TestType>::kTable) {
+    CHECK(ParseName<TestType>(row.name) == row.value);
+  }
+}
