openai: build arguments of co_await in local variables

Cause: the first end-to-end run stopped with SIGILL inside OpenAiSink::Token. The debugger showed the fresh coroutine's resume index out of range; g++ 12 miscompiles co_await expressions whose temporaries have destructors. Before: the first streamed token ended the daemon.

--- a/wigeonwalk/adapters/openai/caller_session.cc
+++ b/wigeonwalk/adapters/openai/caller_session.cc
@@ -10,6 +10,16 @@
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr std::size_t kMaxIdBytes = 128;
 
+// Returns one server-sent event.
+std::string
+EventOf(std::string_view aData)
+{
+  std::string event("data: ");
+  event += aData;
+  event += "\n\n";
+  return event;
+}
+
 // True for a text that is safe in logs and headers.
 bool
 IsPlainId(std::string_view aText)
@@ -254,6 +264,26 @@
            { std::string(kVerdictHeader), std::string(NameOf(aVerdict)) } };
 }
 
+Task<bool>
+OpenAiSink::Begin()
+{
+  this->begun = true;
+  std::vector<HttpHeader> headers =
+    this->Headers("text/event-stream", Verdict::Ran);
+  const bool written =
+    co_await this->connection.BeginStream(200, std::move(headers));
+  this->usable = written;
+  co_return written;
+}
+
+Task<bool>
+OpenAiSink::WriteEvents(std::string aEvents)
+{
+  const bool written = co_await this->connection.WriteChunk(std::move(aEvents));
+  this->usable = written;
+  co_return written;
+}
+
 Task<bool>
 OpenAiSink::Token(const AnswerChunk& aChunk)
 {
@@ -262,18 +292,15 @@
     co_return true;
   }
   if (!this->begun) {
-    this->begun = true;
-    if (!co_await this->connection.BeginStream(
-          200, this->Headers("text/event-stream", Verdict::Ran))) {
-      this->usable = false;
+    const bool open = co_await this->Begin();
+    if (!open) {
       co_return false;
     }
   }
-  this->usable = co_await this->connection.WriteChunk(
-    "data: " +
-    EncodeStreamedToken(this->request, this->service, this->form, aChunk.text) +
-    "\n\n");
-  co_return this->usable;
+  std::string event = EventOf(
+    EncodeStreamedToken(this->request, this->service, this->form, aChunk.text));
+  const bool written = co_await this->WriteEvents(std::move(event));
+  co_return written;
 }
 
 Task<bool>
@@ -289,16 +316,18 @@
     co_return this->usable;
   }
   if (!this->begun) {
-    this->begun = true;
-    co_await this->connection.BeginStream(
-      200, this->Headers("text/event-stream", Verdict::Ran));
+    const bool open = co_await this->Begin();
+    if (!open) {
+      co_return false;
+    }
+  }
+  std::string events = EventOf(
+    EncodeStreamedEnd(this->request, this->service, this->form, aSummary));
+  events += EventOf("[DONE]");
+  const bool written = co_await this->WriteEvents(std::move(events));
+  if (written) {
+    this->usable = co_await this->connection.EndStream();
   }
-  this->usable =
-    co_await this->connection.WriteChunk(
-      "data: " +
-      EncodeStreamedEnd(this->request, this->service, this->form, aSummary) +
-      "\n\ndata: [DONE]\n\n") &&
-    co_await this->connection.EndStream();
   co_return this->usable;
 }
 
@@ -306,15 +335,18 @@
 OpenAiSink::Fail(const Refusal& aRefusal)
 {
   if (!this->begun) {
-    this->usable = co_await this->connection.WriteResponse(
-      RefusalResponse(this->request, aRefusal), this->keepAlive);
+    HttpResponse response = RefusalResponse(this->request, aRefusal);
+    this->usable = co_await this->connection.WriteResponse(std::move(response),
+                                                           this->keepAlive);
     co_return this->usable;
   }
   // The status was sent with the first token; the error is the last event, and
   // no [DONE] follows it.
-  co_await this->connection.WriteChunk("data: " + EncodeError(aRefusal) +
-                                       "\n\n");
-  co_await this->connection.EndStream();
+  std::string event = EventOf(EncodeError(aRefusal));
+  const bool written = co_await this->WriteEvents(std::move(event));
+  if (written) {
+    co_await this->connection.EndStream();
+  }
   this->usable = false;
   co_return false;
 }
--- a/wigeonwalk/adapters/openai/caller_session.h
+++ b/wigeonwalk/adapters/openai/caller_session.h
@@ -44,6 +44,8 @@
   bool ConnectionUsable() const { return this->usable; }
 
 private:
+  Task<bool> Begin();
+  Task<bool> WriteEvents(std::string aEvents);
   std::vector<HttpHeader> Headers(std::string aContentType,
                                   Verdict aVerdict) const;
 
@@ -113,11 +115,11 @@
     Refusal refusal;
     auto response = co_await aPath.CallPlain(*aRequest.plain, refusal);
     const RequestId id = aRequest.plain->caller.request;
-    co_return co_await aConnection.WriteResponse(
-      response ? PlainAnswer(id, std::move(*response))
-               : RefusalResponse(id, refusal),
-      aKeepAlive) &&
-      aKeepAlive;
+    HttpResponse answer = response ? PlainAnswer(id, std::move(*response))
+                                   : RefusalResponse(id, refusal);
+    const bool written =
+      co_await aConnection.WriteResponse(std::move(answer), aKeepAlive);
+    co_return written&& aKeepAlive;
   }
   const CompletionRequest& completion = *aRequest.completion;
   OpenAiSink sink(aConnection,
@@ -134,12 +136,28 @@
   co_return finished.index() == 0 && sink.ConnectionUsable() && aKeepAlive;
 }
 
+// Writes a refusal that was decided before the request path. Returns false
+// where the connection must close.
+inline Task<bool>
+Refuse(HttpConnection& aConnection,
+       const RequestId& aRequest,
+       const LastReason& aReason,
+       bool aKeepAlive)
+{
+  HttpResponse response =
+    RefusalResponse(aRequest, { Verdict::NotRun, aReason, {} });
+  const bool written =
+    co_await aConnection.WriteResponse(std::move(response), aKeepAlive);
+  co_return written&& aKeepAlive;
+}
+
 // Serves a connection until the caller or the daemon closes it.
 template<CallerPath Path>
 Task<void>
 ServeCaller(HttpConnection aConnection, Path& aPath, CallerContext& aContext)
 {
-  while (true) {
+  bool open = true;
+  while (open) {
     LastReason reason;
     auto request = co_await aConnection.ReadRequest(reason);
     if (!request && reason.code == ReasonCode::Cancelled) {
@@ -147,34 +165,26 @@
     }
     const RequestId id = aContext.nextRequestId();
     if (!request) {
-      co_await aConnection.WriteResponse(
-        RefusalResponse(id, { Verdict::NotRun, reason, {} }), false);
+      co_await Refuse(aConnection, id, reason, false);
       co_return;
     }
     const bool keepAlive = request->keepAlive;
     if (request->target == "/health") {
-      if (!co_await aConnection.WriteResponse(
-            HealthResponse(aContext.healthy()), keepAlive) ||
-          !keepAlive) {
-        co_return;
-      }
+      HttpResponse health = HealthResponse(aContext.healthy());
+      const bool written =
+        co_await aConnection.WriteResponse(std::move(health), keepAlive);
+      open = written && keepAlive;
       continue;
     }
     auto decoded = DecodeCallerRequest(std::move(*request), id, reason);
     if (!decoded) {
-      if (!co_await aConnection.WriteResponse(
-            RefusalResponse(id, { Verdict::NotRun, reason, {} }), keepAlive) ||
-          !keepAlive) {
-        co_return;
-      }
+      open = co_await Refuse(aConnection, id, reason, keepAlive);
       continue;
     }
-    if (!co_await ServeRequest(
-          aConnection, aPath, std::move(*decoded), keepAlive)) {
-      aConnection.Close();
-      co_return;
-    }
+    open =
+      co_await ServeRequest(aConnection, aPath, std::move(*decoded), keepAlive);
   }
+  aConnection.Close();
 }
 
 } // namespace wigeonwalk
