placement: choose runner and restore plan by one cost

Cause: a returning prompt can wait for the runner that holds it, be restored in part or whole, or be recomputed, and the best of these depends on queues and links. Change: Place compares, for each runner, every restore plan by one cost in seconds that keeps its parts, and chooses at random among near-equals.

--- /dev/null
+++ b/wigeonwalk/placement/placement.cc
@@ -0,0 +1,264 @@
+#include "wigeonwalk/placement/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace wigeonwalk {
+
+namespace {
+
+// Links that one plan may use: tiers of the store hosts that hold the prompt's
+// pieces, and the links between zones that lead from them to the runner.
+constexpr std::size_t kMaxPlanLinks = 16;
+
+// Time that each link needs for the pieces of a plan so far. Links work in
+// parallel, so the slowest one counts.
+class LinkTimes
+{
+public:
+  explicit LinkTimes(const PlacementView& aView)
+    : view(aView)
+  {
+  }
+
+  // Adds a piece, and returns the time until the whole plan is restored.
+  double Add(const StoredPiece& aPiece, ViewIndex aRunnerZone)
+  {
+    this->AddTo(aPiece.link, aPiece.bytes);
+    if (aPiece.zone != aRunnerZone) {
+      const ViewIndex link =
+        this->view.zoneLinks[aPiece.zone * this->view.zones + aRunnerZone];
+      if (link != kNoLink) {
+        this->AddTo(link, aPiece.bytes);
+      }
+    }
+    return this->slowest;
+  }
+
+private:
+  void AddTo(ViewIndex aLink, std::uint64_t aBytes)
+  {
+    const LinkView& link = this->view.links[aLink];
+    std::size_t row = 0;
+    while (row < this->used && this->ids[row] != aLink) {
+      ++row;
+    }
+    if (row == this->used) {
+      if (row == kMaxPlanLinks) {
+        return;
+      }
+      ++this->used;
+      this->ids[row] = aLink;
+      this->times[row] =
+        link.waitSeconds + link.latencySeconds * (1 + 2 * link.loss);
+    }
+    this->times[row] +=
+      static_cast<double>(aBytes) / std::max(link.bytesPerSecond, 1.0);
+    this->slowest = std::max(this->slowest, this->times[row]);
+  }
+
+  const PlacementView& view;
+  std::array<ViewIndex, kMaxPlanLinks> ids{};
+  std::array<double, kMaxPlanLinks> times{};
+  std::size_t used = 0;
+  double slowest = 0;
+};
+
+// Computes the costs of one runner's plans.
+class RunnerCosts
+{
+public:
+  RunnerCosts(const PlacementRequest& aRequest,
+              const PlacementView& aView,
+              const PlacementOptions& aOptions,
+              ViewIndex aRunner,
+              double aMedianWait)
+    : request(aRequest)
+    , view(aView)
+    , options(aOptions)
+    , runner(aView.runners[aRunner])
+    , index(aRunner)
+    , medianWait(aMedianWait)
+  {
+  }
+
+  // Returns the cheapest plan: no restore, or a restore of a part of the pieces
+  // that are stored, either after the runner's own cached prefix or, where that
+  // is doubtful, from the beginning.
+  Candidate Best() const
+  {
+    const std::size_t cached = this->runner.cachedPieces;
+    Candidate best =
+      this->Plan(cached, cached, 0, this->DoubtfulPieces(cached));
+    this->TryRestores(cached, best);
+    if (cached > 0 && this->runner.cachedWeight < 1) {
+      this->TryRestores(0, best);
+    }
+    return best;
+  }
+
+private:
+  void TryRestores(std::size_t aFrom, Candidate& aBest) const
+  {
+    if (!this->options.mayRestore) {
+      return;
+    }
+    LinkTimes times(this->view);
+    double missing = this->DoubtfulPieces(aFrom);
+    for (std::size_t i = aFrom; i < this->view.stored.size(); ++i) {
+      const StoredPiece& piece = this->view.stored[i];
+      const double restore = times.Add(piece, this->runner.zone);
+      missing += 1 - piece.weight;
+      const Candidate candidate = this->Plan(aFrom, i + 1, restore, missing);
+      if (candidate.cost.Total() < aBest.cost.Total()) {
+        aBest = candidate;
+      }
+    }
+  }
+
+  // Expected number of the runner's cached pieces that turn out to be missing,
+  // where the plan relies on `aCached` of them.
+  double DoubtfulPieces(std::size_t aCached) const
+  {
+    return (1 - this->runner.cachedWeight) * static_cast<double>(aCached);
+  }
+
+  Candidate Plan(std::size_t aFrom,
+                 std::size_t aHeldPieces,
+                 double aRestoreSeconds,
+                 double aMissingPieces) const
+  {
+    Candidate candidate;
+    candidate.runner = this->index;
+    candidate.restoreFrom = aFrom;
+    candidate.restoreTo = aHeldPieces;
+    const auto tokens = static_cast<double>(this->request.promptTokens);
+    const double held = static_cast<double>(aHeldPieces) * kPieceTokens;
+    const double missing = aMissingPieces * kPieceTokens;
+    CostParts& cost = candidate.cost;
+    cost.queueWait = this->runner.waitSeconds;
+    cost.restore = std::max(0.0, aRestoreSeconds - cost.queueWait);
+    cost.prefill = (std::max(tokens - held, 1.0) + missing) /
+                   this->runner.prefillTokensPerSecond;
+    cost.zoneDistance = this->ZoneDistance();
+    cost.displacement =
+      cost.prefill * this->options.displacementPrice *
+      std::min(this->medianWait, this->options.displacementLimit);
+    if (this->request.weighing == Weighing::ShareRecomputed) {
+      cost.recompute = cost.prefill * this->options.recomputePrice;
+    }
+    return candidate;
+  }
+
+  double ZoneDistance() const
+  {
+    if (this->runner.zone == this->request.zone) {
+      return 0;
+    }
+    const ViewIndex link =
+      this->view
+        .zoneLinks[this->request.zone * this->view.zones + this->runner.zone];
+    if (link == kNoLink) {
+      return 0;
+    }
+    const LinkView& between = this->view.links[link];
+    return 2 * between.latencySeconds * (1 + 2 * between.loss);
+  }
+
+  const PlacementRequest& request;
+  const PlacementView& view;
+  const PlacementOptions& options;
+  const RunnerView& runner;
+  ViewIndex index;
+  double medianWait;
+};
+
+// The median, because one runner with a long queue does not mean that work
+// anywhere else delays others.
+double
+MedianWait(std::span<const RunnerView> aRunners)
+{
+  if (aRunners.empty()) {
+    return 0;
+  }
+  std::vector<double> waits;
+  waits.reserve(aRunners.size());
+  for (const RunnerView& runner : aRunners) {
+    waits.push_back(runner.waitSeconds);
+  }
+  const auto middle =
+    waits.begin() + static_cast<std::ptrdiff_t>((waits.size() - 1) / 2);
+  std::nth_element(waits.begin(), middle, waits.end());
+  return *middle;
+}
+
+// Chooses one of the candidates whose cost is close to the best.
+const Candidate*
+ChooseAmongEquals(const std::vector<Candidate>& aCandidates,
+                  const PlacementOptions& aOptions,
+                  std::uint64_t aRandom)
+{
+  const auto best = std::min_element(
+    aCandidates.begin(), aCandidates.end(), [](auto& aLeft, auto& aRight) {
+      return aLeft.cost.Total() < aRight.cost.Total();
+    });
+  const double total = best->cost.Total();
+  const double limit =
+    total + std::max(aOptions.spreadSeconds, aOptions.spreadPart * total);
+  std::uint64_t equals = 0;
+  for (const Candidate& candidate : aCandidates) {
+    equals += candidate.cost.Total() <= limit ? 1 : 0;
+  }
+  std::uint64_t pick = aRandom % equals;
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.cost.Total() <= limit && pick-- == 0) {
+      return &candidate;
+    }
+  }
+  return &*best;
+}
+
+} // namespace
+
+std::string
+Candidate::Explain(const PlacementView& aView) const
+{
+  char text[256];
+  std::snprintf(text,
+                sizeof text,
+                " pieces %zu-%zu total %.3f s = queue %.3f + restore %.3f + "
+                "prefill %.3f + zone %.3f + displacement %.3f + recompute %.3f",
+                this->restoreFrom,
+                this->restoreTo,
+                this->cost.Total(),
+                this->cost.queueWait,
+                this->cost.restore,
+                this->cost.prefill,
+                this->cost.zoneDistance,
+                this->cost.displacement,
+                this->cost.recompute);
+  return aView.runners[this->runner].id.Text() + text;
+}
+
+Placement
+Place(const PlacementRequest& aRequest,
+      const PlacementView& aView,
+      const PlacementOptions& aOptions,
+      std::uint64_t aRandom)
+{
+  Placement placement;
+  const double medianWait = MedianWait(aView.runners);
+  placement.candidates.reserve(aView.runners.size());
+  for (ViewIndex i = 0; i < aView.runners.size(); ++i) {
+    const RunnerCosts costs(aRequest, aView, aOptions, i, medianWait);
+    placement.candidates.push_back(costs.Best());
+  }
+  if (!placement.candidates.empty()) {
+    placement.chosen =
+      *ChooseAmongEquals(placement.candidates, aOptions, aRandom);
+  }
+  return placement;
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/placement/placement_benchmark.cc
@@ -0,0 +1,69 @@
+// Time of one placement at today's size and at the target size.
+#include "wigeonwalk/placement/placement.h"
+
+#include <benchmark/benchmark.h>
+
+#include <random>
+#include <vector>
+
+using namespace wigeonwalk;
+
+namespace {
+
+constexpr ViewIndex kZones = 4;
+constexpr std::size_t kPieces = 8;
+
+struct World
+{
+  std::vector<RunnerView> runners;
+  std::vector<LinkView> links;
+  std::vector<ViewIndex> zoneLinks;
+  std::vector<StoredPiece> stored;
+};
+
+World
+MakeWorld(std::size_t aRunners)
+{
+  std::mt19937_64 random(1);
+  World world;
+  for (std::size_t i = 0; i < aRunners; ++i) {
+    RunnerView runner{ UpstreamId("runner-" + std::to_string(i)),
+                       static_cast<ViewIndex>(i % kZones),
+                       static_cast<double>(random() % 1000) / 1000,
+                       8000 };
+    if (i % 6 == 0) {
+      runner.cachedPieces = random() % kPieces;
+      runner.cachedWeight = 0.9;
+    }
+    world.runners.push_back(runner);
+  }
+  for (ViewIndex i = 0; i < 2 * kZones + kZones * kZones; ++i) {
+    world.links.push_back({ 0.01 * i, 1e9, 0.002, 0.01 });
+  }
+  for (ViewIndex i = 0; i < kZones * kZones; ++i) {
+    world.zoneLinks.push_back(2 * kZones + i);
+  }
+  for (std::size_t i = 0; i < kPieces; ++i) {
+    world.stored.push_back({ 3, 1, 1, 128u << 20 });
+  }
+  return world;
+}
+
+void
+PlaceRequest(benchmark::State& aState)
+{
+  const World world = MakeWorld(static_cast<std::size_t>(aState.range(0)));
+  const PlacementView view{
+    world.runners, world.links, world.zoneLinks, kZones, world.stored
+  };
+  const PlacementRequest request{ .promptTokens = 9 * kPieceTokens };
+  std::uint64_t random = 0;
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(Place(request, view, {}, ++random));
+  }
+}
+BENCHMARK(PlaceRequest)->Arg(18)->Arg(890);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/wigeonwalk/placement/placement_test.cc
@@ -0,0 +1,162 @@
+#include "wigeonwalk/placement/placement.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace wigeonwalk;
+
+namespace {
+
+constexpr std::uint64_t kPieceSize = 100;
+
+// Two zones with two runners each; link 0 is a memory tier, link 1 a disk tier,
+// both in zone 0; link 2 joins the zones. One piece takes 1 s of prefill, 0.1 s
+// from memory and 0.5 s from disk.
+struct World
+{
+  std::vector<RunnerView> runners;
+  std::vector<LinkView> links{ { 0, 1000, 0, 0 },
+                               { 0, 200, 0, 0 },
+                               { 0, 1000, 0.004, 0 } };
+  std::vector<ViewIndex> zoneLinks{ kNoLink, 2, 2, kNoLink };
+  std::vector<StoredPiece> stored;
+  PlacementRequest request{ .promptTokens = 8 * kPieceTokens };
+
+  World()
+  {
+    for (ViewIndex i = 0; i < 4; ++i) {
+      runners.push_back(
+        { UpstreamId("r" + std::to_string(i)), i / 2, 0, kPieceTokens });
+    }
+  }
+  PlacementView View() const
+  {
+    return { runners, links, zoneLinks, 2, stored };
+  }
+  Candidate Best(std::uint64_t aRandom = 0) const
+  {
+    return *Place(request, View(), {}, aRandom).chosen;
+  }
+};
+
+} // namespace
+
+SCENARIO("a placement weighs queues, caches and links", "[placement]")
+{
+  World world;
+  GIVEN("nothing cached or stored")
+  {
+    THEN("the runners of the daemon's own zone and the others differ by zone")
+    {
+      const Placement placement =
+        Place(world.request, world.View(), PlacementOptions{}, 0);
+      CHECK(placement.candidates[0].cost.Total() == Approx(8));
+      CHECK(placement.candidates[2].cost.zoneDistance == Approx(0.008));
+    }
+    // Guards against many daemons that choose the same runner at once.
+    THEN("requests spread over equal runners")
+    {
+      std::map<ViewIndex, int> chosen;
+      for (std::uint64_t random = 0; random < 40; ++random) {
+        ++chosen[world.Best(random).runner];
+      }
+      CHECK(chosen.size() == 4);
+      CHECK(chosen[0] == 10);
+    }
+  }
+  GIVEN("a runner that holds six pieces")
+  {
+    world.runners[1].cachedPieces = 6;
+    world.runners[1].cachedWeight = 1;
+    CHECK(world.Best().runner == 1);
+    CHECK(world.Best().cost.prefill == Approx(2));
+    WHEN("its queue is longer than the recomputation")
+    {
+      world.runners[1].waitSeconds = 7;
+      CHECK(world.Best().runner != 1);
+    }
+    // Guards against trust in cache events that have a gap.
+    WHEN("its cache is doubtful")
+    {
+      world.runners[1].cachedWeight = 0.5;
+      CHECK(world.Best().cost.prefill == Approx(5));
+    }
+  }
+  GIVEN("a prompt whose pieces are all in memory")
+  {
+    world.stored.assign(8, { 0, 0, 1, kPieceSize });
+    THEN("it is restored whole")
+    {
+      CHECK(world.Best().restoreTo == 8);
+      CHECK(world.Best().cost.restore == Approx(0.8));
+    }
+    WHEN("the link is slow")
+    {
+      world.links[0].bytesPerSecond = 10;
+      THEN("it is recomputed")
+      {
+        CHECK(world.Best().restoreTo == 0);
+      }
+    }
+    // Guards against the choice between all and nothing.
+    WHEN("the first five are in memory and the rest on a disk that is slow")
+    {
+      world.links[1].bytesPerSecond = 40;
+      for (std::size_t i = 5; i < 8; ++i) {
+        world.stored[i].link = 1;
+      }
+      THEN("the fast part is restored and the rest computed")
+      {
+        CHECK(world.Best().restoreTo == 5);
+        CHECK(world.Best().cost.prefill == Approx(3));
+      }
+    }
+    WHEN("the runner has a queue")
+    {
+      for (RunnerView& runner : world.runners) {
+        runner.waitSeconds = 0.5;
+      }
+      THEN("the restore overlaps with it")
+      {
+        CHECK(world.Best().cost.restore == Approx(0.3));
+        CHECK(world.Best().cost.displacement > 0);
+      }
+    }
+    WHEN("the copies are doubtful")
+    {
+      for (StoredPiece& piece : world.stored) {
+        piece.weight = 0.5;
+      }
+      CHECK(world.Best().cost.prefill == Approx(4).margin(0.01));
+    }
+  }
+  GIVEN("a disk that is slower than computing")
+  {
+    world.stored.assign(8, { 1, 0, 1, kPieceSize });
+    world.links[1].bytesPerSecond = 80;
+    CHECK(world.Best().restoreTo == 0);
+    // Guards against a service whose weighing has no effect.
+    WHEN("the service weighs the share recomputed")
+    {
+      world.request.weighing = Weighing::ShareRecomputed;
+      CHECK(world.Best().restoreTo == 8);
+    }
+  }
+  GIVEN("no runner")
+  {
+    world.runners.clear();
+    CHECK_FALSE(Place(world.request, world.View(), {}, 0).chosen);
+  }
+}
+
+// Guards against costs that an operator cannot trace to their parts.
+TEST_CASE("a candidate explains its cost", "[placement]")
+{
+  World world;
+  world.runners[0].waitSeconds = 0.25;
+  const Placement placement = Place(world.request, world.View(), {}, 0);
+  CHECK(placement.candidates[0].Explain(world.View()) ==
+        "r0 pieces 0-0 total 8.250 s = queue 0.250 + restore 0.000 + "
+        "prefill 8.000 + zone 0.000 + displacement 0.000 + recompute 0.000");
+}
