retry: add the tracker of poison requests

Cause: a request that crashes its upstream is sent again by its caller and takes down runner after runner; its neighbours must not be refused. Change: deaths of upstreams are correlated with the fingerprints of organisation and content that ran there. A suspect runs alone, a success takes back all earlier deaths, and after three deaths, one of them alone, the fingerprint is refused. Test: each of six breaks (refusal without a death alone, stale death taken, one death counted twice, rack failure blamed, refused dropped first, reserved upstream chosen) fails a test.

--- /dev/null
+++ b/wigeonwalk/retry/poison_tracker_test.cc
@@ -0,0 +1,167 @@
+#include "wigeonwalk/retry/poison_tracker.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+const OrganisationId kWho("schleier-isar");
+const UpstreamId kRunner("runner-1");
+
+Fingerprint
+Print(const std::string& aContent)
+{
+  return FingerprintOf(kWho, aContent);
+}
+
+// Runs a request on a runner that then dies as the given incarnation.
+void
+RunAndDie(PoisonTracker& aTracker,
+          const Fingerprint& aPrint,
+          std::uint64_t aIncarnation,
+          TimePoint aNow)
+{
+  const RunKind kind = aTracker.Admit(aPrint, aNow) == Admission::RunAlone
+                         ? RunKind::Alone
+                         : RunKind::Shared;
+  aTracker.Started(kRunner, aPrint, kind);
+  aTracker.UpstreamDied(kRunner, aIncarnation, aNow);
+}
+
+} // namespace
+
+// Guards against one request that takes down runner after runner, and against
+// refusing the requests that happened to run beside it.
+SCENARIO("a poison request is found and its neighbours are cleared", "[poison]")
+{
+  PoisonTracker tracker;
+  TimePoint now(24h);
+  const Fingerprint poison = Print("poison");
+  const Fingerprint innocent = Print("innocent");
+
+  GIVEN("a runner that died with both requests on it")
+  {
+    tracker.Started(kRunner, poison, RunKind::Shared);
+    tracker.Started(kRunner, innocent, RunKind::Shared);
+    CHECK(tracker.UpstreamDied(kRunner, 1, now).empty());
+
+    THEN("both run alone next, and another organisation's copy does not")
+    {
+      CHECK(tracker.Admit(poison, now) == Admission::RunAlone);
+      CHECK(tracker.Admit(innocent, now) == Admission::RunAlone);
+      CHECK(tracker.Admit(FingerprintOf(OrganisationId("x"), "poison"), now) ==
+            Admission::Run);
+    }
+    WHEN("the innocent one succeeds")
+    {
+      tracker.Started(kRunner, innocent, RunKind::Alone);
+      CHECK(tracker.IsReserved(kRunner));
+      tracker.Succeeded(kRunner, innocent, now + 1s);
+      THEN("it is cleared and the runner is free again")
+      {
+        CHECK(tracker.Admit(innocent, now + 1s) == Admission::Run);
+        CHECK_FALSE(tracker.IsReserved(kRunner));
+      }
+    }
+    WHEN("the poison kills two more runners on which it runs alone")
+    {
+      RunAndDie(tracker, poison, 2, now + 1min);
+      CHECK(tracker.Admit(poison, now + 1min) == Admission::RunAlone);
+      RunAndDie(tracker, poison, 3, now + 2min);
+      THEN("it is refused here")
+      {
+        CHECK(tracker.Admit(poison, now + 2min) == Admission::Refuse);
+        CHECK(tracker.Admit(innocent, now + 2min) == Admission::RunAlone);
+      }
+      THEN("it is refused by a daemon that got the notices, in any order")
+      {
+        PoisonTracker other;
+        auto notices = tracker.TakeNotices(16);
+        std::reverse(notices.begin(), notices.end());
+        for (const PoisonNotice& notice : notices) {
+          CHECK(other.MergeNotice(notice, now));
+          CHECK_FALSE(other.MergeNotice(notice, now));
+        }
+        CHECK(other.Admit(poison, now) == Admission::Refuse);
+      }
+      THEN("it is forgotten a day later")
+      {
+        CHECK(tracker.Admit(poison, now + 25h) == Admission::Run);
+      }
+    }
+  }
+  GIVEN("a request that ran beside others in three deaths")
+  {
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      tracker.Started(kRunner, innocent, RunKind::Shared);
+      tracker.UpstreamDied(kRunner, i, now + i * 1min);
+    }
+    THEN("it is not refused without a death of its own")
+    {
+      CHECK(tracker.Admit(innocent, now + 3min) == Admission::RunAlone);
+    }
+    THEN("a late notice of a death before its success changes nothing")
+    {
+      tracker.Started(kRunner, innocent, RunKind::Alone);
+      tracker.Succeeded(kRunner, innocent, now + 4min);
+      CHECK_FALSE(tracker.MergeNotice(
+        { innocent, 99, now + 3min, PoisonEvidence::DiedAlone }, now + 5min));
+      CHECK(tracker.Admit(innocent, now + 5min) == Admission::Run);
+    }
+  }
+  GIVEN("two daemons that saw the same death")
+  {
+    PoisonTracker other;
+    RunAndDie(tracker, poison, 1, now);
+    RunAndDie(other, poison, 1, now);
+    THEN("it counts once")
+    {
+      CHECK_FALSE(tracker.MergeNotice(other.TakeNotices(1).at(0), now));
+    }
+  }
+  GIVEN("a rack that fails: many runners die within a second")
+  {
+    for (int i = 0; i < 20; ++i) {
+      const UpstreamId runner("rack-" + std::to_string(i));
+      tracker.Started(runner, Print(std::to_string(i)), RunKind::Shared);
+      tracker.UpstreamDied(runner, 1, now + i * 50ms);
+    }
+    THEN("only the first few requests are suspected")
+    {
+      CHECK(tracker.Records() == PoisonTracker::kMassDeaths - 1);
+    }
+  }
+  GIVEN("a suspect that needs a runner to itself")
+  {
+    const std::vector<AloneCandidate> candidates = { { UpstreamId("a"), false },
+                                                     { UpstreamId("b"), true },
+                                                     { UpstreamId("c"),
+                                                       false } };
+    THEN("it gets the idle one, unless another suspect is there")
+    {
+      CHECK(tracker.ChooseAlone(poison, candidates) == UpstreamId("b"));
+      tracker.Started(UpstreamId("b"), innocent, RunKind::Alone);
+      CHECK_FALSE(tracker.ChooseAlone(poison, candidates).has_value());
+    }
+  }
+  GIVEN("more suspects than are remembered")
+  {
+    RunAndDie(tracker, poison, 1, now);
+    RunAndDie(tracker, poison, 2, now + 10s);
+    RunAndDie(tracker, poison, 3, now + 20s);
+    for (std::size_t i = 0; i < PoisonTracker::kMaxRecords + 10; ++i) {
+      tracker.MergeNotice(
+        { { i, i }, i, now + 30s, PoisonEvidence::DiedShared }, now + 30s);
+    }
+    THEN("memory is bounded and what is refused stays refused")
+    {
+      CHECK(tracker.Records() == PoisonTracker::kMaxRecords);
+      CHECK(tracker.Admit(poison, now + 30s) == Admission::Refuse);
+    }
+  }
+}
--- a/wigeonwalk/retry/stream_liveness_test.cc
+++ b/wigeonwalk/retry/stream_liveness_test.cc
@@ -1,4 +1,6 @@
+#include "wigeonwalk/retry/poison_tracker.h"
 #include "wigeonwalk/retry/stream_liveness.h"
+#include "wigeonwalk/retry/stream_resume.h"
 
 #include <catch2/catch.hpp>
 
@@ -138,10 +140,17 @@
   }
 }
 
+// Guards against a value that is printed under one name and parsed under
+// another.
 TEMPLATE_TEST_CASE("the names of retry's tables parse back",
                    "[enum]",
                    ProbeResult,
-                   LivenessAction)
+                   LivenessAction,
+                   ChunkDecision,
+                   ResumePlan,
+                   Admission,
+                   RunKind,
+                   PoisonEvidence)
 {
   for (const auto& row : EnumNames<TestType>::kTable) {
     CHECK(ParseName<TestType>(row.name) == row.value);
