--- /dev/null
+++ b/wigeonwalk/claims/claim_segment.h
@@ -0,0 +1,106 @@
+// One segment of a shard's claim log, and what a codec must do for it.
+//
+//   ClaimSegment segment;
+//   AppendBatch<ClaimTextCodec>(segment, id, entries);
+//   std::string value = ClaimTextCodec::Encode(segment);
+#pragma once
+
+#include "wigeonwalk/base/last_reason.h"
+#include "wigeonwalk/claims/claim.h"
+
+#include <concepts>
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Largest encoded segment. The design page allows 4 KiB. Every append writes
+// the whole segment, so a smaller one keeps an owner of two shards within
+// 22 KB/s, while more of them would need more deletions.
+inline constexpr std::size_t kMaxSegmentBytes = 2048;
+
+// A segment is sealed in the append after which less than this is free.
+inline constexpr std::size_t kSealBelowBytes = 128;
+
+// The content of one key of the log.
+struct ClaimSegment
+{
+  // A sealed segment never changes again; the log goes on in the next one.
+  bool sealed = false;
+  std::vector<ClaimBatch> batches;
+
+  bool operator==(const ClaimSegment&) const = default;
+};
+
+// Turns segments into values of the key-value service and back. Sizes are in
+// bytes and exact.
+template<typename T>
+concept ClaimCodec = requires(const ClaimSegment& aSegment,
+                              const ClaimEntry& aEntry,
+                              std::string_view aValue,
+                              LastReason& aReason)
+{
+  {
+    T::Encode(aSegment)
+    } -> std::same_as<std::string>;
+  {
+    T::Decode(aValue, aReason)
+    } -> std::same_as<std::optional<ClaimSegment>>;
+  {
+    T::SizeOf(aEntry)
+    } -> std::same_as<std::size_t>;
+  {
+    T::kEmptySegmentBytes
+    } -> std::convertible_to<std::size_t>;
+  {
+    T::kBatchBytes
+    } -> std::convertible_to<std::size_t>;
+};
+
+// Returns the encoded size of a segment.
+template<ClaimCodec Codec>
+std::size_t
+EncodedSize(const ClaimSegment& aSegment)
+{
+  std::size_t size = Codec::kEmptySegmentBytes;
+  for (const ClaimBatch& batch : aSegment.batches) {
+    size += Codec::kBatchBytes;
+    for (const ClaimEntry& entry : batch.entries) {
+      size += Codec::SizeOf(entry);
+    }
+  }
+  return size;
+}
+
+// Appends a batch with as many of the entries, in order, as fit, and seals the
+// segment where not all fit or little room is left. Returns the number taken;
+// an empty segment takes at least one.
+template<ClaimCodec Codec>
+std::size_t
+AppendBatch(ClaimSegment& aSegment,
+            std::uint64_t aId,
+            std::span<const ClaimEntry> aEntries)
+{
+  std::size_t size = EncodedSize<Codec>(aSegment) + Codec::kBatchBytes;
+  ClaimBatch batch{ aId, {} };
+  for (const ClaimEntry& entry : aEntries) {
+    const std::size_t added = Codec::SizeOf(entry);
+    if (size + added > kMaxSegmentBytes) {
+      break;
+    }
+    size += added;
+    batch.entries.push_back(entry);
+  }
+  const std::size_t taken = batch.entries.size();
+  if (taken < aEntries.size() || size + kSealBelowBytes > kMaxSegmentBytes) {
+    aSegment.sealed = true;
+  }
+  aSegment.batches.push_back(std::move(batch));
+  return taken;
+}
+
+} // namespace wigeonwalk
