--- /dev/null
+++ b/wigeonwalk/adapters/log/log.h
@@ -0,0 +1,83 @@
+// The daemon's log: one JSON object a line.
+//
+//   Log log(settings.host, LogLevel::Info, std::cerr);
+//   log.Write(now, LogLevel::Warning, "upstream lost", request,
+//             { { LogKey::Upstream, id }, { LogKey::Count, 3 } });
+//   // {"time":"2026-12-04T08:00:00.000000Z","level":"warning","host":"isar-1",
+//   //  "event":"upstream lost","request":"r-1","upstream":"u2","count":3}
+#pragma once
+
+#include "wigeonwalk/adapters/log/log_field.h"
+#include "wigeonwalk/base/ids.h"
+#include "wigeonwalk/base/time.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <iosfwd>
+#include <memory>
+
+namespace wigeonwalk {
+
+// Severity of a line. Off is only a threshold.
+enum class LogLevel
+{
+  Trace,
+  Debug,
+  Info,
+  Warning,
+  Error,
+  Critical,
+  Off,
+};
+
+template<>
+struct EnumNames<LogLevel>
+{
+  static constexpr std::array<EnumName<LogLevel>, 7> kTable{ {
+    { LogLevel::Trace, "trace" },
+    { LogLevel::Debug, "debug" },
+    { LogLevel::Info, "info" },
+    { LogLevel::Warning, "warning" },
+    { LogLevel::Error, "error" },
+    { LogLevel::Critical, "critical" },
+    { LogLevel::Off, "off" },
+  } };
+};
+static_assert(HasCompleteTable<LogLevel>());
+
+// Longest text of one field in bytes.
+inline constexpr std::size_t kMaxLogText = 256;
+
+// Lines that wait for a slow output; older ones are dropped beyond it.
+inline constexpr std::size_t kLogQueueLines = 8192;
+
+// Writes lines on a thread of its own, so that a slow output never blocks the
+// I/O thread. Safe for several threads. The destructor writes what waits.
+class Log
+{
+public:
+  // The output must outlive the log.
+  Log(HostId aHost, LogLevel aThreshold, std::ostream& aOutput);
+  ~Log();
+  Log(const Log&) = delete;
+  Log& operator=(const Log&) = delete;
+
+  // Writes one line; the request may be empty.
+  void Write(TimePoint aNow,
+             LogLevel aLevel,
+             LiteralText aEvent,
+             const RequestId& aRequest,
+             std::initializer_list<LogField> aFields = {});
+
+  // Returns how many lines were dropped because the output was slow.
+  std::uint64_t Dropped() const;
+
+private:
+  struct Output;
+
+  HostId host;
+  LogLevel threshold;
+  std::unique_ptr<Output> output;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/log/log_field.h
@@ -0,0 +1,173 @@
+// Typed fields of a log line.
+//
+//   LogField(LogKey::Service, document.name)
+//   LogField(LogKey::Elapsed, std::chrono::milliseconds(12))
+//
+// A field holds a number, an id, a name from a table or a literal of the
+// source. No constructor takes arbitrary text, so that prompt text, answer text
+// and keys cannot reach a log by accident.
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/base/ids.h"
+#include "wigeonwalk/base/last_reason.h"
+#include "wigeonwalk/base/time.h"
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace wigeonwalk {
+
+// Names of the fields.
+enum class LogKey
+{
+  Organisation,
+  Service,
+  Model,
+  Version,
+  Zone,
+  Peer,
+  Upstream,
+  Attempt,
+  Step,
+  Verdict,
+  Reason,
+  Place,
+  Detail,
+  Status,
+  Method,
+  Revision,
+  Tokens,
+  Bytes,
+  Count,
+  Elapsed,
+};
+
+template<>
+struct EnumNames<LogKey>
+{
+  static constexpr std::array<EnumName<LogKey>, 20> kTable{ {
+    { LogKey::Organisation, "organisation" },
+    { LogKey::Service, "service" },
+    { LogKey::Model, "model" },
+    { LogKey::Version, "version" },
+    { LogKey::Zone, "zone" },
+    { LogKey::Peer, "peer" },
+    { LogKey::Upstream, "upstream" },
+    { LogKey::Attempt, "attempt" },
+    { LogKey::Step, "step" },
+    { LogKey::Verdict, "verdict" },
+    { LogKey::Reason, "reason" },
+    { LogKey::Place, "place" },
+    { LogKey::Detail, "detail" },
+    { LogKey::Status, "status" },
+    { LogKey::Method, "method" },
+    { LogKey::Revision, "revision" },
+    { LogKey::Tokens, "tokens" },
+    { LogKey::Bytes, "bytes" },
+    { LogKey::Count, "count" },
+    { LogKey::Elapsed, "elapsed_us" },
+  } };
+};
+static_assert(HasCompleteTable<LogKey>());
+
+// A text written in the source. Anything else does not compile.
+class LiteralText
+{
+public:
+  template<std::size_t Size>
+  consteval LiteralText(const char (&aText)[Size])
+    : text(aText, Size - 1)
+  {
+  }
+
+  constexpr std::string_view Text() const { return this->text; }
+
+private:
+  std::string_view text;
+};
+
+// One field: a key and its typed value. Texts longer than kMaxLogText bytes are
+// cut.
+class LogField
+{
+public:
+  using Value = std::variant<std::int64_t, double, bool, std::string>;
+
+  template<std::integral T>
+  LogField(LogKey aKey, T aNumber)
+    : key(aKey)
+    , value(Convert(aNumber))
+  {
+  }
+
+  LogField(LogKey aKey, double aNumber)
+    : key(aKey)
+    , value(aNumber)
+  {
+  }
+
+  LogField(LogKey aKey, Duration aDuration)
+    : key(aKey)
+    , value(std::int64_t(aDuration.count()))
+  {
+  }
+
+  LogField(LogKey aKey, LiteralText aText)
+    : key(aKey)
+    , value(std::string(aText.Text()))
+  {
+  }
+
+  template<typename Tag>
+  LogField(LogKey aKey, const Id<Tag>& aId)
+    : key(aKey)
+    , value(aId.Text())
+  {
+  }
+
+  LogField(LogKey aKey, const AttemptId& aAttempt)
+    : key(aKey)
+    , value(aAttempt.ToString())
+  {
+  }
+
+  template<NamedEnum E>
+  LogField(LogKey aKey, E aValue)
+    : key(aKey)
+    , value(std::string(NameOf(aValue)))
+  {
+  }
+
+  // The code, place and detail of a failure. Functions that fail never put
+  // request content or keys into a reason.
+  explicit LogField(const LastReason& aReason)
+    : key(LogKey::Reason)
+    , value(aReason.ToString())
+  {
+  }
+
+  LogKey Key() const { return this->key; }
+  const Value& Get() const { return this->value; }
+
+private:
+  template<std::integral T>
+  static Value Convert(T aNumber)
+  {
+    if constexpr (std::same_as<T, bool>) {
+      return aNumber;
+    } else {
+      return static_cast<std::int64_t>(aNumber);
+    }
+  }
+
+  LogKey key;
+  Value value;
+};
+
+} // namespace wigeonwalk
