--- a/wigeonwalk/base/hybrid_clock.h
+++ b/wigeonwalk/base/hybrid_clock.h
@@ -1,42 +1,55 @@
-// A hybrid logical clock: physical microseconds and a counter.
+// Hybrid logical clock: timestamps of events across hosts in causal order.
 //
 //   HybridClock clock;
-//   message.sentAt = clock.Tick(timer.Now());
-//   clock.Observe(received.sentAt, timer.Now());
+//   HybridTime sent = clock.Stamp(aNow);          // carried on a message
+//   HybridTime received = other.Observe(sent, aNow); // later than `sent`
+//
+// After Kulkarni and others, "Logical Physical Clocks", 2014.
 #pragma once
 
 #include "wigeonwalk/base/time.h"
 
-#include <compare>
 #include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
 
 namespace wigeonwalk {
 
-// A time stamp that orders a cause before its effect across hosts.
+// Physical microseconds, and a counter that orders events within one of them.
 struct HybridTime
 {
   TimePoint physical;
   std::uint32_t counter = 0;
 
-  // clang-tidy 14 takes the zero of a rewritten comparison for a pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
-  auto operator<=>(const HybridTime&) const = default;
+  bool operator==(const HybridTime&) const = default;
+
+  // Returns "microseconds.counter" since the Unix epoch.
+  std::string ToString() const;
 };
 
-// Issues time stamps that rise strictly within the process and exceed every
-// observed one. One thread only.
+bool
+operator<(const HybridTime& aLeft, const HybridTime& aRight);
+
+// Returns the time that ToString printed, or nothing for any other text.
+std::optional<HybridTime>
+ParseHybridTime(std::string_view aText);
+
+// A stamp from another host that is further ahead of our clock than this does
+// not move it: one host with a wrong clock must not shift every timeline. Equal
+// to the margin that claims allow between clocks.
+inline constexpr Duration kMaxClockLead = std::chrono::seconds(30);
+
+// Issues stamps that always rise. One thread only.
 class HybridClock
 {
 public:
-  // A remote stamp this far ahead of the local clock does not move this one:
-  // one host with a wrong clock must not drag all others into the future.
-  static constexpr Duration kMaxLead = std::chrono::seconds(60);
-
   // Returns the stamp of a local event or of a message about to be sent.
-  HybridTime Tick(TimePoint aNow);
+  HybridTime Stamp(TimePoint aNow);
 
-  // Takes note of a received stamp and returns the stamp of its receipt.
-  HybridTime Observe(HybridTime aRemote, TimePoint aNow);
+  // Returns the stamp of receiving a message: later than the message's stamp
+  // and than all earlier stamps.
+  HybridTime Observe(const HybridTime& aRemote, TimePoint aNow);
 
 private:
   HybridTime last;
