timeline: add the event ring, its merge and its exports

EventRing keeps the latest events of a process, stamped by the hybrid clock. MergeTimelines orders the events of several processes; they print as text, as a Chrome trace and as the JSON that daemons send to an operator.

--- /dev/null
+++ b/wigeonwalk/adapters/timeline/event_ring.h
@@ -0,0 +1,105 @@
+// A bounded ring of a process's latest events.
+//
+//   EventRing ring(timer, settings.host, settings.timelineEvents);
+//   ring.Record({ .kind = EventKind::RequestPlaced, .request = id });
+//   HybridTime sent = ring.StampMessage();
+#pragma once
+
+#include "wigeonwalk/adapters/timeline/stamped_event.h"
+#include "wigeonwalk/ports/clock.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Longest request id, subject and detail of a kept event, in bytes; longer ones
+// are cut. It bounds the memory of a full ring.
+inline constexpr std::size_t kMaxEventText = 128;
+
+// Keeps the latest events, stamped by a hybrid logical clock. One thread only.
+// The clock must outlive the ring.
+template<Clock C>
+class EventRing
+{
+public:
+  EventRing(const C& aClock, HostId aHost, std::size_t aCapacity)
+    : clock(aClock)
+    , host(std::move(aHost))
+    , capacity(std::max<std::size_t>(aCapacity, 1))
+  {
+  }
+
+  // Stamps the event and keeps it, in place of the oldest once full. An event
+  // without a time gets the present time.
+  void Record(Event aEvent)
+  {
+    const TimePoint now = this->clock.Now();
+    if (aEvent.at == TimePoint()) {
+      aEvent.at = now;
+    }
+    if (aEvent.request.Text().size() > kMaxEventText) {
+      aEvent.request =
+        RequestId(aEvent.request.Text().substr(0, kMaxEventText));
+    }
+    Cut(aEvent.subject);
+    Cut(aEvent.detail);
+    StampedEvent stamped{ this->hybrid.Stamp(now),
+                          this->host,
+                          std::move(aEvent) };
+    if (this->events.size() < this->capacity) {
+      this->events.push_back(std::move(stamped));
+    } else {
+      this->events[this->recorded % this->capacity] = std::move(stamped);
+    }
+    ++this->recorded;
+  }
+
+  // Returns the stamp to carry on a message about to be sent.
+  HybridTime StampMessage() { return this->hybrid.Stamp(this->clock.Now()); }
+
+  // Takes note of a received message's stamp: later events follow it.
+  void ObserveMessage(const HybridTime& aStamp)
+  {
+    this->hybrid.Observe(aStamp, this->clock.Now());
+  }
+
+  // Returns the kept events from the oldest on; with a request, only its own.
+  std::vector<StampedEvent> Events(const RequestId& aRequest = {}) const
+  {
+    std::vector<StampedEvent> found;
+    const std::size_t size = this->events.size();
+    const std::uint64_t oldest = this->recorded - size;
+    for (std::uint64_t i = oldest; i < this->recorded; ++i) {
+      const auto& stamped = this->events[i % this->capacity];
+      if (aRequest.Empty() || stamped.event.request == aRequest) {
+        found.push_back(stamped);
+      }
+    }
+    return found;
+  }
+
+  // Returns how many events gave way to later ones.
+  std::uint64_t Dropped() const { return this->recorded - this->events.size(); }
+
+private:
+  static void Cut(std::string& aText)
+  {
+    if (aText.size() > kMaxEventText) {
+      // A new text gives the long one's memory back.
+      aText = aText.substr(0, kMaxEventText);
+    }
+  }
+
+  const C& clock;
+  HostId host;
+  std::size_t capacity;
+  HybridClock hybrid;
+  std::uint64_t recorded = 0;
+  std::vector<StampedEvent> events;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/timeline/stamped_event.h
@@ -0,0 +1,53 @@
+// Events of the timeline with their place in causal order.
+//
+//   auto all = MergeTimelines({ ringOfIsar.Events(), ringOfLech.Events() });
+//   std::cout << PrintTimeline(all);
+#pragma once
+
+#include "wigeonwalk/base/hybrid_clock.h"
+#include "wigeonwalk/base/ids.h"
+#include "wigeonwalk/base/last_reason.h"
+#include "wigeonwalk/ports/event_sink.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wigeonwalk {
+
+// One event, the host that recorded it, and its hybrid time.
+struct StampedEvent
+{
+  HybridTime stamp;
+  HostId host;
+  Event event;
+};
+
+// Returns the events of several processes in causal order. Events of one host
+// keep their order.
+std::vector<StampedEvent>
+MergeTimelines(std::vector<std::vector<StampedEvent>> aTimelines);
+
+// Returns one line for each event: time, host, request, kind, subject, verdict
+// and detail.
+std::string
+PrintTimeline(const std::vector<StampedEvent>& aEvents);
+
+// Returns a file in the Trace Event Format, which chrome://tracing and Perfetto
+// open: one process for each host, one span for each request on it, and one
+// instant for each event.
+std::string
+PrintChromeTrace(const std::vector<StampedEvent>& aEvents);
+
+// Returns the events as a JSON array, the form in which daemons answer an
+// operator.
+std::string
+PrintTimelineJson(const std::vector<StampedEvent>& aEvents);
+
+// Returns the events of a JSON array that PrintTimelineJson printed. Unknown
+// fields are ignored; an unknown kind fails with its place.
+std::optional<std::vector<StampedEvent>>
+ParseTimelineJson(std::string_view aText, LastReason& aReason);
+
+} // namespace wigeonwalk
