--- a/wigeonwalk/base/hybrid_clock_test.cc
+++ b/wigeonwalk/base/hybrid_clock_test.cc
@@ -5,33 +5,63 @@
 using namespace wigeonwalk;
 using namespace std::chrono_literals;
 
-// Guards against timelines on which an effect precedes its cause.
-SCENARIO("a hybrid clock orders cause before effect", "[clock]")
+// Guards against a timeline that shows an effect before its cause.
+SCENARIO("a hybrid clock orders events across hosts", "[hybrid-clock]")
 {
-  const TimePoint now(1h);
-  HybridClock clock;
-  const HybridTime first = clock.Tick(now);
-
-  GIVEN("a second event in the same microsecond")
+  const TimePoint start(1h);
+  GIVEN("one host whose physical clock stands still")
   {
-    CHECK(clock.Tick(now) > first);
+    HybridClock clock;
+    const HybridTime first = clock.Stamp(start);
+    THEN("stamps still rise")
+    {
+      const HybridTime second = clock.Stamp(start);
+      CHECK(first < second);
+      CHECK(second.physical == start);
+      CHECK(second < clock.Stamp(start + 1us));
+    }
   }
-  GIVEN("a message from a host whose clock runs ahead")
+  GIVEN("a sender whose clock is 5 s ahead of the receiver's")
   {
-    const HybridTime remote{ now + 5s, 7 };
-    const HybridTime received = clock.Observe(remote, now);
-    THEN("its receipt and all later events follow it")
+    HybridClock sender;
+    HybridClock receiver;
+    const HybridTime sent = sender.Stamp(start + 5s);
+    WHEN("the receiver observes the message")
+    {
+      const HybridTime received = receiver.Observe(sent, start);
+      THEN("receipt and all that follows are later than the sending")
+      {
+        CHECK(sent < received);
+        CHECK(received < receiver.Stamp(start + 1ms));
+      }
+    }
+    WHEN("an older message arrives after local events")
     {
-      CHECK(received > remote);
-      CHECK(clock.Tick(now + 1s) > received);
+      const HybridTime local = receiver.Stamp(start + 9s);
+      THEN("the receipt is later than both")
+      {
+        CHECK(local < receiver.Observe(sent, start + 9s));
+      }
     }
   }
-  GIVEN("a message from a host whose clock is wrong by a day")
+  GIVEN("a message from a host whose clock is wrong by an hour")
   {
-    clock.Observe({ now + 24h, 0 }, now);
-    THEN("the local clock does not follow it")
+    HybridClock receiver;
+    const HybridTime wrong{ start + 1h, 7 };
+    THEN("the receiver's clock stays with its own time")
     {
-      CHECK(clock.Tick(now + 1s).physical == now + 1s);
+      CHECK(receiver.Observe(wrong, start) == HybridTime{ start, 0 });
     }
   }
 }
+
+// Guards against stamps that change on a message.
+TEST_CASE("a hybrid time survives printing", "[hybrid-clock]")
+{
+  const HybridTime time{ TimePoint(1764835200000000us), 3 };
+  CHECK(time.ToString() == "1764835200000000.3");
+  CHECK(ParseHybridTime(time.ToString()) == time);
+  for (const char* bad : { "", ".", "1.", ".1", "1", "-1.0", "1.-1", "1.0x" }) {
+    CHECK_FALSE(ParseHybridTime(bad).has_value());
+  }
+}
--- a/wigeonwalk/ports/store_host.h
+++ b/wigeonwalk/ports/store_host.h
@@ -36,6 +36,8 @@
   PieceKey piece;
   std::uint64_t generation = 0;
   StoreTier tier = StoreTier::Memory;
+  // Where the engine writes the bytes, "IP:port".
+  std::string address;
 };
 
 // A piece that was wholly written: what a reader checks before using it.
@@ -47,6 +49,11 @@
   std::uint64_t bytes = 0;
   std::uint64_t checksum = 0;
   StoreTier tier = StoreTier::Memory;
+  // Key of the first piece of the chain, and the piece's position in it. A
+  // store host keeps them so that its list suffices to rebuild the directory,
+  // which is sharded by root.
+  PieceKey root;
+  std::uint32_t index = 0;
 
   bool operator==(const SealedPiece&) const = default;
 };
@@ -57,6 +64,8 @@
   std::uint64_t lease = 0;
   SealedPiece piece;
   TimePoint expiresAt;
+  // Where the engine reads the bytes, "IP:port".
+  std::string address;
 };
 
 // A store host as flows see it.
