serving: place, restore, resume and keep cache on the request path

Cause: the thin path chose the least busy runner and gave up on any failure. Store hosts get an HTTP adapter and a stand-in.

--- a/daemons/wigeonwalk-standins.cc
+++ b/daemons/wigeonwalk-standins.cc
@@ -1,10 +1,12 @@
-// Runs stand-ins for the outside systems on loopback: engines, plain services.
+// Runs stand-ins for the outside systems on loopback: engines, store hosts
+// and plain services.
 //
 //   wigeonwalk-standins --config standins.json
 
 #include "wigeonwalk/standins/engine_standin.h"
 #include "wigeonwalk/standins/plain_standin.h"
 #include "wigeonwalk/standins/standin_settings.h"
+#include "wigeonwalk/standins/store_standin.h"
 
 #include <CLI/CLI.hpp>
 
@@ -44,6 +46,7 @@
   HttpPool pool(timer, context.get_executor(), std::chrono::seconds(5));
   std::deque<EngineStandin> engines;
   std::deque<PlainStandin> services;
+  std::deque<StoreStandin> stores;
   bool failed = false;
   const auto spawn = [&](auto& aStandin) {
     asio::co_spawn(
@@ -55,6 +58,9 @@
   for (const std::string& address : aSettings.plainServices) {
     spawn(services.emplace_back(address, context.get_executor()));
   }
+  for (const StoreStandinSettings& store : aSettings.stores) {
+    spawn(stores.emplace_back(store, timer, context.get_executor()));
+  }
   asio::signal_set signals(context, SIGINT, SIGTERM);
   signals.async_wait([&context](auto, int) { context.stop(); });
   context.run();
--- a/wigeonwalk/adapters/engine/engine_codec.cc
+++ b/wigeonwalk/adapters/engine/engine_codec.cc
@@ -79,7 +79,9 @@
            aJson.at("generation").get<std::uint64_t>(),
            aJson.at("bytes").get<std::uint64_t>(),
            aJson.at("checksum").get<std::uint64_t>(),
-           GetEnum<StoreTier>(aJson.at("tier")) };
+           GetEnum<StoreTier>(aJson.at("tier")),
+           GetHash(aJson.at("root")),
+           aJson.at("index").get<std::uint32_t>() };
 }
 
 } // namespace
@@ -271,6 +273,48 @@
   return Guarded(aBody, aReason, SealedFromJson);
 }
 
+std::string
+EncodeSealedList(const std::vector<SealedPiece>& aPieces)
+{
+  Json list = Json::array();
+  for (const SealedPiece& piece : aPieces) {
+    list.push_back(SealedToJson(piece));
+  }
+  return list.dump();
+}
+
+std::optional<std::vector<SealedPiece>>
+DecodeSealedList(std::string_view aBody, LastReason& aReason)
+{
+  return Guarded(aBody, aReason, [](const Json& aJson) {
+    std::vector<SealedPiece> pieces;
+    for (const Json& piece : aJson) {
+      pieces.push_back(SealedFromJson(piece));
+    }
+    return pieces;
+  });
+}
+
+std::string
+EncodeReservation(const Reservation& aReservation)
+{
+  return Json{
+    { "piece", aReservation.piece.ToHex() },
+    { "bytes", aReservation.bytes },
+    { "tier", Print(aReservation.tier) }
+  }.dump();
+}
+
+std::optional<Reservation>
+DecodeReservation(std::string_view aBody, LastReason& aReason)
+{
+  return Guarded(aBody, aReason, [](const Json& aJson) {
+    return Reservation{ GetHash(aJson.at("piece")),
+                        aJson.at("bytes").get<std::uint64_t>(),
+                        GetEnum<StoreTier>(aJson.at("tier")) };
+  });
+}
+
 std::string
 EncodeLease(const ReadLease& aLease)
 {
--- a/wigeonwalk/adapters/engine/engine_codec.h
+++ b/wigeonwalk/adapters/engine/engine_codec.h
@@ -1,5 +1,5 @@
-// JSON form of the messages between daemons and engines. Both the engine
-// adapter and the engine stand-in use it.
+// JSON form of the messages between daemons, engines and store hosts. The
+// adapters and the stand-ins use it.
 //
 //   std::string body = EncodeCompletion(request);
 //   auto chunk = DecodeChunk(data, reason);
@@ -50,6 +50,24 @@
 std::optional<SealedPiece>
 DecodeSealed(std::string_view aBody, LastReason& aReason);
 
+std::string
+EncodeSealedList(const std::vector<SealedPiece>& aPieces);
+std::optional<std::vector<SealedPiece>>
+DecodeSealedList(std::string_view aBody, LastReason& aReason);
+
+// What a daemon asks of a store host before an export.
+struct Reservation
+{
+  PieceKey piece;
+  std::uint64_t bytes = 0;
+  StoreTier tier = StoreTier::Memory;
+};
+
+std::string
+EncodeReservation(const Reservation& aReservation);
+std::optional<Reservation>
+DecodeReservation(std::string_view aBody, LastReason& aReason);
+
 std::string
 EncodeLease(const ReadLease& aLease);
 std::optional<ReadLease>
--- a/wigeonwalk/adapters/engine/http_engine.cc
+++ b/wigeonwalk/adapters/engine/http_engine.cc
@@ -91,6 +91,13 @@
     if (!stream.connection) {
       co_return std::nullopt;
     }
+    const bool readable = co_await stream.connection->WaitReadable(aDeadline);
+    if (!readable) {
+      co_return Fail(aReason,
+                     ReasonCode::ResponseTimeout,
+                     "no token in time",
+                     stream.connection->Address());
+    }
     auto bytes = co_await stream.connection->ReadSome(aDeadline, aReason);
     if (!bytes) {
       co_return std::nullopt;
--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -2,6 +2,7 @@
 
 #include "wigeonwalk/adapters/http/internal/address.h"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -212,6 +213,24 @@
   co_return std::string();
 }
 
+Task<bool>
+HttpClientConnection::WaitReadable(TimePoint aDeadline)
+{
+  using namespace asio::experimental::awaitable_operators;
+  State& connection = *this->state;
+  if (connection.buffer.size() > 0 ||
+      (connection.parser && connection.parser->is_done())) {
+    co_return true;
+  }
+  error_code error;
+  const auto first = co_await (
+    connection.stream.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      asio::redirect_error(asio::use_awaitable, error)) ||
+    connection.timer.WaitUntil(aDeadline));
+  co_return first.index() == 0;
+}
+
 Task<std::optional<HttpResponse>>
 HttpClientConnection::ReadResponse(TimePoint aDeadline, LastReason& aReason)
 {
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -75,6 +75,10 @@
   Task<std::optional<std::string>> ReadSome(TimePoint aDeadline,
                                             LastReason& aReason);
 
+  // Waits until bytes can be read. Returns false at the deadline; the
+  // connection stays open and usable, unlike after a read that times out.
+  Task<bool> WaitReadable(TimePoint aDeadline);
+
   // Reads head and body.
   Task<std::optional<HttpResponse>> ReadResponse(TimePoint aDeadline,
                                                  LastReason& aReason);
--- /dev/null
+++ b/wigeonwalk/adapters/store/http_store.h
@@ -0,0 +1,50 @@
+// A store host over HTTP. The wire format is described in docs/engine-api.md.
+//
+//   HttpStore store(pool, spec);
+//   auto lease = co_await store.Acquire(sealed, deadline, reason);
+#pragma once
+
+#include "wigeonwalk/adapters/http/http_client.h"
+#include "wigeonwalk/ports/store_host.h"
+
+#include <string>
+
+namespace wigeonwalk {
+
+// One store host at one address. Not thread-safe. The pool must outlive it.
+class HttpStore
+{
+public:
+  HttpStore(HttpPool& aPool, std::string aAddress);
+
+  Task<std::optional<WriteTicket>> Reserve(const PieceKey& aPiece,
+                                           std::uint64_t aBytes,
+                                           StoreTier aTier,
+                                           TimePoint aDeadline,
+                                           LastReason& aReason);
+  Task<bool> Seal(const SealedPiece& aSealed,
+                  TimePoint aDeadline,
+                  LastReason& aReason);
+  Task<std::optional<ReadLease>> Acquire(const SealedPiece& aSealed,
+                                         TimePoint aDeadline,
+                                         LastReason& aReason);
+  Task<bool> Release(const ReadLease& aLease,
+                     TimePoint aDeadline,
+                     LastReason& aReason);
+  Task<bool> Free(const SealedPiece& aSealed,
+                  TimePoint aDeadline,
+                  LastReason& aReason);
+  Task<std::optional<std::vector<SealedPiece>>> List(TimePoint aDeadline,
+                                                     LastReason& aReason);
+
+private:
+  Task<std::optional<std::string>> Call(std::string aTarget,
+                                        std::string aBody,
+                                        TimePoint aDeadline,
+                                        LastReason& aReason);
+
+  HttpPool& pool;
+  std::string address;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/adapters/upstreams/http_upstreams.cc
+++ b/wigeonwalk/adapters/upstreams/http_upstreams.cc
@@ -70,4 +70,11 @@
     .first->second;
 }
 
+HttpUpstreams::Store&
+HttpUpstreams::StoreOf(const StoreSpec& aStore)
+{
+  return this->stores.try_emplace(aStore.address, this->pool, aStore.address)
+    .first->second;
+}
+
 } // namespace wigeonwalk
--- a/wigeonwalk/adapters/upstreams/http_upstreams.h
+++ b/wigeonwalk/adapters/upstreams/http_upstreams.h
@@ -1,4 +1,4 @@
-// The engines and plain services behind a daemon, over one pool of HTTP
+// The engines, store hosts and plain services behind a daemon, over one pool of HTTP
 // connections.
 //
 //   HttpUpstreams upstreams(pool);
@@ -7,6 +7,7 @@
 
 #include "wigeonwalk/adapters/engine/http_engine.h"
 #include "wigeonwalk/adapters/http/http_client.h"
+#include "wigeonwalk/adapters/store/http_store.h"
 #include "wigeonwalk/documents/service_document.h"
 #include "wigeonwalk/ports/host_list.h"
 
@@ -39,16 +40,19 @@
 public:
   using Engine = HttpEngine;
   using Service = HttpPlainService;
+  using Store = HttpStore;
 
   explicit HttpUpstreams(HttpPool& aPool);
 
   Engine& EngineOf(const RunnerSpec& aRunner);
   Service& ServiceOf(const RunnerSpec& aRunner);
+  Store& StoreOf(const StoreSpec& aStore);
 
 private:
   HttpPool& pool;
   std::unordered_map<std::string, Engine> engines;
   std::unordered_map<std::string, Service> services;
+  std::unordered_map<std::string, Store> stores;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/ports/model_engine.h
+++ b/wigeonwalk/ports/model_engine.h
@@ -192,7 +192,8 @@
 };
 
 // An open stream of tokens. Next returns nothing at the end of the stream (the
-// reason stays None) or on failure (the reason says how far it got).
+// reason stays None) or on failure (the reason says how far it got). After
+// ResponseTimeout the stream is still open and Next may be called again.
 template<typename T>
 concept EngineStream = requires(T& aStream,
                                 TimePoint aDeadline,
--- /dev/null
+++ b/wigeonwalk/ports/signal.h
@@ -0,0 +1,66 @@
+// A wake-up from one coroutine to others on the same I/O thread.
+//
+//   Signal signal;
+//   co_await signal.Wait();   // in one coroutine
+//   signal.Notify();          // in another one
+#pragma once
+
+#include "wigeonwalk/ports/task.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <list>
+
+namespace wigeonwalk {
+
+// Coroutines that wait until they are notified. Uses no thread while they wait.
+// One thread only; must outlive its waits.
+class Signal
+{
+public:
+  // Waits for the next Notify. A notification before the call is not seen.
+  // Cancellation of the coroutine ends the wait.
+  Task<void> Wait()
+  {
+    const auto executor = co_await boost::asio::this_coro::executor;
+    boost::asio::steady_timer timer(
+      executor, boost::asio::steady_timer::time_point::max());
+    const Entry entry(this->waiting, timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+
+  // Resumes all coroutines that wait now.
+  void Notify()
+  {
+    for (boost::asio::steady_timer* timer : this->waiting) {
+      timer->cancel();
+    }
+  }
+
+private:
+  // Lists a timer while its wait lasts.
+  struct Entry
+  {
+    Entry(std::list<boost::asio::steady_timer*>& aWaiting,
+          boost::asio::steady_timer& aTimer)
+      : waiting(aWaiting)
+      , place(aWaiting.insert(aWaiting.end(), &aTimer))
+    {
+    }
+    ~Entry() { this->waiting.erase(this->place); }
+    Entry(const Entry&) = delete;
+    Entry& operator=(const Entry&) = delete;
+
+    std::list<boost::asio::steady_timer*>& waiting;
+    std::list<boost::asio::steady_timer*>::iterator place;
+  };
+
+  std::list<boost::asio::steady_timer*> waiting;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/serving/admission.cc
+++ b/wigeonwalk/serving/admission.cc
@@ -5,7 +5,7 @@
 
 namespace wigeonwalk {
 
-std::optional<Admission>
+std::optional<AdmittedCaller>
 AdmitCaller(std::shared_ptr<const AcceptedDocument> aAccepted,
             const CallerIdentity& aCaller,
             LastReason& aReason)
@@ -18,7 +18,7 @@
     const auto& digests = organisation.keyDigests;
     if (std::find(digests.begin(), digests.end(), aCaller.keyDigest) !=
         digests.end()) {
-      Admission admission;
+      AdmittedCaller admission;
       admission.organisation = &organisation;
       admission.accepted = std::move(aAccepted);
       return admission;
@@ -32,7 +32,7 @@
 
 EngineRequest
 MakeEngineRequest(const CompletionRequest& aRequest,
-                  const Admission& aAdmission,
+                  const AdmittedCaller& aAdmission,
                   AttemptId aAttempt)
 {
   const ServiceDocument& document = aAdmission.accepted->document;
--- a/wigeonwalk/serving/admission.h
+++ b/wigeonwalk/serving/admission.h
@@ -14,7 +14,7 @@
 
 // An admitted caller. The document stays in force for the request's whole life,
 // even where a newer revision arrives meanwhile.
-struct Admission
+struct AdmittedCaller
 {
   std::shared_ptr<const AcceptedDocument> accepted;
   const OrganisationSpec* organisation = nullptr;
@@ -22,7 +22,7 @@
 
 // Returns the organisation that the caller's key belongs to, or nothing with
 // the reason NotFound (no such service) or Unauthorized.
-std::optional<Admission>
+std::optional<AdmittedCaller>
 AdmitCaller(std::shared_ptr<const AcceptedDocument> aAccepted,
             const CallerIdentity& aCaller,
             LastReason& aReason);
@@ -30,7 +30,7 @@
 // Returns the request as the service's engines take it.
 EngineRequest
 MakeEngineRequest(const CompletionRequest& aRequest,
-                  const Admission& aAdmission,
+                  const AdmittedCaller& aAdmission,
                   AttemptId aAttempt);
 
 } // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/serving/cache_mover.h
@@ -0,0 +1,267 @@
+// Moves pieces of cache between engines and store hosts: restores before a
+// request's prefill, and exports after its answer.
+//
+//   std::size_t restored = co_await RestorePieces(plan, engine, stores, ...);
+#pragma once
+
+#include "wigeonwalk/cache/piece_key.h"
+#include "wigeonwalk/cache/retention.h"
+#include "wigeonwalk/ports/event_sink.h"
+#include "wigeonwalk/serving/cache_view.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <algorithm>
+#include <array>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Time for one call that concerns a piece. A restore that takes longer is given
+// up, and the engine computes the piece.
+inline constexpr Duration kPieceTimeout = std::chrono::seconds(2);
+
+// Restores that run at a time for one request.
+inline constexpr std::size_t kRestoreLanes = 4;
+
+// Gives the store host behind a specification.
+template<typename T>
+concept StoreProvider = requires(T& aProvider, const StoreSpec& aStore)
+{
+  { aProvider.StoreOf(aStore) } -> std::same_as<typename T::Store&>;
+} && StoreHost<typename T::Store>;
+
+// Moves pieces for one daemon. The references must outlive it.
+template<Timer Time, StoreProvider Stores, EventSink Events>
+class CacheMover
+{
+public:
+  CacheMover(CacheView& aCache, Time& aTime, Stores& aStores, Events& aEvents)
+    : cache(aCache)
+    , time(aTime)
+    , stores(aStores)
+    , events(aEvents)
+  {
+  }
+
+  // Restores pieces, which follow each other in a chain, to an engine. Returns
+  // how many leading ones it holds; a failed piece ends the prefix, because the
+  // engine can use nothing behind it.
+  template<CacheMovingEngine Engine>
+  Task<std::size_t> Restore(const ServiceDocument& aDocument,
+                            const OrganisationId& aOrganisation,
+                            std::span<const SealedPiece> aPieces,
+                            Engine& aEngine)
+  {
+    using namespace boost::asio::experimental::awaitable_operators;
+    Progress progress{ aDocument, aOrganisation, aPieces, aPieces.size() };
+    co_await (this->RestoreLane(progress, 0, aEngine) &&
+              this->RestoreLane(progress, 1, aEngine) &&
+              this->RestoreLane(progress, 2, aEngine) &&
+              this->RestoreLane(progress, 3, aEngine));
+    co_return progress.usable;
+  }
+
+  // Exports the pieces of a chain that no store host keeps yet and that are
+  // worth keeping. Yields to callers' restores on each link.
+  template<CacheMovingEngine Engine>
+  Task<std::size_t> Export(const ServiceDocument& aDocument,
+                           const OrganisationId& aOrganisation,
+                           std::vector<PieceKey> aChain,
+                           double aReturnChance,
+                           Engine& aEngine)
+  {
+    const std::size_t known = this->cache.Directory().Lookup(aChain).size();
+    std::size_t exported = 0;
+    for (std::size_t i = known; i < aChain.size(); ++i) {
+      const bool done = co_await this->ExportPiece(
+        aDocument, aOrganisation, aChain, i, aReturnChance, aEngine);
+      if (!done) {
+        break;
+      }
+      ++exported;
+    }
+    co_return exported;
+  }
+
+private:
+  struct Progress
+  {
+    const ServiceDocument& document;
+    const OrganisationId& organisation;
+    std::span<const SealedPiece> pieces;
+    // Pieces from this one on cannot be used.
+    std::size_t usable;
+  };
+
+  static const StoreSpec* FindStore(const ServiceDocument& aDocument,
+                                    const UpstreamId& aStore)
+  {
+    for (const StoreSpec& store : aDocument.stores) {
+      if (store.id == aStore) {
+        return &store;
+      }
+    }
+    return nullptr;
+  }
+
+  template<CacheMovingEngine Engine>
+  Task<void> RestoreLane(Progress& aProgress,
+                         std::size_t aLane,
+                         Engine& aEngine)
+  {
+    for (std::size_t i = aLane; i < aProgress.usable; i += kRestoreLanes) {
+      const bool restored = co_await this->RestorePiece(
+        aProgress, aProgress.pieces[i], aEngine);
+      if (!restored) {
+        aProgress.usable = std::min(aProgress.usable, i);
+      }
+    }
+  }
+
+  template<CacheMovingEngine Engine>
+  Task<bool> RestorePiece(const Progress& aProgress,
+                          const SealedPiece& aPiece,
+                          Engine& aEngine)
+  {
+    const StoreSpec* spec = FindStore(aProgress.document, aPiece.store);
+    if (spec == nullptr) {
+      co_return false;
+    }
+    auto slot =
+      co_await this->cache.LinkOf(*spec, aPiece.tier)
+        .Enter(TransferKind::CallerRestore,
+               aProgress.organisation,
+               aPiece.bytes,
+               this->time);
+    auto& store = this->stores.StoreOf(*spec);
+    LastReason reason;
+    const TimePoint deadline = this->time.Now() + kPieceTimeout;
+    const auto lease = co_await store.Acquire(aPiece, deadline, reason);
+    if (!lease) {
+      this->DropCopy(aPiece, reason);
+      co_return false;
+    }
+    const bool imported = co_await aEngine.Import(*lease, deadline, reason);
+    LastReason ignored;
+    co_await store.Release(*lease, deadline, ignored);
+    if (!imported) {
+      this->DropCopy(aPiece, reason);
+      co_return false;
+    }
+    slot.Complete();
+    co_return true;
+  }
+
+  template<CacheMovingEngine Engine>
+  Task<bool> ExportPiece(const ServiceDocument& aDocument,
+                         const OrganisationId& aOrganisation,
+                         const std::vector<PieceKey>& aChain,
+                         std::size_t aIndex,
+                         double aReturnChance,
+                         Engine& aEngine)
+  {
+    const StoreSpec* spec = this->ChooseStore(aDocument, aChain.front());
+    if (spec == nullptr) {
+      co_return false;
+    }
+    const auto tier = this->ChooseTier(aDocument, *spec, aReturnChance);
+    if (!tier) {
+      co_return false;
+    }
+    const std::uint64_t bytes =
+      aDocument.model.cacheBytesPerToken * kPieceTokens;
+    auto slot =
+      co_await this->cache.LinkOf(*spec, *tier)
+        .Enter(TransferKind::Export, aOrganisation, bytes, this->time);
+    auto& store = this->stores.StoreOf(*spec);
+    LastReason reason;
+    const TimePoint deadline = this->time.Now() + kPieceTimeout;
+    const auto ticket = co_await store.Reserve(
+      aChain[aIndex], bytes, *tier, deadline, reason);
+    if (!ticket) {
+      co_return false;
+    }
+    auto sealed = co_await aEngine.Export(*ticket, deadline, reason);
+    if (!sealed) {
+      co_return false;
+    }
+    sealed->store = spec->id;
+    sealed->root = aChain.front();
+    sealed->index = static_cast<std::uint32_t>(aIndex);
+    const bool visible = co_await store.Seal(*sealed, deadline, reason);
+    if (!visible) {
+      co_return false;
+    }
+    slot.Complete();
+    this->cache.Directory().Record(*sealed);
+    this->Record(EventKind::PieceExported, spec->id);
+    co_return true;
+  }
+
+  // The store host of a chain: all daemons choose the same one by its root.
+  static const StoreSpec* ChooseStore(const ServiceDocument& aDocument,
+                                      const PieceKey& aRoot)
+  {
+    if (aDocument.stores.empty()) {
+      return nullptr;
+    }
+    return &aDocument.stores[aRoot.low % aDocument.stores.size()];
+  }
+
+  std::optional<StoreTier> ChooseTier(const ServiceDocument& aDocument,
+                                      const StoreSpec& aStore,
+                                      double aReturnChance)
+  {
+    const std::uint64_t bytes =
+      aDocument.model.cacheBytesPerToken * kPieceTokens;
+    PieceValue value;
+    value.bytes = bytes;
+    value.recomputeSeconds =
+      kPieceTokens / std::max(aDocument.model.prefillTokensPerSecond, 1.0);
+    value.memoryReadSeconds = ReadSeconds(bytes, aStore.memoryLinkRate);
+    value.diskReadSeconds = ReadSeconds(bytes, aStore.diskLinkRate);
+    value.returnChance = aReturnChance;
+    switch (Retention(RetentionPrices()).BeforeEviction(value, Pressure())) {
+      case RetentionAction::KeepInMemory:
+        return StoreTier::Memory;
+      case RetentionAction::KeepOnDisk:
+        return StoreTier::Disk;
+      case RetentionAction::Drop:
+        break;
+    }
+    return std::nullopt;
+  }
+
+  static double ReadSeconds(std::uint64_t aBytes, std::uint64_t aRate)
+  {
+    return static_cast<double>(aBytes) /
+           static_cast<double>(std::max<std::uint64_t>(aRate, 1));
+  }
+
+  void DropCopy(const SealedPiece& aPiece, const LastReason& aReason)
+  {
+    this->cache.Directory().Remove(aPiece);
+    this->events.Record({ EventKind::PieceDropped,
+                          this->time.Now(),
+                          RequestId(),
+                          aPiece.store.Text(),
+                          std::nullopt,
+                          std::string(NameOf(aReason.code)) });
+  }
+
+  void Record(EventKind aKind, const UpstreamId& aStore)
+  {
+    this->events.Record(
+      { aKind, this->time.Now(), RequestId(), aStore.Text(), {}, {} });
+  }
+
+  CacheView& cache;
+  Time& time;
+  Stores& stores;
+  Events& events;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/serving/engine_provider.h
@@ -0,0 +1,41 @@
+// Concepts for finding the upstream behind a specification.
+//
+//   auto& engine = provider.EngineOf(runner);
+#pragma once
+
+#include "wigeonwalk/documents/service_document.h"
+#include "wigeonwalk/ports/host_list.h"
+#include "wigeonwalk/ports/model_engine.h"
+#include "wigeonwalk/ports/store_host.h"
+
+#include <concepts>
+#include <memory>
+
+namespace wigeonwalk {
+
+// Gives the engine behind a runner.
+template<typename T>
+concept EngineProvider = requires(T& aProvider, const RunnerSpec& aRunner)
+{
+  { aProvider.EngineOf(aRunner) } -> std::same_as<typename T::Engine&>;
+} && StreamingEngine<typename T::Engine> &&
+  ObservableEngine<typename T::Engine> &&
+  CacheMovingEngine<typename T::Engine>;
+
+// Gives the plain service behind an upstream.
+template<typename T>
+concept ServiceProvider = requires(T& aProvider, const RunnerSpec& aUpstream)
+{
+  { aProvider.ServiceOf(aUpstream) } -> std::same_as<typename T::Service&>;
+} && PlainService<typename T::Service>;
+
+// Finds the documents in force.
+template<typename T>
+concept DocumentSource = requires(const T& aSource, const ServiceName& aService)
+{
+  {
+    aSource.Find(aService)
+    } -> std::same_as<std::shared_ptr<const AcceptedDocument>>;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/serving/link_gate.h
@@ -0,0 +1,110 @@
+// Lets transfers onto a link in the order that its model decides.
+//
+//   LinkGate gate(link);
+//   const auto slot = co_await gate.Enter(transfer, time);
+//   slot.Complete();   // the transfer succeeded
+#pragma once
+
+#include "wigeonwalk/placement/link_model.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/signal.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+#include <utility>
+
+namespace wigeonwalk {
+
+// The queue in front of one link. One thread only; must outlive its slots.
+class LinkGate
+{
+public:
+  explicit LinkGate(LinkLimits aLimits)
+    : link(aLimits)
+  {
+  }
+
+  // A transfer's place on the link. Its destructor ends the transfer; one that
+  // was not completed teaches the link no rate.
+  class Slot
+  {
+  public:
+    Slot(LinkGate& aGate, std::uint64_t aId, std::function<TimePoint()> aNow)
+      : gate(&aGate)
+      , id(aId)
+      , now(std::move(aNow))
+    {
+    }
+    Slot(Slot&& aOther) noexcept
+      : gate(std::exchange(aOther.gate, nullptr))
+      , id(aOther.id)
+      , now(std::move(aOther.now))
+      , completed(aOther.completed)
+    {
+    }
+    Slot& operator=(Slot&&) = delete;
+    ~Slot()
+    {
+      if (this->gate != nullptr) {
+        this->gate->Leave(this->id, this->completed, this->now());
+      }
+    }
+
+    void Complete() { this->completed = true; }
+
+  private:
+    LinkGate* gate;
+    std::uint64_t id;
+    std::function<TimePoint()> now;
+    bool completed = false;
+  };
+
+  // Waits until the transfer may start.
+  template<Clock Time>
+  Task<Slot> Enter(TransferKind aKind,
+                   OrganisationId aOrganisation,
+                   std::uint64_t aBytes,
+                   Time& aTime)
+  {
+    const std::uint64_t id = ++this->lastId;
+    Transfer transfer{ id, aKind, std::move(aOrganisation), aBytes };
+    Slot slot(*this, id, [&aTime] { return aTime.Now(); });
+    this->link.Submit(std::move(transfer), aTime.Now());
+    this->StartNext(aTime.Now());
+    while (!this->started.contains(id)) {
+      co_await this->changed.Wait();
+    }
+    co_return slot;
+  }
+
+  const LinkModel& Model() const { return this->link; }
+
+private:
+  void StartNext(TimePoint aNow)
+  {
+    bool any = false;
+    while (const auto next = this->link.Start(aNow)) {
+      this->started.insert(next->id);
+      any = true;
+    }
+    if (any) {
+      this->changed.Notify();
+    }
+  }
+
+  void Leave(std::uint64_t aId, bool aCompleted, TimePoint aNow)
+  {
+    this->started.erase(aId);
+    this->link.Finish(aId, aCompleted, aNow);
+    this->StartNext(aNow);
+  }
+
+  LinkModel link;
+  std::unordered_set<std::uint64_t> started;
+  std::uint64_t lastId = 0;
+  Signal changed;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/serving/placer.cc
@@ -0,0 +1,189 @@
+#include "wigeonwalk/serving/placer.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace wigeonwalk {
+
+namespace {
+
+// One-way delay between availability zones, in seconds: a few milliseconds.
+constexpr double kZoneLatency = 0.003;
+
+// Rate that is assumed of the link between two zones, in bytes a second.
+constexpr double kZoneRate = 1.25e9;
+
+// Lines of an explanation.
+constexpr std::size_t kMaxExplained = 32;
+
+} // namespace
+
+// The parts of a PlacementView, and what its indices stand for.
+struct Placer::View
+{
+  std::vector<AvailabilityZone> zones;
+  std::vector<RunnerView> runners;
+  std::vector<const RunnerSpec*> specs;
+  std::vector<LinkView> links;
+  std::vector<ViewIndex> zoneLinks;
+  std::vector<StoredPiece> stored;
+  std::vector<SealedPiece> sealed;
+};
+
+Placer::Placer(UpstreamTable& aUpstreams,
+               CacheView& aCache,
+               AvailabilityZone aZone)
+  : upstreams(aUpstreams)
+  , cache(aCache)
+  , zone(std::move(aZone))
+{
+}
+
+ViewIndex
+Placer::ZoneIndex(const AvailabilityZone& aZone, View& aView) const
+{
+  const auto found = std::find(aView.zones.begin(), aView.zones.end(), aZone);
+  if (found != aView.zones.end()) {
+    return static_cast<ViewIndex>(found - aView.zones.begin());
+  }
+  aView.zones.push_back(aZone);
+  return static_cast<ViewIndex>(aView.zones.size() - 1);
+}
+
+void
+Placer::AddRunners(const PlacementInput& aInput, TimePoint aNow, View& aView)
+{
+  for (const RunnerSpec& runner : aInput.document.runners) {
+    const WeightVersion version = this->upstreams.Version(runner.id);
+    const bool wrongVersion = !version.Empty() && version != aInput.version;
+    const bool notWanted = aInput.only && *aInput.only != runner.id;
+    if (wrongVersion || notWanted || aInput.excluded.contains(runner.id) ||
+        !this->upstreams.Usable(runner.id, aNow)) {
+      continue;
+    }
+    const CachedPrefix prefix =
+      this->cache.Tracker().LongestPrefix(runner.id, aInput.chain, aNow);
+    RunnerView view;
+    view.id = runner.id;
+    view.zone = this->ZoneIndex(runner.zone, aView);
+    view.waitSeconds = this->upstreams.WaitSeconds(runner.id, aNow);
+    view.prefillTokensPerSecond = aInput.document.model.prefillTokensPerSecond;
+    view.cachedPieces = prefix.pieces;
+    view.cachedWeight = prefix.weight;
+    aView.runners.push_back(std::move(view));
+    aView.specs.push_back(&runner);
+  }
+}
+
+void
+Placer::AddStores(const PlacementInput& aInput, TimePoint aNow, View& aView)
+{
+  std::map<std::pair<UpstreamId, StoreTier>, ViewIndex> linkIndex;
+  const auto linkOf = [&](const StoreSpec& aStore, StoreTier aTier) {
+    const auto [place, added] =
+      linkIndex.try_emplace({ aStore.id, aTier }, aView.links.size());
+    if (added) {
+      const LinkModel& link = this->cache.LinkOf(aStore, aTier).Model();
+      LinkView view;
+      view.bytesPerSecond = link.Rate(aNow);
+      view.waitSeconds = link.ExpectedSeconds(
+        TransferKind::CallerRestore, OrganisationId(), 0, aNow);
+      aView.links.push_back(view);
+    }
+    return place->second;
+  };
+  for (const std::vector<PieceCopy>& copies : aInput.copies) {
+    bool known = false;
+    for (const PieceCopy& copy : copies) {
+      const auto& stores = aInput.document.stores;
+      const auto store =
+        std::find_if(stores.begin(), stores.end(), [&](const StoreSpec& aSpec) {
+          return aSpec.id == copy.piece.store;
+        });
+      if (store == stores.end()) {
+        continue;
+      }
+      StoredPiece piece;
+      piece.link = linkOf(*store, copy.piece.tier);
+      piece.zone = this->ZoneIndex(store->zone, aView);
+      piece.weight = copy.weight;
+      piece.bytes = copy.piece.bytes;
+      aView.stored.push_back(piece);
+      aView.sealed.push_back(copy.piece);
+      known = true;
+      break;
+    }
+    if (!known) {
+      break;
+    }
+  }
+}
+
+std::optional<PlacedRequest>
+Placer::Place(const PlacementInput& aInput, TimePoint aNow, LastReason& aReason)
+{
+  View view;
+  PlacementRequest request;
+  request.zone = this->ZoneIndex(this->zone, view);
+  request.promptTokens = aInput.promptTokens;
+  request.weighing = aInput.document.weighing;
+  this->AddRunners(aInput, aNow, view);
+  this->AddStores(aInput, aNow, view);
+  if (view.runners.empty()) {
+    return Fail(aReason, ReasonCode::Unavailable, "no usable runner");
+  }
+  const auto zones = static_cast<ViewIndex>(view.zones.size());
+  const auto zoneLink = static_cast<ViewIndex>(view.links.size());
+  view.links.push_back({ 0, kZoneRate, kZoneLatency, 0 });
+  for (ViewIndex from = 0; from < zones; ++from) {
+    for (ViewIndex to = 0; to < zones; ++to) {
+      view.zoneLinks.push_back(from == to ? kNoLink : zoneLink);
+    }
+  }
+  const PlacementView whole{
+    view.runners, view.links, view.zoneLinks, zones, view.stored
+  };
+  const Placement placement =
+    wigeonwalk::Place(request, whole, PlacementOptions(), aInput.random);
+  if (!placement.chosen) {
+    return Fail(aReason, ReasonCode::Unavailable, "no candidate");
+  }
+  const Candidate& best = *placement.chosen;
+  PlacedRequest placed;
+  placed.runner = *view.specs[best.runner];
+  placed.cost = best.cost;
+  for (std::size_t i = best.restoreFrom; i < best.restoreTo; ++i) {
+    placed.restore.push_back(view.sealed[i]);
+  }
+  const std::uint64_t spared = std::min<std::uint64_t>(
+    std::max(best.restoreTo, best.restoreFrom) * std::uint64_t{ kPieceTokens },
+    aInput.promptTokens);
+  placed.computedTokens = aInput.promptTokens - spared;
+  placed.explanation.push_back("chosen " + best.Explain(whole));
+  for (const Candidate& candidate : placement.candidates) {
+    if (placed.explanation.size() > kMaxExplained) {
+      break;
+    }
+    placed.explanation.push_back(candidate.Explain(whole));
+  }
+  return placed;
+}
+
+WeightVersion
+Placer::ChooseVersion(const ServiceDocument& aDocument,
+                      std::uint64_t aRandom,
+                      TimePoint aNow) const
+{
+  std::vector<WeightVersion> served;
+  for (const RunnerSpec& runner : aDocument.runners) {
+    if (this->upstreams.Usable(runner.id, aNow)) {
+      const WeightVersion version = this->upstreams.Version(runner.id);
+      served.push_back(version.Empty() ? aDocument.model.version : version);
+    }
+  }
+  return served.empty() ? aDocument.model.version
+                        : served[aRandom % served.size()];
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/serving/upstream_observer.h
@@ -0,0 +1,91 @@
+// Watches one upstream: load, state and cache events. One task for each.
+//
+//   Spawn(ObserveEngine(runner, document, parts));
+#pragma once
+
+#include "wigeonwalk/serving/daemon_view.h"
+#include "wigeonwalk/serving/engine_provider.h"
+#include "wigeonwalk/ports/clock.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace wigeonwalk {
+
+// Bytes that one round of polls of one engine takes, as measured with the
+// stand-ins, and the part of a daemon's 22 KB/s of control traffic that polls
+// may use.
+inline constexpr double kPollBytes = 900;
+inline constexpr double kPollBytesPerSecond = 10'000;
+
+// Shortest time between two rounds.
+inline constexpr Duration kShortestPoll = std::chrono::milliseconds(250);
+
+// Longest wait for one answer to a poll.
+inline constexpr Duration kPollTimeout = std::chrono::seconds(1);
+
+// Time between polls of one engine where a daemon watches a number of them, so
+// that polls stay within the budget for control traffic.
+inline Duration
+PollInterval(std::size_t aEngines)
+{
+  const double seconds =
+    static_cast<double>(aEngines) * kPollBytes / kPollBytesPerSecond;
+  return std::max(kShortestPoll, FromSeconds(seconds));
+}
+
+// Polls one engine until the service no longer lists it. Events that the engine
+// has dropped leave a gap, which the tracker notices.
+template<Timer Time, EngineProvider Engines, DocumentSource Documents>
+Task<void>
+ObserveEngine(RunnerSpec aRunner,
+              ServiceName aService,
+              const Documents& aDocuments,
+              Engines& aEngines,
+              DaemonView& aView,
+              Time& aTime)
+{
+  std::uint64_t lastSequence = 0;
+  while (true) {
+    const auto accepted = aDocuments.Find(aService);
+    if (!accepted) {
+      co_return;
+    }
+    const ServiceDocument& document = accepted->document;
+    const bool listed = std::find(document.runners.begin(),
+                                  document.runners.end(),
+                                  aRunner) != document.runners.end();
+    if (!listed) {
+      co_return;
+    }
+    auto& engine = aEngines.EngineOf(aRunner);
+    LastReason reason;
+    const auto load =
+      co_await engine.Load(aTime.Now() + kPollTimeout, reason);
+    if (load) {
+      const bool restarted = aView.upstreams.ReportLoad(
+        aRunner.id, *load, document.model.prefillTokensPerSecond);
+      if (restarted) {
+        aView.cache.Tracker().Forget(aRunner.id);
+        lastSequence = 0;
+      }
+      const auto state =
+        co_await engine.State(aTime.Now() + kPollTimeout, reason);
+      if (state) {
+        aView.upstreams.ReportState(aRunner.id, *state);
+      }
+      const auto events = co_await engine.CacheEvents(
+        lastSequence, aTime.Now() + kPollTimeout, reason);
+      if (events) {
+        aView.cache.Tracker().Apply(aRunner.id, *events);
+        if (!events->events.empty()) {
+          lastSequence = events->events.back().sequence;
+        }
+      }
+    }
+    co_await aTime.WaitUntil(aTime.Now() +
+                             PollInterval(document.runners.size()));
+  }
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/standins/engine_model.cc
+++ b/wigeonwalk/standins/engine_model.cc
@@ -1,5 +1,7 @@
 #include "wigeonwalk/standins/engine_model.h"
 
+#include "wigeonwalk/cache/piece_key.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,10 +9,6 @@
 
 namespace {
 
-// Tokens of one piece of cache, and the bytes of text that count as one token.
-constexpr std::uint32_t kPieceTokens = 2048;
-constexpr std::size_t kBytesPerToken = 4;
-
 // Published events that are kept; older ones become a gap.
 constexpr std::size_t kMaxLog = 4096;
 
@@ -27,8 +25,7 @@
 EngineModel::Admit(const EngineRequest& aRequest, TimePoint aNow)
 {
   PrefillPlan plan;
-  plan.promptTokens = static_cast<std::uint32_t>(
-    (aRequest.prompt.size() + kBytesPerToken - 1) / kBytesPerToken);
+  plan.promptTokens = static_cast<std::uint32_t>(CountTokens(aRequest.prompt));
   for (const PieceKey& piece : aRequest.pieces) {
     if (!this->Holds(piece)) {
       break;
--- a/wigeonwalk/standins/engine_standin.cc
+++ b/wigeonwalk/standins/engine_standin.cc
@@ -19,7 +19,7 @@
 constexpr Duration kStoreTimeout = std::chrono::seconds(5);
 
 // Bytes that stand for one piece of cache.
-constexpr std::size_t kPieceBytes = 4096;
+constexpr std::size_t kStandinPieceBytes = 4096;
 
 HttpResponse
 JsonAnswer(unsigned aStatus, std::string aBody)
@@ -50,7 +50,7 @@
 PieceBytes(const PieceKey& aPiece)
 {
   std::string bytes;
-  while (bytes.size() < kPieceBytes) {
+  while (bytes.size() < kStandinPieceBytes) {
     bytes += aPiece.ToHex();
   }
   return bytes;
@@ -291,7 +291,9 @@
                               ticket->generation,
                               transfer.body.size(),
                               HashBytes(transfer.body, 0).low,
-                              ticket->tier };
+                              ticket->tier,
+                              PieceKey(),
+                              0 };
     co_return JsonAnswer(200, EncodeSealed(sealed));
   }
   const auto lease = DecodeLease(aRequest.body, reason);
--- a/wigeonwalk/standins/standin_settings.cc
+++ b/wigeonwalk/standins/standin_settings.cc
@@ -26,6 +26,19 @@
   return engine;
 }
 
+StoreStandinSettings
+ReadStore(const Json& aJson)
+{
+  StoreStandinSettings store;
+  store.id = UpstreamId(aJson.at("id").get<std::string>());
+  store.address = aJson.at("address").get<std::string>();
+  store.space.memoryBytes = aJson.value("memoryBytes", store.space.memoryBytes);
+  store.space.diskBytes = aJson.value("diskBytes", store.space.diskBytes);
+  store.memoryLinkRate = aJson.value("memoryLinkRate", store.memoryLinkRate);
+  store.diskLinkRate = aJson.value("diskLinkRate", store.diskLinkRate);
+  return store;
+}
+
 StandinSettings
 ReadSettings(const Json& aJson)
 {
@@ -37,7 +50,7 @@
     settings.plainServices.push_back(service.at("address").get<std::string>());
   }
   for (const Json& store : aJson.value("stores", Json::array())) {
-    settings.stores.push_back(store.at("address").get<std::string>());
+    settings.stores.push_back(ReadStore(store));
   }
   settings.keyValue = aJson.value("keyValue", std::string());
   settings.hostList = aJson.value("hostList", std::string());
--- a/wigeonwalk/standins/standin_settings.h
+++ b/wigeonwalk/standins/standin_settings.h
@@ -6,6 +6,7 @@
 
 #include "wigeonwalk/base/last_reason.h"
 #include "wigeonwalk/standins/engine_model.h"
+#include "wigeonwalk/standins/store_standin.h"
 
 #include <optional>
 #include <string>
@@ -19,7 +20,7 @@
 {
   std::vector<EngineStandinSettings> engines;
   std::vector<std::string> plainServices;
-  std::vector<std::string> stores;
+  std::vector<StoreStandinSettings> stores;
   std::string keyValue;
   std::string hostList;
 };
--- /dev/null
+++ b/wigeonwalk/standins/store_standin.cc
@@ -0,0 +1,284 @@
+#include "wigeonwalk/standins/store_standin.h"
+
+#include "wigeonwalk/adapters/engine/engine_codec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace wigeonwalk {
+
+namespace {
+
+constexpr std::string_view kPieces = "/v1/pieces/";
+constexpr std::size_t kHexDigits = 32;
+constexpr double kSlowFactor = 10;
+
+HttpResponse
+Status(unsigned aStatus)
+{
+  HttpResponse response;
+  response.status = aStatus;
+  response.headers.push_back({ "Content-Type", "application/json" });
+  response.body = "{}";
+  return response;
+}
+
+HttpResponse
+Ok(std::string aBody)
+{
+  HttpResponse response = Status(200);
+  response.body = std::move(aBody);
+  return response;
+}
+
+unsigned
+StatusFor(const LastReason& aReason)
+{
+  switch (aReason.code) {
+    case ReasonCode::NotFound:
+      return 404;
+    case ReasonCode::Overloaded:
+      return 507;
+    case ReasonCode::MalformedResponse:
+      return 400;
+    default:
+      return 409;
+  }
+}
+
+// Generation in a target of the form /v1/pieces/PIECE/GENERATION.
+std::uint64_t
+GenerationOf(const std::string& aTarget)
+{
+  const std::size_t start = kPieces.size() + kHexDigits + 1;
+  std::uint64_t generation = 0;
+  if (aTarget.size() > start) {
+    std::from_chars(
+      aTarget.data() + start, aTarget.data() + aTarget.size(), generation);
+  }
+  return generation;
+}
+
+} // namespace
+
+StoreStandin::StoreStandin(StoreStandinSettings aSettings,
+                           SystemTimer& aTimer,
+                           boost::asio::any_io_executor aExecutor)
+  : settings(std::move(aSettings))
+  , timer(aTimer)
+  , executor(std::move(aExecutor))
+  , incarnation(static_cast<std::uint32_t>(
+      std::chrono::floor<std::chrono::seconds>(aTimer.Now())
+        .time_since_epoch()
+        .count()))
+{
+  this->Restart();
+}
+
+void
+StoreStandin::Restart()
+{
+  this->table.emplace(
+    this->settings.id, this->settings.space, this->incarnation++);
+  this->bytes.clear();
+  this->tickets.clear();
+}
+
+Task<void>
+StoreStandin::Run(LastReason& aReason)
+{
+  auto listener =
+    HttpListener::Open(this->executor, this->settings.address, {}, aReason);
+  if (!listener) {
+    co_return;
+  }
+  while (auto connection = co_await listener->Accept(aReason)) {
+    boost::asio::co_spawn(this->executor,
+                          this->ServeConnection(std::move(*connection)),
+                          boost::asio::detached);
+  }
+}
+
+Task<void>
+StoreStandin::ServeConnection(HttpConnection aConnection)
+{
+  while (true) {
+    LastReason reason;
+    const auto request = co_await aConnection.ReadRequest(reason);
+    if (!request) {
+      co_return;
+    }
+    HttpResponse response;
+    if (request->target.rfind(kPieces, 0) == 0) {
+      response = co_await this->MoveBytes(*request);
+    } else {
+      response = this->Answer(*request);
+    }
+    const bool written = co_await aConnection.WriteResponse(std::move(response),
+                                                            request->keepAlive);
+    if (!written || !request->keepAlive) {
+      co_return;
+    }
+  }
+}
+
+Task<HttpResponse>
+StoreStandin::MoveBytes(const HttpRequest& aRequest)
+{
+  const std::uint64_t generation = GenerationOf(aRequest.target);
+  const auto ticket = this->tickets.find(generation);
+  if (ticket == this->tickets.end()) {
+    co_return Status(404);
+  }
+  const bool inMemory = ticket->second.tier == StoreTier::Memory;
+  const bool write = aRequest.method == "PUT";
+  const auto stored = this->bytes.find(generation);
+  if (!write && stored == this->bytes.end()) {
+    co_return Status(404);
+  }
+  const std::size_t size = write ? aRequest.body.size() : stored->second.size();
+  // The tier's link carries one transfer after the other.
+  TimePoint& freeAt = inMemory ? this->memoryFreeAt : this->diskFreeAt;
+  double rate =
+    inMemory ? this->settings.memoryLinkRate : this->settings.diskLinkRate;
+  rate /= this->fault == StoreFault::SlowLinks ? kSlowFactor : 1;
+  freeAt = std::max(freeAt, this->timer.Now()) +
+           FromSeconds(static_cast<double>(size) / rate);
+  co_await this->timer.WaitUntil(freeAt);
+
+  LastReason reason;
+  if (write) {
+    const auto still = this->tickets.find(generation);
+    if (still == this->tickets.end() ||
+        !this->table->Write(
+          still->second, 0, size, this->timer.Now(), reason)) {
+      co_return Status(409);
+    }
+    this->bytes[generation] = aRequest.body;
+    co_return Status(200);
+  }
+  const auto found = this->bytes.find(generation);
+  if (found == this->bytes.end()) {
+    co_return Status(404);
+  }
+  HttpResponse response = Ok(found->second);
+  if (this->fault == StoreFault::WrongBytes && !response.body.empty()) {
+    response.body.front() ^= 1;
+  }
+  co_return response;
+}
+
+HttpResponse
+StoreStandin::Answer(const HttpRequest& aRequest)
+{
+  const std::string& target = aRequest.target;
+  if (target == "/v1/store/reserve") {
+    return this->Reserve(aRequest.body);
+  }
+  if (target == "/v1/store/seal") {
+    return this->Seal(aRequest.body);
+  }
+  if (target == "/v1/store/acquire") {
+    return this->Acquire(aRequest.body);
+  }
+  if (target == "/v1/store/release") {
+    return this->Release(aRequest.body);
+  }
+  if (target == "/v1/store/free") {
+    return this->Free(aRequest.body);
+  }
+  if (target == "/v1/store/list") {
+    return Ok(EncodeSealedList(this->table->List()));
+  }
+  if (target == "/standin/fault") {
+    return this->SetFault(aRequest.body);
+  }
+  return Status(404);
+}
+
+HttpResponse
+StoreStandin::Reserve(const std::string& aBody)
+{
+  LastReason reason;
+  const auto wanted = DecodeReservation(aBody, reason);
+  if (!wanted) {
+    return Status(400);
+  }
+  if (this->fault == StoreFault::Full) {
+    return Status(507);
+  }
+  const auto ticket = this->table->Reserve(
+    wanted->piece, wanted->bytes, wanted->tier, this->timer.Now(), reason);
+  if (!ticket) {
+    return Status(StatusFor(reason));
+  }
+  this->tickets[ticket->generation] = *ticket;
+  return Ok(EncodeTicket(*ticket));
+}
+
+HttpResponse
+StoreStandin::Seal(const std::string& aBody)
+{
+  LastReason reason;
+  const auto sealed = DecodeSealed(aBody, reason);
+  if (!sealed) {
+    return Status(400);
+  }
+  const auto stored = this->bytes.find(sealed->generation);
+  const std::uint64_t checksum =
+    stored == this->bytes.end() ? 0 : HashBytes(stored->second, 0).low;
+  const bool done =
+    this->table->Seal(*sealed, checksum, this->timer.Now(), reason);
+  return Status(done ? 200 : StatusFor(reason));
+}
+
+HttpResponse
+StoreStandin::Acquire(const std::string& aBody)
+{
+  LastReason reason;
+  const auto sealed = DecodeSealed(aBody, reason);
+  if (!sealed) {
+    return Status(400);
+  }
+  const auto lease = this->table->Acquire(*sealed, this->timer.Now(), reason);
+  return lease ? Ok(EncodeLease(*lease)) : Status(StatusFor(reason));
+}
+
+HttpResponse
+StoreStandin::Release(const std::string& aBody)
+{
+  LastReason reason;
+  const auto lease = DecodeLease(aBody, reason);
+  const bool released = lease && this->table->Release(*lease, reason);
+  return Status(released ? 200 : StatusFor(reason));
+}
+
+HttpResponse
+StoreStandin::Free(const std::string& aBody)
+{
+  LastReason reason;
+  const auto sealed = DecodeSealed(aBody, reason);
+  const bool freed =
+    sealed && this->table->Free(
+                *sealed, FreeMode::WaitForReaders, this->timer.Now(), reason);
+  return Status(freed ? 200 : StatusFor(reason));
+}
+
+HttpResponse
+StoreStandin::SetFault(const std::string& aBody)
+{
+  const auto wanted = ParseName<StoreFault>(aBody);
+  if (!wanted) {
+    return Status(400);
+  }
+  this->fault = *wanted;
+  if (*wanted == StoreFault::Restart) {
+    this->Restart();
+  }
+  return Status(200);
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/standins/store_standin.h
@@ -0,0 +1,93 @@
+// A stand-in for a store host: a small HTTP server on loopback over the rules
+// of cache/piece_table, with the bytes in memory.
+//
+//   StoreStandin store(settings, timer, executor);
+//   co_await store.Run(reason);
+#pragma once
+
+#include "wigeonwalk/adapters/clock/system_timer.h"
+#include "wigeonwalk/adapters/http/http_server.h"
+#include "wigeonwalk/cache/piece_table.h"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace wigeonwalk {
+
+// How a stand-in store host behaves. Link rates are in bytes a second.
+struct StoreStandinSettings
+{
+  UpstreamId id;
+  std::string address;
+  StoreSpace space{ 64 * 1024 * 1024, 256 * 1024 * 1024 };
+  double memoryLinkRate = 1e8;
+  double diskLinkRate = 1e7;
+};
+
+// Faults that a stand-in store host can be told to show, by POST
+// /standin/fault with the name as the body.
+enum class StoreFault
+{
+  None,
+  // Reads return other bytes than were written.
+  WrongBytes,
+  // No space for new pieces.
+  Full,
+  // Links carry a tenth of their rate.
+  SlowLinks,
+  // All pieces are lost, as after a restart.
+  Restart,
+};
+
+template<>
+struct EnumNames<StoreFault>
+{
+  static constexpr std::array<EnumName<StoreFault>, 5> kTable{ {
+    { StoreFault::None, "none" },
+    { StoreFault::WrongBytes, "wrong-bytes" },
+    { StoreFault::Full, "full" },
+    { StoreFault::SlowLinks, "slow-links" },
+    { StoreFault::Restart, "restart" },
+  } };
+};
+static_assert(HasCompleteTable<StoreFault>());
+
+// One stand-in store host. Runs on one I/O thread.
+class StoreStandin
+{
+public:
+  StoreStandin(StoreStandinSettings aSettings,
+               SystemTimer& aTimer,
+               boost::asio::any_io_executor aExecutor);
+
+  // Listens until cancelled. Returns early with the reason where the address
+  // cannot be used.
+  Task<void> Run(LastReason& aReason);
+
+private:
+  Task<void> ServeConnection(HttpConnection aConnection);
+  Task<HttpResponse> MoveBytes(const HttpRequest& aRequest);
+  HttpResponse Answer(const HttpRequest& aRequest);
+  HttpResponse Reserve(const std::string& aBody);
+  HttpResponse Seal(const std::string& aBody);
+  HttpResponse Acquire(const std::string& aBody);
+  HttpResponse Release(const std::string& aBody);
+  HttpResponse Free(const std::string& aBody);
+  HttpResponse SetFault(const std::string& aBody);
+  void Restart();
+
+  StoreStandinSettings settings;
+  SystemTimer& timer;
+  boost::asio::any_io_executor executor;
+  std::uint32_t incarnation;
+  std::optional<PieceTable> table;
+  StoreFault fault = StoreFault::None;
+  // Bytes by generation, and the time at which each tier's link is free.
+  std::unordered_map<std::uint64_t, std::string> bytes;
+  std::unordered_map<std::uint64_t, WriteTicket> tickets;
+  TimePoint memoryFreeAt;
+  TimePoint diskFreeAt;
+};
+
+} // namespace wigeonwalk
