--- a/wigeonwalk/adapters/engine/engine_codec.cc
+++ b/wigeonwalk/adapters/engine/engine_codec.cc
@@ -67,7 +67,8 @@
   return {
     { "store", aPiece.store.Text() },    { "piece", aPiece.piece.ToHex() },
     { "generation", aPiece.generation }, { "bytes", aPiece.bytes },
-    { "checksum", aPiece.checksum },     { "tier", Print(aPiece.tier) }
+    { "checksum", aPiece.checksum },     { "tier", Print(aPiece.tier) },
+    { "root", aPiece.root.ToHex() },     { "index", aPiece.index }
   };
 }
 
@@ -245,7 +246,8 @@
     { "store", aTicket.store.Text() },
     { "piece", aTicket.piece.ToHex() },
     { "generation", aTicket.generation },
-    { "tier", Print(aTicket.tier) }
+    { "tier", Print(aTicket.tier) },
+    { "address", aTicket.address }
   }.dump();
 }
 
@@ -280,7 +282,7 @@
   for (const SealedPiece& piece : aPieces) {
     list.push_back(SealedToJson(piece));
   }
-  return list.dump();
+  return Json{ { "pieces", std::move(list) } }.dump();
 }
 
 std::optional<std::vector<SealedPiece>>
@@ -288,7 +290,7 @@
 {
   return Guarded(aBody, aReason, [](const Json& aJson) {
     std::vector<SealedPiece> pieces;
-    for (const Json& piece : aJson) {
+    for (const Json& piece : aJson.at("pieces")) {
       pieces.push_back(SealedFromJson(piece));
     }
     return pieces;
@@ -321,7 +323,8 @@
   return Json{
     { "lease", aLease.lease },
     { "piece", SealedToJson(aLease.piece) },
-    { "expires_at_us", aLease.expiresAt.time_since_epoch().count() }
+    { "expires_at_us", aLease.expiresAt.time_since_epoch().count() },
+    { "address", aLease.address }
   }.dump();
 }
 
@@ -332,7 +335,8 @@
     return ReadLease{ aJson.at("lease").get<std::uint64_t>(),
                       SealedFromJson(aJson.at("piece")),
                       TimePoint(Duration(
-                        aJson.at("expires_at_us").get<std::int64_t>())) };
+                        aJson.at("expires_at_us").get<std::int64_t>())),
+                      aJson.at("address").get<std::string>() };
   });
 }
 
--- /dev/null
+++ b/wigeonwalk/adapters/engine/engine_codec_test.cc
@@ -0,0 +1,144 @@
+#include "wigeonwalk/adapters/engine/engine_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace wigeonwalk;
+
+namespace {
+
+const PieceKey kPiece{ 0x0123456789abcdefULL, 42 };
+
+SealedPiece
+Sealed()
+{
+  return { UpstreamId("s1"), kPiece,           7, 4096, 99,
+           StoreTier::Disk,  PieceKey{ 1, 2 }, 3 };
+}
+
+// One decoder, as a function that says whether it took the text.
+struct Decoder
+{
+  std::string name;
+  std::string valid;
+  std::function<bool(std::string_view)> accepts;
+};
+
+template<typename Function>
+Decoder
+MakeDecoder(std::string aName, std::string aValid, Function aDecode)
+{
+  return { std::move(aName), std::move(aValid), [aDecode](auto aText) {
+            LastReason reason;
+            return aDecode(aText, reason).has_value();
+          } };
+}
+
+std::vector<Decoder>
+AllDecoders()
+{
+  EngineRequest request;
+  request.attempt = { HostId("isar-1"), 1, 2, 3 };
+  AnswerChunk chunk;
+  chunk.attempt = request.attempt;
+  return {
+    MakeDecoder("completion", EncodeCompletion(request), DecodeCompletion),
+    MakeDecoder("chunk", EncodeChunk(chunk), DecodeChunk),
+    MakeDecoder("load", EncodeLoad({}), DecodeLoad),
+    MakeDecoder("cache events",
+                EncodeCacheEvents({ 1, { { 2, {}, kPiece } } }),
+                DecodeCacheEvents),
+    MakeDecoder(
+      "ticket",
+      EncodeTicket({ UpstreamId("s1"), kPiece, 7, {}, "127.0.0.1:1" }),
+      DecodeTicket),
+    MakeDecoder("sealed", EncodeSealed(Sealed()), DecodeSealed),
+    MakeDecoder(
+      "sealed list", EncodeSealedList({ Sealed() }), DecodeSealedList),
+    MakeDecoder(
+      "reservation", EncodeReservation({ kPiece, 1, {} }), DecodeReservation),
+    MakeDecoder(
+      "lease", EncodeLease({ 5, Sealed(), {}, "127.0.0.1:1" }), DecodeLease),
+    MakeDecoder("order", EncodeOrder({}), DecodeOrder),
+    MakeDecoder("order answer", EncodeOrderAnswer({}), DecodeOrderAnswer),
+    MakeDecoder("state", EncodeState({}), DecodeState),
+  };
+}
+
+} // namespace
+
+// Guards against a field that one side writes and the other does not read, or
+// the reverse: the store's address was missing from tickets once, and no piece
+// was ever exported.
+SCENARIO("daemons, engines and store hosts understand each other", "[codec]")
+{
+  LastReason reason;
+  GIVEN("a request in the middle of a resumed stream")
+  {
+    EngineRequest request;
+    request.attempt = { HostId("isar.1"), 9, 8, 7 };
+    request.resumes = AttemptId{ HostId("isar.1"), 9, 8, 6 };
+    request.resumeAt = 12;
+    request.model = ModelName("lace");
+    request.version = WeightVersion("v3");
+    request.prompt = "tulle";
+    request.maxTokens = 20;
+    request.temperature = 0;
+    request.seed = -4;
+    request.pieces = { kPiece };
+    THEN("every field arrives")
+    {
+      const auto got = DecodeCompletion(EncodeCompletion(request), reason);
+      REQUIRE(got.has_value());
+      CHECK(got->attempt == request.attempt);
+      CHECK(got->resumes == request.resumes);
+      CHECK(got->resumeAt == 12);
+      CHECK(got->seed == -4);
+      CHECK(got->temperature == 0);
+      CHECK(got->pieces == request.pieces);
+      CHECK(got->version == request.version);
+    }
+  }
+  GIVEN("the messages of a cache move")
+  {
+    const WriteTicket ticket{
+      UpstreamId("s1"), kPiece, 7, StoreTier::Disk, "127.0.0.1:9000"
+    };
+    const ReadLease lease{
+      5, Sealed(), TimePoint(Duration(11)), "127.0.0.1:1"
+    };
+    THEN("ticket, seal and lease keep identity, checksum and address")
+    {
+      const auto gotTicket = DecodeTicket(EncodeTicket(ticket), reason);
+      REQUIRE(gotTicket.has_value());
+      CHECK(gotTicket->address == ticket.address);
+      CHECK(gotTicket->generation == 7);
+      CHECK(gotTicket->tier == StoreTier::Disk);
+      CHECK(DecodeSealed(EncodeSealed(Sealed()), reason) == Sealed());
+      const auto gotLease = DecodeLease(EncodeLease(lease), reason);
+      REQUIRE(gotLease.has_value());
+      CHECK(gotLease->piece == Sealed());
+      CHECK(gotLease->address == lease.address);
+      CHECK(gotLease->expiresAt == lease.expiresAt);
+    }
+  }
+  GIVEN("every decoder")
+  {
+    THEN("it takes its own encoding and refuses each damaged one")
+    {
+      for (const Decoder& decoder : AllDecoders()) {
+        INFO(decoder.name);
+        CHECK(decoder.accepts(decoder.valid));
+        CHECK_FALSE(decoder.accepts(""));
+        CHECK_FALSE(decoder.accepts("[1]"));
+        CHECK_FALSE(decoder.accepts("{}"));
+        for (std::size_t cut = 0; cut + 1 < decoder.valid.size(); cut += 3) {
+          CHECK_FALSE(decoder.accepts(decoder.valid.substr(0, cut + 1)));
+        }
+      }
+    }
+  }
+}
--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -223,11 +223,11 @@
     co_return true;
   }
   error_code error;
-  const auto first = co_await (
-    connection.stream.socket().async_wait(
-      asio::ip::tcp::socket::wait_read,
-      asio::redirect_error(asio::use_awaitable, error)) ||
-    connection.timer.WaitUntil(aDeadline));
+  const auto first =
+    co_await (connection.stream.socket().async_wait(
+                asio::ip::tcp::socket::wait_read,
+                asio::redirect_error(asio::use_awaitable, error)) ||
+              connection.timer.WaitUntil(aDeadline));
   co_return first.index() == 0;
 }
 
--- a/wigeonwalk/adapters/upstreams/http_upstreams.h
+++ b/wigeonwalk/adapters/upstreams/http_upstreams.h
@@ -1,5 +1,5 @@
-// The engines, store hosts and plain services behind a daemon, over one pool of HTTP
-// connections.
+// The engines, store hosts and plain services behind a daemon, over one pool of
+// HTTP connections.
 //
 //   HttpUpstreams upstreams(pool);
 //   auto stream = co_await upstreams.EngineOf(runner).Open(...);
--- a/wigeonwalk/daemon/daemon.cc
+++ b/wigeonwalk/daemon/daemon.cc
@@ -1,15 +1,18 @@
 #include "wigeonwalk/daemon/daemon.h"
 
+#include "wigeonwalk/adapters/cpu/cpu_pool.h"
 #include "wigeonwalk/adapters/openai/caller_session.h"
 #include "wigeonwalk/adapters/settings/service_document_json.h"
 #include "wigeonwalk/adapters/upstreams/http_upstreams.h"
+#include "wigeonwalk/daemon/event_recorder.h"
 #include "wigeonwalk/serving/request_path.h"
+#include "wigeonwalk/serving/upstream_observer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <spdlog/spdlog.h>
 
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <map>
 #include <utility>
@@ -47,21 +50,11 @@
   std::map<ServiceName, std::shared_ptr<const AcceptedDocument>> documents;
 };
 
-// Writes each event as a log line.
-class EventLog
-{
-public:
-  void Record(Event aEvent)
-  {
-    spdlog::info(R"({{"event":"{}","request":"{}","subject":"{}"}})",
-                 NameOf(aEvent.kind),
-                 aEvent.request.Text(),
-                 aEvent.subject);
-  }
-};
-
-using DaemonPath =
-  RequestPath<LoadedDocuments, SystemTimer, HttpUpstreams, EventLog>;
+using DaemonMover = CacheMover<SystemTimer, HttpUpstreams, EventRecorder>;
+using DaemonKeeper = CacheKeeper<DaemonMover, HttpUpstreams>;
+using DaemonParts =
+  RunParts<SystemTimer, HttpUpstreams, HttpUpstreams, EventRecorder, CpuPool>;
+using DaemonPath = RequestPath<LoadedDocuments, DaemonParts, HttpUpstreams>;
 
 HttpLimits
 LimitsOf(const CallerLimits& aLimits)
@@ -73,6 +66,12 @@
   return limits;
 }
 
+LogLevel
+LogLevelOf(const std::string& aName)
+{
+  return ParseName<LogLevel>(aName).value_or(LogLevel::Info);
+}
+
 std::string
 ReadFile(const std::string& aPath)
 {
@@ -90,10 +89,19 @@
     , timer(aContext.get_executor())
     , pool(timer, aContext.get_executor(), kMaxIdleConnection)
     , upstreams(pool)
+    , log(settings.host, LogLevelOf(settings.logLevel), std::clog)
+    , events(timer, settings, log)
+    , workers(settings.workerThreads)
     , incarnation(
         static_cast<std::uint64_t>(timer.Now().time_since_epoch().count()))
-    , attempts(settings.host, incarnation)
-    , path(documents, runners, timer, upstreams, events, attempts)
+    , view(settings.host,
+           settings.zone,
+           incarnation,
+           ReadFile(settings.clusterKeyFile))
+    , mover(view.cache, timer, upstreams, events)
+    , keeper(mover, upstreams, view.returns)
+    , parts{ timer, upstreams, mover, keeper, events, workers, view }
+    , path(documents, parts, upstreams)
   {
     this->caller.nextRequestId = [this] {
       return RequestId(this->settings.host.Text() + '-' +
@@ -119,6 +127,21 @@
     --this->openConnections;
   }
 
+  // Starts one task for each engine of the service.
+  void Observe(const ServiceDocument& aDocument)
+  {
+    for (const RunnerSpec& runner : aDocument.runners) {
+      asio::co_spawn(this->context,
+                     ObserveEngine(runner,
+                                   aDocument.name,
+                                   this->documents,
+                                   this->upstreams,
+                                   this->view,
+                                   this->timer),
+                     asio::detached);
+    }
+  }
+
   Task<void> Drain()
   {
     this->stopping = true;
@@ -138,10 +161,14 @@
   HttpPool pool;
   HttpUpstreams upstreams;
   LoadedDocuments documents;
-  RunnerTable runners;
-  EventLog events;
+  Log log;
+  EventRecorder events;
+  CpuPool workers;
   std::uint64_t incarnation;
-  AttemptSource attempts;
+  DaemonView view;
+  DaemonMover mover;
+  DaemonKeeper keeper;
+  DaemonParts parts;
   DaemonPath path;
   CallerContext caller;
   std::optional<HttpListener> listener;
@@ -170,7 +197,10 @@
       aReason.place = file + ' ' + aReason.place;
       return false;
     }
-    daemon.documents.Put({ 1, "file", text, std::move(*document) });
+    daemon.documents.Put({ 1, "file", text, *document });
+    if (document->kind == ServiceKind::Engine) {
+      daemon.Observe(*document);
+    }
   }
   daemon.listener = HttpListener::Open(daemon.context.get_executor(),
                                        daemon.settings.entryAddress,
--- /dev/null
+++ b/wigeonwalk/daemon/event_recorder.h
@@ -0,0 +1,61 @@
+// Records each event in the timeline and writes it as a log line.
+//
+//   EventRecorder recorder(timer, settings, log);
+//   recorder.Record({ .kind = EventKind::StopRequested });
+#pragma once
+
+#include "wigeonwalk/adapters/clock/system_timer.h"
+#include "wigeonwalk/adapters/log/log.h"
+#include "wigeonwalk/adapters/timeline/event_ring.h"
+#include "wigeonwalk/serving/daemon_settings.h"
+
+#include <utility>
+
+namespace wigeonwalk {
+
+// Satisfies EventSink. One thread only.
+class EventRecorder
+{
+public:
+  EventRecorder(const SystemTimer& aTimer,
+                const DaemonSettings& aSettings,
+                Log& aLog)
+    : ring(aTimer, aSettings.host, aSettings.timelineEvents)
+    , timer(aTimer)
+    , log(aLog)
+  {
+  }
+
+  void Record(Event aEvent)
+  {
+    const UpstreamId subject(aEvent.subject);
+    if (aEvent.verdict) {
+      this->log.Write(this->timer.Now(),
+                      LogLevel::Info,
+                      "step",
+                      aEvent.request,
+                      { { LogKey::Step, aEvent.kind },
+                        { LogKey::Upstream, subject },
+                        { LogKey::Verdict, *aEvent.verdict } });
+    } else {
+      this->log.Write(
+        this->timer.Now(),
+        LogLevel::Info,
+        "step",
+        aEvent.request,
+        { { LogKey::Step, aEvent.kind }, { LogKey::Upstream, subject } });
+    }
+    this->ring.Record(std::move(aEvent));
+  }
+
+  EventRing<SystemTimer>& Ring() { return this->ring; }
+
+private:
+  EventRing<SystemTimer> ring;
+  const SystemTimer& timer;
+  Log& log;
+};
+
+static_assert(EventSink<EventRecorder>);
+
+} // namespace wigeonwalk
--- a/wigeonwalk/ports/workers.h
+++ b/wigeonwalk/ports/workers.h
@@ -1,6 +1,7 @@
 // Port for CPU work that is too long for the I/O thread.
 //
-//   auto chain = co_await workers.RunOnPool([&] { return PieceChain(salt, text); });
+//   auto chain = co_await workers.RunOnPool([&] { return PieceChain(salt,
+//   text); });
 #pragma once
 
 #include "wigeonwalk/ports/task.h"
@@ -13,7 +14,9 @@
 template<typename T>
 concept Workers = requires(T& aWorkers, int (*aFunction)())
 {
-  { aWorkers.RunOnPool(aFunction) } -> std::same_as<Task<int>>;
+  {
+    aWorkers.RunOnPool(aFunction)
+    } -> std::same_as<Task<int>>;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/serving/cache_mover.h
+++ b/wigeonwalk/serving/cache_mover.h
@@ -30,8 +30,11 @@
 template<typename T>
 concept StoreProvider = requires(T& aProvider, const StoreSpec& aStore)
 {
-  { aProvider.StoreOf(aStore) } -> std::same_as<typename T::Store&>;
-} && StoreHost<typename T::Store>;
+  {
+    aProvider.StoreOf(aStore)
+    } -> std::same_as<typename T::Store&>;
+}
+&&StoreHost<typename T::Store>;
 
 // Moves pieces for one daemon. The references must outlive it.
 template<Timer Time, StoreProvider Stores, EventSink Events>
@@ -113,8 +116,8 @@
                          Engine& aEngine)
   {
     for (std::size_t i = aLane; i < aProgress.usable; i += kRestoreLanes) {
-      const bool restored = co_await this->RestorePiece(
-        aProgress, aProgress.pieces[i], aEngine);
+      const bool restored =
+        co_await this->RestorePiece(aProgress, aProgress.pieces[i], aEngine);
       if (!restored) {
         aProgress.usable = std::min(aProgress.usable, i);
       }
@@ -130,12 +133,11 @@
     if (spec == nullptr) {
       co_return false;
     }
-    auto slot =
-      co_await this->cache.LinkOf(*spec, aPiece.tier)
-        .Enter(TransferKind::CallerRestore,
-               aProgress.organisation,
-               aPiece.bytes,
-               this->time);
+    auto slot = co_await this->cache.LinkOf(*spec, aPiece.tier)
+                  .Enter(TransferKind::CallerRestore,
+                         aProgress.organisation,
+                         aPiece.bytes,
+                         this->time);
     auto& store = this->stores.StoreOf(*spec);
     LastReason reason;
     const TimePoint deadline = this->time.Now() + kPieceTimeout;
@@ -179,13 +181,15 @@
     auto& store = this->stores.StoreOf(*spec);
     LastReason reason;
     const TimePoint deadline = this->time.Now() + kPieceTimeout;
-    const auto ticket = co_await store.Reserve(
-      aChain[aIndex], bytes, *tier, deadline, reason);
+    const auto ticket =
+      co_await store.Reserve(aChain[aIndex], bytes, *tier, deadline, reason);
     if (!ticket) {
+      this->RecordFailure(spec->id, reason);
       co_return false;
     }
     auto sealed = co_await aEngine.Export(*ticket, deadline, reason);
     if (!sealed) {
+      this->RecordFailure(spec->id, reason);
       co_return false;
     }
     sealed->store = spec->id;
@@ -193,6 +197,7 @@
     sealed->index = static_cast<std::uint32_t>(aIndex);
     const bool visible = co_await store.Seal(*sealed, deadline, reason);
     if (!visible) {
+      this->RecordFailure(spec->id, reason);
       co_return false;
     }
     slot.Complete();
@@ -244,10 +249,15 @@
   void DropCopy(const SealedPiece& aPiece, const LastReason& aReason)
   {
     this->cache.Directory().Remove(aPiece);
+    this->RecordFailure(aPiece.store, aReason);
+  }
+
+  void RecordFailure(const UpstreamId& aStore, const LastReason& aReason)
+  {
     this->events.Record({ EventKind::PieceDropped,
                           this->time.Now(),
                           RequestId(),
-                          aPiece.store.Text(),
+                          aStore.Text(),
                           std::nullopt,
                           std::string(NameOf(aReason.code)) });
   }
--- a/wigeonwalk/serving/completion_run.h
+++ b/wigeonwalk/serving/completion_run.h
@@ -16,10 +16,13 @@
 #include "wigeonwalk/retry/stream_resume.h"
 #include "wigeonwalk/retry/verdict_rules.h"
 #include "wigeonwalk/serving/admission.h"
+#include "wigeonwalk/serving/cache_keeper.h"
 #include "wigeonwalk/serving/cache_mover.h"
 #include "wigeonwalk/serving/daemon_view.h"
 #include "wigeonwalk/serving/engine_provider.h"
 
+#include <boost/asio/this_coro.hpp>
+
 #include <optional>
 #include <string>
 #include <unordered_set>
@@ -61,6 +64,7 @@
   Time& time;
   Engines& engines;
   CacheMover<Time, Stores, Events>& mover;
+  CacheKeeper<CacheMover<Time, Stores, Events>, Engines>& keeper;
   Events& events;
   Pool& pool;
   DaemonView& view;
@@ -119,12 +123,6 @@
     co_await this->EndWithRefusal(aSink);
   }
 
-  // Keys of the prompt's pieces, for the export that follows the answer.
-  const std::vector<PieceKey>& Chain() const { return this->chain; }
-
-  // The runner that gave the whole answer; nothing for any other end.
-  const std::optional<RunnerSpec>& AnsweredBy() const { return this->answered; }
-
 private:
   // Marks the request as running on an upstream for the poison tracker.
   class RunMark
@@ -207,10 +205,10 @@
   {
     DaemonView& view = this->parts.view;
     const TimePoint now = this->parts.time.Now();
-    PlacementInput input{ this->document, this->version,  this->chain,
-                          CountTokens(this->request.prompt),
-                          this->copies,   this->excluded, std::nullopt,
-                          view.random() };
+    PlacementInput input{ this->document, this->version,
+                          this->chain,    CountTokens(this->request.prompt),
+                          this->copies,   this->excluded,
+                          std::nullopt,   view.random() };
     if (this->admission == Admission::RunAlone) {
       input.only = this->ChooseAlone(now);
       if (!input.only) {
@@ -266,8 +264,7 @@
     co_await this->RestoreCache(aPlaced, engine);
 
     const EngineRequest engineRequest = this->NextEngineRequest(runner);
-    view.cache.Tracker().NoteSent(
-      runner, this->chain, this->parts.time.Now());
+    view.cache.Tracker().NoteSent(runner, this->chain, this->parts.time.Now());
     view.poison.Started(runner,
                         this->print,
                         this->admission == Admission::RunAlone
@@ -275,8 +272,8 @@
                           : RunKind::Shared);
     RunMark mark(view.poison, runner, this->print);
     this->refusal.reason = LastReason();
-    auto stream = co_await engine.Open(
-      engineRequest, this->deadline, this->refusal.reason);
+    auto stream =
+      co_await engine.Open(engineRequest, this->deadline, this->refusal.reason);
     if (!stream) {
       co_await this->NoteBreak(aPlaced.runner, engine, mark);
       co_return AttemptEnd::Broken;
@@ -295,6 +292,11 @@
     mark.Settle();
     view.poison.Succeeded(runner, this->print, this->parts.time.Now());
     this->NoteAnswered(aPlaced.runner);
+    // The caller may close its connection with the last byte, which cancels
+    // this coroutine, so the export starts before.
+    const auto executor = co_await boost::asio::this_coro::executor;
+    this->parts.keeper.Start(
+      executor, this->caller, aPlaced.runner, this->chain);
     co_await aSink.Finish(this->summary);
     co_return end;
   }
@@ -308,11 +310,8 @@
     this->Record(EventKind::RestoreStarted,
                  std::to_string(aPlaced.restore.size()) + " pieces",
                  aPlaced.runner.id);
-    const std::size_t restored =
-      co_await this->parts.mover.Restore(this->document,
-                                         this->caller.organisation->id,
-                                         aPlaced.restore,
-                                         aEngine);
+    const std::size_t restored = co_await this->parts.mover.Restore(
+      this->document, this->caller.organisation->id, aPlaced.restore, aEngine);
     this->Record(EventKind::RestoreFinished,
                  std::to_string(restored) + " pieces",
                  aPlaced.runner.id);
@@ -361,8 +360,8 @@
       LastReason reason;
       const auto chunk = co_await aStream.Next(until, reason);
       if (!chunk) {
-        const bool wait = co_await this->MayWaitOn(
-          reason, liveness, aPlaced.runner, aEngine);
+        const bool wait =
+          co_await this->MayWaitOn(reason, liveness, aPlaced.runner, aEngine);
         if (wait) {
           continue;
         }
@@ -524,8 +523,8 @@
                    "this request crashed the upstreams that ran it");
       return std::nullopt;
     }
-    const auto next =
-      NextAttemptAt(BackoffSettings(), aFailures, now, this->deadline, view.random);
+    const auto next = NextAttemptAt(
+      BackoffSettings(), aFailures, now, this->deadline, view.random);
     if (next) {
       this->Record(EventKind::RequestRetried, std::string());
     }
@@ -537,7 +536,6 @@
     DaemonView& view = this->parts.view;
     this->summary.completionTokens = this->resume->NextIndex();
     this->summary.upstream = aRunner.id;
-    this->answered = aRunner;
     view.upstreams.NoteSuccess(aRunner.id);
     view.budget.RecordSuccess(this->caller.organisation->id,
                               this->document.name,
@@ -552,13 +550,13 @@
   template<AnswerSink Sink>
   Task<void> EndWithRefusal(Sink& aSink)
   {
-    this->parts.events.Record({ EventKind::RequestRefused,
-                                this->parts.time.Now(),
-                                this->request.caller.request,
-                                this->refusal.reason.place,
-                                this->refusal.verdict,
-                                std::string(
-                                  NameOf(this->refusal.reason.code)) });
+    this->parts.events.Record(
+      { EventKind::RequestRefused,
+        this->parts.time.Now(),
+        this->request.caller.request,
+        this->refusal.reason.place,
+        this->refusal.verdict,
+        std::string(NameOf(this->refusal.reason.code)) });
     co_await aSink.Fail(this->refusal);
   }
 
@@ -597,7 +595,6 @@
   UpstreamId lastRunner;
   // The next attempt goes to the same runner.
   bool keepRunner = false;
-  std::optional<RunnerSpec> answered;
   AnswerSummary summary;
   Refusal refusal;
 };
--- a/wigeonwalk/serving/engine_provider.h
+++ b/wigeonwalk/serving/engine_provider.h
@@ -17,17 +17,22 @@
 template<typename T>
 concept EngineProvider = requires(T& aProvider, const RunnerSpec& aRunner)
 {
-  { aProvider.EngineOf(aRunner) } -> std::same_as<typename T::Engine&>;
-} && StreamingEngine<typename T::Engine> &&
-  ObservableEngine<typename T::Engine> &&
+  {
+    aProvider.EngineOf(aRunner)
+    } -> std::same_as<typename T::Engine&>;
+}
+&&StreamingEngine<typename T::Engine>&& ObservableEngine<typename T::Engine>&&
   CacheMovingEngine<typename T::Engine>;
 
 // Gives the plain service behind an upstream.
 template<typename T>
 concept ServiceProvider = requires(T& aProvider, const RunnerSpec& aUpstream)
 {
-  { aProvider.ServiceOf(aUpstream) } -> std::same_as<typename T::Service&>;
-} && PlainService<typename T::Service>;
+  {
+    aProvider.ServiceOf(aUpstream)
+    } -> std::same_as<typename T::Service&>;
+}
+&&PlainService<typename T::Service>;
 
 // Finds the documents in force.
 template<typename T>
--- a/wigeonwalk/serving/request_path.h
+++ b/wigeonwalk/serving/request_path.h
@@ -7,10 +7,6 @@
 
 #include "wigeonwalk/serving/completion_run.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/this_coro.hpp>
-
 #include <memory>
 #include <string>
 #include <utility>
@@ -18,7 +14,7 @@
 namespace wigeonwalk {
 
 // Serves requests of all callers of one daemon. Runs on the I/O thread only.
-// The references must outlive it and the exports that it starts.
+// The references must outlive it.
 template<DocumentSource Documents, typename Parts, ServiceProvider Services>
 class RequestPath
 {
@@ -44,12 +40,6 @@
     }
     CompletionRun<Parts> run(this->parts, aRequest, *caller);
     co_await run.Serve(aSink);
-    if (run.AnsweredBy() && !run.Chain().empty()) {
-      boost::asio::co_spawn(
-        co_await boost::asio::this_coro::executor,
-        this->ExportCache(*caller, *run.AnsweredBy(), run.Chain()),
-        boost::asio::detached);
-    }
   }
 
   // Calls a plain service. On failure fills the refusal and returns nothing.
@@ -102,30 +92,14 @@
     const RunnerSpec* best = nullptr;
     for (const RunnerSpec& upstream : aDocument.runners) {
       if (upstreams.Usable(upstream.id, this->parts.time.Now()) &&
-          (best == nullptr || upstreams.InFlight(upstream.id) <
-                                upstreams.InFlight(best->id))) {
+          (best == nullptr ||
+           upstreams.InFlight(upstream.id) < upstreams.InFlight(best->id))) {
         best = &upstream;
       }
     }
     return best;
   }
 
-  // Keeps the prompt's cache for its return. Holds the document by the caller.
-  Task<void> ExportCache(AdmittedCaller aCaller,
-                         RunnerSpec aRunner,
-                         std::vector<PieceKey> aChain)
-  {
-    const ServiceDocument& document = aCaller.accepted->document;
-    const OrganisationId& organisation = aCaller.organisation->id;
-    const double chance = this->parts.view.returns.ChanceWithin(
-      document.name, organisation, Duration(0), std::chrono::hours(24));
-    co_await this->parts.mover.Export(document,
-                                      organisation,
-                                      std::move(aChain),
-                                      chance,
-                                      this->parts.engines.EngineOf(aRunner));
-  }
-
   void Record(EventKind aKind, const CallerIdentity& aCaller)
   {
     this->parts.events.Record({ aKind,
--- a/wigeonwalk/serving/upstream_observer.h
+++ b/wigeonwalk/serving/upstream_observer.h
@@ -3,9 +3,9 @@
 //   Spawn(ObserveEngine(runner, document, parts));
 #pragma once
 
+#include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/serving/daemon_view.h"
 #include "wigeonwalk/serving/engine_provider.h"
-#include "wigeonwalk/ports/clock.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -52,16 +52,15 @@
       co_return;
     }
     const ServiceDocument& document = accepted->document;
-    const bool listed = std::find(document.runners.begin(),
-                                  document.runners.end(),
-                                  aRunner) != document.runners.end();
+    const bool listed =
+      std::find(document.runners.begin(), document.runners.end(), aRunner) !=
+      document.runners.end();
     if (!listed) {
       co_return;
     }
     auto& engine = aEngines.EngineOf(aRunner);
     LastReason reason;
-    const auto load =
-      co_await engine.Load(aTime.Now() + kPollTimeout, reason);
+    const auto load = co_await engine.Load(aTime.Now() + kPollTimeout, reason);
     if (load) {
       const bool restarted = aView.upstreams.ReportLoad(
         aRunner.id, *load, document.model.prefillTokensPerSecond);
