experiments: add the replay of returning prompts

Cause: placement and retention need counted bounds against simple baselines. Change: returning_prompts_benchmark replays seeded traces of both deployments over small fakes in virtual time, through Place, LinkModel, FairQueue, PieceDirectory, EngineCacheTracker and Retention.

--- /dev/null
+++ b/experiments/returning_prompts/deployment.h
@@ -0,0 +1,70 @@
+// The two deployments of the design page, as the replay benchmark sees them.
+//
+//   const Deployment& deployment = DeploymentOf(Site::Reparto);
+#pragma once
+
+#include "wigeonwalk/documents/service_document.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace wigeonwalk::replay {
+
+// The deployments of section 1.1 of the design page.
+enum class Site
+{
+  Reparto,
+  Schleierpfad,
+};
+
+// How one organisation's prompts arrive and return.
+struct OrganisationTraits
+{
+  OrganisationId id;
+  double weight = 1;
+  // Share of all prompts, relative to the other organisations.
+  double demand = 1;
+  // Chance that a prompt returns after it was served.
+  double returnChance = 0.8;
+  // Median gap before a return; gaps are log-normal.
+  double gapMedianSeconds = 1800;
+};
+
+// One kind of prompt.
+struct PromptKind
+{
+  double share = 1;
+  RequestClass requestClass = RequestClass::Standard;
+  // Leading pieces that all of an organisation's prompts of this kind share.
+  std::uint32_t archivePieces = 0;
+  std::uint32_t minPieces = 1;
+  std::uint32_t maxPieces = 8;
+};
+
+// Sizes and rates. A piece is kPieceTokens tokens; rates are pieces a second.
+struct Deployment
+{
+  std::uint32_t zones = 4;
+  std::uint32_t runners = 18;
+  std::uint32_t daemons = 7;
+  Weighing weighing = Weighing::TimeToFirstToken;
+  std::uint64_t pieceBytes = 160'000'000;
+  double prefillTokensPerSecond = 16'000;
+  std::uint32_t runnerCachePieces = 360;
+  // One store host in each zone.
+  std::uint32_t storeMemoryPieces = 12'000;
+  std::uint32_t storeDiskPieces = 120'000;
+  double memoryLinkRate = 8e9;
+  double diskLinkRate = 4e9;
+  double zoneLinkRate = 5e9;
+  double zoneLatencySeconds = 0.003;
+  double zoneLoss = 0.01;
+  double gapSigma = 1.5;
+  std::vector<OrganisationTraits> organisations;
+  std::vector<PromptKind> kinds;
+};
+
+const Deployment&
+DeploymentOf(Site aSite);
+
+} // namespace wigeonwalk::replay
--- /dev/null
+++ b/experiments/returning_prompts/fake_store.h
@@ -0,0 +1,83 @@
+// Fake store hosts: memory and disk for groups of pieces.
+//
+// A group is the pieces of one prompt after its archive, or one archive. Groups
+// of prompts that do not return within the trace only take space; those that do
+// are listed in the directory.
+#pragma once
+
+#include "returning_prompts/trace.h"
+#include "wigeonwalk/cache/piece_directory.h"
+
+#include <array>
+#include <functional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace wigeonwalk::replay {
+
+// Pieces [first, first + pieces) of chains with this key's upper half.
+struct StoredGroup
+{
+  std::uint64_t id = 0;
+  PieceKey root;
+  std::uint32_t organisation = 0;
+  std::uint32_t first = 0;
+  std::uint32_t pieces = 0;
+  std::uint32_t store = 0;
+  StoreTier tier = StoreTier::Memory;
+  TimePoint lastUse;
+  // Position among the groups of its store and tier.
+  std::size_t slot = 0;
+  bool listed = true;
+};
+
+// Score of a group; the lowest of a sample leaves a full tier.
+using GroupScore = std::function<double(const StoredGroup&, TimePoint)>;
+
+class FakeStores
+{
+public:
+  FakeStores(const Deployment& aDeployment,
+             PieceDirectory& aDirectory,
+             GroupScore aScore);
+
+  // Stores the pieces of a group up to `aPieces`, and returns where it is.
+  // A full tier demotes or drops others first.
+  void Put(StoredGroup aGroup, TimePoint aNow);
+
+  // Returns a group, or nothing.
+  const StoredGroup* Find(std::uint64_t aId) const;
+  void Touch(std::uint64_t aId, TimePoint aNow);
+
+  // Empties a store host. The directory is not told.
+  void Lose(std::uint32_t aStore);
+
+  std::uint64_t Dropped() const { return this->dropped; }
+
+private:
+  using Shelf = std::vector<std::uint64_t>;
+
+  Shelf& ShelfOf(std::uint32_t aStore, StoreTier aTier);
+  std::uint64_t& UsedOf(std::uint32_t aStore, StoreTier aTier);
+  std::uint64_t Capacity(StoreTier aTier) const;
+  void Place(StoredGroup& aGroup);
+  void Unplace(StoredGroup& aGroup);
+  void MakeRoom(std::uint32_t aStore, StoreTier aTier, TimePoint aNow);
+  void List(const StoredGroup& aGroup, bool aPresent);
+
+  const Deployment& deployment;
+  PieceDirectory& directory;
+  GroupScore score;
+  std::mt19937_64 random{ 99 };
+  std::unordered_map<std::uint64_t, StoredGroup> groups;
+  std::vector<std::array<Shelf, 2>> shelves;
+  std::vector<std::array<std::uint64_t, 2>> used;
+  std::uint64_t dropped = 0;
+};
+
+// Name of a zone's store host.
+UpstreamId
+StoreName(std::uint32_t aStore);
+
+} // namespace wigeonwalk::replay
--- /dev/null
+++ b/experiments/returning_prompts/metrics.cc
@@ -0,0 +1,121 @@
+#include "returning_prompts/metrics.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wigeonwalk::replay {
+
+namespace {
+
+double
+Percentile(const std::vector<double>& aSorted, double aPart)
+{
+  if (aSorted.empty()) {
+    return 0;
+  }
+  const double rank = std::ceil(aPart * static_cast<double>(aSorted.size()));
+  return aSorted[static_cast<std::size_t>(std::max(rank, 1.0)) - 1];
+}
+
+// Divides a capacity by weight, with no organisation above its demand.
+std::vector<double>
+FairShares(const Deployment& aDeployment,
+           const std::vector<double>& aDemands,
+           double aCapacity)
+{
+  std::vector<double> shares(aDemands.size(), 0);
+  for (std::size_t round = 0; round < aDemands.size(); ++round) {
+    double weight = 0;
+    double left = aCapacity;
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+      left -= shares[i];
+      weight +=
+        shares[i] < aDemands[i] ? aDeployment.organisations[i].weight : 0;
+    }
+    if (weight <= 0 || left <= 0) {
+      break;
+    }
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+      if (shares[i] < aDemands[i]) {
+        const double part = left * aDeployment.organisations[i].weight / weight;
+        shares[i] = std::min(aDemands[i], shares[i] + part);
+      }
+    }
+  }
+  return shares;
+}
+
+double
+JainIndex(const Deployment& aDeployment, const std::vector<Outcome>& aOutcomes)
+{
+  const std::size_t count = aDeployment.organisations.size();
+  std::vector<double> demands(count, 0);
+  std::vector<double> served(count, 0);
+  double capacity = 0;
+  for (const Outcome& outcome : aOutcomes) {
+    demands[outcome.organisation] += outcome.promptTokens;
+    if (outcome.inTime) {
+      served[outcome.organisation] += outcome.promptTokens;
+      capacity += outcome.promptTokens;
+    }
+  }
+  const auto shares = FairShares(aDeployment, demands, capacity);
+  double sum = 0;
+  double squares = 0;
+  double members = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    if (shares[i] > 0) {
+      const double got = std::min(1.0, served[i] / shares[i]);
+      sum += got;
+      squares += got * got;
+      members += 1;
+    }
+  }
+  return squares > 0 ? sum * sum / (members * squares) : 1;
+}
+
+} // namespace
+
+double
+Figures::Weighed(Weighing aWeighing) const
+{
+  return aWeighing == Weighing::TimeToFirstToken ? this->p95
+                                                 : this->shareRecomputed;
+}
+
+double
+Figures::WeighedReturning(Weighing aWeighing) const
+{
+  return aWeighing == Weighing::TimeToFirstToken ? this->p95Returning
+                                                 : this->shareRecomputed;
+}
+
+Figures
+Summarise(const Deployment& aDeployment, std::vector<Outcome> aOutcomes)
+{
+  Figures figures;
+  figures.requests = aOutcomes.size();
+  std::vector<double> times;
+  std::vector<double> returning;
+  double seen = 0;
+  double recomputed = 0;
+  for (const Outcome& outcome : aOutcomes) {
+    times.push_back(outcome.firstTokenSeconds);
+    if (outcome.returning) {
+      returning.push_back(outcome.firstTokenSeconds);
+    }
+    seen += outcome.seenTokens;
+    recomputed += outcome.recomputedTokens;
+  }
+  std::sort(times.begin(), times.end());
+  std::sort(returning.begin(), returning.end());
+  figures.p95Returning = Percentile(returning, 0.95);
+  figures.p50 = Percentile(times, 0.5);
+  figures.p95 = Percentile(times, 0.95);
+  figures.p99 = Percentile(times, 0.99);
+  figures.shareRecomputed = seen > 0 ? recomputed / seen : 0;
+  figures.fairness = JainIndex(aDeployment, aOutcomes);
+  return figures;
+}
+
+} // namespace wigeonwalk::replay
--- /dev/null
+++ b/experiments/returning_prompts/trace.cc
@@ -0,0 +1,171 @@
+#include "returning_prompts/trace.h"
+
+#include "wigeonwalk/cache/piece_key.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace wigeonwalk::replay {
+
+namespace {
+
+// Day zero of all traces, later than the longest history.
+const TimePoint kTraceStart{ std::chrono::hours(24 * 30) };
+
+// Servings that teach the return model before the trace.
+constexpr std::size_t kLearned = 40'000;
+
+constexpr double kMinGapSeconds = 60;
+constexpr double kMaxGapSeconds = 3 * 86'400;
+
+class Generator
+{
+public:
+  Generator(const Deployment& aDeployment, const TraceOptions& aOptions)
+    : deployment(aDeployment)
+    , options(aOptions)
+    , random(aOptions.seed)
+  {
+    std::vector<double> demands;
+    for (const auto& organisation : aDeployment.organisations) {
+      demands.push_back(organisation.demand);
+    }
+    std::vector<double> shares;
+    for (const auto& kind : aDeployment.kinds) {
+      shares.push_back(kind.share);
+    }
+    this->organisations = { demands.begin(), demands.end() };
+    this->kinds = { shares.begin(), shares.end() };
+  }
+
+  Trace Make()
+  {
+    Trace trace;
+    trace.start = kTraceStart;
+    trace.measureFrom = kTraceStart + this->options.warmUp;
+    trace.end = trace.measureFrom + this->options.measured;
+    const double startsPerSecond = this->StartRate();
+    std::exponential_distribution<double> between(startsPerSecond);
+    TimePoint at = kTraceStart - this->options.history;
+    for (std::uint64_t prompt = 1; at < trace.end; ++prompt) {
+      this->Live(prompt, at, &trace);
+      at += FromSeconds(between(this->random));
+    }
+    const auto byTime = [](const auto& aLeft, const auto& aRight) {
+      return aLeft.at < aRight.at;
+    };
+    std::stable_sort(trace.arrivals.begin(), trace.arrivals.end(), byTime);
+    std::stable_sort(trace.past.begin(),
+                     trace.past.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.lastAt < aRight.lastAt;
+                     });
+    return trace;
+  }
+
+private:
+  // Rate of new prompts that offers the wanted load in the steady state.
+  double StartRate()
+  {
+    constexpr int kSamples = 20'000;
+    double tokens = 0;
+    for (int i = 0; i < kSamples; ++i) {
+      tokens += this->Live(0, kTraceStart, nullptr);
+    }
+    const double capacity =
+      this->deployment.prefillTokensPerSecond * this->deployment.runners;
+    return this->options.load * capacity / (tokens / kSamples);
+  }
+
+  std::uint32_t Uniform(std::uint32_t aLow, std::uint32_t aHigh)
+  {
+    return std::uniform_int_distribution<std::uint32_t>(aLow,
+                                                        aHigh)(this->random);
+  }
+
+  double Gap(const OrganisationTraits& aOrganisation)
+  {
+    std::lognormal_distribution<double> gaps(
+      std::log(aOrganisation.gapMedianSeconds), this->deployment.gapSigma);
+    return std::clamp(gaps(this->random), kMinGapSeconds, kMaxGapSeconds) *
+           this->options.gapScale;
+  }
+
+  // Lets one prompt be served until it does not return, and returns the tokens
+  // of all its servings.
+  double Live(std::uint64_t aPrompt, TimePoint aStart, Trace* aTrace)
+  {
+    const std::uint32_t organisation = this->organisations(this->random);
+    const OrganisationTraits& traits =
+      this->deployment.organisations[organisation];
+    const PromptKind& kind = this->deployment.kinds[this->kinds(this->random)];
+    Arrival arrival{ .at = aStart,
+                     .organisation = organisation,
+                     .requestClass = kind.requestClass,
+                     .prompt = aPrompt,
+                     .archivePieces = kind.archivePieces };
+    arrival.tokens =
+      std::uint64_t{ this->Uniform(kind.minPieces, kind.maxPieces) } *
+        kPieceTokens +
+      this->Uniform(0, kPieceTokens - 1);
+    arrival.seenTokens = std::uint64_t{ kind.archivePieces } * kPieceTokens;
+    double tokens = 0;
+    std::bernoulli_distribution returns(traits.returnChance);
+    for (bool more = true; more;) {
+      arrival.answerTokens = this->Uniform(50, 400);
+      arrival.zone = this->Uniform(0, this->deployment.zones - 1);
+      tokens += static_cast<double>(arrival.tokens);
+      const double gap = this->Gap(traits);
+      more = returns(this->random);
+      const TimePoint next = arrival.at + FromSeconds(gap);
+      this->Note(arrival, more, next, aTrace);
+      arrival.seenTokens = arrival.tokens + arrival.answerTokens;
+      arrival.tokens = arrival.seenTokens + this->Uniform(50, 900);
+      arrival.gapSeconds = gap;
+      arrival.at = next;
+    }
+    return tokens;
+  }
+
+  void Note(const Arrival& aArrival, bool aMore, TimePoint aNext, Trace* aTrace)
+  {
+    if (aTrace == nullptr || aArrival.at >= aTrace->end) {
+      return;
+    }
+    if (aArrival.at >= aTrace->start) {
+      aTrace->arrivals.push_back(aArrival);
+      return;
+    }
+    if (aTrace->learned.size() < kLearned) {
+      aTrace->learned.push_back({ aArrival.organisation, aArrival.gapSeconds });
+    }
+    if (aMore && aNext < aTrace->start) {
+      return;
+    }
+    const auto pieces = static_cast<std::uint32_t>(
+      (aArrival.tokens + aArrival.answerTokens) / kPieceTokens);
+    aTrace->past.push_back({ aArrival.at,
+                             aArrival.organisation,
+                             aArrival.prompt,
+                             aArrival.archivePieces,
+                             pieces,
+                             aMore && aNext < aTrace->end });
+  }
+
+  const Deployment& deployment;
+  const TraceOptions& options;
+  std::mt19937_64 random;
+  std::discrete_distribution<std::uint32_t> organisations;
+  std::discrete_distribution<std::uint32_t> kinds;
+};
+
+} // namespace
+
+Trace
+MakeTrace(const Deployment& aDeployment, const TraceOptions& aOptions)
+{
+  return Generator(aDeployment, aOptions).Make();
+}
+
+} // namespace wigeonwalk::replay
--- /dev/null
+++ b/experiments/returning_prompts/trace.h
@@ -0,0 +1,80 @@
+// Seeded traces of returning prompts.
+//
+//   Trace trace = MakeTrace(deployment, { .load = 0.9, .seed = 1 });
+#pragma once
+
+#include "returning_prompts/deployment.h"
+#include "wigeonwalk/base/time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace wigeonwalk::replay {
+
+// One request. Pieces before `archivePieces` belong to the organisation's
+// archive; the others to the prompt.
+struct Arrival
+{
+  TimePoint at;
+  std::uint32_t organisation = 0;
+  RequestClass requestClass = RequestClass::Standard;
+  std::uint64_t prompt = 0;
+  std::uint32_t archivePieces = 0;
+  std::uint64_t tokens = 0;
+  // Tokens that were served before: the prompt's, or its archive's.
+  std::uint64_t seenTokens = 0;
+  std::uint32_t answerTokens = 0;
+  // Time since the prompt was last served; negative for the first time.
+  double gapSeconds = -1;
+  std::uint32_t zone = 0;
+};
+
+// A prompt that was last served before the trace begins.
+struct PastPrompt
+{
+  TimePoint lastAt;
+  std::uint32_t organisation = 0;
+  std::uint64_t prompt = 0;
+  std::uint32_t archivePieces = 0;
+  std::uint32_t pieces = 0;
+  // True where it returns within the trace.
+  bool returns = false;
+};
+
+// A gap that ended before the trace, for learning the chance of return.
+struct PastServing
+{
+  std::uint32_t organisation = 0;
+  // Negative where the serving was not a return.
+  double gapSeconds = -1;
+};
+
+struct TraceOptions
+{
+  // Offered prompt tokens as a part of what the runners could prefill if they
+  // recomputed everything.
+  double load = 0.9;
+  std::uint64_t seed = 1;
+  Duration warmUp = std::chrono::minutes(4);
+  Duration measured = std::chrono::minutes(16);
+  Duration history = std::chrono::hours(48);
+  // Multiplies all gaps. Below 1, runners still hold what returns.
+  double gapScale = 1;
+};
+
+struct Trace
+{
+  // In order of time.
+  std::vector<Arrival> arrivals;
+  // In order of `lastAt`.
+  std::vector<PastPrompt> past;
+  std::vector<PastServing> learned;
+  TimePoint start;
+  TimePoint measureFrom;
+  TimePoint end;
+};
+
+Trace
+MakeTrace(const Deployment& aDeployment, const TraceOptions& aOptions);
+
+} // namespace wigeonwalk::replay
--- /dev/null
+++ b/experiments/returning_prompts_benchmark.cc
@@ -0,0 +1,215 @@
+// Replays seeded traces of returning prompts through the product's decision
+// code and through simple baselines, in virtual time.
+//
+//   returning_prompts_benchmark --row reparto-90
+//   returning_prompts_benchmark --row reparto-90 --check
+//   returning_prompts_benchmark --list
+#include "returning_prompts/replay.h"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+using namespace wigeonwalk;
+using namespace wigeonwalk::replay;
+
+namespace {
+
+struct Row
+{
+  const char* name;
+  Site site;
+  double load;
+  Fault fault;
+  // Multiplies all gaps.
+  double gapScale;
+
+  // True where runners have evicted the prompts before they return.
+  bool Evicted() const { return this->gapScale >= 1; }
+};
+
+// Rows by deployment, load and fault. In the rows named "warm" gaps are so
+// short that runners still hold the prompts; in all others they are evicted.
+constexpr Row kRows[] = {
+  { "reparto-60", Site::Reparto, 0.6, Fault::None, 1 },
+  { "reparto-90", Site::Reparto, 0.9, Fault::None, 1 },
+  { "reparto-120", Site::Reparto, 1.2, Fault::None, 1 },
+  { "reparto-warm", Site::Reparto, 0.6, Fault::None, 0.01 },
+  { "reparto-store-lost", Site::Reparto, 0.6, Fault::StoreLost, 1 },
+  { "reparto-slow-link", Site::Reparto, 0.6, Fault::SlowLink, 1 },
+  { "reparto-late-events", Site::Reparto, 0.6, Fault::LateEvents, 1 },
+  { "reparto-zone-out", Site::Reparto, 0.6, Fault::ZoneOut, 1 },
+  { "schleierpfad-60", Site::Schleierpfad, 0.6, Fault::None, 1 },
+  { "schleierpfad-90", Site::Schleierpfad, 0.9, Fault::None, 1 },
+  { "schleierpfad-120", Site::Schleierpfad, 1.2, Fault::None, 1 },
+  { "schleierpfad-warm", Site::Schleierpfad, 0.6, Fault::None, 0.01 },
+  { "schleierpfad-store-lost", Site::Schleierpfad, 0.6, Fault::StoreLost, 1 },
+  { "schleierpfad-slow-link", Site::Schleierpfad, 0.6, Fault::SlowLink, 1 },
+  { "schleierpfad-late-events", Site::Schleierpfad, 0.6, Fault::LateEvents, 1 },
+  { "schleierpfad-zone-out", Site::Schleierpfad, 0.6, Fault::ZoneOut, 1 },
+};
+
+struct Result
+{
+  const char* policy;
+  Figures figures;
+};
+
+template<Policy P>
+Result
+RunOne(const Row& aRow, const Trace& aTrace)
+{
+  return { P::kTraits.name,
+           Replay<P>(DeploymentOf(aRow.site), aTrace, aRow.fault) };
+}
+
+void
+Print(const Result& aResult)
+{
+  const Figures& f = aResult.figures;
+  std::printf("%-17s %8.3f %8.3f %8.3f %8.3f %10.4f %8.3f %8.3f %8.3f %8.4f\n",
+              aResult.policy,
+              f.p50,
+              f.p95,
+              f.p99,
+              f.p95Returning,
+              f.shareRecomputed,
+              f.runnerUse,
+              f.storeLinkUse,
+              f.zoneLinkUse,
+              f.fairness);
+  std::fflush(stdout);
+}
+
+template<Policy... Ps>
+std::vector<Result>
+RunAll(const Row& aRow, const Trace& aTrace)
+{
+  std::vector<Result> results;
+  const auto run = [&](Result aResult) {
+    Print(aResult);
+    results.push_back(aResult);
+  };
+  (run(RunOne<Ps>(aRow, aTrace)), ...);
+  return results;
+}
+
+using Measure = double (Figures::*)(Weighing) const;
+
+// Compares one figure of the product with that of the best simple baseline.
+bool
+Compare(const Row& aRow,
+        const char* aName,
+        Measure aMeasure,
+        double aPart,
+        const Figures& aProduct,
+        const std::vector<Result>& aBaselines)
+{
+  const Weighing weighing = DeploymentOf(aRow.site).weighing;
+  const auto value = [&](const Figures& aFigures) {
+    return (aFigures.*aMeasure)(weighing);
+  };
+  const auto best = std::min_element(
+    aBaselines.begin(), aBaselines.end(), [&](auto& aLeft, auto& aRight) {
+      return value(aLeft.figures) < value(aRight.figures);
+    });
+  const double limit = value(best->figures) * aPart;
+  const bool met = value(aProduct) <= limit;
+  std::printf("%s: %s, %s: %.4f, best baseline %s %.4f, bound %.4f: %s\n",
+              aRow.name,
+              std::string(NameOf(weighing)).c_str(),
+              aName,
+              value(aProduct),
+              best->policy,
+              value(best->figures),
+              limit,
+              met ? "met" : "MISSED");
+  return met;
+}
+
+// In every row the product is not worse than the best baseline. Where caches
+// have been evicted, it is better by a third or more for returning prompts.
+bool
+MeetsBound(const Row& aRow,
+           const Figures& aProduct,
+           const std::vector<Result>& aBaselines)
+{
+  bool met =
+    Compare(aRow, "all requests", &Figures::Weighed, 1, aProduct, aBaselines);
+  if (aRow.Evicted()) {
+    met = Compare(aRow,
+                  "returning prompts",
+                  &Figures::WeighedReturning,
+                  2.0 / 3,
+                  aProduct,
+                  aBaselines) &&
+          met;
+  }
+  return met;
+}
+
+bool
+RunRow(const Row& aRow, std::uint64_t aSeed)
+{
+  const Trace trace =
+    MakeTrace(DeploymentOf(aRow.site),
+              { .load = aRow.load, .seed = aSeed, .gapScale = aRow.gapScale });
+  std::printf("row %s, seed %llu, %zu requests\n",
+              aRow.name,
+              static_cast<unsigned long long>(aSeed),
+              trace.arrivals.size());
+  std::printf("%-17s %8s %8s %8s %8s %10s %8s %8s %8s %8s\n",
+              "policy",
+              "p50 s",
+              "p95 s",
+              "p99 s",
+              "p95r s",
+              "recomputed",
+              "runners",
+              "stores",
+              "zones",
+              "Jain");
+  const auto baselines = RunAll<RandomRunner,
+                                RoundRobin,
+                                LeastLoadedRunner,
+                                PrefixAffinity,
+                                AlwaysRecompute,
+                                AlwaysRestore>(aRow, trace);
+  const auto ours = RunAll<Wigeonwalk, Clairvoyant>(aRow, trace);
+  return MeetsBound(aRow, ours.front().figures, baselines);
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  CLI::App app("Replays returning prompts in virtual time");
+  std::string name;
+  std::uint64_t seed = 1;
+  bool check = false;
+  bool list = false;
+  app.add_option("--row", name, "run only this row");
+  app.add_option("--seed", seed, "seed of the trace");
+  app.add_flag("--check", check, "fail where a row misses its bound");
+  app.add_flag("--list", list, "print the names of the rows");
+  CLI11_PARSE(app, argc, argv);
+  bool met = true;
+  bool known = false;
+  for (const Row& row : kRows) {
+    if (list) {
+      std::puts(row.name);
+    } else if (name.empty() || name == row.name) {
+      known = true;
+      met = RunRow(row, seed) && met;
+    }
+  }
+  if (!list && !known) {
+    std::fprintf(stderr, "unknown row '%s'; see --list\n", name.c_str());
+    return 2;
+  }
+  return check && !met ? 1 : 0;
+}
