cache: price space by what its tier evicts

Cause: fixed prices refused exports while disks had room; the replay also gave each new piece an age of 30 days. Change: Scarcity carries the density that each tier evicts now, which is zero while it has room. The replay prints why pieces were computed again.

--- a/experiments/returning_prompts/fake_runner.h
+++ b/experiments/returning_prompts/fake_runner.h
@@ -31,6 +31,10 @@
   bool completed = false;
   Signal done;
 
+  // Stored pieces that the policy saw, and whether all of them arrived.
+  std::size_t storedPieces = 0;
+  bool restored = true;
+
   bool started = false;
   double remainingTokens = 0;
 };
--- a/experiments/returning_prompts/fake_store.h
+++ b/experiments/returning_prompts/fake_store.h
@@ -53,7 +53,11 @@
   // Empties a store host. The directory is not told.
   void Lose(std::uint32_t aStore);
 
-  std::uint64_t Dropped() const { return this->dropped; }
+  // Moving average of the scores that left a tier; zero while it has room.
+  double MarginalScore(StoreTier aTier) const
+  {
+    return this->marginal[static_cast<std::size_t>(aTier)];
+  }
 
 private:
   using Shelf = std::vector<std::uint64_t>;
@@ -73,7 +77,7 @@
   std::unordered_map<std::uint64_t, StoredGroup> groups;
   std::vector<std::array<Shelf, 2>> shelves;
   std::vector<std::array<std::uint64_t, 2>> used;
-  std::uint64_t dropped = 0;
+  std::array<double, 2> marginal{};
 };
 
 // Name of a zone's store host.
--- a/experiments/returning_prompts/metrics.cc
+++ b/experiments/returning_prompts/metrics.cc
@@ -1,5 +1,7 @@
 #include "returning_prompts/metrics.h"
 
+#include "wigeonwalk/cache/piece_key.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -106,6 +108,10 @@
     }
     seen += outcome.seenTokens;
     recomputed += outcome.recomputedTokens;
+    figures.causes.notStored += outcome.causes.notStored;
+    figures.causes.chosen += outcome.causes.chosen;
+    figures.causes.missed += outcome.causes.missed;
+    figures.causes.failed += outcome.causes.failed;
   }
   std::sort(times.begin(), times.end());
   std::sort(returning.begin(), returning.end());
@@ -113,6 +119,11 @@
   figures.p50 = Percentile(times, 0.5);
   figures.p95 = Percentile(times, 0.95);
   figures.p99 = Percentile(times, 0.99);
+  const double pieces = std::max(1.0, seen / kPieceTokens);
+  figures.causes.notStored /= pieces;
+  figures.causes.chosen /= pieces;
+  figures.causes.missed /= pieces;
+  figures.causes.failed /= pieces;
   figures.shareRecomputed = seen > 0 ? recomputed / seen : 0;
   figures.fairness = JainIndex(aDeployment, aOutcomes);
   return figures;
--- a/experiments/returning_prompts/metrics.h
+++ b/experiments/returning_prompts/metrics.h
@@ -7,6 +7,19 @@
 
 namespace wigeonwalk::replay {
 
+// Why pieces that were served before were computed again.
+struct RecomputeCauses
+{
+  // No copy was known.
+  double notStored = 0;
+  // Copies were known, but computing cost less.
+  double chosen = 0;
+  // The runner no longer held what it was believed to hold.
+  double missed = 0;
+  // A store host failed during the restore.
+  double failed = 0;
+};
+
 // One request's result.
 struct Outcome
 {
@@ -18,6 +31,7 @@
   double recomputedTokens = 0;
   bool inTime = true;
   bool returning = false;
+  RecomputeCauses causes;
 };
 
 // Figures of one policy in one row.
@@ -30,6 +44,8 @@
   // The same percentile over the requests whose prompt had been served before.
   double p95Returning = 0;
   double shareRecomputed = 0;
+  // Pieces by cause, as parts of all pieces that were served before.
+  RecomputeCauses causes;
   // Part of the time that the links to store hosts were busy, on average.
   double storeLinkUse = 0;
   double zoneLinkUse = 0;
--- a/experiments/returning_prompts/replay.h
+++ b/experiments/returning_prompts/replay.h
@@ -45,6 +45,7 @@
   const bool restores =
     P::kTraits.restores && choice.restoreTo > choice.restoreFrom;
   job->ready = !restores;
+  job->storedPieces = stored.size();
   const double held = static_cast<double>(choice.restoreTo) * kPieceTokens;
   const double work = std::max(1.0, double(aArrival.tokens) - held);
   aDaemon.loads[choice.runner].NoteSent(
@@ -58,6 +59,7 @@
       stored.begin() + static_cast<std::ptrdiff_t>(choice.restoreTo));
     const bool complete = co_await aWorld.Restore(
       aDaemon, aArrival, std::move(pieces), aWorld.RunnerZone(choice.runner));
+    job->restored = complete;
     if (!complete) {
       job->restoreTo = job->restoreFrom;
     }
--- a/experiments/returning_prompts/world.cc
+++ b/experiments/returning_prompts/world.cc
@@ -247,16 +247,19 @@
     if (group.pieces == 0) {
       continue;
     }
+    group.lastUse = this->time.Now();
     const StoredGroup* known = this->stores->Find(group.id);
     group.store = known != nullptr ? known->store : aZone;
     group.tier = known != nullptr ? known->tier : StoreTier::Memory;
     const std::uint32_t held = known != nullptr ? known->pieces : 0;
     if (this->traits.keepsByWorth && known == nullptr) {
       const auto action = this->retention.BeforeEviction(
-        this->ValueOf(group, this->time.Now()), Pressure{});
+        this->ValueOf(group, this->time.Now()), this->ScarcityNow());
       if (action == RetentionAction::Drop) {
         continue;
       }
+      group.tier = action == RetentionAction::KeepOnDisk ? StoreTier::Disk
+                                                         : StoreTier::Memory;
     }
     bool stored = !this->links[2 * group.store].broken;
     const ViewIndex link =
@@ -315,6 +318,13 @@
   return chance;
 }
 
+Scarcity
+World::ScarcityNow() const
+{
+  return { .memoryDensity = this->stores->MarginalScore(StoreTier::Memory),
+           .diskDensity = this->stores->MarginalScore(StoreTier::Disk) };
+}
+
 PieceValue
 World::ValueOf(const StoredGroup& aGroup, TimePoint aNow)
 {
--- a/experiments/returning_prompts/world.h
+++ b/experiments/returning_prompts/world.h
@@ -167,6 +167,7 @@
                        std::shared_ptr<struct Batches> aBatches);
   double Score(const StoredGroup& aGroup, TimePoint aNow);
   PieceValue ValueOf(const StoredGroup& aGroup, TimePoint aNow);
+  Scarcity ScarcityNow() const;
   double Chance(std::uint32_t aOrganisation, double aGapSeconds);
   StoredGroup GroupOf(const Arrival& aArrival, bool aArchive) const;
   Duration EventDelay() const;
--- a/experiments/returning_prompts/world_events.cc
+++ b/experiments/returning_prompts/world_events.cc
@@ -146,10 +146,10 @@
         static_cast<std::uint32_t>(past.prompt % this->deployment.zones);
       group.listed = archive || past.returns;
       group.lastUse = past.lastAt;
-      const bool worthless =
-        this->traits.keepsByWorth && !archive &&
-        this->retention.BeforeEviction(this->ValueOf(group, past.lastAt),
-                                       Pressure{}) == RetentionAction::Drop;
+      const bool worthless = this->traits.keepsByWorth && !archive &&
+                             this->retention.BeforeEviction(
+                               this->ValueOf(group, past.lastAt),
+                               this->ScarcityNow()) == RetentionAction::Drop;
       if (group.pieces > 0 && !worthless) {
         this->stores->Put(group, past.lastAt);
       }
@@ -165,6 +165,28 @@
   }
 }
 
+namespace {
+
+RecomputeCauses
+CausesOf(const Outcome& aOutcome, const Job& aJob)
+{
+  RecomputeCauses causes;
+  const double seen = aOutcome.seenTokens / kPieceTokens;
+  const double lost = aOutcome.recomputedTokens / kPieceTokens;
+  const auto planned = static_cast<double>(aJob.restoreTo);
+  const auto stored = static_cast<double>(aJob.storedPieces);
+  if (!aJob.restored) {
+    causes.failed = lost;
+    return causes;
+  }
+  causes.notStored = std::max(0.0, seen - std::max(stored, planned));
+  causes.chosen = std::max(0.0, std::min(stored, seen) - planned);
+  causes.missed = std::max(0.0, lost - causes.notStored - causes.chosen);
+  return causes;
+}
+
+} // namespace
+
 std::optional<std::size_t>
 World::OpenOutcome(const Arrival& aArrival)
 {
@@ -198,6 +220,7 @@
   outcome.inTime = aFirstToken < this->trace.end;
   const double unseen = outcome.promptTokens - outcome.seenTokens;
   outcome.recomputedTokens = std::max(0.0, aJob.computedTokens - unseen);
+  outcome.causes = CausesOf(outcome, aJob);
 }
 
 Figures
--- a/experiments/returning_prompts_benchmark.cc
+++ b/experiments/returning_prompts_benchmark.cc
@@ -179,6 +179,13 @@
                                 AlwaysRecompute,
                                 AlwaysRestore>(aRow, trace);
   const auto ours = RunAll<Wigeonwalk, Clairvoyant>(aRow, trace);
+  const RecomputeCauses& causes = ours.front().figures.causes;
+  std::printf("wigeonwalk recomputed: not stored %.4f, chosen %.4f, missed in "
+              "the runner %.4f, store host failed %.4f\n",
+              causes.notStored,
+              causes.chosen,
+              causes.missed,
+              causes.failed);
   return MeetsBound(aRow, ours.front().figures, baselines);
 }
 
--- a/wigeonwalk/cache/retention.cc
+++ b/wigeonwalk/cache/retention.cc
@@ -8,11 +8,13 @@
 
 constexpr double kGibibyte = 1024.0 * 1024 * 1024;
 
-// Raises a price with scarcity: 1 while idle, 2 at half, 10 at nine tenths.
+// Raises the price of a link with its use: nothing while idle, 1 at half, 9 at
+// nine tenths.
 double
-Scarcity(double aPressure)
+LinkFactor(double aUse)
 {
-  return 1 / (1 - std::clamp(aPressure, 0.0, 0.99));
+  const double use = std::clamp(aUse, 0.0, 0.99);
+  return use / (1 - use);
 }
 
 double
@@ -36,27 +38,22 @@
 double
 Retention::Worth(const PieceValue& aPiece,
                  StoreTier aTier,
-                 const Pressure& aPressure) const
+                 const Scarcity& aScarcity) const
 {
-  const bool memory = aTier == StoreTier::Memory;
-  const double hours = ToSeconds(aPiece.horizon) / 3600;
-  const double space =
-    Gibibytes(aPiece) * hours *
-    (memory ? this->prices.memorySpace * Scarcity(aPressure.memory)
-            : this->prices.diskSpace * Scarcity(aPressure.disk));
-  return aPiece.returnChance * SavedSeconds(aPiece, aTier) - space;
+  const double price = aTier == StoreTier::Memory ? aScarcity.memoryDensity
+                                                  : aScarcity.diskDensity;
+  return aPiece.returnChance * SavedSeconds(aPiece, aTier) -
+         price * Gibibytes(aPiece);
 }
 
 RetentionAction
 Retention::BeforeEviction(const PieceValue& aPiece,
-                          const Pressure& aPressure) const
+                          const Scarcity& aScarcity) const
 {
   const double move =
-    Gibibytes(aPiece) * this->prices.link * Scarcity(aPressure.link);
-  const double memory = aPressure.memory < kFullPressure
-                          ? this->Worth(aPiece, StoreTier::Memory, aPressure)
-                          : 0;
-  const double disk = this->Worth(aPiece, StoreTier::Disk, aPressure);
+    Gibibytes(aPiece) * this->prices.link * LinkFactor(aScarcity.link);
+  const double memory = this->Worth(aPiece, StoreTier::Memory, aScarcity);
+  const double disk = this->Worth(aPiece, StoreTier::Disk, aScarcity);
   // A copy elsewhere already saves the recomputation.
   if (aPiece.otherCopies > 0 || std::max(memory, disk) <= move) {
     return RetentionAction::Drop;
@@ -68,11 +65,11 @@
 RetentionAction
 Retention::Review(const PieceValue& aPiece,
                   StoreTier aTier,
-                  const Pressure& aPressure) const
+                  const Scarcity& aScarcity) const
 {
-  const double disk = this->Worth(aPiece, StoreTier::Disk, aPressure);
+  const double disk = this->Worth(aPiece, StoreTier::Disk, aScarcity);
   if (aTier == StoreTier::Memory) {
-    const double memory = this->Worth(aPiece, StoreTier::Memory, aPressure);
+    const double memory = this->Worth(aPiece, StoreTier::Memory, aScarcity);
     if (memory > 0 && memory >= disk) {
       return RetentionAction::KeepInMemory;
     }
@@ -85,31 +82,36 @@
 {
   const double size = std::max(Gibibytes(aPiece), 1e-9);
   const double shared = 1.0 + aPiece.otherCopies;
-  return aPiece.returnChance * SavedSeconds(aPiece, aTier) / size / shared;
+  const double saved =
+    aTier == StoreTier::Disk
+      ? SavedSeconds(aPiece, aTier)
+      : std::max(0.0, aPiece.diskReadSeconds - aPiece.memoryReadSeconds);
+  return aPiece.returnChance * saved / size / shared;
 }
 
 bool
 Retention::ShouldPrefetch(const PieceValue& aPiece,
                           double aSoonChance,
-                          const Pressure& aPressure) const
+                          const Scarcity& aScarcity) const
 {
-  if (aPressure.link >= kIdleLinkPressure ||
-      aPressure.memory >= kFullPressure) {
+  if (aScarcity.link >= kIdleLinkPart) {
     return false;
   }
   const double gain = aPiece.diskReadSeconds - aPiece.memoryReadSeconds;
   const double price =
-    Gibibytes(aPiece) * this->prices.link * Scarcity(aPressure.link);
+    Gibibytes(aPiece) *
+    (aScarcity.memoryDensity + this->prices.link * LinkFactor(aScarcity.link));
   return aSoonChance * gain > price;
 }
 
 bool
 Retention::ShouldReplicate(const PieceValue& aPiece,
                            double aReadsPerHour,
-                           const Pressure& aPressure) const
+                           const Scarcity& aScarcity) const
 {
   return aPiece.otherCopies == 0 && aReadsPerHour >= kHotReadsPerHour &&
-         aPressure.link < kIdleLinkPressure && aPressure.memory < kFullPressure;
+         aScarcity.link<kIdleLinkPart&& this->Worth(
+           aPiece, StoreTier::Disk, aScarcity)> 0;
 }
 
 } // namespace wigeonwalk
--- a/wigeonwalk/cache/retention.h
+++ b/wigeonwalk/cache/retention.h
@@ -5,7 +5,7 @@
 // the link.
 //
 //   Retention retention(prices);
-//   switch (retention.BeforeEviction(piece, pressure)) { ... }
+//   switch (retention.BeforeEviction(piece, scarcity)) { ... }
 #pragma once
 
 #include "wigeonwalk/base/enum_names.h"
@@ -35,22 +35,22 @@
 };
 static_assert(HasCompleteTable<RetentionAction>());
 
-// Prices in accelerator seconds. They are small where space and links are
-// idle; `Pressure` raises them.
+// Prices in accelerator seconds.
 struct RetentionPrices
 {
-  // For 1 GiB over one hour.
-  double memorySpace = 0.02;
-  double diskSpace = 0.0005;
-  // For 1 GiB moved once.
+  // For 1 GiB moved once over a link that is half used; see Scarcity.
   double link = 0.01;
 };
 
-// How scarce each resource is: the part in use, from 0 to 1.
-struct Pressure
+// How scarce each resource is now.
+struct Scarcity
 {
-  double memory = 0;
-  double disk = 0;
+  // Density of what the tier evicts now, in accelerator seconds for each GiB;
+  // zero while it has room. It is the price of space: whatever is worth less
+  // would be evicted next.
+  double memoryDensity = 0;
+  double diskDensity = 0;
+  // Part of the link's time in use, from 0 to 1.
   double link = 0;
 };
 
@@ -70,11 +70,8 @@
   std::uint32_t otherCopies = 0;
 };
 
-// Part of a tier that is filled without hesitation; above it, space is dear.
-inline constexpr double kFullPressure = 0.9;
-
 // Part of a link's time that prefetch and replication may use.
-inline constexpr double kIdleLinkPressure = 0.5;
+inline constexpr double kIdleLinkPart = 0.5;
 
 // Reads an hour above which a prefix is replicated to a second zone.
 inline constexpr double kHotReadsPerHour = 6;
@@ -89,23 +86,24 @@
   }
 
   // Net worth in accelerator seconds of keeping a piece in a tier over its
-  // horizon. Negative: keeping it costs more than it saves.
+  // horizon. Not positive: keeping it costs more than it saves.
   double Worth(const PieceValue& aPiece,
                StoreTier aTier,
-               const Pressure& aPressure) const;
+               const Scarcity& aScarcity) const;
 
   // Decides where a piece goes that a runner is about to evict. Exporting it
   // also costs the link.
   RetentionAction BeforeEviction(const PieceValue& aPiece,
-                                 const Pressure& aPressure) const;
+                                 const Scarcity& aScarcity) const;
 
   // Decides about a piece that a store host holds: kept, moved or dropped.
   RetentionAction Review(const PieceValue& aPiece,
                          StoreTier aTier,
-                         const Pressure& aPressure) const;
+                         const Scarcity& aScarcity) const;
 
-  // Orders pieces for eviction from a full tier: worth for each GiB. The
-  // lowest goes first.
+  // Orders pieces for eviction from a full tier: accelerator seconds that
+  // keeping them there saves, for each GiB. The lowest goes first. A piece that
+  // leaves memory goes to disk, so memory saves only the faster read.
   double Density(const PieceValue& aPiece, StoreTier aTier) const;
 
   // True where a piece should move from disk to memory, or be imported, ahead
@@ -113,13 +111,13 @@
   // price. `aSoonChance` is the chance of return while the copy would wait.
   bool ShouldPrefetch(const PieceValue& aPiece,
                       double aSoonChance,
-                      const Pressure& aPressure) const;
+                      const Scarcity& aScarcity) const;
 
   // True where a prefix that is read often should have a copy in a second
   // availability zone.
   bool ShouldReplicate(const PieceValue& aPiece,
                        double aReadsPerHour,
-                       const Pressure& aPressure) const;
+                       const Scarcity& aScarcity) const;
 
 private:
   RetentionPrices prices;
