claims: add the claim log and the claim service

Cause: a non-idempotent call needs a durable claim before its first byte, at the few hundred writes a second that the key-value service allows. A write whose answer was lost stays in doubt until the tail is seen to have moved. The floor is read after each segment that is new to the reader. ClaimService checks keys, repeats first answers, releases only on a proof of not run, and answers Unavailable with NotRun within 300 ms when the key-value service is down. A key that comes back with another creation time conflicts. Test: each of five breaks (creation time not compared, doubts not settled, release without proof, header before the UUID's own time, 400 ms) fails a test. The fake key-value service has outages, lost answers, late writes, and clients that pause, die and have other clocks.

--- a/wigeonwalk/claims/claim_segment.h
+++ b/wigeonwalk/claims/claim_segment.h
@@ -21,7 +21,7 @@
 // Largest encoded segment. The design page allows 4 KiB. Every append writes
 // the whole segment, so a smaller one keeps an owner of two shards within
 // 22 KB/s, while more of them would need more deletions.
-inline constexpr std::size_t kMaxSegmentBytes = 2048;
+inline constexpr std::size_t kMaxSegmentBytes = 2560;
 
 // A segment is sealed in the append after which less than this is free.
 inline constexpr std::size_t kSealBelowBytes = 128;
@@ -83,20 +83,21 @@
 std::size_t
 AppendBatch(ClaimSegment& aSegment,
             std::uint64_t aId,
-            std::span<const ClaimEntry> aEntries)
+            std::span<const ClaimEntry> aEntries,
+            std::size_t aMaxBytes = kMaxSegmentBytes)
 {
   std::size_t size = EncodedSize<Codec>(aSegment) + Codec::kBatchBytes;
   ClaimBatch batch{ aId, {} };
   for (const ClaimEntry& entry : aEntries) {
     const std::size_t added = Codec::SizeOf(entry);
-    if (size + added > kMaxSegmentBytes) {
+    if (size + added > aMaxBytes) {
       break;
     }
     size += added;
     batch.entries.push_back(entry);
   }
   const std::size_t taken = batch.entries.size();
-  if (taken < aEntries.size() || size + kSealBelowBytes > kMaxSegmentBytes) {
+  if (taken < aEntries.size() || size + kSealBelowBytes > aMaxBytes) {
     aSegment.sealed = true;
   }
   aSegment.batches.push_back(std::move(batch));
--- /dev/null
+++ b/wigeonwalk/claims/claim_service.h
@@ -0,0 +1,205 @@
+// What the request path calls before and after a call that must not be
+// repeated.
+//
+//   ClaimResult claim = co_await claims.Claim({ organisation, service, key,
+//                                               createdAt, body });
+//   if (claim.answer != ClaimAnswer::Granted) { ... answer claim.verdict ... }
+//   ... send the call ...
+//   claims.Finish(claim.ticket, verdict, FirstAnswer{ status, type, body });
+//   // or, where it is proven not to have run:
+//   claims.Release(claim.ticket, reason.code, progress);
+#pragma once
+
+#include "wigeonwalk/claims/claim_log.h"
+#include "wigeonwalk/claims/first_answers.h"
+#include "wigeonwalk/retry/verdict_rules.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace wigeonwalk {
+
+// A call that must not be repeated, as the request path sees it.
+struct ClaimedCall
+{
+  OrganisationId organisation;
+  ServiceName service;
+  std::string idempotencyKey;
+  // From Idempotency-Key-Time: when the key, not this call, was made. A UUID of
+  // version 7 carries its own time, which is used instead.
+  std::optional<TimePoint> keyCreatedAt;
+  std::string_view body;
+};
+
+// The right to run one call once. It stays valid for any time: however long its
+// holder is paused before the first byte, no other call gets the key.
+struct GrantedClaim
+{
+  ClaimTicket ticket;
+  BodyFingerprint body = 0;
+};
+
+// The answer to a claim.
+struct ClaimResult
+{
+  ClaimAnswer answer = ClaimAnswer::Unavailable;
+  // What goes to the caller where the answer is not Granted. For a duplicate,
+  // the verdict on the earlier call.
+  ReasonCode code = ReasonCode::Unavailable;
+  Verdict verdict = Verdict::NotRun;
+  // Status of the first call's answer, zero where not known.
+  std::uint16_t status = 0;
+  // The whole first answer of a duplicate, where it is still known here.
+  std::optional<FirstAnswer> first;
+  // Set on Granted.
+  GrantedClaim ticket;
+};
+
+// Bytes of first answers that a daemon keeps.
+inline constexpr std::size_t kFirstAnswerBytes = 8 * 1024 * 1024;
+
+// Checks keys, claims them and remembers first answers. One thread only.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec = ClaimTextCodec>
+class ClaimService
+{
+public:
+  ClaimService(ClaimLog<Kv, Time, Codec>& aLog,
+               Time& aTimer,
+               Duration aWindow = kClaimWindow)
+    : log(aLog)
+    , timer(aTimer)
+    , window(aWindow)
+    , answers(kFirstAnswerBytes)
+  {
+  }
+
+  Task<ClaimResult> Claim(ClaimedCall aCall);
+
+  // Gives the key back after a failure that proves that the call did not run.
+  // Returns false, and keeps the claim, where the failure does not prove it.
+  // The holder must be done: it sends no byte after a release.
+  bool Release(const GrantedClaim& aClaim,
+               ReasonCode aCode,
+               RequestProgress aProgress);
+
+  // Records how the call ended. `aVerdict` is Ran with the upstream's answer,
+  // or MayHaveRun with none.
+  void Finish(const GrantedClaim& aClaim,
+              Verdict aVerdict,
+              std::optional<FirstAnswer> aAnswer);
+
+private:
+  std::optional<ClaimAnswer> CheckCall(const ClaimedCall& aCall,
+                                       TimePoint& aCreatedAt) const;
+  ClaimResult ResultOf(const ClaimDecision& aDecision,
+                       const ClaimKey& aKey,
+                       BodyFingerprint aBody) const;
+
+  ClaimLog<Kv, Time, Codec>& log;
+  Time& timer;
+  Duration window;
+  FirstAnswers answers;
+};
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+Task<ClaimResult>
+ClaimService<Kv, Time, Codec>::Claim(ClaimedCall aCall)
+{
+  const ClaimKey key =
+    ClaimKeyOf(aCall.organisation, aCall.service, aCall.idempotencyKey);
+  const BodyFingerprint body = BodyFingerprintOf(aCall.body);
+  TimePoint createdAt;
+  if (const auto refused = this->CheckCall(aCall, createdAt)) {
+    co_return this->ResultOf(Decided(*refused), key, body);
+  }
+  if (this->answers.Find(key, body)) {
+    ClaimDecision known = Decided(ClaimAnswer::Duplicate);
+    known.verdict = Verdict::Ran;
+    co_return this->ResultOf(known, key, body);
+  }
+  const ClaimDecision decision =
+    co_await this->log.Claim({ key, body, createdAt });
+  co_return this->ResultOf(decision, key, body);
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+bool
+ClaimService<Kv, Time, Codec>::Release(const GrantedClaim& aClaim,
+                                       ReasonCode aCode,
+                                       RequestProgress aProgress)
+{
+  if (VerdictOf(aCode, aProgress) != Verdict::NotRun) {
+    return false;
+  }
+  this->log.Release(aClaim.ticket);
+  return true;
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+void
+ClaimService<Kv, Time, Codec>::Finish(const GrantedClaim& aClaim,
+                                      Verdict aVerdict,
+                                      std::optional<FirstAnswer> aAnswer)
+{
+  // NotRun is a matter for Release, which checks its proof.
+  const Verdict verdict =
+    aVerdict == Verdict::NotRun ? Verdict::MayHaveRun : aVerdict;
+  const std::uint16_t status = aAnswer ? aAnswer->status : 0;
+  if (verdict == Verdict::Ran && aAnswer) {
+    this->answers.Add(aClaim.ticket.key, aClaim.body, std::move(*aAnswer));
+  }
+  this->log.Finish(aClaim.ticket, verdict, status);
+}
+
+// Returns the refusal of a call whose key is missing or outside the window.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+std::optional<ClaimAnswer>
+ClaimService<Kv, Time, Codec>::CheckCall(const ClaimedCall& aCall,
+                                         TimePoint& aCreatedAt) const
+{
+  const auto ownTime = CreationTimeOfUuid(aCall.idempotencyKey);
+  const auto createdAt = ownTime ? ownTime : aCall.keyCreatedAt;
+  if (aCall.idempotencyKey.empty() || !createdAt) {
+    return ClaimAnswer::MissingKey;
+  }
+  aCreatedAt = std::chrono::floor<std::chrono::seconds>(*createdAt);
+  switch (CheckKeyAge(aCreatedAt, this->timer.Now(), this->window)) {
+    case KeyAge::TooOld:
+      return ClaimAnswer::KeyTooOld;
+    case KeyAge::TooNew:
+      return ClaimAnswer::KeyTooNew;
+    case KeyAge::Valid:
+      break;
+  }
+  return std::nullopt;
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+ClaimResult
+ClaimService<Kv, Time, Codec>::ResultOf(const ClaimDecision& aDecision,
+                                        const ClaimKey& aKey,
+                                        BodyFingerprint aBody) const
+{
+  ClaimResult result;
+  result.answer = aDecision.answer;
+  result.code = RuleOf(aDecision.answer).code;
+  result.verdict = aDecision.verdict;
+  result.status = aDecision.status;
+  result.ticket = { { aKey, aDecision.claim }, aBody };
+  if (aDecision.answer != ClaimAnswer::Duplicate) {
+    return result;
+  }
+  if (aDecision.verdict != Verdict::MayHaveRun) {
+    result.code = ReasonCode::AlreadyExists;
+  }
+  if (const FirstAnswer* first = this->answers.Find(aKey, aBody)) {
+    result.first = *first;
+    result.status = first->status;
+    result.verdict = Verdict::Ran;
+  }
+  return result;
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/claims/claim_shard.h
@@ -0,0 +1,119 @@
+// The writer of one shard's claim log.
+//
+//   ClaimShard<Kv, Time, ClaimTextCodec> shard(kv, time, executor, settings,
+//                                              ids, 7);
+//   ClaimDecision decision = co_await shard.Claim({ key, body, createdAt });
+//   if (decision.answer == ClaimAnswer::Granted) { ... run the call ... }
+#pragma once
+
+#include "wigeonwalk/claims/claim_log_view.h"
+#include "wigeonwalk/claims/pending_entry.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Counts of one shard's or log's work.
+struct ClaimLogCounts
+{
+  std::uint64_t granted = 0;
+  std::uint64_t duplicates = 0;
+  std::uint64_t unavailable = 0;
+  std::uint64_t conflicts = 0;
+  std::uint64_t unknownWrites = 0;
+  // Claims that landed after their caller was told that they did not run.
+  std::uint64_t withdrawnLanded = 0;
+  // Own segments that were created below the floor.
+  std::uint64_t discarded = 0;
+  std::uint64_t loads = 0;
+};
+
+// Appends claims, releases and outcomes of one shard in batches. One coroutine
+// writes while entries are queued, with one call in flight; it ends when
+// nothing is queued or in doubt. Must outlive the run of the executor's
+// context.
+//
+// A write whose answer was lost stays in doubt until the tail is seen to have
+// moved: the write can land at any later time while the tail's revision is the
+// one that it expects. Every write at one revision excludes all others at that
+// revision. One thread only.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+class ClaimShard
+{
+public:
+  ClaimShard(Kv& aService,
+             Time& aTimer,
+             boost::asio::any_io_executor aExecutor,
+             const ClaimLogSettings& aSettings,
+             BatchIds& aIds,
+             std::uint32_t aShard)
+    : service(aService)
+    , timer(aTimer)
+    , executor(std::move(aExecutor))
+    , settings(aSettings)
+    , ids(aIds)
+    , view(aService, aTimer, aSettings, aShard)
+  {
+  }
+
+  // Returns when the claim is durable, refused, or withdrawn in time. A claim
+  // that was withdrawn and lands later is released.
+  Task<ClaimDecision> Claim(ClaimMade aClaim);
+
+  // Queue an entry that is appended as soon as the service answers.
+  void Release(const ClaimRef& aClaim);
+  void Finish(const ClaimFinished& aOutcome);
+
+  const ClaimLogCounts& Counts() const { return this->counts; }
+  std::size_t Queued() const { return this->queue.size(); }
+
+private:
+  using Item = std::shared_ptr<PendingEntry>;
+
+  void Enqueue(Item aItem);
+  Task<void> Expire(Item aItem);
+  Task<void> Run();
+  Task<bool> Prepare();
+  Task<void> Append();
+  Task<bool> KeepsCreatedTail(std::int64_t aRevision);
+  std::vector<Item> Collect();
+  bool IsReady(PendingEntry& aItem);
+  bool IsClaimReady(PendingEntry& aItem);
+  std::optional<ClaimDecision> DecideByTable(const ClaimMade& aClaim);
+  void Land(const AppendAttempt& aAttempt);
+  void SettleDoubts();
+  void DropSettled();
+  Task<void> BackOff();
+
+  Kv& service;
+  Time& timer;
+  boost::asio::any_io_executor executor;
+  const ClaimLogSettings& settings;
+  BatchIds& ids;
+  ClaimLogView<Kv, Time, Codec> view;
+  std::deque<Item> queue;
+  // Writes at the tail's revision whose answers were lost.
+  std::vector<AppendAttempt> inDoubt;
+  // The tail must be read before the next write.
+  bool mustCatchUp = false;
+  bool running = false;
+  TimePoint nextAppendAt;
+  std::uint32_t failures = 0;
+  // While a batch is collected: its keys, and the claims that it releases.
+  std::unordered_set<ClaimKey> batchKeys;
+  std::unordered_set<ClaimRef> batchReleases;
+  ClaimLogCounts counts;
+};
+
+} // namespace wigeonwalk
+
+#include "wigeonwalk/claims/internal/claim_shard_impl.h"
--- /dev/null
+++ b/wigeonwalk/claims/internal/claim_shard_impl.h
@@ -0,0 +1,352 @@
+// Definitions of ClaimShard's members.
+#pragma once
+
+#include "wigeonwalk/claims/claim_shard.h"
+
+namespace wigeonwalk {
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+Task<ClaimDecision>
+ClaimShard<Kv, Time, Codec>::Claim(ClaimMade aClaim)
+{
+  // A view that lags can only show a claim that was released since, for which
+  // "may have run" is a cautious answer.
+  if (this->view.Loaded()) {
+    if (const auto known = this->DecideByTable(aClaim)) {
+      ++this->counts.duplicates;
+      co_return *known;
+    }
+  }
+  const auto item = std::make_shared<PendingEntry>(this->executor, aClaim);
+  this->Enqueue(item);
+  try {
+    boost::asio::co_spawn(
+      this->executor, this->Expire(item), boost::asio::detached);
+    co_await item->WaitForDecision();
+  } catch (...) {
+    // The caller is gone and will send nothing.
+    item->withdrawn = true;
+    if (item->decision && item->decision->answer == ClaimAnswer::Granted) {
+      this->Release(item->decision->claim);
+    }
+    throw;
+  }
+  if (!item->decision) {
+    ++this->counts.unavailable;
+    co_return Decided(ClaimAnswer::Unavailable);
+  }
+  if (item->decision->answer == ClaimAnswer::Granted) {
+    ++this->counts.granted;
+  }
+  co_return *item->decision;
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+void
+ClaimShard<Kv, Time, Codec>::Release(const ClaimRef& aClaim)
+{
+  this->view.Table().MarkReleasing(aClaim);
+  this->Enqueue(
+    std::make_shared<PendingEntry>(this->executor, ClaimReleased{ aClaim }));
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+void
+ClaimShard<Kv, Time, Codec>::Finish(const ClaimFinished& aOutcome)
+{
+  this->Enqueue(std::make_shared<PendingEntry>(this->executor, aOutcome));
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+void
+ClaimShard<Kv, Time, Codec>::Enqueue(Item aItem)
+{
+  this->queue.push_back(std::move(aItem));
+  if (!this->running) {
+    this->running = true;
+    boost::asio::co_spawn(this->executor, this->Run(), boost::asio::detached);
+  }
+}
+
+// Withdraws a claim that is not decided in time: it waits while the service
+// answers, but never longer than the longest wait.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+Task<void>
+ClaimShard<Kv, Time, Codec>::Expire(Item aItem)
+{
+  const TimePoint start = this->timer.Now();
+  const TimePoint latest = start + this->settings.longestWait;
+  TimePoint at = start + this->settings.claimTimeout;
+  while (!aItem->decision && at > this->timer.Now()) {
+    co_await this->timer.WaitUntil(at);
+    at =
+      std::min(latest, this->view.AnsweredAt() + this->settings.claimTimeout);
+  }
+  aItem->Withdraw();
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+Task<void>
+ClaimShard<Kv, Time, Codec>::Run()
+{
+  this->DropSettled();
+  while (!this->queue.empty() || !this->inDoubt.empty()) {
+    if (this->timer.Now() < this->nextAppendAt) {
+      co_await this->timer.WaitUntil(this->nextAppendAt);
+    }
+    const bool ready = co_await this->Prepare();
+    if (ready) {
+      co_await this->Append();
+      co_await this->view.TrimStep();
+    } else {
+      co_await this->BackOff();
+    }
+    this->DropSettled();
+  }
+  this->running = false;
+}
+
+// Brings the view up to date. Returns false where the service did not answer.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+Task<bool>
+ClaimShard<Kv, Time, Codec>::Prepare()
+{
+  if (this->view.Loaded() && this->mustCatchUp) {
+    const CatchUpResult result = co_await this->view.CatchUp();
+    if (result == CatchUpResult::Failed) {
+      co_return false;
+    }
+    if (result == CatchUpResult::Moved && this->view.Loaded()) {
+      this->SettleDoubts();
+    }
+  }
+  if (!this->view.Loaded()) {
+    ++this->counts.loads;
+    if (!co_await this->view.Load()) {
+      co_return false;
+    }
+    this->SettleDoubts();
+  }
+  this->mustCatchUp = false;
+  co_return true;
+}
+
+// Writes one batch. An empty batch is written only to exclude the writes in
+// doubt.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+Task<void>
+ClaimShard<Kv, Time, Codec>::Append()
+{
+  AppendAttempt attempt{ this->ids.Next(), this->Collect() };
+  if (attempt.items.empty() && this->inDoubt.empty()) {
+    co_return;
+  }
+  std::vector<ClaimEntry> entries;
+  for (const Item& item : attempt.items) {
+    entries.push_back(item->entry);
+  }
+  ClaimSegment content = this->view.Tail().content;
+  const std::size_t taken = AppendBatch<Codec>(
+    content, attempt.batch, entries, this->settings.maxSegmentBytes);
+  attempt.items.resize(taken);
+  this->nextAppendAt = this->timer.Now() + this->settings.appendInterval;
+  const bool creates = this->view.Tail().revision == 0;
+  const PutRequest put{
+    this->view.TailKey(), Codec::Encode(content), this->view.Tail().revision, 0
+  };
+  LastReason reason;
+  const WriteResult result =
+    co_await this->service.Put(put, this->view.CallDeadline(), reason);
+  if (result.outcome == WriteOutcome::Applied) {
+    this->view.MarkAnswered();
+    bool keeps = !creates;
+    if (creates) {
+      keeps = co_await this->KeepsCreatedTail(result.revision);
+    }
+    if (keeps) {
+      this->failures = 0;
+      this->view.Appended(std::move(content), result.revision);
+      this->inDoubt.push_back(std::move(attempt));
+      this->SettleDoubts();
+      co_return;
+    }
+    this->inDoubt.push_back(std::move(attempt));
+    this->mustCatchUp = true;
+    co_return;
+  }
+  this->counts.conflicts += result.outcome == WriteOutcome::Conflict ? 1 : 0;
+  if (result.outcome == WriteOutcome::Unknown) {
+    ++this->counts.unknownWrites;
+    this->inDoubt.push_back(std::move(attempt));
+  }
+  this->mustCatchUp = true;
+}
+
+// Returns false where the created segment may lie below the floor: its claims
+// then count for nobody. Unless the floor could not be read, it is deleted.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+Task<bool>
+ClaimShard<Kv, Time, Codec>::KeepsCreatedTail(std::int64_t aRevision)
+{
+  const FloorCheck check = co_await this->view.CheckTail();
+  if (check == FloorCheck::BelowFloor) {
+    ++this->counts.discarded;
+    LastReason reason;
+    co_await this->service.Delete(
+      this->view.TailKey(), aRevision, this->view.CallDeadline(), reason);
+    this->view.Unload();
+  }
+  co_return check == FloorCheck::AtOrAboveFloor;
+}
+
+// Returns the queued entries that the next batch carries, and decides claims
+// that need no entry. The age of a key is checked here, after the tail's
+// revision was read: a claim that was trimmed before that read is then too old
+// for any clock within the margin, and a later change of the tail makes the
+// write fail.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+auto
+ClaimShard<Kv, Time, Codec>::Collect() -> std::vector<Item>
+{
+  this->batchKeys.clear();
+  this->batchReleases.clear();
+  for (const Item& item : this->queue) {
+    if (const auto* release = std::get_if<ClaimReleased>(&item->entry)) {
+      this->view.Table().MarkReleasing(release->claim);
+    }
+  }
+  std::vector<Item> items;
+  for (const Item& item : this->queue) {
+    if (this->IsReady(*item)) {
+      items.push_back(item);
+    }
+  }
+  return items;
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+bool
+ClaimShard<Kv, Time, Codec>::IsReady(PendingEntry& aItem)
+{
+  if (aItem.Settled()) {
+    return false;
+  }
+  if (aItem.Made()) {
+    return this->IsClaimReady(aItem);
+  }
+  const auto* release = std::get_if<ClaimReleased>(&aItem.entry);
+  const auto* finish = std::get_if<ClaimFinished>(&aItem.entry);
+  const ClaimRef& claim = release ? release->claim : finish->claim;
+  if (!this->view.Table().KeyOf(claim)) {
+    // The claim was trimmed; what became of it matters to nobody any more.
+    aItem.landed = true;
+    return false;
+  }
+  if (release) {
+    this->batchReleases.insert(claim);
+  }
+  return true;
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+bool
+ClaimShard<Kv, Time, Codec>::IsClaimReady(PendingEntry& aItem)
+{
+  const ClaimMade& claim = *aItem.Made();
+  const KeyAge age =
+    CheckKeyAge(claim.createdAt, this->timer.Now(), this->settings.window);
+  if (age != KeyAge::Valid) {
+    aItem.Decide(Decided(age == KeyAge::TooOld ? ClaimAnswer::KeyTooOld
+                                               : ClaimAnswer::KeyTooNew));
+    return false;
+  }
+  if (const auto known = this->DecideByTable(claim)) {
+    ++this->counts.duplicates;
+    aItem.Decide(*known);
+    return false;
+  }
+  const ClaimRecord* record = this->view.Table().Find(claim.key);
+  const bool isReleasing = record && record->state == ClaimState::Releasing;
+  if (isReleasing && !this->batchReleases.contains(record->claim)) {
+    return false;
+  }
+  return this->batchKeys.insert(claim.key).second;
+}
+
+// Returns the decision on a key that another claim holds, else nothing.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+std::optional<ClaimDecision>
+ClaimShard<Kv, Time, Codec>::DecideByTable(const ClaimMade& aClaim)
+{
+  const ClaimRecord* record = this->view.Table().Find(aClaim.key);
+  if (!record || record->state == ClaimState::Released ||
+      record->state == ClaimState::Releasing) {
+    return std::nullopt;
+  }
+  // A key that changed its creation time could outlive its claim.
+  if (record->body != aClaim.body || record->createdAt != aClaim.createdAt) {
+    return Decided(ClaimAnswer::OtherBody, record->claim);
+  }
+  ClaimDecision decision = Decided(ClaimAnswer::Duplicate, record->claim);
+  if (record->state == ClaimState::Finished) {
+    decision.verdict = record->verdict;
+    decision.status = record->status;
+  }
+  return decision;
+}
+
+// Grants the claims of a batch that is in the log. A claim whose caller was
+// told that it did not run is released instead.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+void
+ClaimShard<Kv, Time, Codec>::Land(const AppendAttempt& aAttempt)
+{
+  ClaimRef ref{ aAttempt.batch, 0 };
+  for (const Item& item : aAttempt.items) {
+    item->landed = true;
+    if (item->Made() && item->withdrawn) {
+      ++this->counts.withdrawnLanded;
+      this->Release(ref);
+    } else if (item->Made()) {
+      item->Decide(Decided(ClaimAnswer::Granted, ref));
+    }
+    ++ref.position;
+  }
+}
+
+// Decides the writes in doubt after the tail moved or the log was loaded: what
+// is in the log landed, and the rest can never land.
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+void
+ClaimShard<Kv, Time, Codec>::SettleDoubts()
+{
+  const std::vector<AppendAttempt> attempts = std::move(this->inDoubt);
+  this->inDoubt.clear();
+  for (const AppendAttempt& attempt : attempts) {
+    if (this->view.HasBatch(attempt.batch)) {
+      this->Land(attempt);
+    }
+  }
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+void
+ClaimShard<Kv, Time, Codec>::DropSettled()
+{
+  std::erase_if(this->queue,
+                [](const Item& aItem) { return aItem->Settled(); });
+}
+
+template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
+Task<void>
+ClaimShard<Kv, Time, Codec>::BackOff()
+{
+  Duration delay = this->settings.firstRetry;
+  for (std::uint32_t i = 0; i < this->failures; ++i) {
+    delay = std::min(delay * 2, this->settings.longestRetry);
+  }
+  ++this->failures;
+  co_await this->timer.WaitUntil(this->timer.Now() + delay);
+}
+
+} // namespace wigeonwalk
