--- /dev/null
+++ b/wigeonwalk/adapters/metrics/metric_names.h
@@ -0,0 +1,232 @@
+// The metrics of a daemon: names, units, types and labels.
+//
+//   InfoOf(Metric::TimeToFirstToken).unit;   // "seconds"
+//   NameOf(Metric::TimeToFirstToken);        // "time_to_first_token"
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace wigeonwalk {
+
+// What is measured. A unit is part of the printed name.
+enum class Metric
+{
+  TimeToFirstToken,
+  TimeBetweenTokens,
+  QueueTime,
+  PromptTokens,
+  RecomputedTokens,
+  GeneratedTokens,
+  LinkBytes,
+  LinkBusyTime,
+  LinkRate,
+  Verdicts,
+  RequestsOpen,
+  RequestsRetried,
+  AnswersDropped,
+  KeyValueCalls,
+  KeyValueLatency,
+  ControlCpuTime,
+  ControlBytes,
+  DocumentRevision,
+  MembersAlive,
+  LogLinesDropped,
+  EventsDropped,
+};
+
+template<>
+struct EnumNames<Metric>
+{
+  static constexpr std::array<EnumName<Metric>, 21> kTable{ {
+    { Metric::TimeToFirstToken, "time_to_first_token" },
+    { Metric::TimeBetweenTokens, "time_between_tokens" },
+    { Metric::QueueTime, "queue_time" },
+    { Metric::PromptTokens, "prompt" },
+    { Metric::RecomputedTokens, "prompt_recomputed" },
+    { Metric::GeneratedTokens, "generated" },
+    { Metric::LinkBytes, "link_transferred" },
+    { Metric::LinkBusyTime, "link_busy" },
+    { Metric::LinkRate, "link_rate" },
+    { Metric::Verdicts, "verdicts" },
+    { Metric::RequestsOpen, "open" },
+    { Metric::RequestsRetried, "retried" },
+    { Metric::AnswersDropped, "answers_dropped" },
+    { Metric::KeyValueCalls, "key_value_calls" },
+    { Metric::KeyValueLatency, "key_value_latency" },
+    { Metric::ControlCpuTime, "control_cpu" },
+    { Metric::ControlBytes, "control_sent" },
+    { Metric::DocumentRevision, "document_revision" },
+    { Metric::MembersAlive, "members_alive" },
+    { Metric::LogLinesDropped, "log_dropped" },
+    { Metric::EventsDropped, "timeline_dropped" },
+  } };
+};
+static_assert(HasCompleteTable<Metric>());
+
+// How values of a metric combine.
+enum class MetricType
+{
+  // A sum that only rises.
+  Counter,
+  // The latest value.
+  Gauge,
+  // Counts of values in log-spaced bins.
+  Histogram,
+};
+
+template<>
+struct EnumNames<MetricType>
+{
+  static constexpr std::array<EnumName<MetricType>, 3> kTable{ {
+    { MetricType::Counter, "counter" },
+    { MetricType::Gauge, "gauge" },
+    { MetricType::Histogram, "histogram" },
+  } };
+};
+static_assert(HasCompleteTable<MetricType>());
+
+// Unit and type of one metric.
+struct MetricInfo
+{
+  Metric metric;
+  MetricType type;
+  // Plural of the base unit, as Prometheus names it.
+  std::string_view unit;
+  // Name of the label besides service and organisation; empty for none.
+  std::string_view detailLabel;
+  std::string_view help;
+};
+
+inline constexpr std::array<MetricInfo, 21> kMetricInfos{ {
+  { Metric::TimeToFirstToken,
+    MetricType::Histogram,
+    "seconds",
+    "",
+    "Time from a request's arrival to its first token." },
+  { Metric::TimeBetweenTokens,
+    MetricType::Histogram,
+    "seconds",
+    "",
+    "Time between two tokens of a stream." },
+  { Metric::QueueTime,
+    MetricType::Histogram,
+    "seconds",
+    "",
+    "Time that a request waits in the fair queue." },
+  { Metric::PromptTokens,
+    MetricType::Counter,
+    "tokens",
+    "",
+    "Prompt tokens of the requests that ran." },
+  { Metric::RecomputedTokens,
+    MetricType::Counter,
+    "tokens",
+    "",
+    "Prompt tokens that were computed again although served before." },
+  { Metric::GeneratedTokens,
+    MetricType::Counter,
+    "tokens",
+    "",
+    "Tokens sent to callers." },
+  { Metric::LinkBytes,
+    MetricType::Counter,
+    "bytes",
+    "link",
+    "Bytes moved over a tier's or a zone's link." },
+  { Metric::LinkBusyTime,
+    MetricType::Counter,
+    "seconds",
+    "link",
+    "Time during which a link moved bytes." },
+  { Metric::LinkRate,
+    MetricType::Gauge,
+    "bytes_per_second",
+    "link",
+    "Estimated rate of a link." },
+  { Metric::Verdicts,
+    MetricType::Counter,
+    "requests",
+    "verdict",
+    "Requests by verdict." },
+  { Metric::RequestsOpen,
+    MetricType::Gauge,
+    "requests",
+    "",
+    "Requests in progress." },
+  { Metric::RequestsRetried,
+    MetricType::Counter,
+    "requests",
+    "",
+    "Attempts after a request's first." },
+  { Metric::AnswersDropped,
+    MetricType::Counter,
+    "answers",
+    "",
+    "Answers of upstreams that belong to no open attempt." },
+  { Metric::KeyValueCalls,
+    MetricType::Counter,
+    "calls",
+    "operation",
+    "Calls of the key-value service; a pending watch is one." },
+  { Metric::KeyValueLatency,
+    MetricType::Histogram,
+    "seconds",
+    "operation",
+    "Time of a call of the key-value service." },
+  { Metric::ControlCpuTime,
+    MetricType::Counter,
+    "seconds",
+    "",
+    "Processor time of control work." },
+  { Metric::ControlBytes,
+    MetricType::Counter,
+    "bytes",
+    "message",
+    "Bytes sent to other daemons and to the platform." },
+  { Metric::DocumentRevision,
+    MetricType::Gauge,
+    "revisions",
+    "",
+    "Revision of the document in force." },
+  { Metric::MembersAlive,
+    MetricType::Gauge,
+    "members",
+    "",
+    "Daemons that are alive in this daemon's view." },
+  { Metric::LogLinesDropped,
+    MetricType::Counter,
+    "lines",
+    "",
+    "Log lines dropped because the output was slow." },
+  { Metric::EventsDropped,
+    MetricType::Counter,
+    "events",
+    "",
+    "Timeline events that gave way to later ones." },
+} };
+
+// Returns unit, type and labels of a metric.
+constexpr const MetricInfo&
+InfoOf(Metric aMetric)
+{
+  return kMetricInfos[static_cast<std::size_t>(aMetric)];
+}
+
+// True where the rows stand in the order of the enumeration.
+constexpr bool
+HasOrderedInfos()
+{
+  for (std::size_t i = 0; i < kMetricInfos.size(); ++i) {
+    if (static_cast<std::size_t>(kMetricInfos[i].metric) != i) {
+      return false;
+    }
+  }
+  return kMetricInfos.size() == EnumNames<Metric>::kTable.size();
+}
+static_assert(HasOrderedInfos());
+
+} // namespace wigeonwalk
