key_value: add the etcd gateway adapter, its stand-in and contract test

Cause: claims, documents and leases need the platform's key-value service. Change: range, transaction, lease and watch over the published JSON gateway; a loopback stand-in with faults; a contract test with a fault table. Signal keeps its list alive for coroutines that a context destroys late. Before: the first test run ended with a use after free in Signal at teardown. Conclusion: NotSent is reported only for connections that were never made.

--- a/daemons/wigeonwalk-standins.cc
+++ b/daemons/wigeonwalk-standins.cc
@@ -1,9 +1,10 @@
-// Runs stand-ins for the outside systems on loopback: engines, store hosts
-// and plain services.
+// Runs stand-ins for the outside systems on loopback: engines, store hosts,
+// plain services and the key-value service.
 //
 //   wigeonwalk-standins --config standins.json
 
 #include "wigeonwalk/standins/engine_standin.h"
+#include "wigeonwalk/standins/key_value_standin.h"
 #include "wigeonwalk/standins/plain_standin.h"
 #include "wigeonwalk/standins/standin_settings.h"
 #include "wigeonwalk/standins/store_standin.h"
@@ -61,6 +62,10 @@
   for (const StoreStandinSettings& store : aSettings.stores) {
     spawn(stores.emplace_back(store, timer, context.get_executor()));
   }
+  std::optional<KeyValueStandin> keyValue;
+  if (!aSettings.keyValue.empty()) {
+    spawn(keyValue.emplace(aSettings.keyValue, timer, context.get_executor()));
+  }
   asio::signal_set signals(context, SIGINT, SIGTERM);
   signals.async_wait([&context](auto, int) { context.stop(); });
   context.run();
--- /dev/null
+++ b/wigeonwalk/adapters/key_value/etcd_gateway.h
@@ -0,0 +1,63 @@
+// The key-value service over the etcd v3 JSON gateway, as published: range,
+// transaction, lease and watch over HTTP.
+//
+//   EtcdGateway service(pool, { "127.0.0.1:2379" });
+//   auto read = co_await service.Get("documents/orders", deadline, reason);
+#pragma once
+
+#include "wigeonwalk/adapters/http/http_client.h"
+#include "wigeonwalk/ports/key_value.h"
+
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// One service behind several addresses. A call goes to one address; after a
+// failure the next call goes to the next one. Not thread-safe. The pool must
+// outlive it.
+class EtcdGateway
+{
+public:
+  EtcdGateway(HttpPool& aPool, std::vector<std::string> aAddresses);
+
+  Task<std::optional<ReadResult>> Get(const std::string& aKey,
+                                      TimePoint aDeadline,
+                                      LastReason& aReason);
+  Task<std::optional<std::vector<KeyValueEntry>>>
+  List(const std::string& aPrefix, TimePoint aDeadline, LastReason& aReason);
+
+  // NotSent only where no byte of the write reached the service.
+  Task<WriteResult> Put(const PutRequest& aPut,
+                        TimePoint aDeadline,
+                        LastReason& aReason);
+  Task<WriteResult> Delete(const std::string& aKey,
+                           std::optional<std::int64_t> aExpectedRevision,
+                           TimePoint aDeadline,
+                           LastReason& aReason);
+  Task<std::optional<LeaseId>> GrantLease(Duration aTimeToLive,
+                                          TimePoint aDeadline,
+                                          LastReason& aReason);
+  Task<std::optional<Duration>> KeepAlive(LeaseId aLease,
+                                          TimePoint aDeadline,
+                                          LastReason& aReason);
+  Task<std::optional<WatchBatch>> Watch(const std::string& aPrefix,
+                                        std::int64_t aRevision,
+                                        TimePoint aDeadline,
+                                        LastReason& aReason);
+
+private:
+  Task<std::optional<std::string>> Call(std::string aTarget,
+                                        std::string aBody,
+                                        TimePoint aDeadline,
+                                        LastReason& aReason);
+  Task<WriteResult> Write(std::string aBody,
+                          TimePoint aDeadline,
+                          LastReason& aReason);
+
+  HttpPool& pool;
+  std::vector<std::string> addresses;
+  std::size_t current = 0;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/key_value/etcd_gateway_test.cc
@@ -0,0 +1,213 @@
+#include "wigeonwalk/adapters/key_value/etcd_gateway.h"
+#include "wigeonwalk/standins/key_value_standin.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Generous for a loaded machine; no check depends on a timeout being reached
+// but those that wait for one on purpose.
+constexpr Duration kPatience = 20s;
+
+// The stand-in on a free port and an adapter that talks to it.
+struct Fixture
+{
+  Fixture()
+    : timer(context.get_executor())
+    , pool(timer, context.get_executor(), 5s)
+    , address(FreeAddress(context))
+    , standin(address, timer, context.get_executor())
+    , service(pool, { address })
+  {
+    boost::asio::co_spawn(
+      context, standin.Run(serverReason), boost::asio::detached);
+  }
+
+  static std::string FreeAddress(boost::asio::io_context& aContext)
+  {
+    LastReason reason;
+    const auto probe =
+      HttpListener::Open(aContext.get_executor(), "127.0.0.1:0", {}, reason);
+    return "127.0.0.1:" + std::to_string(probe->Port());
+  }
+
+  // Runs one call to its end.
+  template<typename T>
+  T Run(Task<T> aTask)
+  {
+    std::optional<T> result;
+    boost::asio::co_spawn(
+      context, std::move(aTask), [&](std::exception_ptr aError, T aValue) {
+        if (aError) {
+          std::rethrow_exception(aError);
+        }
+        result = std::move(aValue);
+      });
+    context.restart();
+    while (!result) {
+      context.run_one();
+    }
+    return std::move(*result);
+  }
+
+  void SetFault(KeyValueFault aFault)
+  {
+    HttpRequest command;
+    command.method = "POST";
+    command.target = "/standin/fault";
+    command.body = std::string(NameOf(aFault));
+    REQUIRE(
+      Run(pool.Exchange(address, command, Reuse::FreshOnly, Deadline(), reason))
+        .has_value());
+  }
+
+  TimePoint Deadline() const { return timer.Now() + kPatience; }
+
+  boost::asio::io_context context{ 1 };
+  SystemTimer timer;
+  HttpPool pool;
+  std::string address;
+  KeyValueStandin standin;
+  EtcdGateway service;
+  LastReason serverReason;
+  LastReason reason;
+};
+
+// A fault, the outcome of a write during it, and whether the write counts.
+struct FaultRow
+{
+  KeyValueFault fault;
+  WriteOutcome outcome;
+  bool written;
+};
+
+const std::vector<FaultRow> kFaults{
+  { KeyValueFault::None, WriteOutcome::Applied, true },
+  // The connection is accepted and closed: nobody can tell from outside
+  // whether the write was done.
+  { KeyValueFault::Down, WriteOutcome::Unknown, false },
+  { KeyValueFault::LoseAnswers, WriteOutcome::Unknown, true },
+};
+
+} // namespace
+
+// Guards against a compare-and-swap that overwrites a racing write, and against
+// a lost answer that is reported as a certain one.
+SCENARIO("the key-value adapter keeps the port's contract", "[contract]")
+{
+  Fixture fixture;
+  auto& service = fixture.service;
+  GIVEN("a key that was created")
+  {
+    const WriteResult made = fixture.Run(service.Put(
+      { "documents/a", "one", 0, 0 }, fixture.Deadline(), fixture.reason));
+    REQUIRE(made.outcome == WriteOutcome::Applied);
+
+    THEN("creating it again is a conflict that shows the present entry")
+    {
+      const WriteResult again = fixture.Run(service.Put(
+        { "documents/a", "two", 0, 0 }, fixture.Deadline(), fixture.reason));
+      CHECK(again.outcome == WriteOutcome::Conflict);
+      REQUIRE(again.current.has_value());
+      CHECK(again.current->value == "one");
+    }
+    WHEN("two writers expect the same revision")
+    {
+      const WriteResult first =
+        fixture.Run(service.Put({ "documents/a", "two", made.revision, 0 },
+                                fixture.Deadline(),
+                                fixture.reason));
+      const WriteResult second =
+        fixture.Run(service.Put({ "documents/a", "three", made.revision, 0 },
+                                fixture.Deadline(),
+                                fixture.reason));
+      THEN("one is applied and the other refused")
+      {
+        CHECK(first.outcome == WriteOutcome::Applied);
+        CHECK(second.outcome == WriteOutcome::Conflict);
+        const auto read = fixture.Run(
+          service.Get("documents/a", fixture.Deadline(), fixture.reason));
+        REQUIRE((read && read->entry));
+        CHECK(read->entry->value == "two");
+        CHECK(read->entry->modRevision == first.revision);
+      }
+    }
+    WHEN("it is deleted under its revision")
+    {
+      const WriteResult gone = fixture.Run(service.Delete(
+        "documents/a", made.revision, fixture.Deadline(), fixture.reason));
+      THEN("it is no longer listed")
+      {
+        CHECK(gone.outcome == WriteOutcome::Applied);
+        const auto list = fixture.Run(
+          service.List("documents/", fixture.Deadline(), fixture.reason));
+        REQUIRE(list.has_value());
+        CHECK(list->empty());
+      }
+    }
+    WHEN("a watch starts at its revision")
+    {
+      const auto batch = fixture.Run(service.Watch(
+        "documents/", made.revision, fixture.Deadline(), fixture.reason));
+      THEN("it reports the change and where to go on")
+      {
+        REQUIRE(batch.has_value());
+        REQUIRE(batch->events.size() == 1);
+        CHECK(batch->events[0].entry.value == "one");
+        CHECK(batch->nextRevision == made.revision + 1);
+      }
+    }
+  }
+  GIVEN("a lease")
+  {
+    const auto lease =
+      fixture.Run(service.GrantLease(60s, fixture.Deadline(), fixture.reason));
+    REQUIRE(lease.has_value());
+    THEN("it can be kept alive, and one that never was cannot")
+    {
+      CHECK(
+        fixture
+          .Run(service.KeepAlive(*lease, fixture.Deadline(), fixture.reason))
+          .has_value());
+      CHECK_FALSE(fixture
+                    .Run(service.KeepAlive(
+                      *lease + 1, fixture.Deadline(), fixture.reason))
+                    .has_value());
+      CHECK(fixture.reason.code == ReasonCode::Expired);
+    }
+  }
+  GIVEN("an address where nothing listens")
+  {
+    EtcdGateway nobody(fixture.pool, { Fixture::FreeAddress(fixture.context) });
+    THEN("a write is certain not to have been sent")
+    {
+      CHECK(fixture
+              .Run(nobody.Put(
+                { "a", "b", 0, 0 }, fixture.Deadline(), fixture.reason))
+              .outcome == WriteOutcome::NotSent);
+    }
+  }
+  GIVEN("each fault of the service")
+  {
+    for (const FaultRow& row : kFaults) {
+      const std::string key = "fault/" + std::string(NameOf(row.fault));
+      fixture.SetFault(row.fault);
+      const WriteResult result = fixture.Run(
+        service.Put({ key, "x", 0, 0 }, fixture.Deadline(), fixture.reason));
+      fixture.SetFault(KeyValueFault::None);
+      const auto read =
+        fixture.Run(service.Get(key, fixture.Deadline(), fixture.reason));
+      INFO(key);
+      CHECK(result.outcome == row.outcome);
+      REQUIRE(read.has_value());
+      CHECK(read->entry.has_value() == row.written);
+    }
+  }
+}
--- a/wigeonwalk/ports/signal.h
+++ b/wigeonwalk/ports/signal.h
@@ -13,13 +13,19 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <list>
+#include <memory>
+#include <utility>
 
 namespace wigeonwalk {
 
 // Coroutines that wait until they are notified. Uses no thread while they wait.
-// One thread only; must outlive its waits.
+// One thread only. It may end before its waits, as it does when a context
+// destroys coroutines that were still waiting.
 class Signal
 {
+private:
+  using Waits = std::list<boost::asio::steady_timer*>;
+
 public:
   // Waits for the next Notify. A notification before the call is not seen.
   // Cancellation of the coroutine ends the wait.
@@ -37,7 +43,7 @@
   // Resumes all coroutines that wait now.
   void Notify()
   {
-    for (boost::asio::steady_timer* timer : this->waiting) {
+    for (boost::asio::steady_timer* timer : *this->waiting) {
       timer->cancel();
     }
   }
@@ -46,21 +52,20 @@
   // Lists a timer while its wait lasts.
   struct Entry
   {
-    Entry(std::list<boost::asio::steady_timer*>& aWaiting,
-          boost::asio::steady_timer& aTimer)
-      : waiting(aWaiting)
-      , place(aWaiting.insert(aWaiting.end(), &aTimer))
+    Entry(std::shared_ptr<Waits> aWaiting, boost::asio::steady_timer& aTimer)
+      : waiting(std::move(aWaiting))
+      , place(this->waiting->insert(this->waiting->end(), &aTimer))
     {
     }
-    ~Entry() { this->waiting.erase(this->place); }
+    ~Entry() { this->waiting->erase(this->place); }
     Entry(const Entry&) = delete;
     Entry& operator=(const Entry&) = delete;
 
-    std::list<boost::asio::steady_timer*>& waiting;
-    std::list<boost::asio::steady_timer*>::iterator place;
+    std::shared_ptr<Waits> waiting;
+    Waits::iterator place;
   };
 
-  std::list<boost::asio::steady_timer*> waiting;
+  std::shared_ptr<Waits> waiting = std::make_shared<Waits>();
 };
 
 } // namespace wigeonwalk
