jsonrpc: add the operators' listener and client

The listener has one coroutine for each connection, limits frame sizes, connections and silent time, and hands connections of another protocol (HTTP for metrics and health) on unread.

The library answers synchronously, and handlers may suspend.

--- /dev/null
+++ b/wigeonwalk/adapters/jsonrpc/address.h
@@ -0,0 +1,22 @@
+// TCP endpoints as "IP:port", IPv6 in brackets.
+//
+//   auto endpoint = ParseEndpoint("127.0.0.1:9000", reason);
+#pragma once
+
+#include "wigeonwalk/base/last_reason.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string>
+
+namespace wigeonwalk {
+
+// Returns the endpoint of a text, or nothing for any other text.
+std::optional<boost::asio::ip::tcp::endpoint>
+ParseEndpoint(const std::string& aText, LastReason& aReason);
+
+std::string
+PrintEndpoint(const boost::asio::ip::tcp::endpoint& aEndpoint);
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/jsonrpc/operator_server.h
@@ -0,0 +1,89 @@
+// The daemon's listener for operators: JSON-RPC 2.0 in frames over TCP.
+//
+//   OperatorServer server(executor);
+//   server.Register("status", [&](std::string, LastReason&)
+//     -> Task<std::optional<std::string>> { co_return StatusJson(); });
+//   server.Listen(settings.operatorAddress, reason);
+//   co_spawn(executor, server.Run(), detached);
+//
+// docs/operator-api.md lists the methods.
+#pragma once
+
+#include "wigeonwalk/base/last_reason.h"
+#include "wigeonwalk/base/time.h"
+#include "wigeonwalk/ports/task.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace wigeonwalk {
+
+// Answers a call: returns the result as JSON, or nothing and the reason. The
+// parameters are a JSON object. It may suspend.
+using OperatorHandler =
+  std::function<Task<std::optional<std::string>>(std::string aParamsJson,
+                                                 LastReason& aReason)>;
+
+// Answers a call at once: returns the result as JSON, or nothing and the error.
+using SimpleOperatorHandler =
+  std::function<std::optional<std::string>(const std::string& aParamsJson,
+                                           std::string& aError)>;
+
+// Takes over a connection whose first byte is not that of a frame, such as one
+// that begins with an HTTP method. No byte has been read.
+using OtherProtocol = std::function<Task<>(boost::asio::ip::tcp::socket)>;
+
+struct OperatorServerOptions
+{
+  // Connections at once; later ones are closed. Operators are few.
+  std::size_t connections = 64;
+  // Longest silence between two requests, and longest time of one frame.
+  Duration idleTimeout = std::chrono::minutes(5);
+  Duration frameTimeout = std::chrono::seconds(10);
+};
+
+// One coroutine for each connection. Runs on one I/O thread, and must outlive
+// Run and all connections.
+class OperatorServer
+{
+public:
+  explicit OperatorServer(boost::asio::any_io_executor aExecutor,
+                          OperatorServerOptions aOptions = {});
+  ~OperatorServer();
+  OperatorServer(const OperatorServer&) = delete;
+  OperatorServer& operator=(const OperatorServer&) = delete;
+
+  // Adds a method. All methods are added before Listen.
+  void Register(const std::string& aMethod, OperatorHandler aHandler);
+  void RegisterSimple(const std::string& aMethod,
+                      SimpleOperatorHandler aHandler);
+
+  // Sets what serves connections of another protocol; they are closed without.
+  void SetOtherProtocol(OtherProtocol aOther);
+
+  // Opens the listener on "IP:port"; port 0 lets the system choose.
+  bool Listen(const std::string& aAddress, LastReason& aReason);
+
+  // Returns the address of the listener with its real port.
+  std::string Address() const;
+
+  // Accepts connections until Stop.
+  Task<> Run();
+
+  // Closes the listener and all connections that wait for a request. Calls in
+  // progress are answered first.
+  void Stop();
+
+private:
+  struct State;
+
+  std::shared_ptr<State> state;
+};
+
+} // namespace wigeonwalk
