--- /dev/null
+++ b/wigeonwalk/cache/retention.cc
@@ -0,0 +1,117 @@
+#include "wigeonwalk/cache/retention.h"
+
+#include <algorithm>
+
+namespace wigeonwalk {
+
+namespace {
+
+constexpr double kGibibyte = 1024.0 * 1024 * 1024;
+
+// Raises the price of a link with its use: nothing while idle, 1 at half, 9 at
+// nine tenths.
+double
+LinkFactor(double aUse)
+{
+  const double use = std::clamp(aUse, 0.0, 0.99);
+  return use / (1 - use);
+}
+
+double
+Gibibytes(const PieceValue& aPiece)
+{
+  return static_cast<double>(aPiece.bytes) / kGibibyte;
+}
+
+// Seconds that a return saves when the piece is read from a tier. Reading back
+// slower than recomputing still saves accelerator time, but not the caller's.
+double
+SavedSeconds(const PieceValue& aPiece, StoreTier aTier)
+{
+  const double read = aTier == StoreTier::Memory ? aPiece.memoryReadSeconds
+                                                 : aPiece.diskReadSeconds;
+  return std::max(0.0, aPiece.recomputeSeconds - read);
+}
+
+} // namespace
+
+double
+Retention::Worth(const PieceValue& aPiece,
+                 StoreTier aTier,
+                 const Scarcity& aScarcity) const
+{
+  const double price = aTier == StoreTier::Memory ? aScarcity.memoryDensity
+                                                  : aScarcity.diskDensity;
+  return aPiece.returnChance * SavedSeconds(aPiece, aTier) -
+         price * Gibibytes(aPiece);
+}
+
+RetentionAction
+Retention::BeforeEviction(const PieceValue& aPiece,
+                          const Scarcity& aScarcity) const
+{
+  const double move =
+    Gibibytes(aPiece) * this->prices.link * LinkFactor(aScarcity.link);
+  const double memory = this->Worth(aPiece, StoreTier::Memory, aScarcity);
+  const double disk = this->Worth(aPiece, StoreTier::Disk, aScarcity);
+  // A copy elsewhere already saves the recomputation.
+  if (aPiece.otherCopies > 0 || std::max(memory, disk) <= move) {
+    return RetentionAction::Drop;
+  }
+  return memory >= disk ? RetentionAction::KeepInMemory
+                        : RetentionAction::KeepOnDisk;
+}
+
+RetentionAction
+Retention::Review(const PieceValue& aPiece,
+                  StoreTier aTier,
+                  const Scarcity& aScarcity) const
+{
+  const double disk = this->Worth(aPiece, StoreTier::Disk, aScarcity);
+  if (aTier == StoreTier::Memory) {
+    const double memory = this->Worth(aPiece, StoreTier::Memory, aScarcity);
+    if (memory > 0 && memory >= disk) {
+      return RetentionAction::KeepInMemory;
+    }
+  }
+  return disk > 0 ? RetentionAction::KeepOnDisk : RetentionAction::Drop;
+}
+
+double
+Retention::Density(const PieceValue& aPiece, StoreTier aTier) const
+{
+  const double size = std::max(Gibibytes(aPiece), 1e-9);
+  const double shared = 1.0 + aPiece.otherCopies;
+  const double saved =
+    aTier == StoreTier::Disk
+      ? SavedSeconds(aPiece, aTier)
+      : std::max(0.0, aPiece.diskReadSeconds - aPiece.memoryReadSeconds);
+  return aPiece.returnChance * saved / size / shared;
+}
+
+bool
+Retention::ShouldPrefetch(const PieceValue& aPiece,
+                          double aSoonChance,
+                          const Scarcity& aScarcity) const
+{
+  if (aScarcity.link >= kIdleLinkPart) {
+    return false;
+  }
+  const double gain = aPiece.diskReadSeconds - aPiece.memoryReadSeconds;
+  const double price =
+    Gibibytes(aPiece) *
+    (aScarcity.memoryDensity + this->prices.link * LinkFactor(aScarcity.link));
+  return aSoonChance * gain > price;
+}
+
+bool
+Retention::ShouldReplicate(const PieceValue& aPiece,
+                           double aReadsPerHour,
+                           const Scarcity& aScarcity) const
+{
+  return aPiece.otherCopies == 0 && aReadsPerHour >= kHotReadsPerHour &&
+         aScarcity.link<kIdleLinkPart&& this->Worth(
+           aPiece, StoreTier::Disk, aScarcity)> 0;
+}
+
+} // namespace wigeonwalk
