serving: claim bookings in the key-value service before they run

Cause: a booking ran as often as its caller sent it. Retention takes Scarcity. Before: no key reached the service.

--- a/wigeonwalk/adapters/openai/caller_session.cc
+++ b/wigeonwalk/adapters/openai/caller_session.cc
@@ -149,17 +149,18 @@
   call.path = rest.substr(slash);
   call.contentType = std::string(FindHeader(aRequest.headers, "Content-Type"));
   call.body = std::move(aRequest.body);
-  const std::string_view key = FindHeader(aRequest.headers, "Idempotency-Key");
-  if (!key.empty()) {
-    const auto seconds =
-      ReadNumber(FindHeader(aRequest.headers, "Idempotency-Key-Time"));
-    IdempotencyKey idempotency;
-    idempotency.text = std::string(key);
-    if (seconds) {
-      idempotency.createdAt = TimePoint(std::chrono::seconds(*seconds));
-    }
-    call.key = std::move(idempotency);
+  if (const auto seconds =
+        ReadNumber(FindHeader(aRequest.headers, "Idempotency-Key-Time"))) {
+    call.keyCreatedAt = TimePoint(std::chrono::seconds(*seconds));
   }
+  call.keys.header = [headers = aRequest.headers](const std::string& aName) {
+    const std::string_view value = FindHeader(headers, aName);
+    return value.empty() ? std::nullopt
+                         : std::optional<std::string>(std::string(value));
+  };
+  call.keys.body = [body = call.body](const std::string& aPointer) {
+    return ReadBodyField(body, aPointer);
+  };
   if (!ReadTimeout(aRequest, call.timeout, aReason)) {
     return std::nullopt;
   }
--- a/wigeonwalk/adapters/openai/openai_codec.cc
+++ b/wigeonwalk/adapters/openai/openai_codec.cc
@@ -298,6 +298,26 @@
   }
 }
 
+std::optional<std::string>
+ReadBodyField(std::string_view aBody, const std::string& aPointer)
+{
+  LastReason ignored;
+  const auto json = ParseBounded(aBody, ignored);
+  if (!json) {
+    return std::nullopt;
+  }
+  try {
+    const Json& field = json->at(Json::json_pointer(aPointer));
+    if (field.is_string()) {
+      return field.get<std::string>();
+    }
+    return field.is_number() ? std::optional<std::string>(field.dump())
+                             : std::nullopt;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::string
 DigestKey(std::string_view aKey)
 {
--- a/wigeonwalk/adapters/openai/openai_codec.h
+++ b/wigeonwalk/adapters/openai/openai_codec.h
@@ -84,6 +84,10 @@
 unsigned
 StatusOf(ReasonCode aCode);
 
+// Returns the text or number at a JSON pointer into a body, or nothing.
+std::optional<std::string>
+ReadBodyField(std::string_view aBody, const std::string& aPointer);
+
 // SHA-256 digest of an API key, in hexadecimal.
 std::string
 DigestKey(std::string_view aKey);
--- a/wigeonwalk/daemon/daemon.cc
+++ b/wigeonwalk/daemon/daemon.cc
@@ -1,6 +1,7 @@
 #include "wigeonwalk/daemon/daemon.h"
 
 #include "wigeonwalk/adapters/cpu/cpu_pool.h"
+#include "wigeonwalk/adapters/key_value/etcd_gateway.h"
 #include "wigeonwalk/adapters/openai/caller_session.h"
 #include "wigeonwalk/adapters/settings/service_document_json.h"
 #include "wigeonwalk/adapters/upstreams/http_upstreams.h"
@@ -54,7 +55,10 @@
 using DaemonKeeper = CacheKeeper<DaemonMover, HttpUpstreams>;
 using DaemonParts =
   RunParts<SystemTimer, HttpUpstreams, HttpUpstreams, EventRecorder, CpuPool>;
-using DaemonPath = RequestPath<LoadedDocuments, DaemonParts, HttpUpstreams>;
+using DaemonClaimLog = ClaimLog<EtcdGateway, SystemTimer>;
+using DaemonClaims = ClaimService<EtcdGateway, SystemTimer>;
+using DaemonPath =
+  RequestPath<LoadedDocuments, DaemonParts, HttpUpstreams, DaemonClaims>;
 
 HttpLimits
 LimitsOf(const CallerLimits& aLimits)
@@ -101,7 +105,14 @@
     , mover(view.cache, timer, upstreams, events)
     , keeper(mover, upstreams, view.returns)
     , parts{ timer, upstreams, mover, keeper, events, workers, view }
-    , path(documents, parts, upstreams)
+    , keyValue(pool, settings.keyValueAddresses)
+    , claimLog(keyValue,
+               timer,
+               aContext.get_executor(),
+               settings.host,
+               incarnation)
+    , claims(claimLog, timer)
+    , path(documents, parts, upstreams, claims)
   {
     this->caller.nextRequestId = [this] {
       return RequestId(this->settings.host.Text() + '-' +
@@ -169,6 +180,9 @@
   DaemonMover mover;
   DaemonKeeper keeper;
   DaemonParts parts;
+  EtcdGateway keyValue;
+  DaemonClaimLog claimLog;
+  DaemonClaims claims;
   DaemonPath path;
   CallerContext caller;
   std::optional<HttpListener> listener;
--- a/wigeonwalk/ports/front_end.h
+++ b/wigeonwalk/ports/front_end.h
@@ -13,6 +13,7 @@
 #include "wigeonwalk/ports/model_engine.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -27,13 +28,6 @@
   ServiceName service;
 };
 
-// A key under which a call runs at most once.
-struct IdempotencyKey
-{
-  std::string text;
-  TimePoint createdAt;
-};
-
 // A request for generated tokens.
 struct CompletionRequest
 {
@@ -46,6 +40,15 @@
   std::optional<Duration> timeout;
 };
 
+// Where a document's routes may take an idempotency key from.
+struct KeySources
+{
+  // Returns the value of a header field, or nothing.
+  std::function<std::optional<std::string>(const std::string& aName)> header;
+  // Returns the text at a JSON pointer into the body, or nothing.
+  std::function<std::optional<std::string>(const std::string& aPointer)> body;
+};
+
 // A call to a plain service.
 struct PlainCall
 {
@@ -55,7 +58,9 @@
   std::string path;
   std::string contentType;
   std::string body;
-  std::optional<IdempotencyKey> key;
+  KeySources keys;
+  // When the key was made, where the caller said so.
+  std::optional<TimePoint> keyCreatedAt;
   std::optional<Duration> timeout;
 };
 
--- a/wigeonwalk/serving/cache_mover.h
+++ b/wigeonwalk/serving/cache_mover.h
@@ -229,7 +229,7 @@
     value.memoryReadSeconds = ReadSeconds(bytes, aStore.memoryLinkRate);
     value.diskReadSeconds = ReadSeconds(bytes, aStore.diskLinkRate);
     value.returnChance = aReturnChance;
-    switch (Retention(RetentionPrices()).BeforeEviction(value, Pressure())) {
+    switch (Retention(RetentionPrices()).BeforeEviction(value, Scarcity())) {
       case RetentionAction::KeepInMemory:
         return StoreTier::Memory;
       case RetentionAction::KeepOnDisk:
--- /dev/null
+++ b/wigeonwalk/serving/plain_run.h
@@ -0,0 +1,248 @@
+// One call to a plain service, written as one flow: find the route, claim the
+// key where the call must not be repeated, call, and record the outcome.
+//
+//   PlainRun run(parts, services, claims, call, caller);
+//   auto response = co_await run.Serve(refusal);
+#pragma once
+
+#include "wigeonwalk/claims/claim_service.h"
+#include "wigeonwalk/ports/event_sink.h"
+#include "wigeonwalk/ports/front_end.h"
+#include "wigeonwalk/retry/backoff.h"
+#include "wigeonwalk/retry/verdict_rules.h"
+#include "wigeonwalk/serving/admission.h"
+#include "wigeonwalk/serving/daemon_view.h"
+#include "wigeonwalk/serving/engine_provider.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace wigeonwalk {
+
+// Claims keys for calls that must not be repeated.
+template<typename T>
+concept CallClaims = requires(T& aClaims,
+                              ClaimedCall aCall,
+                              const GrantedClaim& aClaim,
+                              std::optional<FirstAnswer> aAnswer)
+{
+  {
+    aClaims.Claim(aCall)
+    } -> std::same_as<Task<ClaimResult>>;
+  {
+    aClaims.Release(aClaim, ReasonCode::None, RequestProgress::NothingSent)
+    } -> std::same_as<bool>;
+  {
+    aClaims.Finish(aClaim, Verdict::Ran, aAnswer)
+    } -> std::same_as<void>;
+};
+
+// Returns the route of a call: the longest path prefix with its method.
+const RouteSpec*
+FindRoute(const ServiceDocument& aDocument, const PlainCall& aCall);
+
+// Returns the idempotency key of a call by its route, or an empty text.
+std::string
+FindKey(const RouteSpec& aRoute, const PlainCall& aCall);
+
+// One call. Lives in the caller's coroutine.
+template<typename Parts, ServiceProvider Services, CallClaims Claims>
+class PlainRun
+{
+public:
+  PlainRun(Parts& aParts,
+           Services& aServices,
+           Claims& aClaims,
+           const PlainCall& aCall,
+           const AdmittedCaller& aCaller)
+    : parts(aParts)
+    , services(aServices)
+    , claims(aClaims)
+    , call(aCall)
+    , caller(aCaller)
+    , document(aCaller.accepted->document)
+    , deadline(aParts.time.Now() +
+               aCall.timeout.value_or(document.requestTimeout))
+  {
+  }
+
+  // Returns the service's answer, or nothing with the refusal.
+  Task<std::optional<PlainResponse>> Serve(Refusal& aRefusal)
+  {
+    const RouteSpec* route = FindRoute(this->document, this->call);
+    if (route == nullptr) {
+      aRefusal.verdict = Verdict::NotRun;
+      co_return Fail(aRefusal.reason,
+                     ReasonCode::NotFound,
+                     "the service has no route for this method and path",
+                     "target");
+    }
+    if (route->idempotent) {
+      co_return co_await this->CallWithRetries(std::string(), aRefusal);
+    }
+    co_return co_await this->CallOnce(*route, aRefusal);
+  }
+
+private:
+  // Claims the key, then calls. Attempts that provably did not run are
+  // repeated under the same claim.
+  Task<std::optional<PlainResponse>> CallOnce(const RouteSpec& aRoute,
+                                              Refusal& aRefusal)
+  {
+    const std::string key = FindKey(aRoute, this->call);
+    ClaimedCall wanted;
+    wanted.organisation = this->caller.organisation->id;
+    wanted.service = this->document.name;
+    wanted.idempotencyKey = key;
+    wanted.keyCreatedAt = this->call.keyCreatedAt;
+    wanted.body = this->call.body;
+    const ClaimResult claim = co_await this->claims.Claim(std::move(wanted));
+    if (claim.answer != ClaimAnswer::Granted) {
+      co_return this->AnswerUngranted(aRoute, claim, aRefusal);
+    }
+    this->Record(EventKind::RequestClaimed, UpstreamId());
+    auto response = co_await this->CallWithRetries(key, aRefusal);
+    if (response) {
+      this->claims.Finish(
+        claim.ticket,
+        Verdict::Ran,
+        FirstAnswer{ static_cast<std::uint16_t>(response->status),
+                     response->contentType,
+                     response->body });
+      co_return response;
+    }
+    if (aRefusal.verdict == Verdict::NotRun) {
+      this->claims.Release(
+        claim.ticket, aRefusal.reason.code, RequestProgress::NothingSent);
+    } else {
+      this->claims.Finish(claim.ticket, aRefusal.verdict, std::nullopt);
+    }
+    co_return std::nullopt;
+  }
+
+  // The answer to a call that may not run: the first one's where it is known.
+  std::optional<PlainResponse> AnswerUngranted(const RouteSpec& aRoute,
+                                               const ClaimResult& aClaim,
+                                               Refusal& aRefusal)
+  {
+    if (aClaim.first) {
+      PlainResponse first;
+      first.status = aClaim.first->status;
+      first.contentType = aClaim.first->contentType;
+      first.body = aClaim.first->body;
+      return first;
+    }
+    aRefusal.verdict = aClaim.verdict;
+    return Fail(aRefusal.reason,
+                aClaim.code,
+                "claim of the idempotency key: " +
+                  std::string(NameOf(aClaim.answer)),
+                aRoute.keyName);
+  }
+
+  Task<std::optional<PlainResponse>> CallWithRetries(std::string aKey,
+                                                     Refusal& aRefusal)
+  {
+    DaemonView& view = this->parts.view;
+    const bool idempotent = aKey.empty();
+    std::uint32_t failures = 0;
+    while (true) {
+      const RunnerSpec* upstream = this->ChooseUpstream();
+      if (upstream == nullptr) {
+        aRefusal.verdict = failures == 0 ? Verdict::NotRun : aRefusal.verdict;
+        co_return Fail(
+          aRefusal.reason, ReasonCode::Unavailable, "no usable upstream");
+      }
+      auto response = co_await this->CallUpstream(*upstream, aKey, aRefusal);
+      if (response) {
+        view.upstreams.NoteSuccess(upstream->id);
+        view.budget.RecordSuccess(this->caller.organisation->id,
+                                  this->document.name,
+                                  this->parts.time.Now());
+        co_return response;
+      }
+      view.upstreams.NoteFailure(upstream->id, this->parts.time.Now());
+      const auto next = this->PlanRetry(aRefusal, idempotent, ++failures);
+      if (!next) {
+        co_return std::nullopt;
+      }
+      co_await this->parts.time.WaitUntil(*next);
+    }
+  }
+
+  Task<std::optional<PlainResponse>> CallUpstream(const RunnerSpec& aUpstream,
+                                                  const std::string& aKey,
+                                                  Refusal& aRefusal)
+  {
+    const auto load = this->parts.view.upstreams.Begin(aUpstream.id);
+    PlainRequest request;
+    request.attempt = this->parts.view.attempts.Next();
+    request.method = this->call.method;
+    request.target = this->call.path;
+    request.contentType = this->call.contentType;
+    request.body = this->call.body;
+    request.idempotencyKey = aKey;
+    this->Record(EventKind::RequestPlaced, aUpstream.id);
+    auto response = co_await this->services.ServiceOf(aUpstream).Call(
+      request, this->deadline, aRefusal.reason);
+    if (!response) {
+      aRefusal.verdict = VerdictOf(aRefusal.reason.code);
+      co_return std::nullopt;
+    }
+    this->Record(EventKind::RequestFinished, aUpstream.id);
+    co_return response;
+  }
+
+  // The usable upstream with the fewest calls of this daemon in flight.
+  const RunnerSpec* ChooseUpstream() const
+  {
+    const UpstreamTable& upstreams = this->parts.view.upstreams;
+    const RunnerSpec* best = nullptr;
+    for (const RunnerSpec& upstream : this->document.runners) {
+      if (upstreams.Usable(upstream.id, this->parts.time.Now()) &&
+          (best == nullptr ||
+           upstreams.InFlight(upstream.id) < upstreams.InFlight(best->id))) {
+        best = &upstream;
+      }
+    }
+    return best;
+  }
+
+  std::optional<TimePoint> PlanRetry(const Refusal& aRefusal,
+                                     bool aIdempotent,
+                                     std::uint32_t aFailures)
+  {
+    DaemonView& view = this->parts.view;
+    const TimePoint now = this->parts.time.Now();
+    if (!MayRetry(
+          aRefusal.reason.code, RequestProgress::ByteSent, aIdempotent) ||
+        !view.budget.TrySpend(
+          this->caller.organisation->id, this->document.name, now)) {
+      return std::nullopt;
+    }
+    this->Record(EventKind::RequestRetried, UpstreamId());
+    return NextAttemptAt(
+      BackoffSettings(), aFailures, now, this->deadline, view.random);
+  }
+
+  void Record(EventKind aKind, const UpstreamId& aSubject)
+  {
+    this->parts.events.Record({ aKind,
+                                this->parts.time.Now(),
+                                this->call.caller.request,
+                                aSubject.Text(),
+                                std::nullopt,
+                                {} });
+  }
+
+  Parts& parts;
+  Services& services;
+  Claims& claims;
+  const PlainCall& call;
+  const AdmittedCaller& caller;
+  const ServiceDocument& document;
+  TimePoint deadline;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/serving/request_path.h
+++ b/wigeonwalk/serving/request_path.h
@@ -1,11 +1,12 @@
 // The request path: from a decoded request to a whole answer or an accurate
 // error. It knows no protocol and no socket.
 //
-//   RequestPath path(documents, parts, services);
+//   RequestPath path(documents, parts, services, claims);
 //   co_await path.Complete(request, sink);
 #pragma once
 
 #include "wigeonwalk/serving/completion_run.h"
+#include "wigeonwalk/serving/plain_run.h"
 
 #include <memory>
 #include <string>
@@ -15,14 +16,21 @@
 
 // Serves requests of all callers of one daemon. Runs on the I/O thread only.
 // The references must outlive it.
-template<DocumentSource Documents, typename Parts, ServiceProvider Services>
+template<DocumentSource Documents,
+         typename Parts,
+         ServiceProvider Services,
+         CallClaims Claims>
 class RequestPath
 {
 public:
-  RequestPath(const Documents& aDocuments, Parts& aParts, Services& aServices)
+  RequestPath(const Documents& aDocuments,
+              Parts& aParts,
+              Services& aServices,
+              Claims& aClaims)
     : documents(aDocuments)
     , parts(aParts)
     , services(aServices)
+    , claims(aClaims)
   {
   }
 
@@ -52,25 +60,10 @@
       this->RecordRefusal(aCall.caller, aRefusal);
       co_return std::nullopt;
     }
-    const ServiceDocument& document = caller->accepted->document;
-    const RunnerSpec* upstream = this->ChooseUpstream(document);
-    if (upstream == nullptr) {
-      Fail(aRefusal.reason, ReasonCode::Unavailable, "no usable upstream");
-      this->RecordRefusal(aCall.caller, aRefusal);
-      co_return std::nullopt;
-    }
-    PlainRequest request;
-    request.attempt = this->parts.view.attempts.Next();
-    request.method = aCall.method;
-    request.target = aCall.path;
-    request.contentType = aCall.contentType;
-    request.body = aCall.body;
-    const TimePoint deadline =
-      this->parts.time.Now() + aCall.timeout.value_or(document.requestTimeout);
-    auto response = co_await this->services.ServiceOf(*upstream).Call(
-      request, deadline, aRefusal.reason);
+    PlainRun<Parts, Services, Claims> run(
+      this->parts, this->services, this->claims, aCall, *caller);
+    auto response = co_await run.Serve(aRefusal);
     if (!response) {
-      aRefusal.verdict = VerdictOf(aRefusal.reason.code);
       this->RecordRefusal(aCall.caller, aRefusal);
     }
     co_return response;
@@ -85,21 +78,6 @@
       this->documents.Find(aCaller.service), aCaller, aRefusal.reason);
   }
 
-  // The usable upstream with the fewest calls of this daemon in flight.
-  const RunnerSpec* ChooseUpstream(const ServiceDocument& aDocument) const
-  {
-    const UpstreamTable& upstreams = this->parts.view.upstreams;
-    const RunnerSpec* best = nullptr;
-    for (const RunnerSpec& upstream : aDocument.runners) {
-      if (upstreams.Usable(upstream.id, this->parts.time.Now()) &&
-          (best == nullptr ||
-           upstreams.InFlight(upstream.id) < upstreams.InFlight(best->id))) {
-        best = &upstream;
-      }
-    }
-    return best;
-  }
-
   void Record(EventKind aKind, const CallerIdentity& aCaller)
   {
     this->parts.events.Record({ aKind,
@@ -123,6 +101,7 @@
   const Documents& documents;
   Parts& parts;
   Services& services;
+  Claims& claims;
 };
 
 } // namespace wigeonwalk
