documents, membership: add the store, acceptance and propagation of documents

Change: a store that only moves up; one decision on freshness with its table of cases; acceptance by one compare-and-swap that settles lost answers by the edit's id in a bounded history; two watchers for each zone, push to three members, and digests on probes. Only the answer to an own probe counts as contact, and only where the peer has nothing newer: datagrams that waited while a process was paused prove nothing, and a wakened daemon refuses requests until it has caught up. Test: each of eight breaks (>= for >, earliest instead of latest contact, edit written on a revision that is not its base, unconditional write, an unknown outcome reported as refused, no confirmation from peers, no fetch by digest, contact by a plain read) fails a test.

--- /dev/null
+++ b/wigeonwalk/documents/document_acceptance_test.cc
@@ -0,0 +1,195 @@
+#include "wigeonwalk/documents/document_acceptance.h"
+#include "wigeonwalk/documents/document_propagation.h"
+#include "wigeonwalk/documents/test_codec.h"
+#include "wigeonwalk/testing/fake_key_value.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Acceptance =
+  DocumentAcceptance<VirtualTime, FakeKeyValue, TestDocumentCodec>;
+
+DocumentEdit
+Edit(const std::string& aId, std::uint64_t aBase, const std::string& aBody)
+{
+  return { ServiceName("orders"), aId, "ana", aBase, "orders\n" + aBody };
+}
+
+// A key-value service and the operators' way to it.
+struct Office
+{
+  EditResult Send(DocumentEdit aEdit)
+  {
+    const auto result = this->Begin(std::move(aEdit));
+    this->time.RunUntil(this->time.Now() + 10s);
+    return *result;
+  }
+
+  std::shared_ptr<EditResult> Begin(DocumentEdit aEdit)
+  {
+    auto result = std::make_shared<EditResult>();
+    this->time.Spawn(this->Run(std::move(aEdit), result));
+    return result;
+  }
+
+  Task<void> Run(DocumentEdit aEdit, std::shared_ptr<EditResult> aResult)
+  {
+    *aResult = co_await this->acceptance.Accept(aEdit, this->time.Now() + 5s);
+  }
+
+  // The revision in the service; the invariant is that each edit in the
+  // history made a revision of its own.
+  std::uint64_t Revision()
+  {
+    const auto entry = this->service.Peek("documents/orders");
+    if (!entry) {
+      return 0;
+    }
+    LastReason reason;
+    const auto stored = this->codec.Decode(entry->value, reason);
+    for (std::size_t i = 1; i < stored->history.size(); ++i) {
+      CHECK(stored->history[i].revision == stored->history[i - 1].revision + 1);
+    }
+    return stored->copy.revision;
+  }
+
+  VirtualTime time;
+  FakeKeyValue service{ this->time };
+  TestDocumentCodec codec;
+  Acceptance acceptance{ this->time, this->service, this->codec };
+};
+
+} // namespace
+
+TEMPLATE_TEST_CASE("every name in a table of documents parses back",
+                   "[enum]",
+                   Freshness,
+                   EditOutcome,
+                   LearnedFrom)
+{
+  for (const auto& row : EnumNames<TestType>::kTable) {
+    CHECK(ParseName<TestType>(row.name) == row.value);
+  }
+}
+
+// Guards against two edits of one revision that are both accepted.
+SCENARIO("an edit is accepted once, on the revision it was made on",
+         "[acceptance]")
+{
+  Office office;
+  REQUIRE(office.Send(Edit("e1", 0, "a\n")).revision == 1);
+  REQUIRE(office.Send(Edit("e2", 1, "a\nb\n")).revision == 2);
+
+  WHEN("two operators edit revision 2 at the same time")
+  {
+    const auto first = office.Begin(Edit("e3", 2, "a\nc\n"));
+    const auto second = office.Begin(Edit("e4", 2, "a\nd\n"));
+    office.time.RunUntil(office.time.Now() + 10s);
+    THEN("one is accepted and the other gets the difference")
+    {
+      CHECK(first->outcome == EditOutcome::Accepted);
+      CHECK(second->outcome == EditOutcome::Refused);
+      CHECK(second->reasons.at(0).code == ReasonCode::Conflict);
+      CHECK(second->current->revision == 3);
+      CHECK(second->difference == "- c\n+ d\n");
+      CHECK(office.Revision() == 3);
+    }
+  }
+  WHEN("an operator sends an accepted edit again")
+  {
+    const EditResult again = office.Send(Edit("e1", 0, "a\n"));
+    THEN("the answer is the first one's, and nothing changes")
+    {
+      CHECK(again.outcome == EditOutcome::Accepted);
+      CHECK(again.revision == 1);
+      CHECK(office.Revision() == 2);
+    }
+  }
+  WHEN("an edit was made on a revision that the history has lost")
+  {
+    for (std::uint64_t base = 2; base < 2 + kMaxEditRecords; ++base) {
+      office.Send(Edit("f" + std::to_string(base), base, "a\n"));
+    }
+    const std::uint64_t revision = office.Revision();
+    THEN("nothing is written, and nothing is claimed")
+    {
+      const EditResult late = office.Send(Edit("late", 1, "z\n"));
+      CHECK(late.outcome == EditOutcome::NotYetKnown);
+      CHECK(office.Revision() == revision);
+    }
+  }
+  WHEN("an edit cannot be right")
+  {
+    CHECK(office.Send(Edit("", 2, "a\n")).outcome == EditOutcome::Refused);
+    CHECK(office.Send(Edit("e2", 2, "x\n")).outcome == EditOutcome::Refused);
+    CHECK(office.Send(Edit("e9", 7, "x\n")).outcome == EditOutcome::Refused);
+    DocumentEdit edit = Edit("e9", 2, "");
+    edit.text = "invalid\nzoen\n";
+    const EditResult invalid = office.Send(edit);
+    CHECK(invalid.outcome == EditOutcome::Refused);
+    CHECK(invalid.reasons.size() == 2);
+    CHECK(office.Revision() == 2);
+  }
+}
+
+// Guards against an operator who is told the wrong outcome after a lost answer,
+// and against an edit that a lost answer applies twice.
+SCENARIO("a fault of the key-value service leaves an honest answer",
+         "[acceptance]")
+{
+  struct Case
+  {
+    const char* name;
+    KeyValueFault fault;
+    Duration from;
+    Duration until;
+    Duration delay;
+    EditOutcome expected;
+    std::uint64_t revisionAtLast;
+  };
+  using enum KeyValueFault;
+  // The read takes 2 ms; a fault from 3 ms on meets the write.
+  const auto row = GENERATE(values<Case>({
+    { "down", Down, 0s, 10s, 0s, EditOutcome::Refused, 1 },
+    { "down at the write", Down, 1500us, 10s, 0s, EditOutcome::Refused, 1 },
+    { "answer lost", AnswerLost, 1500us, 3ms, 0s, EditOutcome::Accepted, 2 },
+    { "all answers lost",
+      AnswerLost,
+      1500us,
+      10s,
+      0s,
+      EditOutcome::NotYetKnown,
+      2 },
+    { "silent for 2 s", Silent, 1500us, 2s, 0s, EditOutcome::Accepted, 2 },
+    { "silent", Silent, 1500us, 10s, 0s, EditOutcome::NotYetKnown, 1 },
+    { "write late by 3 s", Slow, 1500us, 10ms, 3s, EditOutcome::Accepted, 2 },
+    { "write after the deadline",
+      Slow,
+      1500us,
+      9s,
+      7s,
+      EditOutcome::NotYetKnown,
+      2 },
+  }));
+  CAPTURE(row.name);
+  Office office;
+  REQUIRE(office.Send(Edit("e1", 0, "a\n")).revision == 1);
+  const TimePoint start = office.time.Now();
+  office.service.AddFault(
+    { row.fault, start + row.from, start + row.until, row.delay, "" });
+  const EditResult result = office.Send(Edit("e2", 1, "b\n"));
+  CHECK(NameOf(result.outcome) == NameOf(row.expected));
+  office.time.RunUntil(start + 30s);
+  CHECK(office.Revision() == row.revisionAtLast);
+
+  // Sending it again with the same id settles it, and never applies it twice.
+  const EditResult again = office.Send(Edit("e2", 1, "b\n"));
+  CHECK(again.outcome == EditOutcome::Accepted);
+  CHECK(office.Revision() == 2);
+}
--- /dev/null
+++ b/wigeonwalk/documents/internal/document_acceptance_impl.h
@@ -0,0 +1,215 @@
+// Definitions of document_acceptance.h; included by it only.
+#pragma once
+
+#include "wigeonwalk/documents/document_acceptance.h"
+
+namespace wigeonwalk {
+
+template<Timer T, KeyValueService K, DocumentCodec D>
+Task<EditResult>
+DocumentAcceptance<T, K, D>::Accept(DocumentEdit aEdit, TimePoint aDeadline)
+{
+  if (auto refused = this->Check(aEdit)) {
+    co_return *refused;
+  }
+  LastReason reason;
+  auto current = co_await this->Read(aEdit.service, aDeadline, reason);
+  if (!current) {
+    co_return Refuse(reason);
+  }
+  // Only an edit of the present revision may be written: the compare-and-swap
+  // is on the key's present content.
+  EditResult judged = this->Judge(aEdit, *current);
+  if (judged.outcome != EditOutcome::NotYetKnown ||
+      current->Revision() != aEdit.baseRevision) {
+    co_return judged;
+  }
+  co_return co_await this->Write(aEdit, std::move(*current), aDeadline);
+}
+
+template<Timer T, KeyValueService K, DocumentCodec D>
+Task<EditResult>
+DocumentAcceptance<T, K, D>::Settle(DocumentEdit aEdit, TimePoint aDeadline)
+{
+  LastReason reason;
+  const auto current = co_await this->Read(aEdit.service, aDeadline, reason);
+  if (!current) {
+    co_return Unknown(reason);
+  }
+  co_return this->Judge(aEdit, *current);
+}
+
+// Refuses what can never be accepted, before anything is sent.
+template<Timer T, KeyValueService K, DocumentCodec D>
+std::optional<EditResult>
+DocumentAcceptance<T, K, D>::Check(const DocumentEdit& aEdit)
+{
+  EditResult result;
+  if (aEdit.editId.empty()) {
+    return Refuse({ ReasonCode::InvalidArgument, "edit has no id", {} });
+  }
+  const auto parsed = this->codec.Parse(aEdit.text, result.reasons);
+  if (!parsed) {
+    return result;
+  }
+  if (parsed->name != aEdit.service) {
+    return Refuse({ ReasonCode::InvalidArgument,
+                    "document is of service '" + parsed->name.Text() + "'",
+                    "/name" });
+  }
+  return std::nullopt;
+}
+
+// Says what the key's present content proves about an edit. NotYetKnown means
+// that the key is still at the edit's base, so a compare-and-swap may succeed.
+template<Timer T, KeyValueService K, DocumentCodec D>
+EditResult
+DocumentAcceptance<T, K, D>::Judge(const DocumentEdit& aEdit,
+                                   const Current& aCurrent)
+{
+  const std::vector<EditRecord> none;
+  const auto& history = aCurrent.stored ? aCurrent.stored->history : none;
+  for (const EditRecord& record : history) {
+    if (record.editId != aEdit.editId) {
+      continue;
+    }
+    if (record.revision == aEdit.baseRevision + 1) {
+      return { EditOutcome::Accepted, record.revision, {}, {}, {} };
+    }
+    return Refuse({ ReasonCode::AlreadyExists,
+                    "the id belongs to another edit",
+                    DocumentKey(aEdit.service) });
+  }
+  if (aCurrent.Revision() == aEdit.baseRevision) {
+    return Unknown(
+      { ReasonCode::Unavailable, "edit has not taken effect", {} });
+  }
+  const bool complete =
+    !history.empty() && history.front().revision <= aEdit.baseRevision + 1;
+  if (aEdit.baseRevision < aCurrent.Revision() && !complete) {
+    return Unknown({ ReasonCode::Expired,
+                     "the history no longer reaches back to revision " +
+                       std::to_string(aEdit.baseRevision + 1),
+                     DocumentKey(aEdit.service) });
+  }
+  return this->Conflict(aEdit, aCurrent);
+}
+
+// Refuses an edit whose base is not the present revision, with what differs.
+template<Timer T, KeyValueService K, DocumentCodec D>
+EditResult
+DocumentAcceptance<T, K, D>::Conflict(const DocumentEdit& aEdit,
+                                      const Current& aCurrent)
+{
+  EditResult conflict = Refuse(
+    { ReasonCode::Conflict,
+      "the document is at revision " + std::to_string(aCurrent.Revision()) +
+        ", not " + std::to_string(aEdit.baseRevision),
+      DocumentKey(aEdit.service) });
+  if (aCurrent.stored) {
+    conflict.current = aCurrent.stored->copy;
+    conflict.difference = LineDifference(conflict.current->text, aEdit.text);
+  }
+  return conflict;
+}
+
+// Writes until the outcome is certain or the deadline has come. Each try is the
+// same compare-and-swap, so at most one of them takes effect.
+template<Timer T, KeyValueService K, DocumentCodec D>
+Task<EditResult>
+DocumentAcceptance<T, K, D>::Write(const DocumentEdit& aEdit,
+                                   Current aCurrent,
+                                   TimePoint aDeadline)
+{
+  constexpr Duration kFirstPause = std::chrono::milliseconds(50);
+  constexpr Duration kLongestPause = std::chrono::milliseconds(800);
+  StoredDocument next;
+  next.copy = {
+    aEdit.service, aEdit.baseRevision + 1, aEdit.editId, aEdit.text
+  };
+  if (aCurrent.stored) {
+    next.history = std::move(aCurrent.stored->history);
+  }
+  next.history.push_back(
+    { next.copy.revision, aEdit.editId, aEdit.author, this->timer.Now() });
+  if (next.history.size() > kMaxEditRecords) {
+    next.history.erase(next.history.begin());
+  }
+  const PutRequest put{ DocumentKey(aEdit.service),
+                        this->codec.Encode(next),
+                        aCurrent.modRevision };
+  if (put.value.size() > kMaxValueBytes) {
+    co_return Refuse({ ReasonCode::TooLarge,
+                       std::to_string(put.value.size()) + " bytes; at most " +
+                         std::to_string(kMaxValueBytes),
+                       put.key });
+  }
+  bool maybeSent = false;
+  LastReason reason;
+  for (Duration pause = kFirstPause;;
+       pause = std::min(2 * pause, kLongestPause)) {
+    const TimePoint until =
+      std::min(aDeadline, this->timer.Now() + kCallTimeout);
+    const WriteResult result = co_await this->service.Put(put, until, reason);
+    if (result.outcome == WriteOutcome::Applied) {
+      co_return EditResult{
+        EditOutcome::Accepted, next.copy.revision, {}, {}, {}
+      };
+    }
+    if (result.outcome == WriteOutcome::NotSent && !maybeSent) {
+      co_return Refuse(reason);
+    }
+    maybeSent = true;
+    const auto current = co_await this->Read(aEdit.service, aDeadline, reason);
+    if (current) {
+      EditResult judged = this->Judge(aEdit, *current);
+      if (judged.outcome != EditOutcome::NotYetKnown) {
+        co_return judged;
+      }
+      reason = judged.reasons.front();
+    }
+    if (this->timer.Now() + pause >= aDeadline) {
+      co_return Unknown(reason);
+    }
+    co_await this->timer.WaitUntil(this->timer.Now() + pause);
+  }
+}
+
+template<Timer T, KeyValueService K, DocumentCodec D>
+Task<std::optional<typename DocumentAcceptance<T, K, D>::Current>>
+DocumentAcceptance<T, K, D>::Read(const ServiceName& aService,
+                                  TimePoint aDeadline,
+                                  LastReason& aReason)
+{
+  const std::string key = DocumentKey(aService);
+  const TimePoint until = std::min(aDeadline, this->timer.Now() + kCallTimeout);
+  const auto read = co_await this->service.Get(key, until, aReason);
+  if (!read) {
+    co_return std::nullopt;
+  }
+  Current current;
+  if (read->entry) {
+    current.modRevision = read->entry->modRevision;
+    current.stored = this->codec.Decode(read->entry->value, aReason);
+    if (!current.stored) {
+      co_return std::nullopt;
+    }
+  }
+  co_return current;
+}
+
+template<Timer T, KeyValueService K, DocumentCodec D>
+EditResult
+DocumentAcceptance<T, K, D>::Refuse(LastReason aReason)
+{
+  return { EditOutcome::Refused, 0, { std::move(aReason) }, {}, {} };
+}
+
+template<Timer T, KeyValueService K, DocumentCodec D>
+EditResult
+DocumentAcceptance<T, K, D>::Unknown(LastReason aReason)
+{
+  return { EditOutcome::NotYetKnown, 0, { std::move(aReason) }, {}, {} };
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/documents/internal/document_propagation_impl.h
@@ -0,0 +1,417 @@
+// Definitions of document_propagation.h; included by it only.
+#pragma once
+
+#include "wigeonwalk/documents/document_propagation.h"
+#include "wigeonwalk/membership/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace wigeonwalk {
+
+template<typename Ports, PushTargets P>
+DocumentPropagation<Ports, P>::DocumentPropagation(
+  Ports aPorts,
+  P aTargets,
+  const MemberTable& aTable,
+  DocumentStore& aStore,
+  HybridClock& aClock,
+  std::uint64_t aSeed,
+  PropagationSettings aSettings)
+  : ports(aPorts)
+  , targets(std::move(aTargets))
+  , table(aTable)
+  , store(aStore)
+  , clock(aClock)
+  , settings(aSettings)
+  , random(aSeed)
+{
+}
+
+template<typename Ports, PushTargets P>
+void
+DocumentPropagation<Ports, P>::Start()
+{
+  this->ports.spawner.Spawn(this->RunStart());
+  this->ports.spawner.Spawn(this->RunContact());
+}
+
+// Loads the documents from the key-value service, or during its outage from
+// peers; then keeps watching.
+template<typename Ports, PushTargets P>
+Task<void>
+DocumentPropagation<Ports, P>::RunStart()
+{
+  while (!this->loaded && !this->stopping) {
+    this->loaded = co_await this->ReadAll();
+    const auto peers = RandomFanOut{ this->settings.startPeers }.Choose(
+      this->table, this->random);
+    for (std::size_t i = 0; !this->loaded && i < peers.size(); ++i) {
+      this->loaded = co_await this->FetchFrom(peers[i].address);
+    }
+    if (!this->loaded) {
+      co_await this->Pause(std::chrono::seconds(1));
+    }
+  }
+  co_await this->RunWatch();
+}
+
+// Watches while this daemon is one of the watchers of its zone.
+template<typename Ports, PushTargets P>
+Task<void>
+DocumentPropagation<Ports, P>::RunWatch()
+{
+  constexpr Duration kFirstPause = std::chrono::milliseconds(500);
+  constexpr Duration kLongestPause = std::chrono::seconds(5);
+  Duration pause = kFirstPause;
+  while (!this->stopping) {
+    if (!this->IsWatcher()) {
+      this->nextRevision = 0;
+      co_await this->Pause(std::chrono::seconds(1));
+      continue;
+    }
+    const TimePoint nextRead = this->lastRead + this->settings.readInterval;
+    const bool due = this->ports.timer.Now() >= nextRead;
+    const bool done = this->nextRevision == 0 || due
+                        ? co_await this->ReadAll()
+                        : co_await this->WatchOnce();
+    if (done) {
+      pause = kFirstPause;
+      continue;
+    }
+    this->nextRevision = 0;
+    co_await this->Pause(pause);
+    pause = std::min(2 * pause, kLongestPause);
+  }
+}
+
+// Asks the key-value service for a sign of life while no peer gives one. An
+// answer counts only shortly after everything was read: a process that was
+// paused reaches the service before it knows what was accepted meanwhile.
+template<typename Ports, PushTargets P>
+Task<void>
+DocumentPropagation<Ports, P>::RunContact()
+{
+  while (!this->stopping) {
+    co_await this->Pause(this->settings.quietTime);
+    if (!this->PeersQuiet()) {
+      continue;
+    }
+    const TimePoint now = this->ports.timer.Now();
+    if (now - this->lastRead >= this->settings.aloneReadInterval) {
+      co_await this->ReadAll();
+      continue;
+    }
+    LastReason reason;
+    const std::string key = kDocumentPrefix;
+    const auto read = co_await this->ports.keyValue.Get(
+      key, now + this->settings.callTimeout, reason);
+    this->NoteKeyValue(read.has_value());
+  }
+}
+
+// Reads all documents. What was accepted before the read began is known after
+// it.
+template<typename Ports, PushTargets P>
+Task<bool>
+DocumentPropagation<Ports, P>::ReadAll()
+{
+  const TimePoint begun = this->ports.timer.Now();
+  LastReason reason;
+  const std::string prefix = kDocumentPrefix;
+  const auto entries = co_await this->ports.keyValue.List(
+    prefix, begun + 2 * this->settings.callTimeout, reason);
+  this->NoteKeyValue(entries.has_value());
+  if (!entries) {
+    co_return false;
+  }
+  std::int64_t newest = 0;
+  for (const KeyValueEntry& entry : *entries) {
+    newest = std::max(newest, entry.modRevision);
+    this->LearnEntry(entry);
+  }
+  this->nextRevision = newest + 1;
+  this->lastRead = begun;
+  this->store.Confirm(begun);
+  co_return true;
+}
+
+template<typename Ports, PushTargets P>
+Task<bool>
+DocumentPropagation<Ports, P>::WatchOnce()
+{
+  const TimePoint now = this->ports.timer.Now();
+  const TimePoint until =
+    std::min(now + this->settings.watchTime,
+             this->lastRead + this->settings.readInterval);
+  LastReason reason;
+  const std::string prefix = kDocumentPrefix;
+  const auto batch = co_await this->ports.keyValue.Watch(
+    prefix, this->nextRevision, until, reason);
+  if (!batch) {
+    this->NoteKeyValue(false);
+    co_return false;
+  }
+  // An empty batch may come from a silent connection and proves nothing.
+  if (!batch->events.empty()) {
+    this->NoteKeyValue(true);
+  }
+  for (const WatchEvent& event : batch->events) {
+    if (!event.deleted) {
+      this->LearnEntry(event.entry);
+    }
+  }
+  this->nextRevision = std::max(this->nextRevision, batch->nextRevision);
+  co_return true;
+}
+
+template<typename Ports, PushTargets P>
+Task<bool>
+DocumentPropagation<Ports, P>::FetchFrom(std::string aAddress)
+{
+  this->counters.fetches += 1;
+  const TimePoint now = this->ports.timer.Now();
+  const PeerCall call{ this->table.Self().host,
+                       this->clock.Stamp(now),
+                       DocumentFetch{ this->store.Versions() } };
+  LastReason reason;
+  const auto answer = co_await this->ports.channel.Call(
+    aAddress, call, now + 2 * this->settings.callTimeout, reason);
+  const auto* bundle =
+    answer ? std::get_if<DocumentBundle>(&answer->body) : nullptr;
+  if (!bundle) {
+    this->counters.fetchesFailed += 1;
+    co_return false;
+  }
+  this->clock.Observe(answer->sentAt, this->ports.timer.Now());
+  for (const DocumentCopy& copy : bundle->documents) {
+    this->Learn(copy, LearnedFrom::Fetch);
+  }
+  this->NoteContact(now);
+  // A peer that has nothing itself is no source for a start.
+  co_return !this->store.Versions().empty();
+}
+
+template<typename Ports, PushTargets P>
+Task<void>
+DocumentPropagation<Ports, P>::RunFetch(std::string aAddress)
+{
+  co_await this->FetchFrom(aAddress);
+  this->fetching = false;
+}
+
+// Pushes to one member, or where it does not answer to one other.
+template<typename Ports, PushTargets P>
+Task<void>
+DocumentPropagation<Ports, P>::PushOne(MemberUpdate aTo, DocumentCopy aCopy)
+{
+  constexpr int kTries = 2;
+  for (int i = 0; i < kTries; ++i) {
+    this->counters.pushes += 1;
+    const TimePoint now = this->ports.timer.Now();
+    const PeerCall call{ this->table.Self().host,
+                         this->clock.Stamp(now),
+                         DocumentPush{ aCopy } };
+    LastReason reason;
+    const auto answer = co_await this->ports.channel.Call(
+      aTo.address, call, now + this->settings.callTimeout, reason);
+    if (answer) {
+      co_return;
+    }
+    this->counters.pushesFailed += 1;
+    const auto other = this->targets.Choose(this->table, this->random);
+    if (other.empty()) {
+      co_return;
+    }
+    aTo = other.front();
+  }
+}
+
+template<typename Ports, PushTargets P>
+Task<void>
+DocumentPropagation<Ports, P>::Pause(Duration aMean)
+{
+  const double factor =
+    std::uniform_real_distribution<>(0.75, 1.25)(this->random);
+  const Duration pause = FromSeconds(factor * ToSeconds(aMean));
+  co_await this->ports.timer.WaitUntil(this->ports.timer.Now() + pause);
+}
+
+template<typename Ports, PushTargets P>
+void
+DocumentPropagation<Ports, P>::OnProbe(const PeerDatagram& aDatagram)
+{
+  const TimePoint now = this->ports.timer.Now();
+  const DocumentDigest& theirs = aDatagram.documents;
+  const DocumentDigest ours = this->store.Digest(now);
+  if (theirs.hash == ours.hash) {
+    // A datagram may have waited while this process was paused, so that its
+    // age counts from its sending, and never from the future.
+    const TimePoint sent = std::min(now, aDatagram.sentAt.physical);
+    if (theirs.confirmedAge < kRefuseStaleAfter) {
+      this->store.Confirm(sent - theirs.confirmedAge);
+    }
+    return;
+  }
+  const bool theyHaveMore = theirs.revisionSum >= ours.revisionSum;
+  if (theyHaveMore && this->settings.antiEntropy && !this->fetching) {
+    this->fetching = true;
+    this->ports.spawner.Spawn(this->RunFetch(aDatagram.sender.address));
+  }
+}
+
+template<typename Ports, PushTargets P>
+void
+DocumentPropagation<Ports, P>::OnContact(const PeerDatagram& aAnswer,
+                                         TimePoint aProbedAt)
+{
+  const DocumentDigest ours = this->store.Digest(this->ports.timer.Now());
+  if (aAnswer.documents.hash == ours.hash ||
+      aAnswer.documents.revisionSum < ours.revisionSum) {
+    this->NoteContact(aProbedAt);
+  }
+}
+
+template<typename Ports, PushTargets P>
+DocumentBundle
+DocumentPropagation<Ports, P>::OnFetch(const DocumentFetch& aFetch) const
+{
+  return { this->store.NewerThan(aFetch.known, this->settings.bundleBytes) };
+}
+
+template<typename Ports, PushTargets P>
+DocumentPushAnswer
+DocumentPropagation<Ports, P>::OnPush(const DocumentPush& aPush)
+{
+  return { this->Learn(aPush.document, LearnedFrom::Push) };
+}
+
+template<typename Ports, PushTargets P>
+void
+DocumentPropagation<Ports, P>::OnAccepted(const DocumentCopy& aCopy)
+{
+  this->Learn(aCopy, LearnedFrom::Acceptance);
+}
+
+template<typename Ports, PushTargets P>
+void
+DocumentPropagation<Ports, P>::LearnEntry(const KeyValueEntry& aEntry)
+{
+  LastReason reason;
+  const auto stored = this->ports.codec.Decode(aEntry.value, reason);
+  if (!stored || DocumentKey(stored->copy.service) != aEntry.key) {
+    this->counters.rejected += 1;
+    return;
+  }
+  const DocumentCopy* known = this->store.Find(stored->copy.service);
+  if (known && known->revision > stored->copy.revision) {
+    this->counters.lowerRevisions += 1;
+    return;
+  }
+  this->Learn(stored->copy, LearnedFrom::KeyValue);
+}
+
+template<typename Ports, PushTargets P>
+bool
+DocumentPropagation<Ports, P>::Learn(const DocumentCopy& aCopy,
+                                     LearnedFrom aFrom)
+{
+  if (!this->store.IsNewer(aCopy)) {
+    return false;
+  }
+  std::vector<LastReason> reasons;
+  auto parsed = this->ports.codec.Parse(aCopy.text, reasons);
+  if (parsed && parsed->name != aCopy.service) {
+    parsed.reset();
+  }
+  this->counters.rejected += parsed ? 0 : 1;
+  this->counters.learned[static_cast<std::size_t>(aFrom)] += 1;
+  const bool valid = parsed.has_value();
+  this->store.Offer(aCopy, std::move(parsed));
+  if (valid) {
+    this->ports.events.Record(
+      { .kind = EventKind::DocumentInForce,
+        .at = this->ports.timer.Now(),
+        .subject = aCopy.service.Text(),
+        .detail = "revision " + std::to_string(aCopy.revision) });
+  }
+  // What a fetch brings is news to this daemon only; a start would push all.
+  if (aFrom != LearnedFrom::Fetch && this->loaded) {
+    this->Push(aCopy);
+  }
+  return true;
+}
+
+template<typename Ports, PushTargets P>
+void
+DocumentPropagation<Ports, P>::Push(const DocumentCopy& aCopy)
+{
+  for (MemberUpdate& to : this->targets.Choose(this->table, this->random)) {
+    this->ports.spawner.Spawn(this->PushOne(std::move(to), aCopy));
+  }
+}
+
+template<typename Ports, PushTargets P>
+void
+DocumentPropagation<Ports, P>::NoteKeyValue(bool aReached)
+{
+  const TimePoint now = this->ports.timer.Now();
+  if (aReached) {
+    this->keyValueContact = now;
+  }
+  if (aReached != this->keyValueReached) {
+    this->keyValueReached = aReached;
+    this->ports.events.Record({ .kind = aReached
+                                          ? EventKind::KeyValueAvailable
+                                          : EventKind::KeyValueUnavailable,
+                                .at = now,
+                                .subject = "documents" });
+  }
+}
+
+template<typename Ports, PushTargets P>
+void
+DocumentPropagation<Ports, P>::NoteContact(TimePoint aTime)
+{
+  this->peerContact = std::max(this->peerContact.value_or(aTime), aTime);
+}
+
+template<typename Ports, PushTargets P>
+bool
+DocumentPropagation<Ports, P>::IsWatcher()
+{
+  if (this->watcherVersion != this->table.LiveVersion()) {
+    this->watcherVersion = this->table.LiveVersion();
+    const MemberUpdate& self = this->table.Self();
+    this->watcher = IsOwner("watch/" + self.zone.Text(),
+                            self.host,
+                            this->table.LiveHostsIn(self.zone),
+                            this->settings.watchersPerZone);
+  }
+  return this->watcher;
+}
+
+template<typename Ports, PushTargets P>
+bool
+DocumentPropagation<Ports, P>::PeersQuiet() const
+{
+  return !this->peerContact || this->ports.timer.Now() - *this->peerContact >=
+                                 this->settings.quietTime;
+}
+
+template<typename Ports, PushTargets P>
+Freshness
+DocumentPropagation<Ports, P>::CurrentFreshness() const
+{
+  FreshnessState state;
+  state.hasPeers = !this->table.Others().empty();
+  state.hasKeyValue = true;
+  state.loaded = this->loaded;
+  state.keyValueContact = this->keyValueContact;
+  state.peerContact = this->peerContact;
+  state.confirmedAt = this->store.ConfirmedAt();
+  return JudgeFreshness(state, this->ports.timer.Now());
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/documents/stored_document.h
@@ -0,0 +1,73 @@
+// A document as the key-value service holds it, under "documents/<service>".
+//
+//   std::string value = codec.Encode(stored);
+//   auto stored = codec.Decode(value, reason);
+#pragma once
+
+#include "wigeonwalk/base/last_reason.h"
+#include "wigeonwalk/documents/service_document.h"
+#include "wigeonwalk/ports/peer_messages.h"
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Prefix of the keys of documents.
+inline constexpr const char* kDocumentPrefix = "documents/";
+
+// Accepted edits that a stored document remembers, to settle lost answers.
+inline constexpr std::size_t kMaxEditRecords = 32;
+
+// One accepted edit.
+struct EditRecord
+{
+  std::uint64_t revision = 0;
+  std::string editId;
+  std::string author;
+  TimePoint acceptedAt;
+
+  bool operator==(const EditRecord&) const = default;
+};
+
+// The value of a document's key: the document with the newest accepted edits,
+// oldest first, of which the last made the document.
+struct StoredDocument
+{
+  DocumentCopy copy;
+  std::vector<EditRecord> history;
+
+  bool operator==(const StoredDocument&) const = default;
+};
+
+// Encodes stored documents and parses the texts of teams.
+template<typename T>
+concept DocumentCodec = requires(T& aCodec,
+                                 const StoredDocument& aStored,
+                                 const std::string& aText,
+                                 LastReason& aReason,
+                                 std::vector<LastReason>& aReasons)
+{
+  {
+    aCodec.Encode(aStored)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.Decode(aText, aReason)
+    } -> std::same_as<std::optional<StoredDocument>>;
+  // Returns nothing and every error where the text is not valid.
+  {
+    aCodec.Parse(aText, aReasons)
+    } -> std::same_as<std::optional<ServiceDocument>>;
+};
+
+// Returns the key of a service's document.
+inline std::string
+DocumentKey(const ServiceName& aService)
+{
+  return kDocumentPrefix + aService.Text();
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/membership/failure_detector.h
+++ b/wigeonwalk/membership/failure_detector.h
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <random>
 #include <unordered_map>
 #include <vector>
@@ -36,8 +37,10 @@
   Duration lostRetry = std::chrono::seconds(10);
   // A wait that ends this late means that the process was paused.
   Duration pauseThreshold = std::chrono::milliseconds(300);
-  // Without any datagram for this long, a random peer is probed at once.
+  // Without an answer for this long, a random peer is probed at once.
   Duration quietTime = std::chrono::seconds(2);
+  // Answers to probes older than this prove no contact.
+  Duration answerTime = std::chrono::seconds(5);
   // Member updates on each datagram. The codec drops those that do not fit.
   std::size_t updates = 10;
 };
@@ -84,7 +87,7 @@
 
   const DetectorCounters& Counters() const { return this->counters; }
 
-  // When any peer was last heard from.
+  // The newest time after which some peer was certainly reached.
   TimePoint LastContact() const { return this->lastContact; }
 
 private:
@@ -125,6 +128,8 @@
   std::mt19937_64 random;
   std::unordered_map<HostId, PeerTask> peers;
   RelayTable relays;
+  // When recent probes were sent, by sequence.
+  std::map<std::uint64_t, TimePoint> sentProbes;
   DetectorCounters counters;
   std::uint64_t nextSequence = 1;
   TimePoint lastContact;
--- a/wigeonwalk/membership/failure_detector_test.cc
+++ b/wigeonwalk/membership/failure_detector_test.cc
@@ -18,6 +18,7 @@
   DocumentDigest CurrentDigest(TimePoint) { return {}; }
   std::vector<PeerNotice> TakeNotices(TimePoint) { return {}; }
   void OnRidden(const PeerDatagram&, TimePoint) {}
+  void OnContact(const PeerDatagram&, TimePoint) {}
   void OnMemberChange(const MemberUpdate& aUpdate, TimePoint)
   {
     this->lost += aUpdate.state == MemberState::Lost ? 1 : 0;
--- a/wigeonwalk/membership/internal/failure_detector_impl.h
+++ b/wigeonwalk/membership/internal/failure_detector_impl.h
@@ -122,6 +122,9 @@
     }
     this->table.Forget(now);
     this->relays.Expire(now);
+    std::erase_if(this->sentProbes, [&](const auto& aProbe) {
+      return now - aProbe.second >= this->settings.answerTime;
+    });
     if (now - this->lastContact >= this->settings.quietTime) {
       this->ProbeAnyPeer();
     }
@@ -143,7 +146,7 @@
     }
     const TimePoint now = this->timer.Now();
     const PeerCall call{ this->table.Self().host,
-                         this->clock.Tick(now),
+                         this->clock.Stamp(now),
                          MemberSync{ this->table.Self() } };
     const std::string address = chosen.front()->update.address;
     const TimePoint deadline = now + std::chrono::seconds(2);
@@ -186,7 +189,6 @@
 FailureDetector<T, C, S, R>::OnDatagram(const PeerDatagram& aDatagram)
 {
   const TimePoint now = this->timer.Now();
-  this->lastContact = now;
   this->clock.Observe(aDatagram.sentAt, now);
   const std::uint64_t before = this->table.Self().incarnation;
   this->Merge(aDatagram.sender);
@@ -274,7 +276,7 @@
   PeerDatagram datagram;
   datagram.kind = aKind;
   datagram.sender = this->table.Self();
-  datagram.sentAt = this->clock.Tick(now);
+  datagram.sentAt = this->clock.Stamp(now);
   datagram.documents = this->rider.CurrentDigest(now);
   datagram.updates = this->table.TakeUpdates(this->settings.updates, aReceiver);
   datagram.notices = this->rider.TakeNotices(now);
@@ -289,6 +291,7 @@
   this->counters.probes += 1;
   PeerDatagram probe = this->Compose(DatagramKind::Probe, aTo.host);
   probe.sequence = aSequence;
+  this->sentProbes.try_emplace(aSequence, this->timer.Now());
   this->channel.Send(aTo.address, probe);
 }
 
@@ -330,6 +333,10 @@
   if (indirect) {
     return;
   }
+  if (const auto probe = this->sentProbes.extract(aAck.sequence)) {
+    this->lastContact = std::max(this->lastContact, probe.mapped());
+    this->rider.OnContact(aAck, probe.mapped());
+  }
   if (const auto relay = this->relays.Take(aAck.sequence)) {
     PeerDatagram ack = this->Compose(DatagramKind::ProbeAck, HostId());
     ack.sequence = relay->sequence;
--- a/wigeonwalk/membership/probe_rider.h
+++ b/wigeonwalk/membership/probe_rider.h
@@ -34,6 +34,11 @@
   {
     aRider.OnRidden(aDatagram, aNow)
     } -> std::same_as<void>;
+  // Called for the answer to an own probe, with the time of that probe: the
+  // answering daemon was reached after it.
+  {
+    aRider.OnContact(aDatagram, aNow)
+    } -> std::same_as<void>;
   // Called after the state of a member has changed.
   {
     aRider.OnMemberChange(aUpdate, aNow)
