--- /dev/null
+++ b/wigeonwalk/adapters/documents/stored_document_json.h
@@ -0,0 +1,26 @@
+// JSON form of a document as the key-value service holds it.
+//
+//   StoredDocumentJson codec;
+//   std::string value = codec.Encode(stored);
+#pragma once
+
+#include "wigeonwalk/documents/stored_document.h"
+
+namespace wigeonwalk {
+
+// Stateless.
+class StoredDocumentJson
+{
+public:
+  std::string Encode(const StoredDocument& aStored) const;
+  std::optional<StoredDocument> Decode(const std::string& aText,
+                                       LastReason& aReason) const;
+
+  // Parses and checks a team's own text.
+  std::optional<ServiceDocument> Parse(const std::string& aText,
+                                       std::vector<LastReason>& aReasons) const;
+};
+
+static_assert(DocumentCodec<StoredDocumentJson>);
+
+} // namespace wigeonwalk
--- a/wigeonwalk/adapters/timeline/event_ring.h
+++ b/wigeonwalk/adapters/timeline/event_ring.h
@@ -1,8 +1,7 @@
 // A bounded ring of a process's latest events.
 //
-//   EventRing ring(timer, settings.host, settings.timelineEvents);
+//   EventRing ring(timer, hybrid, settings.host, settings.timelineEvents);
 //   ring.Record({ .kind = EventKind::RequestPlaced, .request = id });
-//   HybridTime sent = ring.StampMessage();
 #pragma once
 
 #include "wigeonwalk/adapters/timeline/stamped_event.h"
@@ -21,13 +20,20 @@
 inline constexpr std::size_t kMaxEventText = 128;
 
 // Keeps the latest events, stamped by a hybrid logical clock. One thread only.
-// The clock must outlive the ring.
+// The
+// clocks must outlive the ring.
 template<Clock C>
 class EventRing
 {
 public:
-  EventRing(const C& aClock, HostId aHost, std::size_t aCapacity)
+  // The hybrid clock is the one that stamps the daemon's messages, so that an
+  // event before a message precedes the events that follow its receipt.
+  EventRing(const C& aClock,
+            HybridClock& aHybrid,
+            HostId aHost,
+            std::size_t aCapacity)
     : clock(aClock)
+    , hybrid(aHybrid)
     , host(std::move(aHost))
     , capacity(std::max<std::size_t>(aCapacity, 1))
   {
@@ -58,15 +64,6 @@
     ++this->recorded;
   }
 
-  // Returns the stamp to carry on a message about to be sent.
-  HybridTime StampMessage() { return this->hybrid.Stamp(this->clock.Now()); }
-
-  // Takes note of a received message's stamp: later events follow it.
-  void ObserveMessage(const HybridTime& aStamp)
-  {
-    this->hybrid.Observe(aStamp, this->clock.Now());
-  }
-
   // Returns the kept events from the oldest on; with a request, only its own.
   std::vector<StampedEvent> Events(const RequestId& aRequest = {}) const
   {
@@ -95,9 +92,9 @@
   }
 
   const C& clock;
+  HybridClock& hybrid;
   HostId host;
   std::size_t capacity;
-  HybridClock hybrid;
   std::uint64_t recorded = 0;
   std::vector<StampedEvent> events;
 };
--- a/wigeonwalk/adapters/timeline/timeline_test.cc
+++ b/wigeonwalk/adapters/timeline/timeline_test.cc
@@ -38,7 +38,8 @@
   VirtualTime time;
   GIVEN("a ring of three events")
   {
-    EventRing ring(time, HostId("isar-1"), 3);
+    HybridClock hybrid;
+    EventRing ring(time, hybrid, HostId("isar-1"), 3);
     WHEN("five are recorded")
     {
       for (const char* request : { "a", "b", "a", "b", "a" }) {
@@ -81,12 +82,14 @@
   {
     SkewedClock ahead{ TimePoint(1h + 4s) };
     SkewedClock right{ TimePoint(1h) };
-    EventRing sender(ahead, HostId("isar-1"), 16);
-    EventRing receiver(right, HostId("lech-1"), 16);
+    HybridClock senderClock;
+    HybridClock receiverClock;
+    EventRing sender(ahead, senderClock, HostId("isar-1"), 16);
+    EventRing receiver(right, receiverClock, HostId("lech-1"), 16);
     WHEN("the first calls the second")
     {
       sender.Record(About(EventKind::DirectoryLookedUp, "r"));
-      receiver.ObserveMessage(sender.StampMessage());
+      receiverClock.Observe(senderClock.Stamp(ahead.Now()), right.Now());
       receiver.Record(About(EventKind::RestoreStarted, "r", "s1"));
       const auto merged =
         MergeTimelines({ receiver.Events(), sender.Events() });
@@ -124,7 +127,8 @@
   GIVEN("an event with every field")
   {
     SkewedClock clock{ TimePoint(1h) };
-    EventRing ring(clock, HostId("isar-1"), 4);
+    HybridClock hybrid;
+    EventRing ring(clock, hybrid, HostId("isar-1"), 4);
     Event event = About(EventKind::RequestFinished, "r", "u1");
     event.verdict = Verdict::MayHaveRun;
     event.detail = "cut \xC3";
--- /dev/null
+++ b/wigeonwalk/daemon/cluster.cc
@@ -0,0 +1,374 @@
+#include "wigeonwalk/daemon/cluster.h"
+
+#include "wigeonwalk/adapters/documents/stored_document_json.h"
+#include "wigeonwalk/daemon/notice_codec.h"
+#include "wigeonwalk/documents/document_propagation.h"
+#include "wigeonwalk/membership/failure_detector.h"
+
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace wigeonwalk {
+
+namespace {
+
+// Notices on one datagram; about 90 bytes each beside ten member updates.
+constexpr std::size_t kNoticesPerDatagram = 3;
+
+MemberUpdate
+SelfOf(const Cluster::Parts& aParts)
+{
+  MemberUpdate self;
+  self.host = aParts.settings.host;
+  self.address = aParts.settings.peerAddress;
+  self.zone = aParts.settings.zone;
+  self.region = aParts.settings.region;
+  self.incarnation = aParts.incarnation;
+  return self;
+}
+
+std::vector<MemberUpdate>
+SeedsOf(const DaemonSettings& aSettings)
+{
+  std::vector<MemberUpdate> seeds;
+  for (const PeerSettings& peer : aSettings.peers) {
+    MemberUpdate seed;
+    seed.host = peer.host;
+    seed.address = peer.address;
+    seed.zone = peer.zone;
+    seeds.push_back(std::move(seed));
+  }
+  return seeds;
+}
+
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+// The key of the settings' file. Without a file nobody else knows the key, so
+// that the daemon hears no other.
+ClusterKey
+KeyOf(const Cluster::Parts& aParts)
+{
+  LastReason reason;
+  auto key =
+    ClusterKey::FromText(ReadFile(aParts.settings.clusterKeyFile), reason);
+  if (key) {
+    return *key;
+  }
+  const std::string own = aParts.settings.host.Text() +
+                          std::to_string(aParts.incarnation) +
+                          std::string(ClusterKey::kMinBytes, '.');
+  return *ClusterKey::FromText(own, reason);
+}
+
+// What is piggybacked on probes: the digest of documents, and notices of poison
+// requests and leaving upstreams. Satisfies ProbeRider.
+class ClusterRider
+{
+public:
+  ClusterRider(DocumentStore& aStore, DaemonView& aView, EventRecorder& aEvents)
+    : store(aStore)
+    , view(aView)
+    , events(aEvents)
+  {
+  }
+
+  DocumentDigest CurrentDigest(TimePoint aNow)
+  {
+    return this->store.Digest(aNow);
+  }
+
+  std::vector<PeerNotice> TakeNotices(TimePoint)
+  {
+    std::vector<PeerNotice> notices;
+    for (const auto& notice :
+         this->view.poison.TakeNotices(kNoticesPerDatagram)) {
+      notices.push_back(EncodeNotice(notice));
+    }
+    for (const auto& notice :
+         this->view.upstreams.Marks().TakeNotices(kNoticesPerDatagram)) {
+      notices.push_back(EncodeNotice(notice));
+    }
+    return notices;
+  }
+
+  void OnRidden(const PeerDatagram& aDatagram, TimePoint aNow)
+  {
+    this->onProbe(aDatagram);
+    for (const PeerNotice& notice : aDatagram.notices) {
+      if (const auto poison = DecodePoisonNotice(notice)) {
+        this->view.poison.MergeNotice(*poison, aNow);
+      }
+      if (const auto leaving = DecodeLeavingNotice(notice)) {
+        this->view.upstreams.Marks().MergeNotice(*leaving);
+      }
+    }
+  }
+
+  void OnContact(const PeerDatagram& aAnswer, TimePoint aProbedAt)
+  {
+    this->onContact(aAnswer, aProbedAt);
+  }
+
+  void OnMemberChange(const MemberUpdate& aUpdate, TimePoint aNow)
+  {
+    this->events.Record({ EventOf(aUpdate.state),
+                          aNow,
+                          RequestId(),
+                          aUpdate.host.Text(),
+                          std::nullopt,
+                          {} });
+  }
+
+  static EventKind EventOf(MemberState aState)
+  {
+    switch (aState) {
+      case MemberState::Alive:
+        return EventKind::MemberJoined;
+      case MemberState::Suspect:
+        return EventKind::MemberSuspected;
+      case MemberState::Lost:
+        return EventKind::MemberLost;
+      case MemberState::Left:
+        break;
+    }
+    return EventKind::MemberLeft;
+  }
+
+  // Where digests and contacts go; set before the first datagram.
+  std::function<void(const PeerDatagram&)> onProbe;
+  std::function<void(const PeerDatagram&, TimePoint)> onContact;
+
+private:
+  DocumentStore& store;
+  DaemonView& view;
+  EventRecorder& events;
+};
+
+static_assert(ProbeRider<ClusterRider>);
+
+} // namespace
+
+struct Cluster::State
+{
+  using KeyValue = DaemonKeyValue::Handle;
+  using Ports = PropagationPorts<SystemTimer,
+                                 PeerTransport,
+                                 AsioSpawner,
+                                 KeyValue,
+                                 StoredDocumentJson,
+                                 EventRecorder>;
+  using Detector =
+    FailureDetector<SystemTimer, PeerTransport, AsioSpawner, ClusterRider>;
+  using Propagation = DocumentPropagation<Ports, ZoneFanOut>;
+  using Acceptance =
+    DocumentAcceptance<SystemTimer, KeyValue, StoredDocumentJson>;
+
+  explicit State(Parts aParts)
+    : parts(aParts)
+    , transport(aParts.executor, KeyOf(aParts))
+    , spawner(aParts.executor)
+    , table(SelfOf(aParts))
+    , rider(store, aParts.view, aParts.events)
+    , detector(aParts.timer,
+               transport,
+               spawner,
+               rider,
+               table,
+               aParts.clock,
+               aParts.incarnation)
+    , documentCalls(aParts.keyValue.For(KeyValueUser::Documents))
+    , operatorCalls(aParts.keyValue.For(KeyValueUser::Operators))
+    , propagation(Ports{ aParts.timer,
+                         transport,
+                         spawner,
+                         documentCalls,
+                         codec,
+                         aParts.events },
+                  ZoneFanOut(),
+                  table,
+                  store,
+                  aParts.clock,
+                  aParts.incarnation)
+    , acceptance(aParts.timer, operatorCalls, codec)
+  {
+    this->rider.onProbe = [this](const PeerDatagram& aDatagram) {
+      this->propagation.OnProbe(aDatagram);
+    };
+    this->rider.onContact = [this](const PeerDatagram& aAnswer,
+                                   TimePoint aProbedAt) {
+      this->propagation.OnContact(aAnswer, aProbedAt);
+    };
+  }
+
+  // PeerHandler: what arrives from other daemons.
+  void OnDatagram(const PeerDatagram& aDatagram)
+  {
+    this->detector.OnDatagram(aDatagram);
+  }
+
+  Task<std::optional<PeerAnswer>> OnCall(PeerCall aCall)
+  {
+    const TimePoint now = this->parts.timer.Now();
+    this->parts.clock.Observe(aCall.sentAt, now);
+    PeerAnswer answer;
+    answer.from = this->parts.settings.host;
+    if (const auto* sync = std::get_if<MemberSync>(&aCall.body)) {
+      answer.body = this->detector.OnSync(*sync);
+    } else if (const auto* fetch = std::get_if<DocumentFetch>(&aCall.body)) {
+      answer.body = this->propagation.OnFetch(*fetch);
+    } else if (const auto* push = std::get_if<DocumentPush>(&aCall.body)) {
+      answer.body = this->propagation.OnPush(*push);
+    } else {
+      auto forwarded = this->forward
+                         ? this->forward(std::get<ForwardedCall>(aCall.body))
+                         : std::nullopt;
+      if (!forwarded) {
+        co_return std::nullopt;
+      }
+      answer.body = std::move(*forwarded);
+    }
+    answer.sentAt = this->parts.clock.Stamp(this->parts.timer.Now());
+    co_return answer;
+  }
+
+  // Documents of the settings have revision zero, so that any accepted one
+  // replaces them.
+  bool LoadFiles(LastReason& aReason)
+  {
+    for (const std::string& file : this->parts.settings.documentFiles) {
+      const std::string text = ReadFile(file);
+      std::vector<LastReason> reasons;
+      auto document = this->codec.Parse(text, reasons);
+      if (!document) {
+        aReason = reasons.front();
+        aReason.place = file + ' ' + aReason.place;
+        return false;
+      }
+      const ServiceName service = document->name;
+      this->store.Offer({ service, 0, "settings", text }, std::move(document));
+    }
+    return true;
+  }
+
+  Parts parts;
+  PeerTransport transport;
+  AsioSpawner spawner;
+  MemberTable table;
+  DocumentStore store;
+  ClusterRider rider;
+  Detector detector;
+  StoredDocumentJson codec;
+  KeyValue documentCalls;
+  KeyValue operatorCalls;
+  Propagation propagation;
+  Acceptance acceptance;
+  Forward forward;
+};
+
+Cluster::Cluster(Parts aParts)
+  : state(std::make_unique<State>(std::move(aParts)))
+{
+}
+
+Cluster::~Cluster() = default;
+
+void
+Cluster::SetForward(Forward aForward)
+{
+  this->state->forward = std::move(aForward);
+}
+
+bool
+Cluster::Start(LastReason& aReason)
+{
+  State& cluster = *this->state;
+  const DaemonSettings& settings = cluster.parts.settings;
+  if (!cluster.LoadFiles(aReason)) {
+    return false;
+  }
+  if (!settings.peerAddress.empty()) {
+    const auto key =
+      ClusterKey::FromText(ReadFile(settings.clusterKeyFile), aReason);
+    if (!key) {
+      aReason.place = settings.clusterKeyFile;
+      return false;
+    }
+    cluster.transport.Serve(cluster);
+    if (!cluster.transport.Listen(settings.peerAddress, aReason)) {
+      return false;
+    }
+    cluster.detector.Start(SeedsOf(settings));
+  }
+  if (!settings.keyValueAddresses.empty()) {
+    cluster.propagation.Start();
+  }
+  return true;
+}
+
+void
+Cluster::Leave()
+{
+  this->state->detector.Leave();
+  this->state->propagation.Stop();
+}
+
+std::shared_ptr<const AcceptedDocument>
+Cluster::Find(const ServiceName& aName) const
+{
+  return this->state->store.InForce(aName);
+}
+
+std::vector<std::shared_ptr<const AcceptedDocument>>
+Cluster::AllInForce() const
+{
+  return this->state->store.AllInForce();
+}
+
+Freshness
+Cluster::CurrentFreshness() const
+{
+  // Without a key-value service the documents of the settings are all there
+  // are, and no edit can be accepted.
+  return this->state->parts.settings.keyValueAddresses.empty()
+           ? Freshness::Serve
+           : this->state->propagation.CurrentFreshness();
+}
+
+Task<EditResult>
+Cluster::Accept(DocumentEdit aEdit, TimePoint aDeadline)
+{
+  const DocumentEdit edit = aEdit;
+  EditResult result =
+    co_await this->state->acceptance.Accept(std::move(aEdit), aDeadline);
+  if (result.outcome == EditOutcome::Accepted) {
+    this->state->propagation.OnAccepted(
+      { edit.service, result.revision, edit.editId, edit.text });
+  }
+  co_return result;
+}
+
+const MemberTable&
+Cluster::Members() const
+{
+  return this->state->table;
+}
+
+PeerTransport&
+Cluster::Channel()
+{
+  return this->state->transport;
+}
+
+AsioSpawner&
+Cluster::Spawner()
+{
+  return this->state->spawner;
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/daemon/daemon.cc
+++ b/wigeonwalk/daemon/daemon.cc
@@ -1,10 +1,10 @@
 #include "wigeonwalk/daemon/daemon.h"
 
 #include "wigeonwalk/adapters/cpu/cpu_pool.h"
-#include "wigeonwalk/adapters/key_value/etcd_gateway.h"
+#include "wigeonwalk/adapters/directory/directory_msgpack.h"
 #include "wigeonwalk/adapters/openai/caller_session.h"
-#include "wigeonwalk/adapters/settings/service_document_json.h"
 #include "wigeonwalk/adapters/upstreams/http_upstreams.h"
+#include "wigeonwalk/daemon/cluster.h"
 #include "wigeonwalk/daemon/event_recorder.h"
 #include "wigeonwalk/serving/request_path.h"
 #include "wigeonwalk/serving/upstream_observer.h"
@@ -15,7 +15,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
-#include <map>
+#include <set>
 #include <utility>
 
 namespace wigeonwalk {
@@ -27,38 +27,23 @@
 // Idle connections to upstreams are closed after this time.
 constexpr Duration kMaxIdleConnection = std::chrono::seconds(5);
 
+// How often the documents are looked at for new engines.
+constexpr Duration kDocumentCheck = std::chrono::milliseconds(500);
+
 // How often a stopping daemon looks whether its streams have ended.
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
 
-// The documents in force, as read at the start.
-class LoadedDocuments
-{
-public:
-  void Put(AcceptedDocument aDocument)
-  {
-    const ServiceName name = aDocument.document.name;
-    this->documents[name] =
-      std::make_shared<const AcceptedDocument>(std::move(aDocument));
-  }
-
-  std::shared_ptr<const AcceptedDocument> Find(const ServiceName& aName) const
-  {
-    const auto found = this->documents.find(aName);
-    return found == this->documents.end() ? nullptr : found->second;
-  }
-
-private:
-  std::map<ServiceName, std::shared_ptr<const AcceptedDocument>> documents;
-};
-
-using DaemonMover = CacheMover<SystemTimer, HttpUpstreams, EventRecorder>;
+using DaemonDirectory =
+  DirectoryService<PeerTransport, AsioSpawner, SystemTimer, DirectoryMsgpack>;
+using DaemonMover =
+  CacheMover<SystemTimer, HttpUpstreams, DaemonDirectory, EventRecorder>;
 using DaemonKeeper = CacheKeeper<DaemonMover, HttpUpstreams>;
 using DaemonParts =
-  RunParts<SystemTimer, HttpUpstreams, HttpUpstreams, EventRecorder, CpuPool>;
-using DaemonClaimLog = ClaimLog<EtcdGateway, SystemTimer>;
-using DaemonClaims = ClaimService<EtcdGateway, SystemTimer>;
+  RunParts<SystemTimer, HttpUpstreams, DaemonMover, EventRecorder, CpuPool>;
+using DaemonClaimLog = ClaimLog<DaemonKeyValue::Handle, SystemTimer>;
+using DaemonClaims = ClaimService<DaemonKeyValue::Handle, SystemTimer>;
 using DaemonPath =
-  RequestPath<LoadedDocuments, DaemonParts, HttpUpstreams, DaemonClaims>;
+  RequestPath<Cluster, DaemonParts, HttpUpstreams, DaemonClaims>;
 
 HttpLimits
 LimitsOf(const CallerLimits& aLimits)
@@ -91,35 +76,65 @@
     : context(aContext)
     , settings(std::move(aSettings))
     , timer(aContext.get_executor())
+    , incarnation(
+        static_cast<std::uint64_t>(timer.Now().time_since_epoch().count()))
     , pool(timer, aContext.get_executor(), kMaxIdleConnection)
     , upstreams(pool)
     , log(settings.host, LogLevelOf(settings.logLevel), std::clog)
-    , events(timer, settings, log)
+    , events(timer, hybrid, settings, log)
     , workers(settings.workerThreads)
-    , incarnation(
-        static_cast<std::uint64_t>(timer.Now().time_since_epoch().count()))
     , view(settings.host,
            settings.zone,
            incarnation,
            ReadFile(settings.clusterKeyFile))
-    , mover(view.cache, timer, upstreams, events)
+    , gateway(pool, settings.keyValueAddresses)
+    , keyValue(gateway, timer, KeyValueClientSettings{ .seed = incarnation })
+    , cluster({ aContext.get_executor(),
+                timer,
+                settings,
+                keyValue,
+                view,
+                events,
+                hybrid,
+                incarnation })
+    , directory(view.cache,
+                cluster.Members(),
+                cluster.Channel(),
+                cluster.Spawner(),
+                timer,
+                directoryCodec,
+                hybrid)
+    , mover(view.cache, timer, upstreams, directory, events)
     , keeper(mover, upstreams, view.returns)
     , parts{ timer, upstreams, mover, keeper, events, workers, view }
-    , keyValue(pool, settings.keyValueAddresses)
-    , claimLog(keyValue,
+    , claimCalls(keyValue.For(KeyValueUser::Claims))
+    , claimLog(claimCalls,
                timer,
                aContext.get_executor(),
                settings.host,
                incarnation)
     , claims(claimLog, timer)
-    , path(documents, parts, upstreams, claims)
+    , path(cluster, parts, upstreams, claims)
   {
     this->caller.nextRequestId = [this] {
       return RequestId(this->settings.host.Text() + '-' +
                        std::to_string(this->incarnation) + '-' +
                        std::to_string(++this->requests));
     };
-    this->caller.healthy = [this] { return !this->stopping; };
+    this->caller.healthy = [this] {
+      return !this->stopping &&
+             this->cluster.CurrentFreshness() == Freshness::Serve;
+    };
+    this->cluster.SetForward(
+      [this](const ForwardedCall& aCall) { return this->Answer(aCall); });
+  }
+
+  // Answers what other daemons forward to this one.
+  std::optional<ForwardedAnswer> Answer(const ForwardedCall& aCall)
+  {
+    const bool forDirectory = aCall.kind == ForwardedKind::DirectoryLookup ||
+                              aCall.kind == ForwardedKind::DirectoryUpdate;
+    return forDirectory ? this->directory.OnCall(aCall) : std::nullopt;
   }
 
   Task<void> AcceptCallers(HttpListener& aListener)
@@ -138,24 +153,51 @@
     --this->openConnections;
   }
 
-  // Starts one task for each engine of the service.
+  // Starts one task for each engine of each service in force, and ends with
+  // the context.
+  Task<void> ObserveUpstreams()
+  {
+    while (true) {
+      for (const auto& accepted : this->cluster.AllInForce()) {
+        this->Observe(accepted->document);
+      }
+      co_await this->timer.WaitUntil(this->timer.Now() + kDocumentCheck);
+    }
+  }
+
   void Observe(const ServiceDocument& aDocument)
   {
+    if (aDocument.kind != ServiceKind::Engine) {
+      return;
+    }
     for (const RunnerSpec& runner : aDocument.runners) {
-      asio::co_spawn(this->context,
-                     ObserveEngine(runner,
-                                   aDocument.name,
-                                   this->documents,
-                                   this->upstreams,
-                                   this->view,
-                                   this->timer),
-                     asio::detached);
+      const std::string task =
+        aDocument.name.Text() + ' ' + runner.id.Text() + ' ' + runner.address;
+      if (this->observed.insert(task).second) {
+        asio::co_spawn(this->context,
+                       this->ObserveOne(task, runner, aDocument.name),
+                       asio::detached);
+      }
     }
   }
 
+  Task<void> ObserveOne(std::string aTask,
+                        RunnerSpec aRunner,
+                        ServiceName aService)
+  {
+    co_await ObserveEngine(std::move(aRunner),
+                           std::move(aService),
+                           this->cluster,
+                           this->upstreams,
+                           this->view,
+                           this->timer);
+    this->observed.erase(aTask);
+  }
+
   Task<void> Drain()
   {
     this->stopping = true;
+    this->cluster.Leave();
     const TimePoint start = this->timer.Now();
     co_await this->timer.WaitUntil(start + this->settings.stop.balancerDelay);
     this->listener->Close();
@@ -169,23 +211,29 @@
   asio::io_context& context;
   DaemonSettings settings;
   SystemTimer timer;
+  std::uint64_t incarnation;
+  HybridClock hybrid;
   HttpPool pool;
   HttpUpstreams upstreams;
-  LoadedDocuments documents;
   Log log;
   EventRecorder events;
   CpuPool workers;
-  std::uint64_t incarnation;
   DaemonView view;
+  EtcdGateway gateway;
+  DaemonKeyValue keyValue;
+  Cluster cluster;
+  DirectoryMsgpack directoryCodec;
+  DaemonDirectory directory;
   DaemonMover mover;
   DaemonKeeper keeper;
   DaemonParts parts;
-  EtcdGateway keyValue;
+  DaemonKeyValue::Handle claimCalls;
   DaemonClaimLog claimLog;
   DaemonClaims claims;
   DaemonPath path;
   CallerContext caller;
   std::optional<HttpListener> listener;
+  std::set<std::string> observed;
   std::uint64_t requests = 0;
   std::uint64_t openConnections = 0;
   bool stopping = false;
@@ -202,19 +250,8 @@
 Daemon::Start(LastReason& aReason)
 {
   State& daemon = *this->state;
-  for (const std::string& file : daemon.settings.documentFiles) {
-    std::vector<LastReason> reasons;
-    const std::string text = ReadFile(file);
-    auto document = ParseServiceDocument(text, reasons);
-    if (!document) {
-      aReason = reasons.front();
-      aReason.place = file + ' ' + aReason.place;
-      return false;
-    }
-    daemon.documents.Put({ 1, "file", text, *document });
-    if (document->kind == ServiceKind::Engine) {
-      daemon.Observe(*document);
-    }
+  if (!daemon.cluster.Start(aReason)) {
+    return false;
   }
   daemon.listener = HttpListener::Open(daemon.context.get_executor(),
                                        daemon.settings.entryAddress,
@@ -225,6 +262,7 @@
   }
   asio::co_spawn(
     daemon.context, daemon.AcceptCallers(*daemon.listener), asio::detached);
+  asio::co_spawn(daemon.context, daemon.ObserveUpstreams(), asio::detached);
   return true;
 }
 
--- a/wigeonwalk/daemon/event_recorder.h
+++ b/wigeonwalk/daemon/event_recorder.h
@@ -1,6 +1,6 @@
 // Records each event in the timeline and writes it as a log line.
 //
-//   EventRecorder recorder(timer, settings, log);
+//   EventRecorder recorder(timer, hybrid, settings, log);
 //   recorder.Record({ .kind = EventKind::StopRequested });
 #pragma once
 
@@ -18,9 +18,10 @@
 {
 public:
   EventRecorder(const SystemTimer& aTimer,
+                HybridClock& aHybrid,
                 const DaemonSettings& aSettings,
                 Log& aLog)
-    : ring(aTimer, aSettings.host, aSettings.timelineEvents)
+    : ring(aTimer, aHybrid, aSettings.host, aSettings.timelineEvents)
     , timer(aTimer)
     , log(aLog)
   {
--- a/wigeonwalk/platform/backoff_gate.cc
+++ b/wigeonwalk/platform/backoff_gate.cc
@@ -9,18 +9,18 @@
 {
 }
 
-Admission
+GateAdmission
 BackoffGate::Admit(TimePoint aNow)
 {
   if (!this->closed) {
-    return Admission::Open;
+    return GateAdmission::Open;
   }
   if (aNow < this->retryAt) {
-    return Admission::Closed;
+    return GateAdmission::Closed;
   }
   this->retryAt = aNow + kProbeTimeout;
   this->probing = true;
-  return Admission::Probe;
+  return GateAdmission::Probe;
 }
 
 bool
--- a/wigeonwalk/platform/backoff_gate.h
+++ b/wigeonwalk/platform/backoff_gate.h
@@ -1,7 +1,7 @@
 // Stops calls to a service that does not answer, and lets one through now and
 // then to find out whether it is back.
 //
-//   if (gate.Admit(now) == Admission::Closed) { ... not sent ... }
+//   if (gate.Admit(now) == GateAdmission::Closed) { ... not sent ... }
 //   gate.Failed(now);   // or gate.Succeeded(now)
 #pragma once
 
@@ -15,7 +15,7 @@
 namespace wigeonwalk {
 
 // What the gate says to a call.
-enum class Admission
+enum class GateAdmission
 {
   // The service answers.
   Open,
@@ -26,15 +26,15 @@
 };
 
 template<>
-struct EnumNames<Admission>
+struct EnumNames<GateAdmission>
 {
-  static constexpr std::array<EnumName<Admission>, 3> kTable{ {
-    { Admission::Open, "open" },
-    { Admission::Probe, "probe" },
-    { Admission::Closed, "closed" },
+  static constexpr std::array<EnumName<GateAdmission>, 3> kTable{ {
+    { GateAdmission::Open, "open" },
+    { GateAdmission::Probe, "probe" },
+    { GateAdmission::Closed, "closed" },
   } };
 };
-static_assert(HasCompleteTable<Admission>());
+static_assert(HasCompleteTable<GateAdmission>());
 
 // Exponential backoff with jitter. Daemons have different seeds, so that their
 // probes are spread over the whole backoff when the service returns. One
@@ -52,7 +52,7 @@
 
   explicit BackoffGate(std::uint64_t aSeed);
 
-  Admission Admit(TimePoint aNow);
+  GateAdmission Admit(TimePoint aNow);
 
   // Records the end of a call. Returns true where it opened or closed the gate.
   bool Succeeded(TimePoint aNow);
--- a/wigeonwalk/platform/call_budget_test.cc
+++ b/wigeonwalk/platform/call_budget_test.cc
@@ -106,7 +106,7 @@
     for (std::uint64_t seed = 0; seed < 350; ++seed) {
       BackoffGate gate(seed);
       for (TimePoint now = kStart; now < kStart + 120s; now += 10ms) {
-        if (gate.Admit(now) != Admission::Closed) {
+        if (gate.Admit(now) != GateAdmission::Closed) {
           gate.Failed(now);
           ++perSecond[(now - kStart) / 1s];
         }
@@ -125,7 +125,7 @@
     BackoffGate gate(7);
     CHECK_FALSE(gate.Failed(kStart));
     CHECK_FALSE(gate.Failed(kStart));
-    CHECK(gate.Admit(kStart) == Admission::Open);
+    CHECK(gate.Admit(kStart) == GateAdmission::Open);
     REQUIRE(gate.Failed(kStart));
     THEN("late failures of older calls change nothing")
     {
@@ -134,10 +134,10 @@
       CHECK(gate.RetryAt() == retryAt);
       AND_THEN("one probe goes at its time, and its success opens the gate")
       {
-        CHECK(gate.Admit(retryAt) == Admission::Probe);
-        CHECK(gate.Admit(retryAt) == Admission::Closed);
+        CHECK(gate.Admit(retryAt) == GateAdmission::Probe);
+        CHECK(gate.Admit(retryAt) == GateAdmission::Closed);
         CHECK(gate.Succeeded(retryAt + 2ms));
-        CHECK(gate.Admit(retryAt + 2ms) == Admission::Open);
+        CHECK(gate.Admit(retryAt + 2ms) == GateAdmission::Open);
       }
     }
   }
--- a/wigeonwalk/retry/poison_tracker.cc
+++ b/wigeonwalk/retry/poison_tracker.cc
@@ -39,20 +39,20 @@
   return diedAlone && aRecord.deaths.size() >= kMaxDeaths;
 }
 
-Admission
+PoisonAdmission
 PoisonTracker::Admit(const Fingerprint& aPrint, TimePoint aNow)
 {
   const auto found = this->records.find(aPrint);
   if (found == this->records.end() || found->second.deaths.empty()) {
-    return Admission::Run;
+    return PoisonAdmission::Run;
   }
   Record& record = found->second;
   const bool refused = IsRefused(record);
   if (aNow - record.lastAt > (refused ? kRefusedMemory : kSuspectMemory)) {
     this->records.erase(found);
-    return Admission::Run;
+    return PoisonAdmission::Run;
   }
-  return refused ? Admission::Refuse : Admission::RunAlone;
+  return refused ? PoisonAdmission::Refuse : PoisonAdmission::RunAlone;
 }
 
 std::optional<UpstreamId>
@@ -139,16 +139,17 @@
   this->running.erase(found);
   const std::uint64_t death = DeathId(aUpstream, aIncarnation);
   for (const Run& run : runs) {
-    if (massFailure && this->Admit(run.print, aNow) == Admission::Run) {
+    if (massFailure && this->Admit(run.print, aNow) == PoisonAdmission::Run) {
       continue;
     }
     const PoisonEvidence evidence = run.kind == RunKind::Alone
                                       ? PoisonEvidence::DiedAlone
                                       : PoisonEvidence::DiedShared;
     const bool refusedBefore =
-      this->Admit(run.print, aNow) == Admission::Refuse;
+      this->Admit(run.print, aNow) == PoisonAdmission::Refuse;
     this->Apply({ run.print, death, aNow, evidence }, aNow);
-    if (!refusedBefore && this->Admit(run.print, aNow) == Admission::Refuse) {
+    if (!refusedBefore &&
+        this->Admit(run.print, aNow) == PoisonAdmission::Refuse) {
       refused.push_back(run.print);
     }
   }
--- a/wigeonwalk/retry/poison_tracker.h
+++ b/wigeonwalk/retry/poison_tracker.h
@@ -2,9 +2,9 @@
 //
 //   const Fingerprint print = FingerprintOf(organisation, body);
 //   switch (tracker.Admit(print, now)) {
-//     case Admission::Run: ...
-//     case Admission::RunAlone: upstream = tracker.ChooseAlone(print, hosts);
-//     case Admission::Refuse: ...
+//     case PoisonAdmission::Run: ...
+//     case PoisonAdmission::RunAlone: upstream = tracker.ChooseAlone(print,
+//     hosts); case PoisonAdmission::Refuse: ...
 //   }
 //   tracker.Started(upstream, print, RunKind::Shared);
 //   tracker.Succeeded(upstream, print, now);
@@ -37,7 +37,7 @@
 inline constexpr std::size_t kMaxDeaths = 3;
 
 // How a request may be run.
-enum class Admission
+enum class PoisonAdmission
 {
   Run,
   // It ran on an upstream that died; run it where nothing else runs.
@@ -46,15 +46,15 @@
 };
 
 template<>
-struct EnumNames<Admission>
+struct EnumNames<PoisonAdmission>
 {
-  static constexpr std::array<EnumName<Admission>, 3> kTable{ {
-    { Admission::Run, "run" },
-    { Admission::RunAlone, "run-alone" },
-    { Admission::Refuse, "refuse" },
+  static constexpr std::array<EnumName<PoisonAdmission>, 3> kTable{ {
+    { PoisonAdmission::Run, "run" },
+    { PoisonAdmission::RunAlone, "run-alone" },
+    { PoisonAdmission::Refuse, "refuse" },
   } };
 };
-static_assert(HasCompleteTable<Admission>());
+static_assert(HasCompleteTable<PoisonAdmission>());
 
 // Whether a run had its upstream to itself.
 enum class RunKind
@@ -130,7 +130,7 @@
   static constexpr std::size_t kMassDeaths = 4;
   static constexpr Duration kMassWindow = std::chrono::seconds(5);
 
-  Admission Admit(const Fingerprint& aPrint, TimePoint aNow);
+  PoisonAdmission Admit(const Fingerprint& aPrint, TimePoint aNow);
 
   // Returns where a suspect runs next: the idle candidate with the highest
   // hash, so that daemons agree and two suspects seldom meet; nothing where
--- a/wigeonwalk/retry/poison_tracker_test.cc
+++ b/wigeonwalk/retry/poison_tracker_test.cc
@@ -26,7 +26,7 @@
           std::uint64_t aIncarnation,
           TimePoint aNow)
 {
-  const RunKind kind = aTracker.Admit(aPrint, aNow) == Admission::RunAlone
+  const RunKind kind = aTracker.Admit(aPrint, aNow) == PoisonAdmission::RunAlone
                          ? RunKind::Alone
                          : RunKind::Shared;
   aTracker.Started(kRunner, aPrint, kind);
@@ -52,10 +52,10 @@
 
     THEN("both run alone next, and another organisation's copy does not")
     {
-      CHECK(tracker.Admit(poison, now) == Admission::RunAlone);
-      CHECK(tracker.Admit(innocent, now) == Admission::RunAlone);
+      CHECK(tracker.Admit(poison, now) == PoisonAdmission::RunAlone);
+      CHECK(tracker.Admit(innocent, now) == PoisonAdmission::RunAlone);
       CHECK(tracker.Admit(FingerprintOf(OrganisationId("x"), "poison"), now) ==
-            Admission::Run);
+            PoisonAdmission::Run);
     }
     WHEN("the innocent one succeeds")
     {
@@ -64,19 +64,19 @@
       tracker.Succeeded(kRunner, innocent, now + 1s);
       THEN("it is cleared and the runner is free again")
       {
-        CHECK(tracker.Admit(innocent, now + 1s) == Admission::Run);
+        CHECK(tracker.Admit(innocent, now + 1s) == PoisonAdmission::Run);
         CHECK_FALSE(tracker.IsReserved(kRunner));
       }
     }
     WHEN("the poison kills two more runners on which it runs alone")
     {
       RunAndDie(tracker, poison, 2, now + 1min);
-      CHECK(tracker.Admit(poison, now + 1min) == Admission::RunAlone);
+      CHECK(tracker.Admit(poison, now + 1min) == PoisonAdmission::RunAlone);
       RunAndDie(tracker, poison, 3, now + 2min);
       THEN("it is refused here")
       {
-        CHECK(tracker.Admit(poison, now + 2min) == Admission::Refuse);
-        CHECK(tracker.Admit(innocent, now + 2min) == Admission::RunAlone);
+        CHECK(tracker.Admit(poison, now + 2min) == PoisonAdmission::Refuse);
+        CHECK(tracker.Admit(innocent, now + 2min) == PoisonAdmission::RunAlone);
       }
       THEN("it is refused by a daemon that got the notices, in any order")
       {
@@ -87,11 +87,11 @@
           CHECK(other.MergeNotice(notice, now));
           CHECK_FALSE(other.MergeNotice(notice, now));
         }
-        CHECK(other.Admit(poison, now) == Admission::Refuse);
+        CHECK(other.Admit(poison, now) == PoisonAdmission::Refuse);
       }
       THEN("it is forgotten a day later")
       {
-        CHECK(tracker.Admit(poison, now + 25h) == Admission::Run);
+        CHECK(tracker.Admit(poison, now + 25h) == PoisonAdmission::Run);
       }
     }
   }
@@ -103,7 +103,7 @@
     }
     THEN("it is not refused without a death of its own")
     {
-      CHECK(tracker.Admit(innocent, now + 3min) == Admission::RunAlone);
+      CHECK(tracker.Admit(innocent, now + 3min) == PoisonAdmission::RunAlone);
     }
     THEN("a late notice of a death before its success changes nothing")
     {
@@ -111,7 +111,7 @@
       tracker.Succeeded(kRunner, innocent, now + 4min);
       CHECK_FALSE(tracker.MergeNotice(
         { innocent, 99, now + 3min, PoisonEvidence::DiedAlone }, now + 5min));
-      CHECK(tracker.Admit(innocent, now + 5min) == Admission::Run);
+      CHECK(tracker.Admit(innocent, now + 5min) == PoisonAdmission::Run);
     }
   }
   GIVEN("two daemons that saw the same death")
@@ -161,7 +161,7 @@
     THEN("memory is bounded and what is refused stays refused")
     {
       CHECK(tracker.Records() == PoisonTracker::kMaxRecords);
-      CHECK(tracker.Admit(poison, now + 30s) == Admission::Refuse);
+      CHECK(tracker.Admit(poison, now + 30s) == PoisonAdmission::Refuse);
     }
   }
 }
--- a/wigeonwalk/retry/stream_liveness_test.cc
+++ b/wigeonwalk/retry/stream_liveness_test.cc
@@ -148,7 +148,7 @@
                    LivenessAction,
                    ChunkDecision,
                    ResumePlan,
-                   Admission,
+                   PoisonAdmission,
                    RunKind,
                    PoisonEvidence)
 {
--- a/wigeonwalk/serving/admission.h
+++ b/wigeonwalk/serving/admission.h
@@ -1,5 +1,5 @@
-// Admission: which organisation calls, and what its request becomes for an
-// engine.
+// PoisonAdmission: which organisation calls, and what its request becomes for
+// an engine.
 //
 //   auto admission = AdmitCaller(documents.Find(service), caller, reason);
 #pragma once
--- a/wigeonwalk/serving/cache_mover.h
+++ b/wigeonwalk/serving/cache_mover.h
@@ -8,6 +8,7 @@
 #include "wigeonwalk/cache/retention.h"
 #include "wigeonwalk/ports/event_sink.h"
 #include "wigeonwalk/serving/cache_view.h"
+#include "wigeonwalk/serving/directory_service.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
@@ -36,19 +37,47 @@
 }
 &&StoreHost<typename T::Store>;
 
+// Knows where pieces are stored; see serving/directory_service.h.
+template<typename T>
+concept PieceLocator = requires(T& aLocator,
+                                const std::vector<PieceKey>& aChain,
+                                DirectoryUpdate aUpdate)
+{
+  {
+    aLocator.Lookup(aChain)
+    } -> std::same_as<Task<ChainCopies>>;
+  {
+    aLocator.Announce(aUpdate)
+    } -> std::same_as<void>;
+};
+
 // Moves pieces for one daemon. The references must outlive it.
-template<Timer Time, StoreProvider Stores, EventSink Events>
+template<Timer Time,
+         StoreProvider Stores,
+         PieceLocator Locator,
+         EventSink Events>
 class CacheMover
 {
 public:
-  CacheMover(CacheView& aCache, Time& aTime, Stores& aStores, Events& aEvents)
+  CacheMover(CacheView& aCache,
+             Time& aTime,
+             Stores& aStores,
+             Locator& aLocator,
+             Events& aEvents)
     : cache(aCache)
     , time(aTime)
     , stores(aStores)
+    , locator(aLocator)
     , events(aEvents)
   {
   }
 
+  // Returns the stored copies of a prompt's leading pieces.
+  Task<ChainCopies> Locate(const std::vector<PieceKey>& aChain)
+  {
+    co_return co_await this->locator.Lookup(aChain);
+  }
+
   // Restores pieces, which follow each other in a chain, to an engine. Returns
   // how many leading ones it holds; a failed piece ends the prefix, because the
   // engine can use nothing behind it.
@@ -76,16 +105,18 @@
                            double aReturnChance,
                            Engine& aEngine)
   {
-    const std::size_t known = this->cache.Directory().Lookup(aChain).size();
-    std::size_t exported = 0;
-    for (std::size_t i = known; i < aChain.size(); ++i) {
-      const bool done = co_await this->ExportPiece(
+    const ChainCopies known = co_await this->locator.Lookup(aChain);
+    DirectoryUpdate update;
+    for (std::size_t i = known.size(); i < aChain.size(); ++i) {
+      const auto sealed = co_await this->ExportPiece(
         aDocument, aOrganisation, aChain, i, aReturnChance, aEngine);
-      if (!done) {
+      if (!sealed) {
         break;
       }
-      ++exported;
+      update.added.push_back(*sealed);
     }
+    const std::size_t exported = update.added.size();
+    this->locator.Announce(std::move(update));
     co_return exported;
   }
 
@@ -158,20 +189,21 @@
   }
 
   template<CacheMovingEngine Engine>
-  Task<bool> ExportPiece(const ServiceDocument& aDocument,
-                         const OrganisationId& aOrganisation,
-                         const std::vector<PieceKey>& aChain,
-                         std::size_t aIndex,
-                         double aReturnChance,
-                         Engine& aEngine)
+  Task<std::optional<SealedPiece>> ExportPiece(
+    const ServiceDocument& aDocument,
+    const OrganisationId& aOrganisation,
+    const std::vector<PieceKey>& aChain,
+    std::size_t aIndex,
+    double aReturnChance,
+    Engine& aEngine)
   {
     const StoreSpec* spec = this->ChooseStore(aDocument, aChain.front());
     if (spec == nullptr) {
-      co_return false;
+      co_return std::nullopt;
     }
     const auto tier = this->ChooseTier(aDocument, *spec, aReturnChance);
     if (!tier) {
-      co_return false;
+      co_return std::nullopt;
     }
     const std::uint64_t bytes =
       aDocument.model.cacheBytesPerToken * kPieceTokens;
@@ -185,12 +217,12 @@
       co_await store.Reserve(aChain[aIndex], bytes, *tier, deadline, reason);
     if (!ticket) {
       this->RecordFailure(spec->id, reason);
-      co_return false;
+      co_return std::nullopt;
     }
     auto sealed = co_await aEngine.Export(*ticket, deadline, reason);
     if (!sealed) {
       this->RecordFailure(spec->id, reason);
-      co_return false;
+      co_return std::nullopt;
     }
     sealed->store = spec->id;
     sealed->root = aChain.front();
@@ -198,12 +230,11 @@
     const bool visible = co_await store.Seal(*sealed, deadline, reason);
     if (!visible) {
       this->RecordFailure(spec->id, reason);
-      co_return false;
+      co_return std::nullopt;
     }
     slot.Complete();
-    this->cache.Directory().Record(*sealed);
     this->Record(EventKind::PieceExported, spec->id);
-    co_return true;
+    co_return sealed;
   }
 
   // The store host of a chain: all daemons choose the same one by its root.
@@ -248,7 +279,9 @@
 
   void DropCopy(const SealedPiece& aPiece, const LastReason& aReason)
   {
-    this->cache.Directory().Remove(aPiece);
+    DirectoryUpdate update;
+    update.removed.push_back(aPiece);
+    this->locator.Announce(std::move(update));
     this->RecordFailure(aPiece.store, aReason);
   }
 
@@ -271,6 +304,7 @@
   CacheView& cache;
   Time& time;
   Stores& stores;
+  Locator& locator;
   Events& events;
 };
 
--- a/wigeonwalk/serving/completion_run.h
+++ b/wigeonwalk/serving/completion_run.h
@@ -7,19 +7,9 @@
 #pragma once
 
 #include "wigeonwalk/placement/placement.h"
-#include "wigeonwalk/ports/clock.h"
-#include "wigeonwalk/ports/event_sink.h"
-#include "wigeonwalk/ports/front_end.h"
-#include "wigeonwalk/ports/workers.h"
 #include "wigeonwalk/retry/backoff.h"
-#include "wigeonwalk/retry/stream_liveness.h"
-#include "wigeonwalk/retry/stream_resume.h"
 #include "wigeonwalk/retry/verdict_rules.h"
-#include "wigeonwalk/serving/admission.h"
-#include "wigeonwalk/serving/cache_keeper.h"
-#include "wigeonwalk/serving/cache_mover.h"
-#include "wigeonwalk/serving/daemon_view.h"
-#include "wigeonwalk/serving/engine_provider.h"
+#include "wigeonwalk/serving/stream_forwarder.h"
 
 #include <boost/asio/this_coro.hpp>
 
@@ -31,45 +21,6 @@
 
 namespace wigeonwalk {
 
-// How one attempt ended.
-enum class AttemptEnd
-{
-  // The caller has the whole answer.
-  Answered,
-  // The caller is gone; nothing more can be said to it.
-  CallerGone,
-  // The attempt failed; the refusal says why.
-  Broken,
-};
-
-template<>
-struct EnumNames<AttemptEnd>
-{
-  static constexpr std::array<EnumName<AttemptEnd>, 3> kTable{ {
-    { AttemptEnd::Answered, "answered" },
-    { AttemptEnd::CallerGone, "caller-gone" },
-    { AttemptEnd::Broken, "broken" },
-  } };
-};
-static_assert(HasCompleteTable<AttemptEnd>());
-
-// The adapters and the shared state that a run uses. All must outlive it.
-template<Timer Time,
-         EngineProvider Engines,
-         StoreProvider Stores,
-         EventSink Events,
-         Workers Pool>
-struct RunParts
-{
-  Time& time;
-  Engines& engines;
-  CacheMover<Time, Stores, Events>& mover;
-  CacheKeeper<CacheMover<Time, Stores, Events>, Engines>& keeper;
-  Events& events;
-  Pool& pool;
-  DaemonView& view;
-};
-
 // Prompts up to this many pieces are hashed on the I/O thread: about 8 µs a
 // piece stays below 100 µs.
 inline constexpr std::size_t kInlinePieces = 12;
@@ -83,11 +34,8 @@
                 const CompletionRequest& aRequest,
                 const AdmittedCaller& aCaller)
     : parts(aParts)
-    , request(aRequest)
-    , caller(aCaller)
-    , document(aCaller.accepted->document)
-    , deadline(aParts.time.Now() +
-               aRequest.timeout.value_or(document.requestTimeout))
+    , state(aRequest, aCaller, aParts.time.Now())
+    , forwarder(aParts, state)
     , print(FingerprintOf(aCaller.organisation->id, aRequest.prompt))
   {
   }
@@ -157,28 +105,28 @@
     DaemonView& view = this->parts.view;
     const TimePoint now = this->parts.time.Now();
     this->admission = view.poison.Admit(this->print, now);
-    if (this->admission == Admission::Refuse) {
+    if (this->admission == PoisonAdmission::Refuse) {
       this->Refuse(ReasonCode::Poisoned,
                    "this request crashed the upstreams that ran it");
       co_return false;
     }
     this->version =
-      view.placer.ChooseVersion(this->document, view.random(), now);
-    const PieceScope scope{ this->caller.organisation->id,
-                            this->document.name,
-                            this->document.model.name,
+      view.placer.ChooseVersion(this->state.document, view.random(), now);
+    const PieceScope scope{ this->state.caller.organisation->id,
+                            this->state.document.name,
+                            this->state.document.model.name,
                             this->version,
                             AdapterName() };
     this->salt = ScopeSalt(view.secret, scope);
-    if (this->request.prompt.size() <= kInlinePieces * kPieceBytes) {
-      this->chain = PieceChain(this->salt, this->request.prompt);
+    if (this->state.request.prompt.size() <= kInlinePieces * kPieceBytes) {
+      this->chain = PieceChain(this->salt, this->state.request.prompt);
     } else {
       const auto hash = [this] {
-        return PieceChain(this->salt, this->request.prompt);
+        return PieceChain(this->salt, this->state.request.prompt);
       };
       this->chain = co_await this->parts.pool.RunOnPool(hash);
     }
-    this->copies = view.cache.Directory().Lookup(this->chain);
+    this->copies = co_await this->parts.mover.Locate(this->chain);
     this->Record(EventKind::DirectoryLookedUp,
                  std::to_string(this->copies.size()) + " of " +
                    std::to_string(this->chain.size()) + " pieces stored");
@@ -188,12 +136,13 @@
   Task<std::optional<QueueGate::Slot>> WaitForTurn()
   {
     const double tokens =
-      static_cast<double>(CountTokens(this->request.prompt));
+      static_cast<double>(CountTokens(this->state.request.prompt));
     this->Record(EventKind::RequestQueued, std::string());
-    auto slot =
-      co_await this->parts.view.QueueOf(this->document)
-        .Enter(
-          *this->caller.organisation, tokens, this->deadline, this->parts.time);
+    auto slot = co_await this->parts.view.QueueOf(this->state.document)
+                  .Enter(*this->state.caller.organisation,
+                         tokens,
+                         this->state.deadline,
+                         this->parts.time);
     if (!slot) {
       this->Refuse(ReasonCode::Overloaded,
                    "the request's time ended in the queue");
@@ -205,11 +154,13 @@
   {
     DaemonView& view = this->parts.view;
     const TimePoint now = this->parts.time.Now();
-    PlacementInput input{ this->document, this->version,
-                          this->chain,    CountTokens(this->request.prompt),
-                          this->copies,   this->excluded,
-                          std::nullopt,   view.random() };
-    if (this->admission == Admission::RunAlone) {
+    PlacementInput input{
+      this->state.document, this->version,
+      this->chain,          CountTokens(this->state.request.prompt),
+      this->copies,         this->excluded,
+      std::nullopt,         view.random()
+    };
+    if (this->admission == PoisonAdmission::RunAlone) {
       input.only = this->ChooseAlone(now);
       if (!input.only) {
         this->Refuse(ReasonCode::Overloaded,
@@ -221,12 +172,12 @@
     auto placed = view.placer.Place(input, now, reason);
     if (!placed) {
       // The reason of an earlier attempt tells the caller more.
-      if (this->refusal.reason.code == ReasonCode::None) {
+      if (this->state.refusal.reason.code == ReasonCode::None) {
         this->Refuse(reason.code, reason.detail);
       }
       return std::nullopt;
     }
-    view.explain.Put(this->request.caller.request, placed->explanation);
+    view.explain.Put(this->state.request.caller.request, placed->explanation);
     this->Record(EventKind::RequestPlaced,
                  "first token expected in " +
                    std::to_string(placed->cost.TimeToFirstToken()) + " s",
@@ -237,7 +188,7 @@
   std::optional<UpstreamId> ChooseAlone(TimePoint aNow) const
   {
     std::vector<AloneCandidate> candidates;
-    for (const RunnerSpec& runner : this->document.runners) {
+    for (const RunnerSpec& runner : this->state.document.runners) {
       const UpstreamTable& upstreams = this->parts.view.upstreams;
       const bool idle = upstreams.Usable(runner.id, aNow) &&
                         upstreams.InFlight(runner.id) == 0 &&
@@ -256,7 +207,7 @@
     const UpstreamId& runner = aPlaced.runner.id;
     const auto load = view.upstreams.Begin(runner);
     const double rate =
-      std::max(this->document.model.prefillTokensPerSecond, 1.0);
+      std::max(this->state.document.model.prefillTokensPerSecond, 1.0);
     view.upstreams.NoteSent(runner,
                             static_cast<double>(aPlaced.computedTokens) / rate,
                             this->parts.time.Now());
@@ -267,20 +218,20 @@
     view.cache.Tracker().NoteSent(runner, this->chain, this->parts.time.Now());
     view.poison.Started(runner,
                         this->print,
-                        this->admission == Admission::RunAlone
+                        this->admission == PoisonAdmission::RunAlone
                           ? RunKind::Alone
                           : RunKind::Shared);
     RunMark mark(view.poison, runner, this->print);
-    this->refusal.reason = LastReason();
-    auto stream =
-      co_await engine.Open(engineRequest, this->deadline, this->refusal.reason);
+    this->state.refusal.reason = LastReason();
+    auto stream = co_await engine.Open(
+      engineRequest, this->state.deadline, this->state.refusal.reason);
     if (!stream) {
       co_await this->NoteBreak(aPlaced.runner, engine, mark);
       co_return AttemptEnd::Broken;
     }
     this->Record(EventKind::StreamOpened, std::string(), runner);
     const AttemptEnd end =
-      co_await this->Forward(aPlaced, *stream, engine, aSlot, aSink);
+      co_await this->forwarder.Forward(aPlaced, *stream, engine, aSlot, aSink);
     if (end == AttemptEnd::Broken) {
       co_await stream->Cancel();
       co_await this->NoteBreak(aPlaced.runner, engine, mark);
@@ -296,8 +247,8 @@
     // this coroutine, so the export starts before.
     const auto executor = co_await boost::asio::this_coro::executor;
     this->parts.keeper.Start(
-      executor, this->caller, aPlaced.runner, this->chain);
-    co_await aSink.Finish(this->summary);
+      executor, this->state.caller, aPlaced.runner, this->chain);
+    co_await aSink.Finish(this->state.summary);
     co_return end;
   }
 
@@ -310,8 +261,11 @@
     this->Record(EventKind::RestoreStarted,
                  std::to_string(aPlaced.restore.size()) + " pieces",
                  aPlaced.runner.id);
-    const std::size_t restored = co_await this->parts.mover.Restore(
-      this->document, this->caller.organisation->id, aPlaced.restore, aEngine);
+    const std::size_t restored =
+      co_await this->parts.mover.Restore(this->state.document,
+                                         this->state.caller.organisation->id,
+                                         aPlaced.restore,
+                                         aEngine);
     this->Record(EventKind::RestoreFinished,
                  std::to_string(restored) + " pieces",
                  aPlaced.runner.id);
@@ -321,154 +275,29 @@
   // engine that ran the broken one, or a rerun.
   EngineRequest NextEngineRequest(const UpstreamId& aRunner)
   {
-    EngineRequest next = MakeEngineRequest(
-      this->request, this->caller, this->parts.view.attempts.Next());
+    EngineRequest next = MakeEngineRequest(this->state.request,
+                                           this->state.caller,
+                                           this->parts.view.attempts.Next());
     next.version = this->version;
     next.cacheSalt = this->salt.ToHex();
     next.pieces = this->chain;
-    if (!this->resume) {
-      this->resume.emplace(next.attempt, IsDeterministic(next));
-    } else if (this->resume->NextIndex() > 0 && aRunner == this->lastRunner) {
-      next.resumeAt = this->resume->NextIndex();
-      next.resumes = this->resume->Attempt();
-      this->resume->StartResumed(next.attempt);
+    if (!this->state.resume) {
+      this->state.resume.emplace(next.attempt, IsDeterministic(next));
+    } else if (this->state.resume->NextIndex() > 0 &&
+               aRunner == this->state.lastRunner) {
+      next.resumeAt = this->state.resume->NextIndex();
+      next.resumes = this->state.resume->Attempt();
+      this->state.resume->StartResumed(next.attempt);
       this->Record(EventKind::StreamResumed,
                    "at token " + std::to_string(next.resumeAt),
                    aRunner);
     } else {
-      this->resume->StartRerun(next.attempt);
+      this->state.resume->StartRerun(next.attempt);
     }
-    this->lastRunner = aRunner;
+    this->state.lastRunner = aRunner;
     return next;
   }
 
-  // Forwards tokens until the stream ends, breaks or the caller is gone.
-  template<typename Stream, typename Engine, AnswerSink Sink>
-  Task<AttemptEnd> Forward(const PlacedRequest& aPlaced,
-                           Stream& aStream,
-                           Engine& aEngine,
-                           QueueGate::Slot& aSlot,
-                           Sink& aSink)
-  {
-    LivenessSettings settings;
-    settings.longest = this->document.tokenTimeout;
-    StreamLiveness liveness(settings,
-                            FromSeconds(aPlaced.cost.TimeToFirstToken()),
-                            this->parts.time.Now());
-    while (!this->resume->Complete()) {
-      const TimePoint until = std::min(this->deadline, liveness.ProbeAt());
-      LastReason reason;
-      const auto chunk = co_await aStream.Next(until, reason);
-      if (!chunk) {
-        const bool wait =
-          co_await this->MayWaitOn(reason, liveness, aPlaced.runner, aEngine);
-        if (wait) {
-          continue;
-        }
-        co_return AttemptEnd::Broken;
-      }
-      liveness.RecordToken(this->parts.time.Now());
-      const AttemptEnd end = co_await this->Deliver(*chunk, aSlot, aSink);
-      if (end != AttemptEnd::Answered) {
-        co_return end;
-      }
-    }
-    // The end of the response lets its connection be used again.
-    LastReason ignored;
-    co_await aStream.Next(this->parts.time.Now() + settings.probeTimeout,
-                          ignored);
-    co_return AttemptEnd::Answered;
-  }
-
-  // Offers one chunk to the caller. Answered means that the stream goes on.
-  template<AnswerSink Sink>
-  Task<AttemptEnd> Deliver(const AnswerChunk& aChunk,
-                           QueueGate::Slot& aSlot,
-                           Sink& aSink)
-  {
-    switch (this->resume->Offer(aChunk)) {
-      case ChunkDecision::Deliver:
-        break;
-      case ChunkDecision::SkipChecked:
-        co_return AttemptEnd::Answered;
-      case ChunkDecision::DropForeign:
-      case ChunkDecision::DropDuplicate:
-      case ChunkDecision::DropAfterEnd:
-        this->Record(EventKind::AnswerDropped, std::string());
-        co_return AttemptEnd::Answered;
-      case ChunkDecision::DropAhead:
-      case ChunkDecision::PrefixDiffers:
-        this->Record(EventKind::AnswerDropped, std::string());
-        Fail(this->refusal.reason,
-             ReasonCode::MalformedResponse,
-             "the engine's tokens do not follow what was delivered");
-        co_return AttemptEnd::Broken;
-    }
-    if (aChunk.index == 0) {
-      this->Record(EventKind::FirstToken, std::string(), this->lastRunner);
-    }
-    aSlot.Leave();
-    const bool delivered = co_await aSink.Token(aChunk);
-    if (!delivered) {
-      this->Record(EventKind::CallerGone, std::string());
-      co_return AttemptEnd::CallerGone;
-    }
-    if (aChunk.Last()) {
-      this->summary.finishReason = aChunk.finishReason;
-      this->summary.promptTokens = aChunk.promptTokens;
-      this->summary.cachedTokens = aChunk.cachedTokens;
-    }
-    co_return AttemptEnd::Answered;
-  }
-
-  // Decides on a stream that yielded nothing. Returns true where a probe on a
-  // new connection says to wait on.
-  template<typename Engine>
-  Task<bool> MayWaitOn(const LastReason& aReason,
-                       StreamLiveness& aLiveness,
-                       const RunnerSpec& aRunner,
-                       Engine& aEngine)
-  {
-    const TimePoint now = this->parts.time.Now();
-    if (aReason.code != ReasonCode::ResponseTimeout || now >= this->deadline) {
-      this->refusal.reason = aReason;
-      co_return false;
-    }
-    const ProbeResult probe = co_await this->Probe(aRunner, aEngine);
-    const LivenessAction action =
-      aLiveness.ActOn(probe, true, this->parts.time.Now());
-    if (action == LivenessAction::WaitOn) {
-      co_return true;
-    }
-    this->keepRunner = action == LivenessAction::ResumeSameUpstream;
-    Fail(this->refusal.reason,
-         ReasonCode::SilentConnection,
-         "no token in the expected time; a probe found the upstream " +
-           std::string(NameOf(probe)),
-         aRunner.id.Text());
-    co_return false;
-  }
-
-  template<typename Engine>
-  Task<ProbeResult> Probe(const RunnerSpec& aRunner, Engine& aEngine)
-  {
-    LastReason reason;
-    const TimePoint until =
-      this->parts.time.Now() + LivenessSettings().probeTimeout;
-    const auto report = co_await aEngine.Load(until, reason);
-    if (!report) {
-      co_return reason.code == ReasonCode::ConnectRefused
-        ? ProbeResult::Refused
-        : ProbeResult::NoAnswer;
-    }
-    if (this->parts.view.upstreams.ReportLoad(
-          aRunner.id, *report, this->document.model.prefillTokensPerSecond)) {
-      co_return ProbeResult::Restarted;
-    }
-    co_return report->waitingTokens > 0 ? ProbeResult::AnsweredBusy
-                                        : ProbeResult::Answered;
-  }
-
   // Finds out whether a broken attempt's upstream died, and blames what ran
   // there if it did.
   template<typename Engine>
@@ -477,16 +306,17 @@
                        RunMark& aMark)
   {
     DaemonView& view = this->parts.view;
-    this->refusal.verdict =
-      this->resume->VerdictOnFailure(this->refusal.reason.code);
+    this->state.refusal.verdict =
+      this->state.resume->VerdictOnFailure(this->state.refusal.reason.code);
     this->Record(EventKind::StreamBroken,
-                 std::string(NameOf(this->refusal.reason.code)),
+                 std::string(NameOf(this->state.refusal.reason.code)),
                  aRunner.id);
     const std::uint64_t incarnation = view.upstreams.Incarnation(aRunner.id);
     const bool lost =
-      this->refusal.reason.code == ReasonCode::ConnectionLostAfterWrite;
-    if (lost && !this->keepRunner) {
-      const ProbeResult probe = co_await this->Probe(aRunner, aEngine);
+      this->state.refusal.reason.code == ReasonCode::ConnectionLostAfterWrite;
+    if (lost && !this->state.keepRunner) {
+      const ProbeResult probe =
+        co_await this->forwarder.Probe(aRunner, aEngine);
       if (probe == ProbeResult::Refused || probe == ProbeResult::Restarted) {
         aMark.Settle();
         view.poison.UpstreamDied(
@@ -495,7 +325,7 @@
         this->Record(EventKind::UpstreamLost, std::string(), aRunner.id);
       }
     }
-    if (!this->keepRunner) {
+    if (!this->state.keepRunner) {
       view.upstreams.NoteFailure(aRunner.id, this->parts.time.Now());
     }
   }
@@ -506,11 +336,12 @@
   {
     DaemonView& view = this->parts.view;
     const TimePoint now = this->parts.time.Now();
-    const bool keep = std::exchange(this->keepRunner, false);
-    if (!IsTransient(this->refusal.reason.code) ||
-        this->resume->PlanAfterBreak(keep) == ResumePlan::Fail ||
-        !view.budget.TrySpend(
-          this->caller.organisation->id, this->document.name, now)) {
+    const bool keep = std::exchange(this->state.keepRunner, false);
+    if (!IsTransient(this->state.refusal.reason.code) ||
+        this->state.resume->PlanAfterBreak(keep) == ResumePlan::Fail ||
+        !view.budget.TrySpend(this->state.caller.organisation->id,
+                              this->state.document.name,
+                              now)) {
       return std::nullopt;
     }
     if (!keep) {
@@ -518,13 +349,13 @@
     }
     // A death may have made this request a suspect.
     this->admission = view.poison.Admit(this->print, now);
-    if (this->admission == Admission::Refuse) {
+    if (this->admission == PoisonAdmission::Refuse) {
       this->Refuse(ReasonCode::Poisoned,
                    "this request crashed the upstreams that ran it");
       return std::nullopt;
     }
     const auto next = NextAttemptAt(
-      BackoffSettings(), aFailures, now, this->deadline, view.random);
+      BackoffSettings(), aFailures, now, this->state.deadline, view.random);
     if (next) {
       this->Record(EventKind::RequestRetried, std::string());
     }
@@ -534,15 +365,15 @@
   void NoteAnswered(const RunnerSpec& aRunner)
   {
     DaemonView& view = this->parts.view;
-    this->summary.completionTokens = this->resume->NextIndex();
-    this->summary.upstream = aRunner.id;
+    this->state.summary.completionTokens = this->state.resume->NextIndex();
+    this->state.summary.upstream = aRunner.id;
     view.upstreams.NoteSuccess(aRunner.id);
-    view.budget.RecordSuccess(this->caller.organisation->id,
-                              this->document.name,
+    view.budget.RecordSuccess(this->state.caller.organisation->id,
+                              this->state.document.name,
                               this->parts.time.Now());
     this->Record(EventKind::RequestFinished,
-                 std::to_string(this->summary.cachedTokens) + " of " +
-                   std::to_string(this->summary.promptTokens) +
+                 std::to_string(this->state.summary.cachedTokens) + " of " +
+                   std::to_string(this->state.summary.promptTokens) +
                    " prompt tokens cached",
                  aRunner.id);
   }
@@ -553,50 +384,37 @@
     this->parts.events.Record(
       { EventKind::RequestRefused,
         this->parts.time.Now(),
-        this->request.caller.request,
-        this->refusal.reason.place,
-        this->refusal.verdict,
-        std::string(NameOf(this->refusal.reason.code)) });
-    co_await aSink.Fail(this->refusal);
+        this->state.request.caller.request,
+        this->state.refusal.reason.place,
+        this->state.refusal.verdict,
+        std::string(NameOf(this->state.refusal.reason.code)) });
+    co_await aSink.Fail(this->state.refusal);
   }
 
   // Sets a refusal for a cause that is no failed attempt. The verdict on an
   // earlier attempt stays.
   void Refuse(ReasonCode aCode, std::string aDetail)
   {
-    Fail(this->refusal.reason, aCode, std::move(aDetail));
+    Fail(this->state.refusal.reason, aCode, std::move(aDetail));
   }
 
   void Record(EventKind aKind,
               std::string aDetail,
               const UpstreamId& aSubject = UpstreamId())
   {
-    this->parts.events.Record({ aKind,
-                                this->parts.time.Now(),
-                                this->request.caller.request,
-                                aSubject.Text(),
-                                std::nullopt,
-                                std::move(aDetail) });
+    RecordStep(this->parts, this->state, aKind, std::move(aDetail), aSubject);
   }
 
   Parts& parts;
-  const CompletionRequest& request;
-  const AdmittedCaller& caller;
-  const ServiceDocument& document;
-  TimePoint deadline;
+  RequestState state;
+  StreamForwarder<Parts> forwarder;
   Fingerprint print;
-  Admission admission = Admission::Run;
+  PoisonAdmission admission = PoisonAdmission::Run;
   WeightVersion version;
   PieceKey salt;
   std::vector<PieceKey> chain;
   std::vector<std::vector<PieceCopy>> copies;
   std::unordered_set<UpstreamId> excluded;
-  std::optional<StreamResume> resume;
-  UpstreamId lastRunner;
-  // The next attempt goes to the same runner.
-  bool keepRunner = false;
-  AnswerSummary summary;
-  Refusal refusal;
 };
 
 } // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/serving/stream_forwarder.h
@@ -0,0 +1,266 @@
+// The state of one request over its attempts, and the forwarding of tokens from
+// an open stream to the caller.
+//
+//   StreamForwarder forwarder(parts, state);
+//   AttemptEnd end = co_await forwarder.Forward(placed, stream, engine, slot,
+//                                               sink);
+#pragma once
+
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/event_sink.h"
+#include "wigeonwalk/ports/front_end.h"
+#include "wigeonwalk/ports/workers.h"
+#include "wigeonwalk/retry/stream_liveness.h"
+#include "wigeonwalk/retry/stream_resume.h"
+#include "wigeonwalk/serving/admission.h"
+#include "wigeonwalk/serving/cache_keeper.h"
+#include "wigeonwalk/serving/daemon_view.h"
+#include "wigeonwalk/serving/engine_provider.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace wigeonwalk {
+
+// How one attempt ended.
+enum class AttemptEnd
+{
+  // The caller has the whole answer.
+  Answered,
+  // The caller is gone; nothing more can be said to it.
+  CallerGone,
+  // The attempt failed; the refusal says why.
+  Broken,
+};
+
+template<>
+struct EnumNames<AttemptEnd>
+{
+  static constexpr std::array<EnumName<AttemptEnd>, 3> kTable{ {
+    { AttemptEnd::Answered, "answered" },
+    { AttemptEnd::CallerGone, "caller-gone" },
+    { AttemptEnd::Broken, "broken" },
+  } };
+};
+static_assert(HasCompleteTable<AttemptEnd>());
+
+// The adapters and the shared state that a run uses. All must outlive it.
+template<Timer Time,
+         EngineProvider Engines,
+         typename Mover,
+         EventSink Events,
+         Workers Pool>
+struct RunParts
+{
+  Time& time;
+  Engines& engines;
+  Mover& mover;
+  CacheKeeper<Mover, Engines>& keeper;
+  Events& events;
+  Pool& pool;
+  DaemonView& view;
+};
+
+// One request over all its attempts.
+struct RequestState
+{
+  RequestState(const CompletionRequest& aRequest,
+               const AdmittedCaller& aCaller,
+               TimePoint aNow)
+    : request(aRequest)
+    , caller(aCaller)
+    , document(aCaller.accepted->document)
+    , deadline(aNow + aRequest.timeout.value_or(document.requestTimeout))
+  {
+  }
+
+  const CompletionRequest& request;
+  const AdmittedCaller& caller;
+  const ServiceDocument& document;
+  TimePoint deadline;
+  // Set with the first attempt.
+  std::optional<StreamResume> resume;
+  UpstreamId lastRunner;
+  // The next attempt goes to the same runner.
+  bool keepRunner = false;
+  AnswerSummary summary;
+  Refusal refusal;
+};
+
+// Records an event of a request.
+template<typename Parts>
+void
+RecordStep(Parts& aParts,
+           const RequestState& aState,
+           EventKind aKind,
+           std::string aDetail,
+           const UpstreamId& aSubject = UpstreamId())
+{
+  aParts.events.Record({ aKind,
+                         aParts.time.Now(),
+                         aState.request.caller.request,
+                         aSubject.Text(),
+                         std::nullopt,
+                         std::move(aDetail) });
+}
+
+// Forwards tokens for one request. The references must outlive it.
+template<typename Parts>
+class StreamForwarder
+{
+public:
+  StreamForwarder(Parts& aParts, RequestState& aState)
+    : parts(aParts)
+    , state(aState)
+  {
+  }
+
+  // Forwards tokens until the stream ends, breaks or the caller is gone.
+  template<typename Stream, typename Engine, AnswerSink Sink>
+  Task<AttemptEnd> Forward(const PlacedRequest& aPlaced,
+                           Stream& aStream,
+                           Engine& aEngine,
+                           QueueGate::Slot& aSlot,
+                           Sink& aSink)
+  {
+    LivenessSettings settings;
+    settings.longest = this->state.document.tokenTimeout;
+    StreamLiveness liveness(settings,
+                            FromSeconds(aPlaced.cost.TimeToFirstToken()),
+                            this->parts.time.Now());
+    while (!this->state.resume->Complete()) {
+      const TimePoint until =
+        std::min(this->state.deadline, liveness.ProbeAt());
+      LastReason reason;
+      const auto chunk = co_await aStream.Next(until, reason);
+      if (!chunk) {
+        const bool wait =
+          co_await this->MayWaitOn(reason, liveness, aPlaced.runner, aEngine);
+        if (wait) {
+          continue;
+        }
+        co_return AttemptEnd::Broken;
+      }
+      liveness.RecordToken(this->parts.time.Now());
+      const AttemptEnd end = co_await this->Deliver(*chunk, aSlot, aSink);
+      if (end != AttemptEnd::Answered) {
+        co_return end;
+      }
+    }
+    // The end of the response lets its connection be used again.
+    LastReason ignored;
+    co_await aStream.Next(this->parts.time.Now() + settings.probeTimeout,
+                          ignored);
+    co_return AttemptEnd::Answered;
+  }
+
+  // Asks an engine for its load on a new connection.
+  template<typename Engine>
+  Task<ProbeResult> Probe(const RunnerSpec& aRunner, Engine& aEngine)
+  {
+    LastReason reason;
+    const TimePoint until =
+      this->parts.time.Now() + LivenessSettings().probeTimeout;
+    const auto report = co_await aEngine.Load(until, reason);
+    if (!report) {
+      co_return reason.code == ReasonCode::ConnectRefused
+        ? ProbeResult::Refused
+        : ProbeResult::NoAnswer;
+    }
+    if (this->parts.view.upstreams.ReportLoad(
+          aRunner.id,
+          *report,
+          this->state.document.model.prefillTokensPerSecond)) {
+      co_return ProbeResult::Restarted;
+    }
+    co_return report->waitingTokens > 0 ? ProbeResult::AnsweredBusy
+                                        : ProbeResult::Answered;
+  }
+
+private:
+  // Offers one chunk to the caller. Answered means that the stream goes on.
+  template<AnswerSink Sink>
+  Task<AttemptEnd> Deliver(const AnswerChunk& aChunk,
+                           QueueGate::Slot& aSlot,
+                           Sink& aSink)
+  {
+    switch (this->state.resume->Offer(aChunk)) {
+      case ChunkDecision::Deliver:
+        break;
+      case ChunkDecision::SkipChecked:
+        co_return AttemptEnd::Answered;
+      case ChunkDecision::DropForeign:
+      case ChunkDecision::DropDuplicate:
+      case ChunkDecision::DropAfterEnd:
+        this->Record(EventKind::AnswerDropped, std::string());
+        co_return AttemptEnd::Answered;
+      case ChunkDecision::DropAhead:
+      case ChunkDecision::PrefixDiffers:
+        this->Record(EventKind::AnswerDropped, std::string());
+        Fail(this->state.refusal.reason,
+             ReasonCode::MalformedResponse,
+             "the engine's tokens do not follow what was delivered");
+        co_return AttemptEnd::Broken;
+    }
+    if (aChunk.index == 0) {
+      RecordStep(this->parts,
+                 this->state,
+                 EventKind::FirstToken,
+                 std::string(),
+                 this->state.lastRunner);
+    }
+    aSlot.Leave();
+    const bool delivered = co_await aSink.Token(aChunk);
+    if (!delivered) {
+      this->Record(EventKind::CallerGone, std::string());
+      co_return AttemptEnd::CallerGone;
+    }
+    if (aChunk.Last()) {
+      this->state.summary.finishReason = aChunk.finishReason;
+      this->state.summary.promptTokens = aChunk.promptTokens;
+      this->state.summary.cachedTokens = aChunk.cachedTokens;
+    }
+    co_return AttemptEnd::Answered;
+  }
+
+  // Decides on a stream that yielded nothing. Returns true where a probe on a
+  // new connection says to wait on.
+  template<typename Engine>
+  Task<bool> MayWaitOn(const LastReason& aReason,
+                       StreamLiveness& aLiveness,
+                       const RunnerSpec& aRunner,
+                       Engine& aEngine)
+  {
+    const TimePoint now = this->parts.time.Now();
+    if (aReason.code != ReasonCode::ResponseTimeout ||
+        now >= this->state.deadline) {
+      this->state.refusal.reason = aReason;
+      co_return false;
+    }
+    const ProbeResult probe = co_await this->Probe(aRunner, aEngine);
+    const LivenessAction action =
+      aLiveness.ActOn(probe, true, this->parts.time.Now());
+    if (action == LivenessAction::WaitOn) {
+      co_return true;
+    }
+    this->state.keepRunner = action == LivenessAction::ResumeSameUpstream;
+    Fail(this->state.refusal.reason,
+         ReasonCode::SilentConnection,
+         "no token in the expected time; a probe found the upstream " +
+           std::string(NameOf(probe)),
+         aRunner.id.Text());
+    co_return false;
+  }
+
+  void Record(EventKind aKind, std::string aDetail)
+  {
+    RecordStep(this->parts, this->state, aKind, std::move(aDetail));
+  }
+
+  Parts& parts;
+  RequestState& state;
+};
+
+} // namespace wigeonwalk
