adapters/peer: add codec, authenticated frames and transport between daemons

Cause: frequent small messages between daemons need a compact encoding, and nothing that is not from this cluster may change a daemon's view. Change: MessagePack maps that ignore unknown fields; frames with version, length limit and truncated HMAC-SHA256; datagrams of at most 1,200 bytes and calls over pooled connections, one coroutine for each; every fault is counted by kind and ends its connection. Nesting is checked before the recursive parser runs. Test: contract tests over 127.0.0.1 and 20,000 seeded changes of messages under AddressSanitizer. Six breaks fail a test each (tag not compared, no length limit, no depth limit: stack overflow, closed idle connection used again, no time limit for a frame, state not owned by its coroutines: use after free).

--- /dev/null
+++ b/wigeonwalk/adapters/peer/asio_spawner.h
@@ -0,0 +1,28 @@
+// Starts coroutines on an I/O context.
+//
+//   AsioSpawner spawner(context.get_executor());
+//   spawner.Spawn(RunPeer());
+#pragma once
+
+#include "wigeonwalk/ports/peer_channel.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+namespace wigeonwalk {
+
+// An exception that leaves a coroutine leaves the run of the I/O context, apart
+// from the end of a wait that was cancelled.
+class AsioSpawner
+{
+public:
+  explicit AsioSpawner(boost::asio::any_io_executor aExecutor);
+
+  void Spawn(Task<void> aTask);
+
+private:
+  boost::asio::any_io_executor executor;
+};
+
+static_assert(TaskSpawner<AsioSpawner>);
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/peer/internal/transport_state.h
@@ -0,0 +1,123 @@
+// State of a PeerTransport that its coroutines share.
+#pragma once
+
+#include "wigeonwalk/adapters/clock/system_timer.h"
+#include "wigeonwalk/adapters/peer/peer_transport.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace wigeonwalk {
+
+namespace peer_internal {
+
+using Tcp = boost::asio::ip::tcp;
+using Udp = boost::asio::ip::udp;
+
+// Returns the endpoint of "IP:port", or nothing.
+std::optional<Tcp::endpoint>
+ParseEndpoint(const std::string& aAddress, LastReason& aReason);
+
+// One connection. The watchdog closes its socket when a step takes too long, so
+// that no coroutine waits for ever on a silent connection.
+class Connection
+{
+public:
+  explicit Connection(Tcp::socket aSocket);
+  ~Connection();
+
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  // Closes the socket at a time from now unless Disarm is called before.
+  void Arm(Duration aTime);
+  void Disarm();
+  void Close();
+  bool TimedOut() const { return this->timedOut; }
+
+  Tcp::socket socket;
+  // When it became idle, for pooled connections.
+  TimePoint idleSince;
+
+private:
+  boost::asio::steady_timer watchdog;
+  std::shared_ptr<bool> armed;
+  bool timedOut = false;
+};
+
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+} // namespace peer_internal
+
+struct PeerTransport::State
+  : public std::enable_shared_from_this<PeerTransport::State>
+{
+  State(boost::asio::any_io_executor aExecutor,
+        ClusterKey aKey,
+        PeerTransportSettings aSettings);
+
+  bool Listen(const std::string& aAddress, LastReason& aReason);
+  bool Open(const peer_internal::Tcp::endpoint& aEndpoint, LastReason& aReason);
+  void Stop();
+
+  // One coroutine each: the listener, all datagrams, each connection.
+  Task<void> Accept();
+  Task<void> ReceiveDatagrams();
+  Task<void> ServeConnection(peer_internal::ConnectionPtr aConnection);
+
+  // Serves one call; returns false where the connection must be closed.
+  Task<bool> ServeCall(peer_internal::Connection& aConnection);
+
+  // Static, so that the coroutine owns the state from its creation on.
+  static Task<std::optional<PeerAnswer>> Call(std::shared_ptr<State> aSelf,
+                                              std::string aAddress,
+                                              std::string aFrame,
+                                              TimePoint aDeadline,
+                                              LastReason& aReason);
+  Task<std::optional<PeerAnswer>> Exchange(
+    peer_internal::ConnectionPtr aConnection,
+    const std::string& aAddress,
+    const std::string& aFrame,
+    LastReason& aReason);
+  Task<peer_internal::ConnectionPtr> Connect(const std::string& aAddress,
+                                             Duration aTime,
+                                             LastReason& aReason);
+  peer_internal::ConnectionPtr TakeIdle(const std::string& aAddress);
+  void KeepIdle(const std::string& aAddress,
+                peer_internal::ConnectionPtr aConnection);
+
+  // Drops idle connections that are too old to be used again.
+  void PurgeIdle();
+
+  // Reads one frame and returns its payload.
+  Task<std::optional<std::string>> ReadFrame(
+    peer_internal::Connection& aConnection,
+    FrameKind aKind,
+    LastReason& aReason);
+
+  void TakeDatagram(std::string_view aFrame);
+  void CountDropped(FrameFault aFault);
+
+  boost::asio::any_io_executor executor;
+  ClusterKey key;
+  PeerTransportSettings settings;
+  SystemTimer timer;
+  PeerTransportCounters counters;
+  OnDatagram onDatagram;
+  OnCall onCall;
+  peer_internal::Tcp::acceptor acceptor;
+  peer_internal::Udp::socket datagrams;
+  std::set<peer_internal::ConnectionPtr> served;
+  std::set<peer_internal::ConnectionPtr> calling;
+  std::map<std::string, std::vector<peer_internal::ConnectionPtr>> idle;
+  TimePoint lastPurge;
+  bool stopped = false;
+};
+
+} // namespace wigeonwalk
