--- a/wigeonwalk/adapters/engine/engine_codec.cc
+++ b/wigeonwalk/adapters/engine/engine_codec.cc
@@ -67,7 +67,8 @@
   return {
     { "store", aPiece.store.Text() },    { "piece", aPiece.piece.ToHex() },
     { "generation", aPiece.generation }, { "bytes", aPiece.bytes },
-    { "checksum", aPiece.checksum },     { "tier", Print(aPiece.tier) }
+    { "checksum", aPiece.checksum },     { "tier", Print(aPiece.tier) },
+    { "root", aPiece.root.ToHex() },     { "index", aPiece.index }
   };
 }
 
@@ -79,7 +80,9 @@
            aJson.at("generation").get<std::uint64_t>(),
            aJson.at("bytes").get<std::uint64_t>(),
            aJson.at("checksum").get<std::uint64_t>(),
-           GetEnum<StoreTier>(aJson.at("tier")) };
+           GetEnum<StoreTier>(aJson.at("tier")),
+           GetHash(aJson.at("root")),
+           aJson.at("index").get<std::uint32_t>() };
 }
 
 } // namespace
@@ -243,7 +246,8 @@
     { "store", aTicket.store.Text() },
     { "piece", aTicket.piece.ToHex() },
     { "generation", aTicket.generation },
-    { "tier", Print(aTicket.tier) }
+    { "tier", Print(aTicket.tier) },
+    { "address", aTicket.address }
   }.dump();
 }
 
@@ -271,13 +275,56 @@
   return Guarded(aBody, aReason, SealedFromJson);
 }
 
+std::string
+EncodeSealedList(const std::vector<SealedPiece>& aPieces)
+{
+  Json list = Json::array();
+  for (const SealedPiece& piece : aPieces) {
+    list.push_back(SealedToJson(piece));
+  }
+  return Json{ { "pieces", std::move(list) } }.dump();
+}
+
+std::optional<std::vector<SealedPiece>>
+DecodeSealedList(std::string_view aBody, LastReason& aReason)
+{
+  return Guarded(aBody, aReason, [](const Json& aJson) {
+    std::vector<SealedPiece> pieces;
+    for (const Json& piece : aJson.at("pieces")) {
+      pieces.push_back(SealedFromJson(piece));
+    }
+    return pieces;
+  });
+}
+
+std::string
+EncodeReservation(const Reservation& aReservation)
+{
+  return Json{
+    { "piece", aReservation.piece.ToHex() },
+    { "bytes", aReservation.bytes },
+    { "tier", Print(aReservation.tier) }
+  }.dump();
+}
+
+std::optional<Reservation>
+DecodeReservation(std::string_view aBody, LastReason& aReason)
+{
+  return Guarded(aBody, aReason, [](const Json& aJson) {
+    return Reservation{ GetHash(aJson.at("piece")),
+                        aJson.at("bytes").get<std::uint64_t>(),
+                        GetEnum<StoreTier>(aJson.at("tier")) };
+  });
+}
+
 std::string
 EncodeLease(const ReadLease& aLease)
 {
   return Json{
     { "lease", aLease.lease },
     { "piece", SealedToJson(aLease.piece) },
-    { "expires_at_us", aLease.expiresAt.time_since_epoch().count() }
+    { "expires_at_us", aLease.expiresAt.time_since_epoch().count() },
+    { "address", aLease.address }
   }.dump();
 }
 
@@ -288,7 +335,8 @@
     return ReadLease{ aJson.at("lease").get<std::uint64_t>(),
                       SealedFromJson(aJson.at("piece")),
                       TimePoint(Duration(
-                        aJson.at("expires_at_us").get<std::int64_t>())) };
+                        aJson.at("expires_at_us").get<std::int64_t>())),
+                      aJson.at("address").get<std::string>() };
   });
 }
 
