--- a/wigeonwalk/documents/test_member.h
+++ b/wigeonwalk/documents/test_member.h
@@ -70,14 +70,14 @@
 class TestMember
 {
 public:
-  using Ports = PropagationPorts<PausableTimer,
+  using Ports = PropagationPorts<EndpointTimer,
                                  FakePeerChannel,
                                  VirtualTime,
                                  FakeKeyValue,
                                  TestDocumentCodec,
                                  InForceLog>;
   using Propagation = DocumentPropagation<Ports, P>;
-  using Detector = FailureDetector<PausableTimer,
+  using Detector = FailureDetector<EndpointTimer,
                                    FakePeerChannel,
                                    VirtualTime,
                                    TestRider<Propagation>>;
@@ -138,7 +138,7 @@
   }
 
   PeerNetwork::Endpoint& endpoint;
-  PausableTimer timer;
+  EndpointTimer timer;
   FakePeerChannel channel;
   FakeKeyValue keyValue;
   TestDocumentCodec codec;
--- a/wigeonwalk/membership/failure_detector_test.cc
+++ b/wigeonwalk/membership/failure_detector_test.cc
@@ -41,7 +41,7 @@
 struct Node
 {
   using Detector =
-    FailureDetector<PausableTimer, FakePeerChannel, VirtualTime, CountingRider>;
+    FailureDetector<EndpointTimer, FakePeerChannel, VirtualTime, CountingRider>;
 
   Node(VirtualTime& aTime,
        PeerNetwork& aNetwork,
@@ -73,7 +73,7 @@
   }
 
   PeerNetwork::Endpoint& endpoint;
-  PausableTimer timer;
+  EndpointTimer timer;
   FakePeerChannel channel;
   CountingRider rider;
   HybridClock clock;
--- a/wigeonwalk/testing/peer_network.h
+++ b/wigeonwalk/testing/peer_network.h
@@ -128,10 +128,10 @@
 static_assert(PeerChannel<FakePeerChannel>);
 
 // The timer of an endpoint: its waits do not end while it is paused.
-class PausableTimer
+class EndpointTimer
 {
 public:
-  PausableTimer(VirtualTime& aTime, const PeerNetwork::Endpoint& aEndpoint)
+  EndpointTimer(VirtualTime& aTime, const PeerNetwork::Endpoint& aEndpoint)
     : time(aTime)
     , endpoint(aEndpoint)
   {
@@ -152,7 +152,7 @@
   const PeerNetwork::Endpoint& endpoint;
 };
 
-static_assert(Timer<PausableTimer>);
+static_assert(Timer<EndpointTimer>);
 static_assert(TaskSpawner<VirtualTime>);
 
 } // namespace wigeonwalk
