daemon: serve settings' documents until one is accepted; check freshness

Cause: the demo was refused whole, because a document from the settings had revision zero and the store takes only higher ones. Change: such documents stand beside the store and give way to accepted ones; admission refuses as NotRun where the documents are isolated, stale or not loaded; the daemon ends without unwinding open coroutines.

--- a/daemons/wigeonwalkd.cc
+++ b/daemons/wigeonwalkd.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -42,7 +43,10 @@
     };
   signals.async_wait(onSignal);
   context.run();
-  return 0;
+  daemon.FlushLog();
+  // Coroutines that were still open refer to the daemon's state; the process
+  // ends without unwinding them.
+  std::quick_exit(0);
 }
 
 } // namespace
--- a/wigeonwalk/adapters/openai/openai_codec.cc
+++ b/wigeonwalk/adapters/openai/openai_codec.cc
@@ -276,7 +276,6 @@
       return 408;
     case ReasonCode::Conflict:
     case ReasonCode::AlreadyExists:
-    case ReasonCode::Stale:
       return 409;
     case ReasonCode::TooLarge:
       return 413;
--- a/wigeonwalk/daemon/cluster.cc
+++ b/wigeonwalk/daemon/cluster.cc
@@ -7,6 +7,7 @@
 
 #include <fstream>
 #include <iterator>
+#include <map>
 #include <utility>
 
 namespace wigeonwalk {
@@ -237,8 +238,7 @@
     co_return answer;
   }
 
-  // Documents of the settings have revision zero, so that any accepted one
-  // replaces them.
+  // Documents of the settings count until one is accepted for their service.
   bool LoadFiles(LastReason& aReason)
   {
     for (const std::string& file : this->parts.settings.documentFiles) {
@@ -250,8 +250,11 @@
         aReason.place = file + ' ' + aReason.place;
         return false;
       }
-      const ServiceName service = document->name;
-      this->store.Offer({ service, 0, "settings", text }, std::move(document));
+      auto loaded = std::make_shared<AcceptedDocument>();
+      loaded->editId = "settings";
+      loaded->text = text;
+      loaded->document = std::move(*document);
+      this->fromSettings[loaded->document.name] = std::move(loaded);
     }
     return true;
   }
@@ -268,6 +271,7 @@
   KeyValue operatorCalls;
   Propagation propagation;
   Acceptance acceptance;
+  std::map<ServiceName, DocumentStore::Snapshot> fromSettings;
   Forward forward;
 };
 
@@ -321,13 +325,24 @@
 std::shared_ptr<const AcceptedDocument>
 Cluster::Find(const ServiceName& aName) const
 {
-  return this->state->store.InForce(aName);
+  if (auto accepted = this->state->store.InForce(aName)) {
+    return accepted;
+  }
+  const auto& files = this->state->fromSettings;
+  const auto found = files.find(aName);
+  return found == files.end() ? nullptr : found->second;
 }
 
 std::vector<std::shared_ptr<const AcceptedDocument>>
 Cluster::AllInForce() const
 {
-  return this->state->store.AllInForce();
+  auto documents = this->state->store.AllInForce();
+  for (const auto& [service, document] : this->state->fromSettings) {
+    if (!this->state->store.InForce(service)) {
+      documents.push_back(document);
+    }
+  }
+  return documents;
 }
 
 Freshness
--- a/wigeonwalk/daemon/daemon.cc
+++ b/wigeonwalk/daemon/daemon.cc
@@ -80,8 +80,11 @@
         static_cast<std::uint64_t>(timer.Now().time_since_epoch().count()))
     , pool(timer, aContext.get_executor(), kMaxIdleConnection)
     , upstreams(pool)
-    , log(settings.host, LogLevelOf(settings.logLevel), std::clog)
-    , events(timer, hybrid, settings, log)
+    , log(std::in_place,
+          settings.host,
+          LogLevelOf(settings.logLevel),
+          std::clog)
+    , events(timer, hybrid, settings, *log)
     , workers(settings.workerThreads)
     , view(settings.host,
            settings.zone,
@@ -215,7 +218,8 @@
   HybridClock hybrid;
   HttpPool pool;
   HttpUpstreams upstreams;
-  Log log;
+  // Empty once it was flushed at the end.
+  std::optional<Log> log;
   EventRecorder events;
   CpuPool workers;
   DaemonView view;
@@ -277,4 +281,10 @@
   asio::co_spawn(daemon.context, daemon.Drain(), asio::detached);
 }
 
+void
+Daemon::FlushLog()
+{
+  this->state->log.reset();
+}
+
 } // namespace wigeonwalk
--- a/wigeonwalk/daemon/daemon.h
+++ b/wigeonwalk/daemon/daemon.h
@@ -29,6 +29,9 @@
   // ends open streams, then stops the context. A second call stops at once.
   void RequestStop();
 
+  // Writes the log lines that wait. Nothing is logged afterwards.
+  void FlushLog();
+
 private:
   struct State;
 
--- a/wigeonwalk/serving/admission.cc
+++ b/wigeonwalk/serving/admission.cc
@@ -5,6 +5,25 @@
 
 namespace wigeonwalk {
 
+bool
+CheckFreshness(Freshness aFreshness, LastReason& aReason)
+{
+  if (MayServe(aFreshness)) {
+    return true;
+  }
+  ReasonCode code = ReasonCode::Unavailable;
+  if (aFreshness == Freshness::RefuseIsolated) {
+    code = ReasonCode::Isolated;
+  } else if (aFreshness == Freshness::RefuseStale) {
+    code = ReasonCode::Stale;
+  }
+  Fail(aReason,
+       code,
+       "this daemon may not serve its documents: " +
+         std::string(NameOf(aFreshness)));
+  return false;
+}
+
 std::optional<AdmittedCaller>
 AdmitCaller(std::shared_ptr<const AcceptedDocument> aAccepted,
             const CallerIdentity& aCaller,
--- a/wigeonwalk/serving/admission.h
+++ b/wigeonwalk/serving/admission.h
@@ -4,6 +4,7 @@
 //   auto admission = AdmitCaller(documents.Find(service), caller, reason);
 #pragma once
 
+#include "wigeonwalk/documents/freshness.h"
 #include "wigeonwalk/documents/service_document.h"
 #include "wigeonwalk/ports/front_end.h"
 
@@ -20,6 +21,10 @@
   const OrganisationSpec* organisation = nullptr;
 };
 
+// Returns true where new requests are taken; else sets the reason.
+bool
+CheckFreshness(Freshness aFreshness, LastReason& aReason);
+
 // Returns the organisation that the caller's key belongs to, or nothing with
 // the reason NotFound (no such service) or Unauthorized.
 std::optional<AdmittedCaller>
--- a/wigeonwalk/serving/engine_provider.h
+++ b/wigeonwalk/serving/engine_provider.h
@@ -3,6 +3,7 @@
 //   auto& engine = provider.EngineOf(runner);
 #pragma once
 
+#include "wigeonwalk/documents/freshness.h"
 #include "wigeonwalk/documents/service_document.h"
 #include "wigeonwalk/ports/host_list.h"
 #include "wigeonwalk/ports/model_engine.h"
@@ -34,13 +35,16 @@
 }
 &&PlainService<typename T::Service>;
 
-// Finds the documents in force.
+// Finds the documents in force, and says whether they may still be served.
 template<typename T>
 concept DocumentSource = requires(const T& aSource, const ServiceName& aService)
 {
   {
     aSource.Find(aService)
     } -> std::same_as<std::shared_ptr<const AcceptedDocument>>;
+  {
+    aSource.CurrentFreshness()
+    } -> std::same_as<Freshness>;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/serving/request_path.h
+++ b/wigeonwalk/serving/request_path.h
@@ -74,6 +74,9 @@
                                       Refusal& aRefusal)
   {
     aRefusal.verdict = Verdict::NotRun;
+    if (!CheckFreshness(this->documents.CurrentFreshness(), aRefusal.reason)) {
+      return std::nullopt;
+    }
     return AdmitCaller(
       this->documents.Find(aCaller.service), aCaller, aRefusal.reason);
   }
