placement: restore from several store hosts in parallel

Cause: a restore waited for one store host's disk link. Change: Place reads each piece from the copy that arrives first and names the copies. Services that weigh time to first token spread a prompt over two store hosts; the others keep a second copy where there is room.

--- a/experiments/returning_prompts/policies.cc
+++ b/experiments/returning_prompts/policies.cc
@@ -44,19 +44,19 @@
 Choice
 RandomRunner::Choose(const Sight& aSight)
 {
-  return { FirstListed(aSight, aSight.daemon.random()) };
+  return { .runner = FirstListed(aSight, aSight.daemon.random()) };
 }
 
 Choice
 RoundRobin::Choose(const Sight& aSight)
 {
-  return { FirstListed(aSight, this->next++) };
+  return { .runner = FirstListed(aSight, this->next++) };
 }
 
 Choice
 LeastLoadedRunner::Choose(const Sight& aSight)
 {
-  return { LeastLoaded(aSight) };
+  return { .runner = LeastLoaded(aSight) };
 }
 
 Choice
@@ -75,19 +75,23 @@
       most = prefix.pieces;
     }
   }
-  return { best };
+  return { .runner = best };
 }
 
 Choice
 AlwaysRecompute::Choose(const Sight& aSight)
 {
-  return { LeastLoaded(aSight) };
+  return { .runner = LeastLoaded(aSight) };
 }
 
 Choice
 AlwaysRestore::Choose(const Sight& aSight)
 {
-  return { LeastLoaded(aSight), 0, aSight.stored.size() };
+  Choice choice{ LeastLoaded(aSight), 0, aSight.stored.size(), {} };
+  for (const StoredPiece& piece : aSight.stored) {
+    choice.sources.push_back(piece.copies[0]);
+  }
+  return choice;
 }
 
 Choice
@@ -133,7 +137,10 @@
                                   world.deployment.weighing };
   const Placement placement = Place(request, view, {}, daemon.random());
   const Candidate& chosen = *placement.chosen;
-  return { indices[chosen.runner], chosen.restoreFrom, chosen.restoreTo };
+  return { indices[chosen.runner],
+           chosen.restoreFrom,
+           chosen.restoreTo,
+           placement.sources };
 }
 
 Choice
@@ -149,7 +156,7 @@
     }
   }
   const std::size_t seen = aSight.arrival.seenTokens / kPieceTokens;
-  return { best, 0, std::min(seen, aSight.chain.size()) };
+  return { best, 0, std::min(seen, aSight.chain.size()), {} };
 }
 
 } // namespace wigeonwalk::replay
--- a/experiments/returning_prompts/world.h
+++ b/experiments/returning_prompts/world.h
@@ -35,7 +35,8 @@
   const char* name;
   // Exports to store hosts and may restore from them.
   bool restores = false;
-  // Keeps pieces by their worth instead of by their last use.
+  // Keeps pieces by their worth instead of by their last use, spreads prompts
+  // over store hosts and copies archives to a second one.
   bool keepsByWorth = false;
   // Puts requests through the fair queue.
   bool fairQueue = false;
@@ -69,6 +70,8 @@
   std::uint32_t runner = 0;
   std::size_t restoreFrom = 0;
   std::size_t restoreTo = 0;
+  // Copies to read, one for each piece to restore.
+  std::vector<StoredCopy> sources;
 };
 
 class World
@@ -98,12 +101,17 @@
   // entries are then dropped.
   Task<bool> Restore(Daemon& aDaemon,
                      const Arrival& aArrival,
-                     std::vector<StoredPiece> aPieces,
+                     std::vector<StoredCopy> aPieces,
                      std::uint32_t aRunnerZone);
 
   // Stores what a runner computed.
   Task<void> Export(Daemon& aDaemon, Arrival aArrival, std::uint32_t aZone);
 
+  // Stores the missing pieces of one part of a group.
+  Task<void> ExportPart(Daemon& aDaemon,
+                        StoredGroup aGroup,
+                        std::uint32_t aZone);
+
   // Learns from an arrival.
   void NoteArrival(const Arrival& aArrival);
 
@@ -166,6 +174,10 @@
                        std::uint64_t aBytes,
                        std::shared_ptr<struct Batches> aBatches);
   double Score(const StoredGroup& aGroup, TimePoint aNow);
+  bool IsCopied(const StoredGroup& aGroup) const;
+  std::vector<StoredGroup> PartsOf(const StoredGroup& aGroup,
+                                   std::uint32_t aZone) const;
+  bool Accept(StoredGroup& aGroup, TimePoint aNow);
   PieceValue ValueOf(const StoredGroup& aGroup, TimePoint aNow);
   Scarcity ScarcityNow() const;
   double Chance(std::uint32_t aOrganisation, double aGapSeconds);
--- a/wigeonwalk/cache/retention.cc
+++ b/wigeonwalk/cache/retention.cc
@@ -81,12 +81,12 @@
 Retention::Density(const PieceValue& aPiece, StoreTier aTier) const
 {
   const double size = std::max(Gibibytes(aPiece), 1e-9);
-  const double shared = 1.0 + aPiece.otherCopies;
+  const double part = aPiece.otherCopies > 0 ? kFurtherCopyPart : 1;
   const double saved =
     aTier == StoreTier::Disk
       ? SavedSeconds(aPiece, aTier)
       : std::max(0.0, aPiece.diskReadSeconds - aPiece.memoryReadSeconds);
-  return aPiece.returnChance * saved / size / shared;
+  return aPiece.returnChance * saved * part / size;
 }
 
 bool
@@ -106,12 +106,17 @@
 
 bool
 Retention::ShouldReplicate(const PieceValue& aPiece,
-                           double aReadsPerHour,
                            const Scarcity& aScarcity) const
 {
-  return aPiece.otherCopies == 0 && aReadsPerHour >= kHotReadsPerHour &&
-         aScarcity.link<kIdleLinkPart&& this->Worth(
-           aPiece, StoreTier::Disk, aScarcity)> 0;
+  if (aPiece.otherCopies != 1 || aScarcity.link >= kIdleLinkPart) {
+    return false;
+  }
+  const double price =
+    Gibibytes(aPiece) *
+    (aScarcity.diskDensity + this->prices.link * LinkFactor(aScarcity.link));
+  return kFurtherCopyPart * aPiece.returnChance *
+           SavedSeconds(aPiece, StoreTier::Disk) >
+         price;
 }
 
 } // namespace wigeonwalk
--- a/wigeonwalk/cache/retention.h
+++ b/wigeonwalk/cache/retention.h
@@ -10,12 +10,31 @@
 
 #include "wigeonwalk/base/enum_names.h"
 #include "wigeonwalk/base/time.h"
+#include "wigeonwalk/documents/service_document.h"
 #include "wigeonwalk/ports/store_host.h"
 
 #include <optional>
 
 namespace wigeonwalk {
 
+// Number of store hosts over which a new prompt's pieces are spread, in
+// contiguous parts. Parts on several hosts are restored in parallel, but the
+// loss of one host costs every prompt with a part there all pieces from that
+// part on.
+constexpr std::uint32_t
+SpreadParts(Weighing aWeighing)
+{
+  return aWeighing == Weighing::TimeToFirstToken ? 2 : 1;
+}
+
+// First piece of a part when a prompt of `aPieces` is spread over `aParts`. The
+// last part also takes the pieces that the prompt gains later.
+constexpr std::uint32_t
+PartBegin(std::uint32_t aPart, std::uint32_t aParts, std::uint32_t aPieces)
+{
+  return aPieces * aPart / aParts;
+}
+
 // What to do with a piece.
 enum class RetentionAction
 {
@@ -66,15 +85,17 @@
   // Chance that its prompt returns within `horizon`.
   double returnChance = 0;
   Duration horizon = std::chrono::hours(1);
-  // Copies that other store hosts hold.
+  // Copies that other store hosts hold, besides the one in question.
   std::uint32_t otherCopies = 0;
 };
 
 // Part of a link's time that prefetch and replication may use.
 inline constexpr double kIdleLinkPart = 0.5;
 
-// Reads an hour above which a prefix is replicated to a second zone.
-inline constexpr double kHotReadsPerHour = 6;
+// Worth of a further copy relative to the first. A store host is rarely lost,
+// so copies fill room that first copies leave; at 0.2 they displaced first
+// copies and the share recomputed rose (docs/decisions/placement.md, round 2).
+inline constexpr double kFurtherCopyPart = 0.05;
 
 // Decides about single pieces. Holds only prices; thread-safe.
 class Retention
@@ -113,10 +134,9 @@
                       double aSoonChance,
                       const Scarcity& aScarcity) const;
 
-  // True where a prefix that is read often should have a copy in a second
+  // True where a piece with one copy should have a second one in another
   // availability zone.
   bool ShouldReplicate(const PieceValue& aPiece,
-                       double aReadsPerHour,
                        const Scarcity& aScarcity) const;
 
 private:
--- a/wigeonwalk/placement/placement.cc
+++ b/wigeonwalk/placement/placement.cc
@@ -17,48 +17,92 @@
 class LinkTimes
 {
 public:
-  explicit LinkTimes(const PlacementView& aView)
+  LinkTimes(const PlacementView& aView, ViewIndex aRunnerZone)
     : view(aView)
+    , zone(aRunnerZone)
   {
   }
 
-  // Adds a piece, and returns the time until the whole plan is restored.
-  double Add(const StoredPiece& aPiece, ViewIndex aRunnerZone)
+  // Adds a piece by the copy that arrives first, and returns that copy.
+  const StoredCopy& Add(const StoredPiece& aPiece)
   {
-    this->AddTo(aPiece.link, aPiece.bytes);
-    if (aPiece.zone != aRunnerZone) {
-      const ViewIndex link =
-        this->view.zoneLinks[aPiece.zone * this->view.zones + aRunnerZone];
-      if (link != kNoLink) {
-        this->AddTo(link, aPiece.bytes);
+    const StoredCopy* best = &aPiece.copies[0];
+    if (aPiece.count > 1) {
+      double earliest = this->Arrival(*best);
+      for (std::uint32_t i = 1; i < aPiece.count; ++i) {
+        const double arrival = this->Arrival(aPiece.copies[i]);
+        if (arrival < earliest) {
+          best = &aPiece.copies[i];
+          earliest = arrival;
+        }
       }
     }
-    return this->slowest;
+    this->AddTo(best->link, best->bytes);
+    const ViewIndex between = this->Between(*best);
+    if (between != kNoLink) {
+      this->AddTo(between, best->bytes);
+    }
+    return *best;
   }
 
+  // Time until all pieces so far are restored.
+  double Slowest() const { return this->slowest; }
+
 private:
+  ViewIndex Between(const StoredCopy& aCopy) const
+  {
+    return aCopy.zone == this->zone
+             ? kNoLink
+             : this->view.zoneLinks[aCopy.zone * this->view.zones + this->zone];
+  }
+
+  // Time at which a copy would arrive, after what was added before it.
+  double Arrival(const StoredCopy& aCopy)
+  {
+    double arrival = this->TimeWith(aCopy.link, aCopy.bytes);
+    const ViewIndex between = this->Between(aCopy);
+    if (between != kNoLink) {
+      arrival = std::max(arrival, this->TimeWith(between, aCopy.bytes));
+    }
+    return arrival;
+  }
+
+  double TimeWith(ViewIndex aLink, std::uint64_t aBytes)
+  {
+    return this->times[this->Row(aLink)] +
+           static_cast<double>(aBytes) /
+             std::max(this->view.links[aLink].bytesPerSecond, 1.0);
+  }
+
   void AddTo(ViewIndex aLink, std::uint64_t aBytes)
   {
-    const LinkView& link = this->view.links[aLink];
+    const double time = this->TimeWith(aLink, aBytes);
+    this->times[this->Row(aLink)] = time;
+    this->slowest = std::max(this->slowest, time);
+  }
+
+  // Returns a link's row. Links beyond kMaxPlanLinks share the last one.
+  std::size_t Row(ViewIndex aLink)
+  {
     std::size_t row = 0;
     while (row < this->used && this->ids[row] != aLink) {
       ++row;
     }
     if (row == this->used) {
       if (row == kMaxPlanLinks) {
-        return;
+        return row - 1;
       }
+      const LinkView& link = this->view.links[aLink];
       ++this->used;
       this->ids[row] = aLink;
       this->times[row] =
         link.waitSeconds + link.latencySeconds * (1 + 2 * link.loss);
     }
-    this->times[row] +=
-      static_cast<double>(aBytes) / std::max(link.bytesPerSecond, 1.0);
-    this->slowest = std::max(this->slowest, this->times[row]);
+    return row;
   }
 
   const PlacementView& view;
+  ViewIndex zone;
   std::array<ViewIndex, kMaxPlanLinks> ids{};
   std::array<double, kMaxPlanLinks> times{};
   std::size_t used = 0;
@@ -104,12 +148,11 @@
     if (!this->options.mayRestore) {
       return;
     }
-    LinkTimes times(this->view);
+    LinkTimes times(this->view, this->runner.zone);
     double missing = this->DoubtfulPieces(aFrom);
     for (std::size_t i = aFrom; i < this->view.stored.size(); ++i) {
-      const StoredPiece& piece = this->view.stored[i];
-      const double restore = times.Add(piece, this->runner.zone);
-      missing += 1 - piece.weight;
+      missing += 1 - times.Add(this->view.stored[i]).weight;
+      const double restore = times.Slowest();
       const Candidate candidate = this->Plan(aFrom, i + 1, restore, missing);
       if (candidate.cost.Total() < aBest.cost.Total()) {
         aBest = candidate;
@@ -219,6 +262,18 @@
   return &*best;
 }
 
+// Returns the copies that the plan of a candidate reads.
+std::vector<StoredCopy>
+SourcesOf(const Candidate& aCandidate, const PlacementView& aView)
+{
+  std::vector<StoredCopy> sources;
+  LinkTimes times(aView, aView.runners[aCandidate.runner].zone);
+  for (std::size_t i = aCandidate.restoreFrom; i < aCandidate.restoreTo; ++i) {
+    sources.push_back(times.Add(aView.stored[i]));
+  }
+  return sources;
+}
+
 } // namespace
 
 std::string
@@ -257,6 +312,7 @@
   if (!placement.candidates.empty()) {
     placement.chosen =
       *ChooseAmongEquals(placement.candidates, aOptions, aRandom);
+    placement.sources = SourcesOf(*placement.chosen, aView);
   }
   return placement;
 }
--- a/wigeonwalk/placement/placement.h
+++ b/wigeonwalk/placement/placement.h
@@ -7,9 +7,11 @@
 //   if (placement.chosen) { const Candidate& best = *placement.chosen; ... }
 #pragma once
 
+#include "wigeonwalk/cache/piece_directory.h"
 #include "wigeonwalk/cache/piece_key.h"
 #include "wigeonwalk/documents/service_document.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -50,7 +52,7 @@
 };
 
 // A stored copy of one piece of the prompt.
-struct StoredPiece
+struct StoredCopy
 {
   // Link of the store host's tier.
   ViewIndex link = 0;
@@ -59,6 +61,21 @@
   std::uint64_t bytes = 0;
 };
 
+// The copies of one piece. A restore reads each piece from the copy that
+// arrives first, so that copies on two store hosts are read in parallel.
+struct StoredPiece
+{
+  std::array<StoredCopy, kMaxCopies> copies;
+  std::uint32_t count = 0;
+
+  void Add(const StoredCopy& aCopy)
+  {
+    if (this->count < kMaxCopies) {
+      this->copies[this->count++] = aCopy;
+    }
+  }
+};
+
 // Everything that a placement compares.
 struct PlacementView
 {
@@ -67,7 +84,7 @@
   // Link between two zones at [from * zones + to], or kNoLink.
   std::span<const ViewIndex> zoneLinks;
   ViewIndex zones = 1;
-  // Best copies of the leading pieces of the prompt, in order.
+  // Leading pieces of the prompt that are stored, in order.
   std::span<const StoredPiece> stored;
 };
 
@@ -137,6 +154,8 @@
 struct Placement
 {
   std::optional<Candidate> chosen;
+  // Copies to read, one for each restored piece of the chosen candidate.
+  std::vector<StoredCopy> sources;
   std::vector<Candidate> candidates;
 };
 
--- a/wigeonwalk/placement/placement_benchmark.cc
+++ b/wigeonwalk/placement/placement_benchmark.cc
@@ -44,7 +44,9 @@
     world.zoneLinks.push_back(2 * kZones + i);
   }
   for (std::size_t i = 0; i < kPieces; ++i) {
-    world.stored.push_back({ 3, 1, 1, 128u << 20 });
+    StoredPiece& piece = world.stored.emplace_back();
+    piece.Add({ 3, 1, 1, 128u << 20 });
+    piece.Add({ 5, 2, 1, 128u << 20 });
   }
   return world;
 }
