limits: add local shares, their owner, overload shedding and a benchmark

Cause: limits hold over all daemons without a central counter (design 5.7).

Change: LocalShare counts against an allotment with expiry; LimitOwner divides by demand and lets an increase wait until decreases are confirmed or expired; ReachableFraction holds back the part of lost members for 70 minutes. Reports go out every second only where a pair is close to its limit and has few holders; otherwise every 9 to 10 s, because 350 holders a second would cost one owner 75 KB/s. OverloadShedder computes a cutoff by class and share from the offered work, the measured rate of completion and the backlog.

--- /dev/null
+++ b/experiments/limits/limit_fleet.cc
@@ -0,0 +1,160 @@
+#include "experiments/limits/limit_fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wigeonwalk {
+
+namespace {
+
+const LimitKey kKey{ OrganisationId("large"), ServiceName("advice") };
+
+// A daemon asks out of schedule at most this often, and each request takes its
+// place within this time.
+constexpr Duration kAskPeriod = std::chrono::milliseconds(100);
+
+HostId
+HostOf(std::uint32_t aDaemon)
+{
+  return HostId("host-" + std::to_string(aDaemon));
+}
+
+} // namespace
+
+LimitFleet::LimitFleet(const LimitFleetSettings& aSettings)
+  : settings(aSettings)
+  , random(aSettings.seed)
+{
+  this->limits[LimitKind::ConcurrentRequests] = kNoLimit;
+  this->limits[LimitKind::RequestsPerSecond] = aSettings.limit;
+  this->limits[LimitKind::TokensPerSecond] = kNoLimit;
+  for (std::uint32_t i = 0; i < aSettings.daemons; ++i) {
+    this->daemons.push_back({ .share = LocalShare(this->limits, this->now),
+                              .weight = 1.0 / (i + 1) });
+  }
+  // The owner is not the busiest daemon.
+  std::shuffle(this->daemons.begin(), this->daemons.end(), this->random);
+  this->UpdateMembers();
+}
+
+Duration
+LimitFleet::DetectionTime() const
+{
+  const double suspicion = 4 * std::log10(this->settings.daemons + 1.0);
+  return FromSeconds(std::max(3.0, suspicion) + 2);
+}
+
+void
+LimitFleet::UpdateMembers()
+{
+  this->membersKnownAt = TimePoint::max();
+  for (Daemon& daemon : this->daemons) {
+    daemon.members.clear();
+    for (std::uint32_t i = 0; i < this->daemons.size(); ++i) {
+      if (this->daemons[i].alive && this->daemons[i].side == daemon.side) {
+        daemon.members.push_back(i);
+      }
+    }
+    const auto count = static_cast<std::uint32_t>(daemon.members.size());
+    daemon.reachable.Observe(count, 0, this->now);
+    daemon.owner.MembersChanged(this->now);
+  }
+}
+
+void
+LimitFleet::Lose(std::uint32_t aDaemon)
+{
+  this->daemons[aDaemon].alive = false;
+  this->membersKnownAt = this->now + this->DetectionTime();
+}
+
+void
+LimitFleet::Cut(std::uint32_t aDaemons)
+{
+  for (std::uint32_t i = 0; i < this->daemons.size(); ++i) {
+    this->daemons[i].side = i + aDaemons >= this->daemons.size() ? 1 : 0;
+  }
+  this->membersKnownAt = this->now + this->DetectionTime();
+}
+
+void
+LimitFleet::Reverse()
+{
+  for (Daemon& daemon : this->daemons) {
+    const double rank = 1 / daemon.weight;
+    daemon.weight = 1 / (this->settings.daemons + 1 - rank);
+  }
+}
+
+void
+LimitFleet::ReportTo(std::uint32_t aFrom)
+{
+  Daemon& daemon = this->daemons[aFrom];
+  Daemon& owner = this->daemons[daemon.members.front()];
+  const DemandReport report{ kKey,
+                             HostOf(aFrom),
+                             daemon.share.TakeDemand(this->now),
+                             daemon.share.Held(this->now) };
+  ++this->reports;
+  if (!owner.alive || owner.side != daemon.side) {
+    const Reach reach = daemon.reachable.Now();
+    daemon.share.UseFallback(reach.total, aFrom, this->now);
+    return;
+  }
+  const Allotment answer =
+    owner.owner.Answer(report, this->limits, owner.reachable.Now(), this->now);
+  daemon.share.Accept(answer, this->now, this->now);
+}
+
+void
+LimitFleet::Arrive(std::uint32_t aDaemon)
+{
+  Daemon& daemon = this->daemons[aDaemon];
+  ShareAnswer answer = daemon.share.TryStart(1, this->now);
+  if (answer.decision == ShareDecision::AskOwner &&
+      this->now >= daemon.askAgainAt) {
+    daemon.askAgainAt = this->now + kAskPeriod;
+    this->ReportTo(aDaemon);
+    answer = daemon.share.TryStart(1, this->now);
+  }
+  if (answer.decision == ShareDecision::Admitted) {
+    daemon.share.Finish(0, this->now);
+    ++this->admitted.back();
+  }
+}
+
+void
+LimitFleet::Run(Duration aTime)
+{
+  const TimePoint end = this->now + aTime;
+  for (; this->now < end; this->now += kStep) {
+    if ((this->now - this->start) % std::chrono::seconds(1) == Duration(0)) {
+      this->admitted.push_back(0);
+    }
+    if (this->now >= this->membersKnownAt) {
+      this->UpdateMembers();
+    }
+    double sum = 0;
+    for (const Daemon& daemon : this->daemons) {
+      sum += daemon.alive ? daemon.weight : 0;
+    }
+    const double offered =
+      this->settings.limit * this->settings.load * ToSeconds(kStep);
+    for (std::uint32_t i = 0; i < this->daemons.size(); ++i) {
+      Daemon& daemon = this->daemons[i];
+      if (!daemon.alive) {
+        continue;
+      }
+      std::poisson_distribution<int> arrivals(offered * daemon.weight / sum);
+      for (int left = arrivals(this->random); left > 0; --left) {
+        this->Arrive(i);
+      }
+      if (daemon.share.IsReportDue(this->now) &&
+          !daemon.share.IsIdle(this->now)) {
+        this->ReportTo(i);
+      }
+    }
+  }
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/experiments/limits_benchmark.cc
@@ -0,0 +1,341 @@
+// Measures shared limits and overload shedding in virtual time.
+//
+//   limits_benchmark --row partition-350 --check
+//
+// Prints one line for each row. With --check it fails where a count misses its
+// bound; bounds come from docs/design.md.
+#include "experiments/limits/limit_fleet.h"
+#include "wigeonwalk/limits/overload.h"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <numeric>
+#include <queue>
+#include <string>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+// What happens to the fleet after half a minute.
+enum class FleetEvent
+{
+  None,
+  ReversedSkew,
+  LostDaemon,
+  LostOwner,
+  Partition,
+};
+
+struct FleetRow
+{
+  const char* name;
+  FleetEvent event;
+  std::uint32_t daemons;
+  double limit;
+};
+
+constexpr std::array<FleetRow, 10> kFleetRows{ {
+  { "steady-6", FleetEvent::None, 6, 200 },
+  { "steady-350", FleetEvent::None, 350, 2'000 },
+  { "reversed-6", FleetEvent::ReversedSkew, 6, 200 },
+  { "reversed-350", FleetEvent::ReversedSkew, 350, 2'000 },
+  { "lost-daemon-6", FleetEvent::LostDaemon, 6, 200 },
+  { "lost-daemon-350", FleetEvent::LostDaemon, 350, 2'000 },
+  { "lost-owner-6", FleetEvent::LostOwner, 6, 200 },
+  { "lost-owner-350", FleetEvent::LostOwner, 350, 2'000 },
+  { "partition-6", FleetEvent::Partition, 6, 200 },
+  { "partition-350", FleetEvent::Partition, 350, 2'000 },
+} };
+
+// Bytes of a datagram beside its pairs: IP and UDP header, HMAC, sender, clock
+// and kind. A pair takes 24 bytes (design section 7).
+constexpr double kDatagramBytes = 28 + 16 + 40;
+constexpr double kPairBytes = 24;
+
+// All control traffic of a daemon (design section 1.6).
+constexpr double kControlBytesPerSecond = 22'000;
+
+// A burst is a quarter of a second, so ten seconds hold 2.5% more.
+constexpr double kBurstOverTenSeconds = 0.025;
+
+bool
+Check(const char* aRow, const char* aWhat, double aValue, double aBound)
+{
+  if (aValue <= aBound) {
+    return true;
+  }
+  std::printf(
+    "%s: %s %.3f is over its bound %.3f\n", aRow, aWhat, aValue, aBound);
+  return false;
+}
+
+double
+Mean(const std::vector<std::uint32_t>& aCounts,
+     std::size_t aFrom,
+     std::size_t aUntil)
+{
+  double sum = 0;
+  for (std::size_t i = aFrom; i < aUntil; ++i) {
+    sum += aCounts[i];
+  }
+  return sum / static_cast<double>(aUntil - aFrom);
+}
+
+void
+Begin(LimitFleet& aFleet, const FleetRow& aRow)
+{
+  switch (aRow.event) {
+    case FleetEvent::None:
+      break;
+    case FleetEvent::ReversedSkew:
+      aFleet.Reverse();
+      break;
+    case FleetEvent::LostDaemon:
+      aFleet.Lose(1);
+      break;
+    case FleetEvent::LostOwner:
+      aFleet.Lose(0);
+      break;
+    case FleetEvent::Partition:
+      aFleet.Cut(aRow.daemons / 3);
+      break;
+  }
+}
+
+bool
+RunFleet(const FleetRow& aRow)
+{
+  constexpr std::size_t kEventAt = 30;
+  constexpr std::size_t kEnd = 150;
+  constexpr std::size_t kSpan = 10;
+  LimitFleet fleet({ .daemons = aRow.daemons, .limit = aRow.limit });
+  fleet.Run(std::chrono::seconds(kEventAt));
+  Begin(fleet, aRow);
+  fleet.Run(std::chrono::seconds(kEnd - kEventAt));
+  const auto& admitted = fleet.Admitted();
+  // The settled rate is that of the last half minute.
+  const double settled = Mean(admitted, kEnd - 30, kEnd);
+  double most = 0;
+  double least = aRow.limit;
+  std::size_t converged = kEventAt;
+  for (std::size_t i = kSpan; i + kSpan <= kEnd; ++i) {
+    const double mean = Mean(admitted, i, i + kSpan);
+    most = std::max(most, mean);
+    least = i >= kEventAt ? std::min(least, mean) : least;
+  }
+  for (std::size_t i = kEventAt; i + 3 <= kEnd; ++i) {
+    if (std::abs(Mean(admitted, i, i + 3) - settled) > 0.1 * settled) {
+      converged = i + 1;
+    }
+  }
+  const double overshoot = most / aRow.limit - 1;
+  const double perDaemon =
+    static_cast<double>(fleet.Reports()) / kEnd / aRow.daemons;
+  std::printf("%-16s overshoot %5.1f%% (busiest 10 s) | unused %5.1f%% settled,"
+              " %5.1f%% worst 10 s | converged in %3zu s | %.2f reports/s and"
+              " daemon\n",
+              aRow.name,
+              100 * std::max(0.0, overshoot),
+              100 * (1 - settled / aRow.limit),
+              100 * (1 - least / aRow.limit),
+              converged - kEventAt,
+              perDaemon);
+  return Check(aRow.name, "overshoot", overshoot, kBurstOverTenSeconds) &
+         Check(aRow.name, "reports a second and daemon", perDaemon, 1.1);
+}
+
+// Bytes of reports and answers at the target: 6,200 requests a second on 350
+// daemons, 230 organisations with 3 services each, Zipf-distributed, all with
+// limits at 1.25 times their mean, and requests that run for 5 s.
+bool
+RunTraffic()
+{
+  constexpr std::uint32_t kDaemons = 350;
+  constexpr std::uint32_t kPairs = 690;
+  constexpr double kRequests = 6'200;
+  constexpr std::size_t kSeconds = 60;
+  std::vector<double> weights(kPairs);
+  double sum = 0;
+  for (std::uint32_t i = 0; i < kPairs; ++i) {
+    weights[i] = 1.0 / (i + 1);
+    sum += weights[i];
+  }
+  std::mt19937_64 random(1);
+  std::vector<std::map<std::uint32_t, LocalShare>> shares(kDaemons);
+  std::vector<LimitOwner> owners(kDaemons);
+  std::vector<std::map<std::uint32_t, TimePoint>> askAgain(kDaemons);
+  std::vector<double> bytes(kDaemons, 0);
+  std::discrete_distribution<std::uint32_t> pairOf(weights.begin(),
+                                                   weights.end());
+  std::uniform_int_distribution<std::uint32_t> daemonOf(0, kDaemons - 1);
+  const TimePoint start{ 24h };
+  std::uint64_t datagrams = 0;
+  std::uint64_t admitted = 0;
+  std::uint64_t offered = 0;
+  struct End
+  {
+    TimePoint at;
+    std::uint32_t daemon;
+    std::uint32_t pair;
+    bool operator>(const End& aOther) const { return this->at > aOther.at; }
+  };
+  std::priority_queue<End, std::vector<End>, std::greater<>> running;
+  const auto limitsOf = [&](std::uint32_t aPair) {
+    const double rate = 1.25 * kRequests * weights[aPair] / sum;
+    return LimitAmounts{ { std::ceil(5 * rate), rate, kNoLimit } };
+  };
+  const auto report =
+    [&](std::uint32_t aDaemon, std::uint32_t aPair, TimePoint aNow) {
+      LocalShare& share = shares[aDaemon].at(aPair);
+      const std::uint32_t owner = (aPair * 7 + 13) % kDaemons;
+      const LimitKey key{ OrganisationId(std::to_string(aPair)),
+                          ServiceName("s") };
+      const DemandReport sent{ key,
+                               HostId(std::to_string(aDaemon)),
+                               share.TakeDemand(aNow),
+                               share.Held(aNow) };
+      const Reach reach{ 1, kDaemons };
+      share.Accept(
+        owners[owner].Answer(sent, limitsOf(aPair), reach, aNow), aNow, aNow);
+      datagrams += 2;
+      // Both ends count what they send and what they receive.
+      bytes[aDaemon] += 2 * (kDatagramBytes + kPairBytes);
+      bytes[owner] += 2 * (kDatagramBytes + kPairBytes);
+    };
+  for (TimePoint now = start; now < start + kSeconds * 1s; now += 10ms) {
+    while (!running.empty() && running.top().at <= now) {
+      shares[running.top().daemon].at(running.top().pair).Finish(0, now);
+      running.pop();
+    }
+    std::poisson_distribution<int> arrivals(kRequests / 100);
+    for (int left = arrivals(random); left > 0; --left) {
+      const std::uint32_t daemon = daemonOf(random);
+      const std::uint32_t pair = pairOf(random);
+      LocalShare& share =
+        shares[daemon].try_emplace(pair, limitsOf(pair), now).first->second;
+      ShareAnswer answer = share.TryStart(1, now);
+      TimePoint& again = askAgain[daemon][pair];
+      if (answer.decision == ShareDecision::AskOwner && now >= again) {
+        again = now + 100ms;
+        report(daemon, pair, now);
+        answer = share.TryStart(1, now);
+      }
+      ++offered;
+      if (answer.decision == ShareDecision::Admitted) {
+        ++admitted;
+        running.push({ now + 5s, daemon, pair });
+      }
+    }
+    for (std::uint32_t daemon = 0; daemon < kDaemons; ++daemon) {
+      for (auto& [pair, share] : shares[daemon]) {
+        if (!share.IsIdle(now) && share.IsReportDue(now)) {
+          report(daemon, pair, now);
+        }
+      }
+      std::erase_if(shares[daemon],
+                    [&](const auto& aRow) { return aRow.second.IsIdle(now); });
+    }
+  }
+  const double mean =
+    std::accumulate(bytes.begin(), bytes.end(), 0.0) / kDaemons / kSeconds;
+  const double most = *std::max_element(bytes.begin(), bytes.end()) / kSeconds;
+  std::printf("%-16s %.1f datagrams/s and daemon | %.1f KB/s and daemon, "
+              "busiest %.1f KB/s | refused %.1f%% of requests within limits\n",
+              "traffic-350",
+              static_cast<double>(datagrams) / kDaemons / kSeconds,
+              mean / 1'000,
+              most / 1'000,
+              100.0 * static_cast<double>(offered - admitted) /
+                static_cast<double>(offered));
+  return Check("traffic-350", "bytes a second", mean, kControlBytesPerSecond);
+}
+
+// Goodput of one daemon before servers that complete 100 requests a second.
+// A request is useful where it starts within 0.79 s, so that the first token
+// is out within 0.99 s.
+double
+Goodput(double aLoad, bool aSheds)
+{
+  constexpr double kCapacity = 100;
+  constexpr double kSeconds = 120;
+  const TimePoint start{ 24h };
+  std::mt19937_64 random(7);
+  std::exponential_distribution<double> gap(aLoad * kCapacity);
+  std::exponential_distribution<double> work(kCapacity);
+  std::discrete_distribution<int> classOf({ 0.3, 0.5, 0.2 });
+  std::uniform_real_distribution<double> shareUse(0, 2);
+  OverloadShedder shedder(3, start);
+  std::queue<TimePoint> ends;
+  TimePoint free = start;
+  std::uint64_t useful = 0;
+  for (TimePoint now = start; now < start + FromSeconds(kSeconds);
+       now += FromSeconds(gap(random))) {
+    while (!ends.empty() && ends.front() <= now) {
+      shedder.Complete(1, ends.front());
+      ends.pop();
+    }
+    const auto requestClass = static_cast<RequestClass>(classOf(random));
+    const ShedAnswer answer =
+      shedder.Offer(requestClass, shareUse(random), 1, now);
+    if (aSheds && !answer.admitted) {
+      continue;
+    }
+    const TimePoint begin = std::max(free, now);
+    free = begin + FromSeconds(work(random));
+    useful += begin - now <= 790ms ? 1 : 0;
+    ends.push(free);
+  }
+  return static_cast<double>(useful) / kSeconds;
+}
+
+bool
+RunGoodput()
+{
+  const double base = Goodput(1.0, true);
+  bool passes = true;
+  for (const double load : { 1.0, 1.5, 2.0 }) {
+    const double with = Goodput(load, true);
+    std::printf("%-16s load %3.0f%%: goodput %5.1f/s with shedding, %5.1f/s "
+                "without\n",
+                "goodput",
+                100 * load,
+                with,
+                Goodput(load, false));
+    passes &= Check("goodput", "loss against 100%", 1 - with / base, 0.05);
+  }
+  return passes;
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  CLI::App app{ "Shared limits and overload shedding in virtual time" };
+  std::string row;
+  bool check = false;
+  app.add_option("--row", row, "Only this row");
+  app.add_flag("--check", check, "Fail where a bound is missed");
+  CLI11_PARSE(app, argc, argv);
+  bool passes = true;
+  for (const FleetRow& fleet : kFleetRows) {
+    if (row.empty() || row == fleet.name) {
+      passes &= RunFleet(fleet);
+    }
+  }
+  if (row.empty() || row == "traffic-350") {
+    passes &= RunTraffic();
+  }
+  if (row.empty() || row == "goodput") {
+    passes &= RunGoodput();
+  }
+  return check && !passes ? 1 : 0;
+}
--- /dev/null
+++ b/wigeonwalk/limits/limit_owner.cc
@@ -0,0 +1,140 @@
+#include "wigeonwalk/limits/limit_owner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wigeonwalk {
+
+using namespace std::chrono_literals;
+
+void
+ReachableFraction::Observe(std::uint32_t aReachable,
+                           std::uint32_t aLeft,
+                           TimePoint aNow)
+{
+  this->reachable = std::max(aReachable, 1U);
+  for (Sample& sample : this->samples) {
+    sample.members -= std::min(sample.members, aLeft);
+  }
+  // A sample's time is when the number fell below the one before.
+  Sample sample{ aNow, this->reachable };
+  while (!this->samples.empty() &&
+         this->samples.back().members <= this->reachable) {
+    sample.at = this->samples.back().at;
+    this->samples.pop_back();
+  }
+  this->samples.push_back(sample);
+  while (this->samples.size() > 1 && this->samples[1].at + kHoldTime <= aNow) {
+    this->samples.pop_front();
+  }
+}
+
+Reach
+ReachableFraction::Now() const
+{
+  Reach reach;
+  reach.total = this->samples.empty()
+                  ? this->reachable
+                  : std::max(this->reachable, this->samples.front().members);
+  reach.fraction = static_cast<double>(this->reachable) / reach.total;
+  return reach;
+}
+
+// Returns a part of the pool in proportion to demand, within what the others
+// may still hold.
+LimitOwner::Part
+LimitOwner::Grant(const Pair& aPair,
+                  const HostId& aHost,
+                  LimitKind aKind,
+                  double aPool,
+                  double aFallback,
+                  TimePoint aNow)
+{
+  double demand = 0;
+  double outstanding = 0;
+  for (const auto& [host, holder] : aPair.holders) {
+    const bool missing = holder.expiresAt <= aNow;
+    demand += missing ? 0 : holder.demand[aKind];
+    if (missing) {
+      outstanding += aFallback;
+    } else if (host != aHost) {
+      outstanding += std::max(holder.held[aKind], holder.granted[aKind]);
+    }
+  }
+  const double wanted = aPair.holders.at(aHost).demand[aKind];
+  const double room = std::max(0.0, aPool - outstanding);
+  const double share = demand > 0 ? aPool * wanted / demand : 0;
+  Part part;
+  part.hot = kHeadroom * demand > aPool;
+  part.amount = std::min(share, kHeadroom * wanted);
+  if (aKind == LimitKind::ConcurrentRequests) {
+    // Whole requests; rounded up, so that many daemons with small parts do not
+    // all get nothing. The room keeps the sum.
+    part.amount = std::floor(std::min(std::ceil(part.amount), room));
+  } else {
+    part.amount = std::min(part.amount, room);
+  }
+  return part;
+}
+
+Allotment
+LimitOwner::Answer(const DemandReport& aReport,
+                   const LimitAmounts& aLimits,
+                   const Reach& aReach,
+                   TimePoint aNow)
+{
+  const TimePoint learnsUntil = this->changedAt + kLearningTime;
+  Pair& pair =
+    this->pairs.try_emplace(aReport.key, Pair{ learnsUntil, {} }).first->second;
+  std::erase_if(pair.holders, [&](const auto& aRow) {
+    return aRow.second.expiresAt + kMissingTime <= aNow;
+  });
+  if (aReport.demand == LimitAmounts()) {
+    pair.holders.erase(aReport.host);
+    return { aReport.key, {}, kHotTime };
+  }
+  Holder& holder = pair.holders[aReport.host];
+  holder.demand = aReport.demand;
+  holder.held = aReport.held;
+  holder.granted = {};
+  holder.expiresAt = aNow + kHotTime;
+  const bool learning = aNow < pair.learnsUntil;
+  bool hot = learning;
+  for (const auto& row : EnumNames<LimitKind>::kTable) {
+    const LimitKind kind = row.value;
+    const double limit = aLimits[kind];
+    if (limit == kNoLimit) {
+      holder.granted[kind] = kNoLimit;
+      continue;
+    }
+    const double pool = limit * aReach.fraction;
+    const Part part =
+      Grant(pair, aReport.host, kind, pool, limit / aReach.total, aNow);
+    const double small = std::min(part.amount, limit / aReach.total);
+    holder.granted[kind] =
+      learning ? std::min(pool, std::max(aReport.held[kind], small))
+               : part.amount;
+    hot = hot || part.hot;
+  }
+  const auto holders = static_cast<double>(pair.holders.size());
+  const Duration spread =
+    FromSeconds(kReportsPerAllotment * holders / kReportsPerSecond);
+  const Duration validFor =
+    hot ? std::clamp(spread, kHotTime, kColdTime - 1s) : kColdTime;
+  holder.expiresAt = aNow + validFor;
+  return { aReport.key, holder.granted, validFor };
+}
+
+void
+LimitOwner::Forget(TimePoint aNow)
+{
+  std::erase_if(this->pairs, [&](const auto& aRow) {
+    return std::all_of(aRow.second.holders.begin(),
+                       aRow.second.holders.end(),
+                       [&](const auto& aHolder) {
+                         return aHolder.second.expiresAt + kMissingTime <= aNow;
+                       });
+  });
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/limits/overload.cc
@@ -0,0 +1,133 @@
+#include "wigeonwalk/limits/overload.h"
+
+#include <algorithm>
+
+namespace wigeonwalk {
+
+namespace {
+
+// Weight of the newest window in the measured rate of completion.
+constexpr double kNewest = 0.2;
+
+constexpr double kShortestRetrySeconds = 1;
+constexpr double kLongestRetrySeconds = 30;
+
+// Classes fill bands of scores from the top; within a band, an organisation
+// that uses less of its share comes first.
+std::size_t
+ScoreOf(RequestClass aClass, double aShareUse, std::size_t aScores)
+{
+  constexpr std::size_t kClasses = EnumNames<RequestClass>::kTable.size();
+  const std::size_t band = aScores / kClasses;
+  const std::size_t base =
+    (kClasses - 1 - static_cast<std::size_t>(aClass)) * band;
+  const double spare = 1 - std::clamp(aShareUse, 0.0, 2.0) / 2;
+  return base + std::min(band - 1, static_cast<std::size_t>(spare * band));
+}
+
+} // namespace
+
+OverloadShedder::OverloadShedder(std::uint64_t aSeed, TimePoint aNow)
+  : random(aSeed)
+  , windowStart(aNow)
+{
+}
+
+void
+OverloadShedder::Advance(TimePoint aNow)
+{
+  // After a long quiet time, the last windows are enough.
+  const TimePoint earliest = aNow - kWindow * kWindows;
+  this->windowStart = std::max(this->windowStart, earliest);
+  while (this->windowStart + kWindow <= aNow) {
+    this->windowStart += kWindow;
+    this->CloseWindow();
+  }
+}
+
+void
+OverloadShedder::CloseWindow()
+{
+  const double seconds = ToSeconds(kWindow);
+  // Only a window that never ran out of work shows the capacity.
+  if (this->lowestBacklog > 0 && this->completed > 0) {
+    const double rate = this->completed / seconds;
+    this->capacity = this->capacity == 0
+                       ? rate
+                       : kNewest * rate + (1 - kNewest) * this->capacity;
+  }
+  this->completed = 0;
+  this->lowestBacklog = this->backlog;
+  this->filled = std::min(this->filled + 1, kWindows);
+
+  Histogram sums{};
+  this->offeredRate = 0;
+  for (const Histogram& window : this->offered) {
+    for (std::size_t score = 0; score < kScores; ++score) {
+      const double rate = window[score] / (this->filled * seconds);
+      sums[score] += rate;
+      this->offeredRate += rate;
+    }
+  }
+  this->current = (this->current + 1) % kWindows;
+  this->offered[this->current] = {};
+
+  this->cutoff = 0;
+  this->shedAtCutoff = 0;
+  const double target = this->capacity * ToSeconds(kTargetWait);
+  if (this->capacity == 0 || this->backlog <= target / 2) {
+    return;
+  }
+  // The backlog is brought to its target within about half a second.
+  double allowed = std::max(0.0, this->capacity + 2 * (target - this->backlog));
+  for (std::size_t score = kScores; score-- > 0;) {
+    if (sums[score] > allowed) {
+      this->cutoff = score;
+      this->shedAtCutoff = 1 - allowed / sums[score];
+      return;
+    }
+    allowed -= sums[score];
+  }
+}
+
+Duration
+OverloadShedder::RetryAfter()
+{
+  const double excess =
+    this->capacity > 0 ? this->offeredRate / this->capacity : 1;
+  std::uniform_real_distribution<double> jitter(0.5, 1.5);
+  return FromSeconds(
+    std::clamp(excess, kShortestRetrySeconds, kLongestRetrySeconds) *
+    jitter(this->random));
+}
+
+ShedAnswer
+OverloadShedder::Offer(RequestClass aClass,
+                       double aShareUse,
+                       double aWork,
+                       TimePoint aNow)
+{
+  this->Advance(aNow);
+  const std::size_t score = ScoreOf(aClass, aShareUse, kScores);
+  this->offered[this->current][score] += aWork;
+  std::uniform_real_distribution<double> chance(0, 1);
+  const bool shed =
+    score < this->cutoff ||
+    (score == this->cutoff && chance(this->random) < this->shedAtCutoff);
+  if (shed) {
+    return { false, this->RetryAfter() };
+  }
+  this->backlog += aWork;
+  return {};
+}
+
+void
+OverloadShedder::Complete(double aWork, TimePoint aNow)
+{
+  this->Advance(aNow);
+  this->backlog = std::max(0.0, this->backlog - aWork);
+  this->completed += aWork;
+  this->lowestBacklog = std::min(this->lowestBacklog, this->backlog);
+}
+
+} // namespace wigeonwalk
