ctl: add wigeonwalkctl and the operators' calls

wigeonwalkctl has status, doc, timeline, explain, drain and settings. Each error names its place and a remedy.

'doc apply' takes the revision that the edit started from; its default, 0, only creates.

--- /dev/null
+++ b/wigeonwalk/adapters/ctl/internal/commands.h
@@ -0,0 +1,18 @@
+// The commands of the command line.
+//
+//   RunDaemonCommand(context);
+#pragma once
+
+#include "wigeonwalk/adapters/ctl/internal/ctl_context.h"
+
+namespace wigeonwalk::ctl_internal {
+
+// Runs status, timeline, explain or drain.
+void
+RunDaemonCommand(CtlContext& aContext);
+
+// Runs one of the doc commands, or settings check.
+void
+RunDocumentCommand(CtlContext& aContext);
+
+} // namespace wigeonwalk::ctl_internal
--- /dev/null
+++ b/wigeonwalk/adapters/ctl/internal/ctl_context.h
@@ -0,0 +1,86 @@
+// What every command of the command line uses: options, outputs and daemons.
+//
+//   CtlContext context(options, std::cout, std::cerr);
+//   auto answer = context.CallFirst("documents.get", params);
+//   if (!answer) { return context.ExitCode(); }
+#pragma once
+
+#include "wigeonwalk/adapters/ctl/ctl.h"
+#include "wigeonwalk/adapters/ctl/internal/ctl_options.h"
+#include "wigeonwalk/base/last_reason.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk::ctl_internal {
+
+using Json = nlohmann::ordered_json;
+
+// The answer of one daemon.
+struct DaemonAnswer
+{
+  std::string address;
+  Json result;
+};
+
+// Calls daemons and reports errors.
+class CtlContext
+{
+public:
+  CtlContext(const CtlOptions& aOptions,
+             std::ostream& aOut,
+             std::ostream& aErr);
+
+  const CtlOptions& Options() const { return this->options; }
+  std::ostream& Out() { return this->out; }
+
+  // Returns the answer of the first daemon that can be reached, and otherwise
+  // reports the error.
+  std::optional<DaemonAnswer> CallFirst(const std::string& aMethod,
+                                        const Json& aParams);
+
+  // As CallFirst, but leaves the report to the caller.
+  std::optional<DaemonAnswer> TryFirst(const std::string& aMethod,
+                                       const Json& aParams,
+                                       LastReason& aReason);
+
+  // Returns the answers of all daemons that can be reached. Reports the others,
+  // which make the exit code Unreachable only where none answered.
+  std::vector<DaemonAnswer> CallAll(const std::string& aMethod,
+                                    const Json& aParams);
+
+  // Reports an error with its place and its remedy, and keeps its exit code.
+  void Report(const LastReason& aReason);
+
+  // Reports every error of a file.
+  void ReportFile(const std::string& aFile,
+                  const std::vector<LastReason>& aReasons);
+
+  CtlExit ExitCode() const { return this->exitCode; }
+
+private:
+  void Print(const LastReason& aReason);
+
+  const CtlOptions& options;
+  std::ostream& out;
+  std::ostream& err;
+  CtlExit exitCode = CtlExit::Success;
+};
+
+// Returns a field as text: strings bare, other values as JSON, "-" for none.
+std::string
+Cell(const Json& aObject, const char* aKey);
+
+// Returns a list field, or an empty list.
+const Json&
+ListOf(const Json& aObject, const char* aKey);
+
+// Returns the JSON for a machine, with invalid UTF-8 replaced.
+std::string
+PrintJson(const Json& aJson);
+
+} // namespace wigeonwalk::ctl_internal
--- /dev/null
+++ b/wigeonwalk/adapters/ctl/internal/ctl_options.h
@@ -0,0 +1,78 @@
+// The parsed command line.
+//
+//   CtlOptions options{ .command = CtlCommand::DocGet, .service = "order" };
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/base/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk::ctl_internal {
+
+enum class CtlCommand
+{
+  Status,
+  DocGet,
+  DocEdit,
+  DocApply,
+  DocHistory,
+  DocDiff,
+  DocStatus,
+  DocCheck,
+  Timeline,
+  Explain,
+  Drain,
+  SettingsCheck,
+};
+
+struct CtlOptions
+{
+  CtlCommand command = CtlCommand::Status;
+  // Operator addresses; several are gathered from, or tried in turn.
+  std::vector<std::string> daemons;
+  Duration timeout = std::chrono::seconds(5);
+  bool json = false;
+  std::string service;
+  std::string file;
+  std::string request;
+  std::string chromeFile;
+  std::string drainTimeout;
+  // Revision that an edit starts from; zero creates the document.
+  std::uint64_t base = 0;
+  // Revisions to read or compare; zero is the one in force.
+  std::uint64_t revision = 0;
+  std::uint64_t from = 0;
+  // Changes "POINTER=JSON".
+  std::vector<std::string> changes;
+};
+
+} // namespace wigeonwalk::ctl_internal
+
+namespace wigeonwalk {
+
+// Words of the command line, for messages.
+template<>
+struct EnumNames<ctl_internal::CtlCommand>
+{
+  using Command = ctl_internal::CtlCommand;
+  static constexpr std::array<EnumName<Command>, 12> kTable{ {
+    { Command::Status, "status" },
+    { Command::DocGet, "doc get" },
+    { Command::DocEdit, "doc edit" },
+    { Command::DocApply, "doc apply" },
+    { Command::DocHistory, "doc history" },
+    { Command::DocDiff, "doc diff" },
+    { Command::DocStatus, "doc status" },
+    { Command::DocCheck, "doc check" },
+    { Command::Timeline, "timeline" },
+    { Command::Explain, "explain" },
+    { Command::Drain, "drain" },
+    { Command::SettingsCheck, "settings check" },
+  } };
+};
+static_assert(HasCompleteTable<ctl_internal::CtlCommand>());
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/ctl/internal/table.h
@@ -0,0 +1,42 @@
+// Tables for people, and the files of the command line.
+//
+//   Table table({ "host", "zone" });
+//   table.Add({ "isar-1", "Isar" });
+//   std::cout << table.Print();
+#pragma once
+
+#include "wigeonwalk/base/last_reason.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk::ctl_internal {
+
+// Rows of left-aligned columns. Control characters of cells are replaced, so
+// that no text of a daemon can steer the terminal.
+class Table
+{
+public:
+  explicit Table(std::vector<std::string> aHeader);
+
+  // Adds a row; it has as many cells as the header.
+  void Add(std::vector<std::string> aRow);
+
+  std::string Print() const;
+
+private:
+  std::vector<std::vector<std::string>> rows;
+};
+
+// Returns the content of a file of at most 16 MB.
+std::optional<std::string>
+ReadFile(const std::string& aPath, LastReason& aReason);
+
+// Replaces the content of a file.
+bool
+WriteFile(const std::string& aPath,
+          const std::string& aContent,
+          LastReason& aReason);
+
+} // namespace wigeonwalk::ctl_internal
