examples, docs: add both deployments and the settings reference

examples/ has documents and daemons' settings of both users' deployments, with the services, zones and counts of the design page. docs/settings.md lists every key with type, unit, default and range; 'wigeonwalkctl settings reference' prints it from the schemas, and a test compares the two, checks that no key is missing, and that the stated defaults are those of the structs.

--- a/wigeonwalk/adapters/ctl/ctl.cc
+++ b/wigeonwalk/adapters/ctl/ctl.cc
@@ -127,13 +127,19 @@
              "Check a settings file")
     ->add_option("file", aOptions.file, "Settings file")
     ->required();
+  AddCommand(*settings,
+             aOptions,
+             CtlCommand::SettingsReference,
+             "reference",
+             "Print the reference page of settings and documents");
 }
 
 bool
 NeedsDaemon(CtlCommand aCommand)
 {
   return aCommand != CtlCommand::DocCheck &&
-         aCommand != CtlCommand::SettingsCheck;
+         aCommand != CtlCommand::SettingsCheck &&
+         aCommand != CtlCommand::SettingsReference;
 }
 
 // Returns what is wrong with a combination of options, or an empty text.
--- a/wigeonwalk/adapters/ctl/ctl_test.cc
+++ b/wigeonwalk/adapters/ctl/ctl_test.cc
@@ -341,6 +341,7 @@
       { "settings", "check", good.path },
       CtlExit::Success,
       "" },
+    { "reference page", { "settings", "reference" }, CtlExit::Success, "" },
     { "settings for a document",
       { "doc", "check", good.path },
       CtlExit::Refused,
--- a/wigeonwalk/adapters/ctl/internal/commands.h
+++ b/wigeonwalk/adapters/ctl/internal/commands.h
@@ -11,7 +11,7 @@
 void
 RunDaemonCommand(CtlContext& aContext);
 
-// Runs one of the doc commands, or settings check.
+// Runs one of the doc commands, or one of the settings commands.
 void
 RunDocumentCommand(CtlContext& aContext);
 
--- a/wigeonwalk/adapters/ctl/internal/ctl_options.h
+++ b/wigeonwalk/adapters/ctl/internal/ctl_options.h
@@ -26,6 +26,7 @@
   Explain,
   Drain,
   SettingsCheck,
+  SettingsReference,
 };
 
 struct CtlOptions
@@ -58,7 +59,7 @@
 struct EnumNames<ctl_internal::CtlCommand>
 {
   using Command = ctl_internal::CtlCommand;
-  static constexpr std::array<EnumName<Command>, 12> kTable{ {
+  static constexpr std::array<EnumName<Command>, 13> kTable{ {
     { Command::Status, "status" },
     { Command::DocGet, "doc get" },
     { Command::DocEdit, "doc edit" },
@@ -71,6 +72,7 @@
     { Command::Explain, "explain" },
     { Command::Drain, "drain" },
     { Command::SettingsCheck, "settings check" },
+    { Command::SettingsReference, "settings reference" },
   } };
 };
 static_assert(HasCompleteTable<ctl_internal::CtlCommand>());
--- a/wigeonwalk/adapters/ctl/internal/document_commands.cc
+++ b/wigeonwalk/adapters/ctl/internal/document_commands.cc
@@ -3,6 +3,7 @@
 #include "wigeonwalk/adapters/ctl/internal/table.h"
 #include "wigeonwalk/adapters/settings/daemon_settings_json.h"
 #include "wigeonwalk/adapters/settings/service_document_json.h"
+#include "wigeonwalk/adapters/settings/settings_reference.h"
 
 #include <array>
 #include <cstdio>
@@ -330,6 +331,9 @@
       return CheckDocumentFile(aContext);
     case CtlCommand::SettingsCheck:
       return CheckSettings(aContext);
+    case CtlCommand::SettingsReference:
+      aContext.Out() << PrintSettingsReference();
+      return;
     default:
       return DocumentStatus(aContext);
   }
--- /dev/null
+++ b/wigeonwalk/adapters/settings/examples_test.cc
@@ -0,0 +1,167 @@
+#include "wigeonwalk/adapters/settings/daemon_settings_json.h"
+#include "wigeonwalk/adapters/settings/service_document_json.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace wigeonwalk;
+
+namespace {
+
+// A deployment of the design page.
+struct Deployment
+{
+  const char* folder;
+  std::vector<std::string> zones;
+  // Service, its runners and whether it is of kind engine.
+  struct Service
+  {
+    const char* name;
+    std::size_t runners;
+    ServiceKind kind;
+    Weighing weighing;
+  };
+  std::vector<Service> services;
+};
+
+const std::vector<Deployment> kDeployments{
+  { "reparto",
+    { "Concepción", "Talcahuano", "Chiguayante", "Coronel" },
+    { { "route-assistant",
+        18,
+        ServiceKind::Engine,
+        Weighing::TimeToFirstToken },
+      { "order", 4, ServiceKind::Engine, Weighing::TimeToFirstToken },
+      { "pickup-confirmation",
+        2,
+        ServiceKind::Plain,
+        Weighing::TimeToFirstToken } } },
+  { "schleierpfad",
+    { "Isar", "Lech", "Donau", "Inn" },
+    { { "pattern-advice", 9, ServiceKind::Engine, Weighing::ShareRecomputed },
+      { "workshop-order", 4, ServiceKind::Engine, Weighing::ShareRecomputed },
+      { "fabric-reservation",
+        2,
+        ServiceKind::Plain,
+        Weighing::TimeToFirstToken } } },
+};
+
+constexpr const char* kRoot = WIGEONWALK_SOURCE_DIR "/";
+
+std::string
+ReadText(const std::filesystem::path& aPath)
+{
+  std::ifstream file(aPath);
+  return { std::istreambuf_iterator<char>(file), {} };
+}
+
+std::string
+AllOf(const std::vector<LastReason>& aReasons)
+{
+  std::string text;
+  for (const auto& reason : aReasons) {
+    text += reason.ToString() + "\n";
+  }
+  return text;
+}
+
+void
+CheckService(const Deployment::Service& aExpected,
+             const Deployment& aDeployment,
+             const ServiceDocument& aDocument)
+{
+  CHECK(aDocument.name.Text() == aExpected.name);
+  CHECK(aDocument.kind == aExpected.kind);
+  CHECK(aDocument.weighing == aExpected.weighing);
+  CHECK(aDocument.runners.size() == aExpected.runners);
+  std::vector<std::string> zones;
+  for (const auto& zone : aDocument.zones) {
+    zones.push_back(zone.Text());
+  }
+  CHECK(zones == aDeployment.zones);
+  CHECK(aDocument.stores.empty() == (aExpected.kind == ServiceKind::Plain));
+  CHECK(aDocument.organisations.size() == 10);
+  const auto large = std::count_if(
+    aDocument.organisations.begin(),
+    aDocument.organisations.end(),
+    [](const OrganisationSpec& aSpec) { return aSpec.weight > 1; });
+  CHECK(large == 3);
+  const bool once =
+    std::any_of(aDocument.routes.begin(),
+                aDocument.routes.end(),
+                [](const auto& aRoute) { return !aRoute.idempotent; });
+  // Every service that books or reserves has a call that must not be repeated.
+  CHECK(once == (aExpected.runners <= 4));
+}
+
+} // namespace
+
+// Guards against examples that a reader copies and a daemon refuses, and that
+// differ from the deployments of the design page.
+SCENARIO("the examples describe both deployments", "[settings][examples]")
+{
+  for (const auto& deployment : kDeployments) {
+    DYNAMIC_SECTION(deployment.folder)
+    {
+      const auto folder =
+        std::filesystem::path(kRoot) / "examples" / deployment.folder;
+      std::set<std::string> documents;
+      std::multiset<std::string> addresses;
+      for (const auto& service : deployment.services) {
+        const auto file = folder / (std::string(service.name) + ".json");
+        documents.insert(file.filename());
+        std::vector<LastReason> reasons;
+        const auto document = ParseServiceDocument(ReadText(file), reasons);
+        INFO(file << "\n" << AllOf(reasons));
+        REQUIRE(document.has_value());
+        CheckService(service, deployment, *document);
+        for (const auto& runner : document->runners) {
+          addresses.insert(runner.address);
+        }
+        for (const auto& store : document->stores) {
+          addresses.insert(store.address);
+        }
+      }
+      std::size_t daemons = 0;
+      std::set<std::string> zones;
+      for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+        const auto& path = entry.path();
+        if (path.extension() != ".json" ||
+            documents.contains(path.filename())) {
+          continue;
+        }
+        std::vector<LastReason> reasons;
+        const auto settings = ParseDaemonSettings(ReadText(path), reasons);
+        INFO(path << "\n" << AllOf(reasons));
+        REQUIRE(settings.has_value());
+        ++daemons;
+        zones.insert(settings->zone.Text());
+        CHECK(path.stem() == settings->host.Text());
+        CHECK(settings->peers.size() == 5);
+        CHECK(settings->documentFiles.size() == deployment.services.size());
+        for (const auto& file : settings->documentFiles) {
+          CHECK(std::filesystem::exists(kRoot + file));
+        }
+        CHECK(std::filesystem::exists(kRoot + settings->clusterKeyFile));
+        addresses.insert({ settings->entryAddress,
+                           settings->operatorAddress,
+                           settings->peerAddress });
+      }
+      CHECK(daemons == 6);
+      CHECK(zones.size() == 4);
+      for (const auto& address : addresses) {
+        INFO(address);
+        CHECK(address.starts_with("127.0.0.1:"));
+        CHECK(addresses.count(address) == 1);
+      }
+    }
+  }
+}
