--- a/wigeonwalk/membership/failure_detector_test.cc
+++ b/wigeonwalk/membership/failure_detector_test.cc
@@ -18,6 +18,7 @@
   DocumentDigest CurrentDigest(TimePoint) { return {}; }
   std::vector<PeerNotice> TakeNotices(TimePoint) { return {}; }
   void OnRidden(const PeerDatagram&, TimePoint) {}
+  void OnContact(const PeerDatagram&, TimePoint) {}
   void OnMemberChange(const MemberUpdate& aUpdate, TimePoint)
   {
     this->lost += aUpdate.state == MemberState::Lost ? 1 : 0;
@@ -40,7 +41,7 @@
 struct Node
 {
   using Detector =
-    FailureDetector<PausableTimer, FakePeerChannel, VirtualTime, CountingRider>;
+    FailureDetector<EndpointTimer, FakePeerChannel, VirtualTime, CountingRider>;
 
   Node(VirtualTime& aTime,
        PeerNetwork& aNetwork,
@@ -72,7 +73,7 @@
   }
 
   PeerNetwork::Endpoint& endpoint;
-  PausableTimer timer;
+  EndpointTimer timer;
   FakePeerChannel channel;
   CountingRider rider;
   HybridClock clock;
