daemon: answer operators by JSON-RPC and serve metrics

Cause: operators could neither ask a daemon nor stop it gracefully by a call. Change: OperatorFace answers the calls of docs/operator-api.md and serves /metrics and /health; request measures go into the metrics; a drain fails the health check, waits, closes idle connections and records what it cut off.

--- /dev/null
+++ b/wigeonwalk/adapters/http/http_adopt.h
@@ -0,0 +1,15 @@
+// Takes over a socket that another listener accepted.
+//
+//   HttpConnection connection = AdoptConnection(std::move(socket), {});
+#pragma once
+
+#include "wigeonwalk/adapters/http/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace wigeonwalk {
+
+HttpConnection
+AdoptConnection(boost::asio::ip::tcp::socket aSocket, HttpLimits aLimits);
+
+} // namespace wigeonwalk
--- a/wigeonwalk/adapters/http/http_server.cc
+++ b/wigeonwalk/adapters/http/http_server.cc
@@ -1,5 +1,6 @@
 #include "wigeonwalk/adapters/http/http_server.h"
 
+#include "wigeonwalk/adapters/http/http_adopt.h"
 #include "wigeonwalk/adapters/http/internal/address.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -219,6 +220,13 @@
   this->state->stream.close();
 }
 
+HttpConnection
+AdoptConnection(asio::ip::tcp::socket aSocket, HttpLimits aLimits)
+{
+  return HttpConnection(
+    std::make_unique<HttpConnection::State>(std::move(aSocket), aLimits));
+}
+
 struct HttpListener::State
 {
   State(asio::any_io_executor aExecutor, HttpLimits aLimits)
@@ -285,8 +293,7 @@
     if (!error) {
       error_code ignored;
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-      co_return HttpConnection(std::make_unique<HttpConnection::State>(
-        std::move(socket), this->state->limits));
+      co_return AdoptConnection(std::move(socket), this->state->limits);
     }
     if (error == asio::error::operation_aborted) {
       break;
--- a/wigeonwalk/adapters/openai/caller_session.h
+++ b/wigeonwalk/adapters/openai/caller_session.h
@@ -23,6 +23,10 @@
   std::function<RequestId()> nextRequestId;
   // False once the balancer should send no more callers.
   std::function<bool()> healthy;
+  // True once the daemon stops: connections close after their request.
+  std::function<bool()> stopping;
+  // Requests that are being served.
+  std::uint64_t* openRequests = nullptr;
 };
 
 // Writes one answer as server-sent events or as one body. Satisfies AnswerSink.
@@ -151,6 +155,23 @@
   co_return written&& aKeepAlive;
 }
 
+// Counts a request as open while it lives.
+class OpenRequest
+{
+public:
+  explicit OpenRequest(std::uint64_t& aCount)
+    : count(aCount)
+  {
+    ++this->count;
+  }
+  ~OpenRequest() { --this->count; }
+  OpenRequest(const OpenRequest&) = delete;
+  OpenRequest& operator=(const OpenRequest&) = delete;
+
+private:
+  std::uint64_t& count;
+};
+
 // Serves a connection until the caller or the daemon closes it.
 template<CallerPath Path>
 Task<void>
@@ -168,7 +189,7 @@
       co_await Refuse(aConnection, id, reason, false);
       co_return;
     }
-    const bool keepAlive = request->keepAlive;
+    const bool keepAlive = request->keepAlive && !aContext.stopping();
     if (request->target == "/health") {
       HttpResponse health = HealthResponse(aContext.healthy());
       const bool written =
--- a/wigeonwalk/daemon/cluster.cc
+++ b/wigeonwalk/daemon/cluster.cc
@@ -368,6 +368,32 @@
   co_return result;
 }
 
+std::optional<TimePoint>
+Cluster::ConfirmedAt() const
+{
+  return this->state->store.ConfirmedAt();
+}
+
+Task<std::optional<std::vector<EditRecord>>>
+Cluster::History(ServiceName aService, TimePoint aDeadline, LastReason& aReason)
+{
+  const std::string key = DocumentKey(aService);
+  const auto read =
+    co_await this->state->operatorCalls.Get(key, aDeadline, aReason);
+  if (!read) {
+    co_return std::nullopt;
+  }
+  if (!read->entry) {
+    co_return Fail(
+      aReason, ReasonCode::NotFound, "no such document", "service");
+  }
+  auto stored = this->state->codec.Decode(read->entry->value, aReason);
+  if (!stored) {
+    co_return std::nullopt;
+  }
+  co_return std::move(stored->history);
+}
+
 const MemberTable&
 Cluster::Members() const
 {
--- a/wigeonwalk/daemon/cluster.h
+++ b/wigeonwalk/daemon/cluster.h
@@ -67,8 +67,16 @@
   // Whether this daemon may serve with the documents it has.
   Freshness CurrentFreshness() const;
 
+  // The time up to which every accepted edit is known here.
+  std::optional<TimePoint> ConfirmedAt() const;
+
   Task<EditResult> Accept(DocumentEdit aEdit, TimePoint aDeadline);
 
+  // Reads the accepted edits of a document, the oldest first.
+  Task<std::optional<std::vector<EditRecord>>> History(ServiceName aService,
+                                                       TimePoint aDeadline,
+                                                       LastReason& aReason);
+
   const MemberTable& Members() const;
   PeerTransport& Channel();
   AsioSpawner& Spawner();
--- a/wigeonwalk/daemon/daemon.cc
+++ b/wigeonwalk/daemon/daemon.cc
@@ -6,6 +6,8 @@
 #include "wigeonwalk/adapters/upstreams/http_upstreams.h"
 #include "wigeonwalk/daemon/cluster.h"
 #include "wigeonwalk/daemon/event_recorder.h"
+#include "wigeonwalk/daemon/measure_recorder.h"
+#include "wigeonwalk/daemon/operator_face.h"
 #include "wigeonwalk/serving/request_path.h"
 #include "wigeonwalk/serving/upstream_observer.h"
 
@@ -38,8 +40,12 @@
 using DaemonMover =
   CacheMover<SystemTimer, HttpUpstreams, DaemonDirectory, EventRecorder>;
 using DaemonKeeper = CacheKeeper<DaemonMover, HttpUpstreams>;
-using DaemonParts =
-  RunParts<SystemTimer, HttpUpstreams, DaemonMover, EventRecorder, CpuPool>;
+using DaemonParts = RunParts<SystemTimer,
+                             HttpUpstreams,
+                             DaemonMover,
+                             EventRecorder,
+                             MeasureRecorder,
+                             CpuPool>;
 using DaemonClaimLog = ClaimLog<DaemonKeyValue::Handle, SystemTimer>;
 using DaemonClaims = ClaimService<DaemonKeyValue::Handle, SystemTimer>;
 using DaemonPath =
@@ -85,6 +91,7 @@
           LogLevelOf(settings.logLevel),
           std::clog)
     , events(timer, hybrid, settings, *log)
+    , measures(metrics)
     , workers(settings.workerThreads)
     , view(settings.host,
            settings.zone,
@@ -109,7 +116,7 @@
                 hybrid)
     , mover(view.cache, timer, upstreams, directory, events)
     , keeper(mover, upstreams, view.returns)
-    , parts{ timer, upstreams, mover, keeper, events, workers, view }
+    , parts{ timer, upstreams, mover, keeper, events, measures, workers, view }
     , claimCalls(keyValue.For(KeyValueUser::Claims))
     , claimLog(claimCalls,
                timer,
@@ -118,20 +125,45 @@
                incarnation)
     , claims(claimLog, timer)
     , path(cluster, parts, upstreams, claims)
+    , operators(this->OperatorParts())
   {
     this->caller.nextRequestId = [this] {
       return RequestId(this->settings.host.Text() + '-' +
                        std::to_string(this->incarnation) + '-' +
                        std::to_string(++this->requests));
     };
-    this->caller.healthy = [this] {
-      return !this->stopping &&
-             this->cluster.CurrentFreshness() == Freshness::Serve;
-    };
+    this->caller.healthy = [this] { return this->Healthy(); };
+    this->caller.openRequests = &this->openRequests;
+    this->caller.stopping = [this] { return this->stopping; };
     this->cluster.SetForward(
       [this](const ForwardedCall& aCall) { return this->Answer(aCall); });
   }
 
+  bool Healthy() const
+  {
+    return !this->stopping &&
+           this->cluster.CurrentFreshness() == Freshness::Serve;
+  }
+
+  OperatorFace::Parts OperatorParts()
+  {
+    return { this->context.get_executor(),
+             this->timer,
+             this->settings,
+             this->cluster,
+             this->keyValue,
+             this->view,
+             this->events,
+             this->metrics,
+             this->incarnation,
+             [this] { return this->openRequests; },
+             [this] { return this->stopping; },
+             [this] { return this->Healthy(); },
+             [this](std::optional<Duration> aTimeout) {
+               this->BeginStop(aTimeout);
+             } };
+  }
+
   // Answers what other daemons forward to this one.
   std::optional<ForwardedAnswer> Answer(const ForwardedCall& aCall)
   {
@@ -151,9 +183,7 @@
 
   Task<void> ServeOne(HttpConnection aConnection)
   {
-    ++this->openConnections;
     co_await ServeCaller(std::move(aConnection), this->path, this->caller);
-    --this->openConnections;
   }
 
   // Starts one task for each engine of each service in force, and ends with
@@ -197,20 +227,50 @@
     this->observed.erase(aTask);
   }
 
+  // Begins a graceful stop, or shortens one that has begun.
+  void BeginStop(std::optional<Duration> aTimeout)
+  {
+    const TimePoint now = this->timer.Now();
+    const TimePoint last =
+      now + aTimeout.value_or(this->settings.stop.drainTimeout);
+    this->drainUntil = this->stopping ? std::min(this->drainUntil, last) : last;
+    if (!this->stopping) {
+      this->stopping = true;
+      asio::co_spawn(this->context, this->Drain(), asio::detached);
+    }
+  }
+
+  // Fails the health check, waits for the balancer, serves what still comes,
+  // and ends once no request is open.
   Task<void> Drain()
   {
-    this->stopping = true;
-    this->cluster.Leave();
     const TimePoint start = this->timer.Now();
-    co_await this->timer.WaitUntil(start + this->settings.stop.balancerDelay);
+    this->RecordStop(EventKind::StopRequested,
+                     std::to_string(this->openRequests) + " requests open");
+    co_await this->timer.WaitUntil(
+      std::min(start + this->settings.stop.balancerDelay, this->drainUntil));
+    this->cluster.Leave();
     this->listener->Close();
-    const TimePoint last = start + this->settings.stop.drainTimeout;
-    while (this->openConnections > 0 && this->timer.Now() < last) {
+    while (this->openRequests > 0 && this->timer.Now() < this->drainUntil) {
       co_await this->timer.WaitUntil(this->timer.Now() + kDrainPoll);
     }
+    this->RecordStop(
+      EventKind::StopFinished,
+      std::to_string(this->openRequests) + " requests cut off, " +
+        std::to_string(ToSeconds(this->timer.Now() - start)) + " s");
     this->context.stop();
   }
 
+  void RecordStop(EventKind aKind, std::string aDetail)
+  {
+    this->events.Record({ aKind,
+                          this->timer.Now(),
+                          RequestId(),
+                          this->settings.host.Text(),
+                          std::nullopt,
+                          std::move(aDetail) });
+  }
+
   asio::io_context& context;
   DaemonSettings settings;
   SystemTimer timer;
@@ -221,6 +281,8 @@
   // Empty once it was flushed at the end.
   std::optional<Log> log;
   EventRecorder events;
+  Metrics metrics;
+  MeasureRecorder measures;
   CpuPool workers;
   DaemonView view;
   EtcdGateway gateway;
@@ -235,12 +297,14 @@
   DaemonClaimLog claimLog;
   DaemonClaims claims;
   DaemonPath path;
+  OperatorFace operators;
   CallerContext caller;
   std::optional<HttpListener> listener;
   std::set<std::string> observed;
   std::uint64_t requests = 0;
-  std::uint64_t openConnections = 0;
+  std::uint64_t openRequests = 0;
   bool stopping = false;
+  TimePoint drainUntil;
 };
 
 Daemon::Daemon(asio::io_context& aContext, DaemonSettings aSettings)
@@ -254,7 +318,7 @@
 Daemon::Start(LastReason& aReason)
 {
   State& daemon = *this->state;
-  if (!daemon.cluster.Start(aReason)) {
+  if (!daemon.cluster.Start(aReason) || !daemon.operators.Start(aReason)) {
     return false;
   }
   daemon.listener = HttpListener::Open(daemon.context.get_executor(),
@@ -275,10 +339,13 @@
 {
   State& daemon = *this->state;
   if (daemon.stopping) {
+    daemon.RecordStop(EventKind::StopFinished,
+                      std::to_string(daemon.openRequests) +
+                        " requests cut off by a second signal");
     daemon.context.stop();
     return;
   }
-  asio::co_spawn(daemon.context, daemon.Drain(), asio::detached);
+  daemon.BeginStop(std::nullopt);
 }
 
 void
--- /dev/null
+++ b/wigeonwalk/daemon/measure_recorder.h
@@ -0,0 +1,75 @@
+// Counts what is measured of requests in the daemon's metrics.
+//
+//   MeasureRecorder measures(metrics);
+//   measures.Ended(scope, Verdict::Ran);
+#pragma once
+
+#include "wigeonwalk/adapters/metrics/metrics.h"
+#include "wigeonwalk/ports/measures.h"
+
+#include <string>
+
+namespace wigeonwalk {
+
+// Satisfies RequestMeasures. One thread only; the metrics must outlive it.
+class MeasureRecorder
+{
+public:
+  explicit MeasureRecorder(Metrics& aMetrics)
+    : metrics(aMetrics)
+  {
+  }
+
+  void FirstToken(const MeasureScope& aScope, Duration aElapsed)
+  {
+    this->metrics.Observe(
+      Metric::TimeToFirstToken, ToSeconds(aElapsed), LabelsOf(aScope));
+  }
+  void QueueTime(const MeasureScope& aScope, Duration aElapsed)
+  {
+    this->metrics.Observe(
+      Metric::QueueTime, ToSeconds(aElapsed), LabelsOf(aScope));
+  }
+  void TokenGap(const MeasureScope& aScope, Duration aElapsed)
+  {
+    this->metrics.Observe(
+      Metric::TimeBetweenTokens, ToSeconds(aElapsed), LabelsOf(aScope));
+    this->metrics.Add(Metric::GeneratedTokens, 1, LabelsOf(aScope));
+  }
+  void Prompt(const MeasureScope& aScope,
+              std::uint64_t aTokens,
+              std::uint64_t aRecomputed)
+  {
+    this->metrics.Add(
+      Metric::PromptTokens, static_cast<double>(aTokens), LabelsOf(aScope));
+    this->metrics.Add(Metric::RecomputedTokens,
+                      static_cast<double>(aRecomputed),
+                      LabelsOf(aScope));
+  }
+  void Ended(const MeasureScope& aScope, Verdict aVerdict)
+  {
+    MetricLabels labels = LabelsOf(aScope);
+    labels.detail = std::string(NameOf(aVerdict));
+    this->metrics.Add(Metric::Verdicts, 1, labels);
+  }
+  void Retried(const MeasureScope& aScope)
+  {
+    this->metrics.Add(Metric::RequestsRetried, 1, LabelsOf(aScope));
+  }
+  void Dropped(const MeasureScope& aScope)
+  {
+    this->metrics.Add(Metric::AnswersDropped, 1, LabelsOf(aScope));
+  }
+
+private:
+  static MetricLabels LabelsOf(const MeasureScope& aScope)
+  {
+    return { aScope.service, aScope.organisation, {} };
+  }
+
+  Metrics& metrics;
+};
+
+static_assert(RequestMeasures<MeasureRecorder>);
+
+} // namespace wigeonwalk
--- a/wigeonwalk/serving/completion_run.h
+++ b/wigeonwalk/serving/completion_run.h
@@ -143,6 +143,8 @@
                          tokens,
                          this->state.deadline,
                          this->parts.time);
+    this->parts.measures.QueueTime(
+      this->state.scope, this->parts.time.Now() - this->state.arrivedAt);
     if (!slot) {
       this->Refuse(ReasonCode::Overloaded,
                    "the request's time ended in the queue");
@@ -357,6 +359,7 @@
     const auto next = NextAttemptAt(
       BackoffSettings(), aFailures, now, this->state.deadline, view.random);
     if (next) {
+      this->parts.measures.Retried(this->state.scope);
       this->Record(EventKind::RequestRetried, std::string());
     }
     return next;
@@ -371,6 +374,14 @@
     view.budget.RecordSuccess(this->state.caller.organisation->id,
                               this->state.document.name,
                               this->parts.time.Now());
+    const std::uint64_t served = std::min<std::uint64_t>(
+      this->copies.size() * std::uint64_t{ kPieceTokens },
+      this->state.summary.promptTokens);
+    const std::uint64_t cached = this->state.summary.cachedTokens;
+    this->parts.measures.Prompt(this->state.scope,
+                                this->state.summary.promptTokens,
+                                served > cached ? served - cached : 0);
+    this->parts.measures.Ended(this->state.scope, Verdict::Ran);
     this->Record(EventKind::RequestFinished,
                  std::to_string(this->state.summary.cachedTokens) + " of " +
                    std::to_string(this->state.summary.promptTokens) +
@@ -381,6 +392,7 @@
   template<AnswerSink Sink>
   Task<void> EndWithRefusal(Sink& aSink)
   {
+    this->parts.measures.Ended(this->state.scope, this->state.refusal.verdict);
     this->parts.events.Record(
       { EventKind::RequestRefused,
         this->parts.time.Now(),
--- a/wigeonwalk/serving/directory_service.h
+++ b/wigeonwalk/serving/directory_service.h
@@ -188,10 +188,8 @@
 
   Task<void> Send(HostId aOwner, std::string aPayload)
   {
-    co_await this->CallOwner(std::move(aOwner),
-                             ForwardedKind::DirectoryUpdate,
-                             std::move(aPayload),
-                             kAnnounceTimeout);
+    co_await this->CallOwner(
+      aOwner, ForwardedKind::DirectoryUpdate, aPayload, kAnnounceTimeout);
   }
 
   Task<std::optional<std::string>> CallOwner(HostId aOwner,
--- a/wigeonwalk/serving/placer.cc
+++ b/wigeonwalk/serving/placer.cc
@@ -17,6 +17,19 @@
 // Lines of an explanation.
 constexpr std::size_t kMaxExplained = 32;
 
+const StoreSpec*
+FindStore(const ServiceDocument& aDocument, const UpstreamId& aStore)
+{
+  for (const StoreSpec& store : aDocument.stores) {
+    if (store.id == aStore) {
+      return &store;
+    }
+  }
+  return nullptr;
+}
+
+using LinkedCopies = std::vector<std::pair<ViewIndex, SealedPiece>>;
+
 } // namespace
 
 // The parts of a PlacementView, and what its indices stand for.
@@ -28,7 +41,8 @@
   std::vector<LinkView> links;
   std::vector<ViewIndex> zoneLinks;
   std::vector<StoredPiece> stored;
-  std::vector<SealedPiece> sealed;
+  // The sealed copies of each stored piece, with the link to each.
+  std::vector<LinkedCopies> sealed;
 };
 
 Placer::Placer(UpstreamTable& aUpstreams,
@@ -94,29 +108,25 @@
     return place->second;
   };
   for (const std::vector<PieceCopy>& copies : aInput.copies) {
-    bool known = false;
+    StoredPiece piece;
+    LinkedCopies linked;
     for (const PieceCopy& copy : copies) {
-      const auto& stores = aInput.document.stores;
-      const auto store =
-        std::find_if(stores.begin(), stores.end(), [&](const StoreSpec& aSpec) {
-          return aSpec.id == copy.piece.store;
-        });
-      if (store == stores.end()) {
+      const StoreSpec* store = FindStore(aInput.document, copy.piece.store);
+      if (store == nullptr) {
         continue;
       }
-      StoredPiece piece;
-      piece.link = linkOf(*store, copy.piece.tier);
-      piece.zone = this->ZoneIndex(store->zone, aView);
-      piece.weight = copy.weight;
-      piece.bytes = copy.piece.bytes;
-      aView.stored.push_back(piece);
-      aView.sealed.push_back(copy.piece);
-      known = true;
-      break;
+      const ViewIndex link = linkOf(*store, copy.piece.tier);
+      piece.Add({ link,
+                  this->ZoneIndex(store->zone, aView),
+                  copy.weight,
+                  copy.piece.bytes });
+      linked.emplace_back(link, copy.piece);
     }
-    if (!known) {
+    if (linked.empty()) {
       break;
     }
+    aView.stored.push_back(piece);
+    aView.sealed.push_back(std::move(linked));
   }
 }
 
@@ -154,7 +164,13 @@
   placed.runner = *view.specs[best.runner];
   placed.cost = best.cost;
   for (std::size_t i = best.restoreFrom; i < best.restoreTo; ++i) {
-    placed.restore.push_back(view.sealed[i]);
+    const ViewIndex link = placement.sources[i - best.restoreFrom].link;
+    for (const auto& [copyLink, sealed] : view.sealed[i]) {
+      if (copyLink == link) {
+        placed.restore.push_back(sealed);
+        break;
+      }
+    }
   }
   const std::uint64_t spared = std::min<std::uint64_t>(
     std::max(best.restoreTo, best.restoreFrom) * std::uint64_t{ kPieceTokens },
--- a/wigeonwalk/serving/stream_forwarder.h
+++ b/wigeonwalk/serving/stream_forwarder.h
@@ -9,6 +9,7 @@
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/event_sink.h"
 #include "wigeonwalk/ports/front_end.h"
+#include "wigeonwalk/ports/measures.h"
 #include "wigeonwalk/ports/workers.h"
 #include "wigeonwalk/retry/stream_liveness.h"
 #include "wigeonwalk/retry/stream_resume.h"
@@ -51,6 +52,7 @@
          EngineProvider Engines,
          typename Mover,
          EventSink Events,
+         RequestMeasures Measures,
          Workers Pool>
 struct RunParts
 {
@@ -59,6 +61,7 @@
   Mover& mover;
   CacheKeeper<Mover, Engines>& keeper;
   Events& events;
+  Measures& measures;
   Pool& pool;
   DaemonView& view;
 };
@@ -72,6 +75,8 @@
     : request(aRequest)
     , caller(aCaller)
     , document(aCaller.accepted->document)
+    , scope{ document.name, aCaller.organisation->id }
+    , arrivedAt(aNow)
     , deadline(aNow + aRequest.timeout.value_or(document.requestTimeout))
   {
   }
@@ -79,7 +84,10 @@
   const CompletionRequest& request;
   const AdmittedCaller& caller;
   const ServiceDocument& document;
+  MeasureScope scope;
+  TimePoint arrivedAt;
   TimePoint deadline;
+  TimePoint lastTokenAt;
   // Set with the first attempt.
   std::optional<StreamResume> resume;
   UpstreamId lastRunner;
@@ -194,6 +202,7 @@
       case ChunkDecision::DropForeign:
       case ChunkDecision::DropDuplicate:
       case ChunkDecision::DropAfterEnd:
+        this->parts.measures.Dropped(this->state.scope);
         this->Record(EventKind::AnswerDropped, std::string());
         co_return AttemptEnd::Answered;
       case ChunkDecision::DropAhead:
@@ -212,6 +221,7 @@
                  this->state.lastRunner);
     }
     aSlot.Leave();
+    this->Measure(aChunk);
     const bool delivered = co_await aSink.Token(aChunk);
     if (!delivered) {
       this->Record(EventKind::CallerGone, std::string());
@@ -254,6 +264,19 @@
     co_return false;
   }
 
+  void Measure(const AnswerChunk& aChunk)
+  {
+    const TimePoint now = this->parts.time.Now();
+    if (aChunk.index == 0) {
+      this->parts.measures.FirstToken(this->state.scope,
+                                      now - this->state.arrivedAt);
+    } else {
+      this->parts.measures.TokenGap(this->state.scope,
+                                    now - this->state.lastTokenAt);
+    }
+    this->state.lastTokenAt = now;
+  }
+
   void Record(EventKind aKind, std::string aDetail)
   {
     RecordStep(this->parts, this->state, aKind, std::move(aDetail));
