--- a/experiments/returning_prompts/world.h
+++ b/experiments/returning_prompts/world.h
@@ -19,6 +19,12 @@
 // Time after the trace in which open requests may end.
 inline constexpr Duration kDrainTime = std::chrono::minutes(10);
 
+// Pieces of one transfer.
+inline constexpr std::uint32_t kBatchPieces = 2;
+
+// Organisations' archives have their own keys.
+inline constexpr std::uint64_t kArchiveBit = std::uint64_t{ 1 } << 63;
+
 // What fails at one third of the measured time.
 enum class Fault
 {
--- /dev/null
+++ b/experiments/returning_prompts/world_store.cc
@@ -0,0 +1,242 @@
+// What the store hosts of a replay keep, and why.
+#include "returning_prompts/world.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wigeonwalk::replay {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Worth is compared by the chance of return within this time.
+constexpr Duration kHorizon = 6h;
+
+constexpr std::size_t kGapBuckets = 80;
+
+} // namespace
+
+StoredGroup
+World::GroupOf(const Arrival& aArrival, bool aArchive) const
+{
+  StoredGroup group;
+  const std::uint64_t archive = kArchiveBit | aArrival.organisation;
+  const auto pieces = static_cast<std::uint32_t>(
+    (aArrival.tokens + aArrival.answerTokens) / kPieceTokens);
+  group.id = aArchive ? archive : aArrival.prompt;
+  group.organisation = aArrival.organisation;
+  group.first = aArchive ? 0 : aArrival.archivePieces;
+  group.pieces =
+    aArchive ? aArrival.archivePieces : pieces - aArrival.archivePieces;
+  group.root = { aArrival.archivePieces > 0 ? archive : aArrival.prompt, 0 };
+  return group;
+}
+
+// True for groups that have two whole copies where there is room: archives, and
+// prompts that are not spread.
+bool
+World::IsCopied(const StoredGroup& aGroup) const
+{
+  return this->traits.keepsByWorth &&
+         ((aGroup.id & kArchiveBit) != 0 ||
+          SpreadParts(this->deployment.weighing) == 1);
+}
+
+// Divides a group into the parts that go to different store hosts, beginning
+// with that of a zone; or repeats it for each copy.
+std::vector<StoredGroup>
+World::PartsOf(const StoredGroup& aGroup, std::uint32_t aZone) const
+{
+  const bool copied = this->IsCopied(aGroup);
+  const std::uint32_t zones = this->deployment.zones;
+  std::uint32_t parts = 1;
+  if (this->traits.keepsByWorth) {
+    parts = copied ? 2 : SpreadParts(this->deployment.weighing);
+  }
+  // Parts that exist keep their borders.
+  std::uint32_t divided = aGroup.pieces;
+  const StoredGroup* last = this->stores->Find(aGroup.id, parts - 1);
+  std::vector<StoredGroup> result;
+  for (std::uint32_t i = 0; i < parts; ++i) {
+    StoredGroup part = aGroup;
+    part.part = i;
+    part.store = (aZone + i * (1 + aGroup.id % (zones - 1))) % zones;
+    if (!copied) {
+      const StoredGroup* known = this->stores->Find(aGroup.id, i);
+      const std::uint32_t begin =
+        known != nullptr ? known->first
+                         : aGroup.first + PartBegin(i, parts, divided);
+      const std::uint32_t end = aGroup.first + aGroup.pieces;
+      part.first = begin;
+      part.pieces = end - begin;
+      if (i + 1 < parts) {
+        const std::uint32_t next =
+          last != nullptr ? last->first
+                          : aGroup.first + PartBegin(i + 1, parts, divided);
+        part.pieces = next - begin;
+      }
+    }
+    if (part.pieces > 0) {
+      result.push_back(part);
+    }
+  }
+  return result;
+}
+
+// Decides whether a new part of a group is stored, and in which tier.
+bool
+World::Accept(StoredGroup& aGroup, TimePoint aNow)
+{
+  if (!this->traits.keepsByWorth) {
+    return true;
+  }
+  const PieceValue value = this->ValueOf(aGroup, aNow);
+  if (value.otherCopies > 0) {
+    aGroup.tier = StoreTier::Disk;
+    return this->retention.ShouldReplicate(value, this->ScarcityNow());
+  }
+  const auto action =
+    this->retention.BeforeEviction(value, this->ScarcityNow());
+  aGroup.tier =
+    action == RetentionAction::KeepOnDisk ? StoreTier::Disk : StoreTier::Memory;
+  return action != RetentionAction::Drop;
+}
+
+Task<void>
+World::Export(Daemon& aDaemon, Arrival aArrival, std::uint32_t aZone)
+{
+  for (const bool archive : { true, false }) {
+    StoredGroup group = this->GroupOf(aArrival, archive);
+    if (group.pieces == 0) {
+      continue;
+    }
+    for (const StoredGroup& part : this->PartsOf(group, aZone)) {
+      co_await this->ExportPart(aDaemon, part, aZone);
+    }
+  }
+}
+
+Task<void>
+World::ExportPart(Daemon& aDaemon, StoredGroup aGroup, std::uint32_t aZone)
+{
+  aGroup.lastUse = this->time.Now();
+  const StoredGroup* known = this->stores->Find(aGroup.id, aGroup.part);
+  const std::uint32_t held = known != nullptr ? known->pieces : 0;
+  if (known != nullptr) {
+    aGroup.store = known->store;
+    aGroup.tier = known->tier;
+  } else if (!this->Accept(aGroup, this->time.Now())) {
+    co_return;
+  }
+  bool stored = !this->links[2 * aGroup.store].broken;
+  std::vector<ViewIndex> path{ 2 * aGroup.store +
+                               (aGroup.tier == StoreTier::Disk ? 1 : 0) };
+  if (aGroup.store != aZone) {
+    path.push_back(
+      this->zoneLinks[aZone * this->deployment.zones + aGroup.store]);
+  }
+  const TransferKind kind = (aGroup.id & kArchiveBit) != 0 && aGroup.part > 0
+                              ? TransferKind::Replicate
+                              : TransferKind::Export;
+  for (std::uint32_t i = held; i < aGroup.pieces && stored;) {
+    const std::uint32_t batch = std::min(kBatchPieces, aGroup.pieces - i);
+    for (const ViewIndex link : path) {
+      const bool moved = co_await aDaemon.links[link]->Move(
+        kind,
+        this->Organisation(aGroup.organisation),
+        batch * this->deployment.pieceBytes);
+      stored = stored && moved;
+    }
+    i += batch;
+  }
+  if (stored) {
+    this->stores->Put(aGroup, this->time.Now());
+  }
+}
+
+void
+World::NoteArrival(const Arrival& aArrival)
+{
+  const ServiceName service("service");
+  const OrganisationId& organisation =
+    this->Organisation(aArrival.organisation);
+  this->returns.NoteServed(service, organisation);
+  if (aArrival.gapSeconds >= 0) {
+    this->returns.NoteReturn(
+      service, organisation, FromSeconds(aArrival.gapSeconds));
+  }
+  this->stores->Touch(aArrival.prompt, this->time.Now());
+  if (aArrival.archivePieces > 0) {
+    this->stores->Touch(kArchiveBit | aArrival.organisation, this->time.Now());
+  }
+}
+
+double
+World::Chance(std::uint32_t aOrganisation, double aGapSeconds)
+{
+  // Buckets of the gap grow by a quarter of a doubling.
+  const auto bucket = std::min<std::size_t>(
+    static_cast<std::size_t>(4 * std::log2(1 + aGapSeconds / 15)),
+    kGapBuckets - 1);
+  if (this->chances.empty() || this->time.Now() >= this->chancesAt + 1min) {
+    this->chancesAt = this->time.Now();
+    this->chances.assign(this->deployment.organisations.size(),
+                         std::vector<double>(kGapBuckets, -1));
+  }
+  double& chance = this->chances[aOrganisation][bucket];
+  if (chance < 0) {
+    const double gap = 15 * (std::exp2(static_cast<double>(bucket) / 4) - 1);
+    chance = this->returns.ChanceWithin(ServiceName("service"),
+                                        this->Organisation(aOrganisation),
+                                        FromSeconds(gap),
+                                        kHorizon);
+  }
+  return chance;
+}
+
+Scarcity
+World::ScarcityNow() const
+{
+  return { .memoryDensity = this->stores->MarginalScore(StoreTier::Memory),
+           .diskDensity = this->stores->MarginalScore(StoreTier::Disk) };
+}
+
+PieceValue
+World::ValueOf(const StoredGroup& aGroup, TimePoint aNow)
+{
+  const auto bytes = static_cast<double>(this->deployment.pieceBytes);
+  return { .bytes = this->deployment.pieceBytes,
+           .recomputeSeconds =
+             kPieceTokens / this->deployment.prefillTokensPerSecond,
+           .memoryReadSeconds = bytes / this->deployment.memoryLinkRate,
+           .diskReadSeconds = bytes / this->deployment.diskLinkRate,
+           .returnChance = this->Chance(aGroup.organisation,
+                                        ToSeconds(aNow - aGroup.lastUse)),
+           .horizon = kHorizon,
+           .otherCopies = this->IsCopied(aGroup) && aGroup.part > 0 ? 1u : 0u };
+}
+
+double
+World::Score(const StoredGroup& aGroup, TimePoint aNow)
+{
+  if (!this->traits.keepsByWorth) {
+    return -ToSeconds(aNow - aGroup.lastUse);
+  }
+  // An archive is read by every consultation of its organisation.
+  if ((aGroup.id & kArchiveBit) != 0) {
+    return 1e9 - ToSeconds(aNow - aGroup.lastUse);
+  }
+  const double density =
+    this->retention.Density(this->ValueOf(aGroup, aNow), aGroup.tier);
+  if (!this->IsCopied(aGroup)) {
+    // A part is of no use without the parts before it.
+    if (aGroup.part > 0 &&
+        this->stores->Find(aGroup.id, aGroup.part - 1) == nullptr) {
+      return 0;
+    }
+  }
+  return density;
+}
+
+} // namespace wigeonwalk::replay
