cache: let an old piece in an engine's cache count for less

Cause: events of evictions are late, so prompts went to runners that no longer held them. Change: EngineCacheTracker learns the usual time to eviction and the delay of events; a piece's weight falls with its age. Apply and Resync take the time.

--- a/experiments/returning_prompts/world_events.cc
+++ b/experiments/returning_prompts/world_events.cc
@@ -77,11 +77,12 @@
   Daemon& daemon = *this->daemons[aDaemon];
   const UpstreamId name = this->RunnerName(aLate.runner);
   if (aLate.daemon) {
-    daemon.tracker.Resync(name, aLate.batch, aLate.listSequence);
+    daemon.tracker.Resync(
+      name, aLate.batch, aLate.listSequence, this->time.Now());
     daemon.resyncing[aLate.runner] = false;
     return;
   }
-  daemon.tracker.Apply(name, aLate.batch);
+  daemon.tracker.Apply(name, aLate.batch, this->time.Now());
   if (daemon.tracker.NeedsResync(name) && !daemon.resyncing[aLate.runner]) {
     const FakeRunner& runner = *this->runners[aLate.runner];
     daemon.resyncing[aLate.runner] = true;
--- a/wigeonwalk/cache/engine_cache_tracker.cc
+++ b/wigeonwalk/cache/engine_cache_tracker.cc
@@ -4,27 +4,70 @@
 
 namespace wigeonwalk {
 
+namespace {
+
+// Weight of the newest sample in the moving averages.
+constexpr double kNewestWeight = 0.05;
+
+void
+Average(double& aAverage, double aSample)
+{
+  aAverage =
+    aAverage == 0 ? aSample : aAverage + kNewestWeight * (aSample - aAverage);
+}
+
+} // namespace
+
+// Returns how much a reported piece counts for: all of it while it is fresh,
+// and kUncertainWeight once its age reaches the usual time to eviction.
+double
+EngineCacheTracker::Engine::Weight(TimePoint aLastUse, TimePoint aNow) const
+{
+  if (this->uncertain) {
+    return kUncertainWeight;
+  }
+  if (this->evictionAge <= 0) {
+    return 1;
+  }
+  const double age = ToSeconds(aNow - aLastUse) + this->eventDelay;
+  const double stale =
+    (age / this->evictionAge - kFreshPart) / (1 - kFreshPart);
+  return 1 - (1 - kUncertainWeight) * std::clamp(stale, 0.0, 1.0);
+}
+
 EngineCacheTracker::EngineCacheTracker(std::size_t aMaxPieces)
   : maxPieces(std::max<std::size_t>(aMaxPieces, 1))
 {
 }
 
 void
-EngineCacheTracker::ApplyOne(Engine& aEngine, const CacheEvent& aEvent)
+EngineCacheTracker::ApplyOne(Engine& aEngine,
+                             const CacheEvent& aEvent,
+                             TimePoint aNow)
 {
   switch (aEvent.kind) {
-    case CacheEventKind::Stored:
+    case CacheEventKind::Stored: {
       // An engine that reports more than the bound loses an arbitrary piece;
       // the cost is one recomputation.
       if (aEngine.stored.size() >= this->maxPieces) {
         aEngine.stored.erase(aEngine.stored.begin());
       }
-      aEngine.stored.insert(aEvent.piece);
-      aEngine.sent.erase(aEvent.piece);
+      aEngine.stored.insert_or_assign(aEvent.piece, aNow);
+      const auto sent = aEngine.sent.find(aEvent.piece);
+      if (sent != aEngine.sent.end()) {
+        Average(aEngine.eventDelay, ToSeconds(aNow - sent->second));
+        aEngine.sent.erase(sent);
+      }
       return;
-    case CacheEventKind::Evicted:
-      aEngine.stored.erase(aEvent.piece);
+    }
+    case CacheEventKind::Evicted: {
+      const auto piece = aEngine.stored.find(aEvent.piece);
+      if (piece != aEngine.stored.end()) {
+        Average(aEngine.evictionAge, ToSeconds(aNow - piece->second));
+        aEngine.stored.erase(piece);
+      }
       return;
+    }
     case CacheEventKind::Cleared:
       aEngine.stored.clear();
       aEngine.sent.clear();
@@ -34,7 +77,8 @@
 
 void
 EngineCacheTracker::Apply(const UpstreamId& aEngine,
-                          const CacheEventBatch& aBatch)
+                          const CacheEventBatch& aBatch,
+                          TimePoint aNow)
 {
   Engine& engine = this->engines[aEngine];
   if (aBatch.incarnation < engine.incarnation) {
@@ -55,7 +99,7 @@
       engine.uncertain = true;
     }
     engine.lastSequence = event.sequence;
-    this->ApplyOne(engine, event);
+    this->ApplyOne(engine, event, aNow);
   }
 }
 
@@ -69,7 +113,8 @@
 void
 EngineCacheTracker::Resync(const UpstreamId& aEngine,
                            const CacheEventBatch& aList,
-                           std::uint64_t aSequence)
+                           std::uint64_t aSequence,
+                           TimePoint aNow)
 {
   Engine& engine = this->engines[aEngine];
   const bool older = aList.incarnation < engine.incarnation ||
@@ -83,7 +128,7 @@
   engine.uncertain = false;
   engine.stored.clear();
   for (const CacheEvent& event : aList.events) {
-    this->ApplyOne(engine, event);
+    this->ApplyOne(engine, event, aNow);
   }
 }
 
@@ -99,7 +144,10 @@
     });
   }
   for (const PieceKey& key : aChain) {
-    if (engine.sent.size() < this->maxPieces && !engine.stored.contains(key)) {
+    const auto stored = engine.stored.find(key);
+    if (stored != engine.stored.end()) {
+      stored->second = aNow;
+    } else if (engine.sent.size() < this->maxPieces) {
       engine.sent[key] = aNow;
     }
   }
@@ -138,8 +186,9 @@
   const Engine& engine = found->second;
   double weight = 1;
   for (const PieceKey& key : aChain) {
-    if (engine.stored.contains(key)) {
-      weight = std::min(weight, engine.uncertain ? kUncertainWeight : 1.0);
+    const auto stored = engine.stored.find(key);
+    if (stored != engine.stored.end()) {
+      weight = std::min(weight, engine.Weight(stored->second, aNow));
     } else {
       const auto sent = engine.sent.find(key);
       if (sent == engine.sent.end() || aNow >= sent->second + kSentLifetime) {
--- a/wigeonwalk/cache/engine_cache_tracker_test.cc
+++ b/wigeonwalk/cache/engine_cache_tracker_test.cc
@@ -24,7 +24,8 @@
 SCENARIO("cache events arrive late and with gaps", "[tracker]")
 {
   EngineCacheTracker tracker(100);
-  tracker.Apply(kEngine, { 1, { Stored(1, kFirst), Stored(2, kSecond) } });
+  tracker.Apply(
+    kEngine, { 1, { Stored(1, kFirst), Stored(2, kSecond) } }, kNow);
   REQUIRE(tracker.LongestPrefix(kEngine, kChain, kNow).pieces == 2);
 
   struct Case
@@ -67,7 +68,7 @@
   for (const Case& row : cases) {
     INFO(row.name);
     EngineCacheTracker copy = tracker;
-    copy.Apply(kEngine, row.batch);
+    copy.Apply(kEngine, row.batch, kNow);
     const CachedPrefix prefix = copy.LongestPrefix(kEngine, kChain, kNow);
     CHECK(prefix.pieces == row.pieces);
     CHECK(prefix.weight == row.weight);
@@ -76,16 +77,16 @@
 
   WHEN("a gap is followed by a resync")
   {
-    tracker.Apply(kEngine, { 1, { Stored(7, other) } });
+    tracker.Apply(kEngine, { 1, { Stored(7, other) } }, kNow);
     // Guards against a list that was made before events already applied.
-    tracker.Resync(kEngine, { 1, { Stored(1, other) } }, 6);
+    tracker.Resync(kEngine, { 1, { Stored(1, other) } }, 6, kNow);
     CHECK(tracker.NeedsResync(kEngine));
-    tracker.Resync(kEngine, { 1, { Stored(1, kFirst) } }, 8);
+    tracker.Resync(kEngine, { 1, { Stored(1, kFirst) } }, 8, kNow);
     THEN("the list replaces what was known and later events follow it")
     {
       CHECK_FALSE(tracker.NeedsResync(kEngine));
       CHECK(tracker.LongestPrefix(kEngine, kChain, kNow).pieces == 1);
-      tracker.Apply(kEngine, { 1, { Stored(9, kSecond) } });
+      tracker.Apply(kEngine, { 1, { Stored(9, kSecond) } }, kNow);
       CHECK(tracker.LongestPrefix(kEngine, kChain, kNow).weight == 1);
     }
   }
@@ -113,3 +114,25 @@
     CHECK(tracker.LongestPrefix(kEngine, kChain, kNow).pieces == 2);
   }
 }
+
+// Guards against trust in pieces that the engine is about to evict, or has
+// evicted while the event is on its way.
+SCENARIO("an old piece counts for less", "[tracker]")
+{
+  EngineCacheTracker tracker(100);
+  tracker.Apply(kEngine, { 1, { Stored(1, kSecond) } }, kNow);
+  tracker.Apply(
+    kEngine, { 1, { { 2, CacheEventKind::Evicted, kSecond } } }, kNow + 100s);
+  tracker.Apply(kEngine, { 1, { Stored(3, kFirst) } }, kNow + 100s);
+  const auto weight = [&](Duration aAge) {
+    return tracker.LongestPrefix(kEngine, kChain, kNow + 100s + aAge).weight;
+  };
+  CHECK(weight(40s) == 1);
+  CHECK(weight(75s) == Approx(0.75));
+  CHECK(weight(200s) == kUncertainWeight);
+  WHEN("it is used again")
+  {
+    tracker.NoteSent(kEngine, std::vector{ kFirst }, kNow + 160s);
+    CHECK(weight(75s) == 1);
+  }
+}
