claims: explore schedules of the claim log, and fix what it found

Cause: the explorer interleaves three writers with differing clocks, pauses, lost and late writes, outages, restarts and trimming over seeds. Change: segments below a reread floor are dropped from the view; a write stays in doubt while the tail is the one that it expects.

--- /dev/null
+++ b/wigeonwalk/claims/internal/claim_explorer.h
@@ -0,0 +1,307 @@
+// Explores schedules of the claim protocol from a seed, in virtual time.
+//
+//   ClaimExplorer<> explorer(17);
+//   const ExplorerResult result = explorer.Run();
+//   CHECK(result.doubleRuns == 0);
+#pragma once
+
+#include "wigeonwalk/claims/claim_log.h"
+#include "wigeonwalk/claims/internal/fake_key_value.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// What one schedule showed.
+struct ExplorerResult
+{
+  // Keys that two calls held at the same time, or that ran twice.
+  std::uint64_t doubleGrants = 0;
+  std::uint64_t doubleRuns = 0;
+  // Claims in the log that were granted to nobody although their callers were
+  // told that they did not run, by a process that was not killed.
+  std::uint64_t keptNotRun = 0;
+  // Keys whose last state was checked for that.
+  std::uint64_t checked = 0;
+  std::uint64_t calls = 0;
+  std::uint64_t granted = 0;
+  std::uint64_t unavailable = 0;
+  std::uint64_t tooOld = 0;
+  // Work of the log, to show that the schedules reach it.
+  std::uint64_t conflicts = 0;
+  std::uint64_t withdrawnLanded = 0;
+  std::uint64_t discarded = 0;
+};
+
+// Three processes with differing clocks write one shard. Calls with new and
+// old keys reach them at random times; holders pause between the grant and the
+// run, release and finish; processes pause and are killed and replaced; the
+// service loses and delays writes and has outages. Small segments and a short
+// window make trimming frequent.
+template<bool Compares = true>
+class ClaimExplorer
+{
+public:
+  explicit ClaimExplorer(std::uint64_t aSeed)
+    : random(aSeed)
+    , service(this->time, aSeed + 1, this->ChooseFaults())
+    , crashes(this->Chance(0.5))
+  {
+    for (std::size_t i = 0; i < this->current.size(); ++i) {
+      this->Start(i);
+    }
+  }
+
+  ExplorerResult Run()
+  {
+    for (std::uint32_t phase = 0; phase < kPhases; ++phase) {
+      const TimePoint end = this->time.Now() + kPhase;
+      this->time.Spawn(this->MakeCalls(end));
+      this->time.Spawn(this->MakeTrouble(end));
+      this->time.RunUntil(end);
+      for (Writer* writer : this->current) {
+        writer->process.Resume();
+      }
+      this->time.RunUntil(end + kQuiet);
+      this->CheckLog();
+    }
+    for (const auto& process : this->processes) {
+      const ClaimLogCounts counts = process->log.Counts();
+      this->result.conflicts += counts.conflicts;
+      this->result.withdrawnLanded += counts.withdrawnLanded;
+      this->result.discarded += counts.discarded;
+    }
+    return this->result;
+  }
+
+private:
+  using Service = FakeKeyValue<Compares>;
+  using Client = FakeKeyValueClient<Service>;
+
+  // Each phase ends with a quiet time, after which the log is checked.
+  static constexpr std::uint32_t kPhases = 2;
+  static constexpr Duration kPhase = std::chrono::minutes(7);
+  static constexpr Duration kQuiet = std::chrono::seconds(30);
+  static constexpr Duration kLongestPause = std::chrono::minutes(5);
+  static constexpr Duration kWindow = std::chrono::minutes(2);
+  static constexpr std::uint32_t kShard = 5;
+
+  struct Writer
+  {
+    Writer(VirtualTime& aTime,
+           Service& aService,
+           Duration aSkew,
+           std::uint64_t aIncarnation)
+      : process(aTime, aSkew)
+      , client(aService, this->process)
+      , log(this->client,
+            this->process,
+            aTime.Context().get_executor(),
+            HostId("daemon"),
+            aIncarnation,
+            Settings())
+    {
+    }
+
+    FakeProcess process;
+    Client client;
+    ClaimLog<Client, FakeProcess> log;
+  };
+
+  struct Key
+  {
+    ClaimKey key;
+    TimePoint createdAt;
+    std::uint32_t holders = 0;
+    std::uint32_t runs = 0;
+  };
+
+  static ClaimLogSettings Settings()
+  {
+    ClaimLogSettings settings;
+    settings.window = kWindow;
+    settings.maxSegmentBytes = 300;
+    settings.trimInterval = std::chrono::milliseconds(500);
+    settings.floorStep = 2;
+    return settings;
+  }
+
+  bool Chance(double aChance)
+  {
+    return std::uniform_real_distribution<double>(0, 1)(this->random) < aChance;
+  }
+  Duration Between(Duration aLeast, Duration aMost)
+  {
+    return Duration(std::uniform_int_distribution<Duration::rep>(
+      aLeast.count(), aMost.count())(this->random));
+  }
+
+  KeyValueFaults ChooseFaults()
+  {
+    KeyValueFaults faults;
+    constexpr std::array<double, 3> kRates = { 0, 0.02, 0.3 };
+    faults.lostAnswer = kRates[this->random() % kRates.size()];
+    faults.lateWrite = kRates[this->random() % kRates.size()];
+    faults.latest = this->Chance(0.5) ? Duration(std::chrono::seconds(2))
+                                      : Duration(std::chrono::minutes(5));
+    const std::uint64_t outages = this->random() % 4;
+    for (std::uint64_t i = 0; i < outages; ++i) {
+      const TimePoint start =
+        this->time.Now() + (this->random() % kPhases) * (kPhase + kQuiet);
+      const TimePoint from = start + this->Between(Duration(0), kPhase);
+      const Duration length =
+        this->Between(std::chrono::milliseconds(50), std::chrono::seconds(60));
+      faults.outages.push_back(
+        { from, std::min(from + length, start + kPhase) });
+    }
+    return faults;
+  }
+
+  void Start(std::size_t aPlace)
+  {
+    const Duration skew =
+      this->Between(-kClockMargin, kClockMargin - std::chrono::seconds(1));
+    this->processes.push_back(std::make_unique<Writer>(
+      this->time, this->service, skew, this->processes.size() + 1));
+    this->current[aPlace] = this->processes.back().get();
+  }
+
+  Task<void> MakeCalls(TimePoint aEnd)
+  {
+    while (this->time.Now() < aEnd) {
+      const bool burst = this->Chance(0.3);
+      co_await this->time.WaitUntil(
+        this->time.Now() +
+        this->Between(Duration(0),
+                      burst ? Duration(std::chrono::milliseconds(30))
+                            : Duration(std::chrono::seconds(4))));
+      Writer& writer = *this->current[this->random() % this->current.size()];
+      this->time.Spawn(this->Call(writer, this->ChooseKey()));
+    }
+  }
+
+  // Mostly a new key or one of the latest, now and then any.
+  Key& ChooseKey()
+  {
+    if (this->keys.empty() || this->Chance(0.4)) {
+      const std::uint64_t number = this->keys.size();
+      const TimePoint createdAt =
+        std::chrono::floor<std::chrono::seconds>(this->time.Now());
+      this->keys.push_back(
+        std::make_unique<Key>(Key{ { kShard, number }, createdAt, 0, 0 }));
+      return *this->keys.back();
+    }
+    const std::size_t latest = std::min<std::size_t>(this->keys.size(), 4);
+    const std::size_t range = this->Chance(0.7) ? latest : this->keys.size();
+    return *this->keys[this->keys.size() - 1 - this->random() % range];
+  }
+
+  Task<void> Call(Writer& aWriter, Key& aKey)
+  {
+    ++this->result.calls;
+    const ClaimMade claim{ aKey.key, 1, aKey.createdAt };
+    co_await aWriter.process.Gate();
+    const ClaimDecision decision = co_await aWriter.log.Claim(claim);
+    co_await aWriter.process.Gate();
+    this->result.unavailable +=
+      decision.answer == ClaimAnswer::Unavailable ? 1 : 0;
+    this->result.tooOld += decision.answer == ClaimAnswer::KeyTooOld ? 1 : 0;
+    if (decision.answer == ClaimAnswer::Granted) {
+      ++this->result.granted;
+      this->grants.insert(decision.claim);
+      co_await this->Hold(aWriter, aKey, decision.claim);
+    }
+  }
+
+  Task<void> Hold(Writer& aWriter, Key& aKey, ClaimRef aClaim)
+  {
+    this->result.doubleGrants += ++aKey.holders > 1 ? 1 : 0;
+    const Duration wait =
+      this->Chance(0.2)
+        ? this->Between(Duration(0), kLongestPause)
+        : this->Between(Duration(0), std::chrono::milliseconds(500));
+    co_await aWriter.process.WaitUntil(aWriter.process.Now() + wait);
+    const ClaimTicket ticket{ aKey.key, aClaim };
+    if (this->Chance(0.3)) {
+      --aKey.holders;
+      aWriter.log.Release(ticket);
+      co_return;
+    }
+    this->result.doubleRuns += ++aKey.runs > 1 ? 1 : 0;
+    if (this->Chance(0.8)) {
+      aWriter.log.Finish(ticket, Verdict::Ran, 201);
+    }
+  }
+
+  Task<void> MakeTrouble(TimePoint aEnd)
+  {
+    while (true) {
+      co_await this->time.WaitUntil(
+        this->time.Now() + this->Between(Duration(0), std::chrono::minutes(1)));
+      if (this->time.Now() >= aEnd) {
+        co_return;
+      }
+      const std::size_t place = this->random() % this->current.size();
+      if (this->crashes && this->Chance(0.3)) {
+        this->current[place]->process.Kill();
+        this->Start(place);
+      } else {
+        const Duration longest =
+          this->Chance(0.5) ? Duration(std::chrono::seconds(2)) : kLongestPause;
+        this->current[place]->process.PauseUntil(
+          this->time.Now() + this->Between(Duration(0), longest));
+      }
+    }
+  }
+
+  // Reads the log as a new process would, and looks for claims that were
+  // granted to nobody. A killed process cannot release what it withdrew.
+  void CheckLog()
+  {
+    if (this->crashes) {
+      return;
+    }
+    FakeProcess process(this->time);
+    Client client(this->service, process);
+    const ClaimLogSettings settings = Settings();
+    ClaimLogView<Client, FakeProcess, ClaimTextCodec> view(
+      client, process, settings, kShard);
+    this->time.Spawn(Load(view));
+    this->time.RunUntil(this->time.Now() + std::chrono::seconds(5));
+    // What is too old for every daemon is released no more.
+    view.Table().Forget(this->time.Now() + kClockMargin, kWindow);
+    for (const auto& key : this->keys) {
+      const ClaimRecord* record = view.Table().Find(key->key);
+      const bool held = record && record->state != ClaimState::Released;
+      this->result.checked += record ? 1 : 0;
+      if (held && !this->grants.contains(record->claim)) {
+        ++this->result.keptNotRun;
+      }
+    }
+  }
+
+  static Task<void> Load(
+    ClaimLogView<Client, FakeProcess, ClaimTextCodec>& aView)
+  {
+    co_await aView.Load();
+  }
+
+  std::mt19937_64 random;
+  VirtualTime time;
+  Service service;
+  bool crashes;
+  std::vector<std::unique_ptr<Writer>> processes;
+  std::array<Writer*, 3> current{};
+  std::vector<std::unique_ptr<Key>> keys;
+  std::set<ClaimRef> grants;
+  ExplorerResult result;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/claims/internal/claim_log_view_impl.h
+++ b/wigeonwalk/claims/internal/claim_log_view_impl.h
@@ -248,6 +248,11 @@
   }
   this->floor = *value;
   this->floorRevision = read->entry->modRevision;
+  // Another writer moved the floor and deletes these. Counting them as expired
+  // would move the floor back.
+  while (!this->sealed.empty() && this->sealed.front().index < this->floor) {
+    this->sealed.pop_front();
+  }
   co_return true;
 }
 
--- a/wigeonwalk/claims/internal/claim_shard_impl.h
+++ b/wigeonwalk/claims/internal/claim_shard_impl.h
@@ -137,7 +137,10 @@
 Task<void>
 ClaimShard<Kv, Time, Codec>::Append()
 {
-  AppendAttempt attempt{ this->ids.Next(), this->Collect() };
+  const ClaimTail& tail = this->view.Tail();
+  AppendAttempt attempt{
+    this->ids.Next(), tail.index, tail.revision, this->Collect()
+  };
   if (attempt.items.empty() && this->inDoubt.empty()) {
     co_return;
   }
@@ -145,14 +148,14 @@
   for (const Item& item : attempt.items) {
     entries.push_back(item->entry);
   }
-  ClaimSegment content = this->view.Tail().content;
+  ClaimSegment content = tail.content;
   const std::size_t taken = AppendBatch<Codec>(
     content, attempt.batch, entries, this->settings.maxSegmentBytes);
   attempt.items.resize(taken);
   this->nextAppendAt = this->timer.Now() + this->settings.appendInterval;
-  const bool creates = this->view.Tail().revision == 0;
+  const bool creates = tail.revision == 0;
   const PutRequest put{
-    this->view.TailKey(), Codec::Encode(content), this->view.Tail().revision, 0
+    this->view.TailKey(), Codec::Encode(content), tail.revision, 0
   };
   LastReason reason;
   const WriteResult result =
@@ -314,17 +317,22 @@
   }
 }
 
-// Decides the writes in doubt after the tail moved or the log was loaded: what
-// is in the log landed, and the rest can never land.
+// Decides the writes in doubt after the tail or the log was read: what is in
+// the log landed; what is not can land only while the tail is the one it
+// expects.
 template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
 void
 ClaimShard<Kv, Time, Codec>::SettleDoubts()
 {
   const std::vector<AppendAttempt> attempts = std::move(this->inDoubt);
   this->inDoubt.clear();
+  const ClaimTail& tail = this->view.Tail();
   for (const AppendAttempt& attempt : attempts) {
     if (this->view.HasBatch(attempt.batch)) {
       this->Land(attempt);
+    } else if (attempt.tailIndex == tail.index &&
+               attempt.tailRevision == tail.revision) {
+      this->inDoubt.push_back(attempt);
     }
   }
 }
--- a/wigeonwalk/claims/internal/fake_key_value.h
+++ b/wigeonwalk/claims/internal/fake_key_value.h
@@ -248,6 +248,8 @@
   {
     this->pausedUntil = std::max(this->pausedUntil, aTime);
   }
+  // Ends a pause early, at the next time that its end is looked at.
+  void Resume() { this->pausedUntil = this->time.Now(); }
   void Kill() { this->killed = true; }
   bool Killed() const { return this->killed; }
 
@@ -255,8 +257,9 @@
   Task<void> Gate()
   {
     while (this->killed || this->time.Now() < this->pausedUntil) {
-      co_await this->time.WaitUntil(this->killed ? TimePoint::max()
-                                                 : this->pausedUntil);
+      const TimePoint next =
+        std::min(this->pausedUntil, this->time.Now() + kResumeCheck);
+      co_await this->time.WaitUntil(this->killed ? TimePoint::max() : next);
     }
   }
 
@@ -270,6 +273,8 @@
   TimePoint ToTrueTime(TimePoint aTime) const { return aTime - this->skew; }
 
 private:
+  static constexpr Duration kResumeCheck = std::chrono::seconds(5);
+
   VirtualTime& time;
   Duration skew;
   TimePoint pausedUntil;
--- a/wigeonwalk/claims/pending_entry.h
+++ b/wigeonwalk/claims/pending_entry.h
@@ -83,6 +83,9 @@
 struct AppendAttempt
 {
   std::uint64_t batch = 0;
+  // The tail that the write expects; it can land while the tail is this one.
+  std::uint64_t tailIndex = 0;
+  std::int64_t tailRevision = 0;
   std::vector<std::shared_ptr<PendingEntry>> items;
 };
 
