--- a/wigeonwalk/claims/claim.h
+++ b/wigeonwalk/claims/claim.h
@@ -10,7 +10,6 @@
 #include "wigeonwalk/base/time.h"
 #include "wigeonwalk/base/verdict.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -103,7 +102,7 @@
   std::uint64_t batch = 0;
   std::uint16_t position = 0;
 
-  auto operator<=>(const ClaimRef&) const = default;
+  bool operator==(const ClaimRef&) const = default;
 };
 
 // Entry: a key is claimed.
--- a/wigeonwalk/claims/internal/claim_explorer.h
+++ b/wigeonwalk/claims/internal/claim_explorer.h
@@ -13,8 +13,8 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace wigeonwalk {
@@ -300,7 +300,7 @@
   std::vector<std::unique_ptr<Writer>> processes;
   std::array<Writer*, 3> current{};
   std::vector<std::unique_ptr<Key>> keys;
-  std::set<ClaimRef> grants;
+  std::unordered_set<ClaimRef> grants;
   ExplorerResult result;
 };
 
