--- /dev/null
+++ b/wigeonwalk/rollout/rollout_test.cc
@@ -0,0 +1,308 @@
+#include "wigeonwalk/adapters/rollout_codec/rollout_codec.h"
+#include "wigeonwalk/platform/lease_keeper.h"
+#include "wigeonwalk/rollout/rollout_flow.h"
+#include "wigeonwalk/testing/fake_key_value.h"
+#include "wigeonwalk/testing/fake_orderable_engine.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Keeper = LeaseKeeper<FakeKeyValue, PausableTimer>;
+using Flow = RolloutFlow<FakeEngineLink,
+                         FakeKeyValue,
+                         PausableTimer,
+                         Keeper,
+                         JsonRolloutCodec>;
+
+// Engines that serve version v1.
+struct Site
+{
+  Site(bool aChecks, int aRunners)
+    : service(time)
+    , checks(aChecks)
+  {
+    for (int i = 0; i < aRunners; ++i) {
+      this->engines.push_back(
+        std::make_unique<FakeOrderableEngine>(time, loads, aChecks));
+      this->engines.back()->state.model = ModelName("tofu");
+      this->engines.back()->state.version = WeightVersion("v1");
+    }
+  }
+
+  RolloutSpec Spec(std::uint64_t aRevision,
+                   const char* aVersion,
+                   std::uint32_t aMinimumServing = 2) const
+  {
+    RolloutSpec spec;
+    spec.documentRevision = aRevision;
+    spec.model = ModelName("tofu");
+    spec.from = WeightVersion("v1");
+    spec.to = WeightVersion(aVersion);
+    spec.minimumServing = aMinimumServing;
+    for (std::size_t i = 0; i < this->engines.size(); ++i) {
+      spec.runners.emplace_back(std::to_string(i));
+    }
+    return spec;
+  }
+
+  // Returns the versions of all engines, "v1 v1 v2 v2".
+  std::string Versions() const
+  {
+    std::string text;
+    for (const auto& engine : this->engines) {
+      text += (text.empty() ? "" : " ") + engine->state.version.Text();
+    }
+    return text;
+  }
+
+  VirtualTime time;
+  WeightLoads loads;
+  FakeKeyValue service;
+  bool checks;
+  std::vector<std::unique_ptr<FakeOrderableEngine>> engines;
+};
+
+// One daemon that may carry out the rollout.
+struct Holder
+{
+  Holder(Site& aSite, const char* aName)
+    : timer(aSite.time, pause)
+    , service(aSite.service.Connect())
+    , keeper(service, timer, { "rollout/orders/lease", aName, 10s })
+  {
+    this->service.SetPause(&this->pause);
+    Flow::Runners runners;
+    for (std::size_t i = 0; i < aSite.engines.size(); ++i) {
+      this->links.push_back(std::make_unique<FakeEngineLink>(
+        *aSite.engines[i], aSite.time, this->pause));
+      runners[UpstreamId(std::to_string(i))] = { this->links.back().get(),
+                                                 aSite.checks };
+    }
+    this->flow = std::make_unique<Flow>(
+      service, timer, keeper, JsonRolloutCodec(), runners, "orders");
+  }
+
+  ProcessPause pause;
+  PausableTimer timer;
+  FakeKeyValue service;
+  Keeper keeper;
+  std::vector<std::unique_ptr<FakeEngineLink>> links;
+  std::unique_ptr<Flow> flow;
+  std::optional<RolloutEnd> end;
+};
+
+// Runs the rollout whenever the lease is held, until it is over.
+Task<void>
+Work(Holder& aHolder, RolloutSpec aSpec)
+{
+  while (!aHolder.end) {
+    if (aHolder.keeper.FencingNumber()) {
+      const RolloutEnd end = co_await aHolder.flow->Run(aSpec);
+      if (end != RolloutEnd::LeaseLost && end != RolloutEnd::Unavailable) {
+        aHolder.end = end;
+      }
+    }
+    co_await aHolder.timer.WaitUntil(aHolder.timer.Now() + 500ms);
+  }
+}
+
+void
+Start(Site& aSite, Holder& aHolder, const RolloutSpec& aSpec)
+{
+  aSite.time.Spawn(aHolder.keeper.Keep());
+  aSite.time.Spawn(Work(aHolder, aSpec));
+}
+
+} // namespace
+
+// Guards against a rollout that takes too many runners out of service, goes on
+// with a version that fails, or ends with its holder.
+SCENARIO("a rollout loads two runners at a time", "[rollout]")
+{
+  Site site(true, 5);
+  const TimePoint start = site.time.Now();
+  Holder holder(site, "first");
+  struct Case
+  {
+    const char* name;
+    std::uint32_t minimumServing;
+    // Engines on which v2 fails.
+    std::vector<std::size_t> failing;
+    KeyValueFault fault;
+    // The service is at fault, and the holder paused, from 1.5 s on.
+    Duration faultFor;
+    Duration pausedFor;
+    RolloutEnd end;
+    const char* versions;
+  };
+  const auto row = GENERATE(values<Case>({
+    { "good",
+      2,
+      {},
+      KeyValueFault::Down,
+      0s,
+      0s,
+      RolloutEnd::Done,
+      "v2 v2 v2 v2 v2" },
+    { "one to spare",
+      4,
+      {},
+      KeyValueFault::Down,
+      0s,
+      0s,
+      RolloutEnd::Done,
+      "v2 v2 v2 v2 v2" },
+    { "none to spare",
+      5,
+      {},
+      KeyValueFault::Down,
+      0s,
+      0s,
+      RolloutEnd::Blocked,
+      "v1 v1 v1 v1 v1" },
+    { "first fails",
+      2,
+      { 0, 1 },
+      KeyValueFault::Down,
+      0s,
+      0s,
+      RolloutEnd::RolledBack,
+      "v1 v1 v1 v1 v1" },
+    { "last two fail",
+      2,
+      { 3, 4 },
+      KeyValueFault::Down,
+      0s,
+      0s,
+      RolloutEnd::RolledBack,
+      "v1 v1 v1 v1 v1" },
+    { "one fails",
+      2,
+      { 4 },
+      KeyValueFault::Down,
+      0s,
+      0s,
+      RolloutEnd::Done,
+      "v2 v2 v2 v2 " },
+    { "service down for an hour",
+      2,
+      {},
+      KeyValueFault::Down,
+      1h,
+      0s,
+      RolloutEnd::Done,
+      "v2 v2 v2 v2 v2" },
+    { "answers lost",
+      2,
+      {},
+      KeyValueFault::AnswerLost,
+      30s,
+      0s,
+      RolloutEnd::Done,
+      "v2 v2 v2 v2 v2" },
+    { "holder dies",
+      2,
+      {},
+      KeyValueFault::Down,
+      0s,
+      3h,
+      RolloutEnd::Done,
+      "v2 v2 v2 v2 v2" },
+  }));
+  CAPTURE(row.name);
+  for (const std::size_t i : row.failing) {
+    site.engines[i]->failing.insert("v2");
+  }
+  site.service.AddFault(
+    { row.fault, start + 1500ms, start + 1500ms + row.faultFor });
+  holder.pause = { start + 1500ms, start + 1500ms + row.pausedFor };
+  Start(site, holder, site.Spec(1, "v2", row.minimumServing));
+  Holder other(site, "other");
+  site.time.RunUntil(start + 1s);
+  Start(site, other, site.Spec(1, "v2", row.minimumServing));
+  std::size_t fewest = site.engines.size();
+  for (TimePoint now = start; now < start + 70min; now += 100ms) {
+    site.time.RunUntil(now);
+    const auto serving =
+      std::count_if(site.engines.begin(),
+                    site.engines.end(),
+                    [](const auto& aEngine) { return aEngine->Serves(); });
+    fewest = std::min(fewest, static_cast<std::size_t>(serving));
+  }
+  CHECK(fewest >= row.minimumServing);
+  REQUIRE((holder.end || other.end));
+  CHECK(NameOf(holder.end.value_or(row.end)) == NameOf(row.end));
+  CHECK(NameOf(other.end.value_or(row.end)) == NameOf(row.end));
+  CHECK(site.Versions() == row.versions);
+  CHECK(site.loads.most <= kMostLoading);
+  RolloutState state = BeginRollout(site.Spec(1, "v2", 0));
+  CHECK(NextToLoad(state).size() == kMostLoading);
+  CHECK(NextToLoad(state).empty());
+}
+
+// Guards against orders of two holders that both take effect with the older
+// one last.
+SCENARIO("a paused holder's order never has the last word", "[rollout]")
+{
+  struct Case
+  {
+    const char* name;
+    bool checks;
+    // Time from sending an order of the first holder to its arrival.
+    Duration orderDelay;
+    // The older order may take effect last for a while, if it is redone.
+    bool redone;
+  };
+  const auto row = GENERATE(values<Case>({
+    { "fenced, old order first", true, 2ms, false },
+    { "fenced, old order last", true, 15s, false },
+    { "fenced, old order minutes late", true, 90s, false },
+    { "ignoring, old order first", false, 2ms, false },
+    { "ignoring, old order would be last", false, 15s, false },
+    { "ignoring, later than the longest order", false, 40s, true },
+  }));
+  CAPTURE(row.name);
+  // The first holder begins after 500 ms and takes 13 ms to send its orders,
+  // each of which takes a second; its process pauses for two minutes at every
+  // half millisecond of that, and later while the engines load.
+  std::uint32_t oldOrders = 0;
+  for (int step = 0; step <= 40; ++step) {
+    Site site(row.checks, 4);
+    const TimePoint start = site.time.Now();
+    const Duration pausedAt =
+      step < 36 ? 499ms + step * 500us : 600ms + (step - 36) * 1s;
+    CAPTURE(pausedAt.count());
+    Holder first(site, "first");
+    Holder second(site, "second");
+    first.pause = { start + pausedAt, start + pausedAt + 2min };
+    for (const auto& link : first.links) {
+      link->delay = row.orderDelay;
+    }
+    Start(site, first, site.Spec(1, "v2"));
+    site.time.RunUntil(start + 100ms);
+    const std::uint64_t firstNumber = first.keeper.FencingNumber().value_or(0);
+    Start(site, second, site.Spec(2, "v3"));
+    site.time.RunUntil(start + 10min);
+
+    CHECK(second.end == RolloutEnd::Done);
+    CHECK(site.Versions() == "v3 v3 v3 v3");
+    CHECK(first.end.value_or(RolloutEnd::Superseded) == RolloutEnd::Superseded);
+    for (const auto& engine : site.engines) {
+      std::uint64_t highest = 0;
+      for (const OrderEffect& effect : engine->effects) {
+        CHECK((row.redone || effect.fencingNumber >= highest));
+        highest = std::max(highest, effect.fencingNumber);
+      }
+      oldOrders += engine->received.contains(firstNumber) ? 1 : 0;
+    }
+  }
+  // The pauses hit orders that had been sent.
+  CHECK(oldOrders > 0);
+}
--- /dev/null
+++ b/wigeonwalk/testing/fake_orderable_engine.h
@@ -0,0 +1,156 @@
+// An engine in virtual time that takes orders, and connections to it.
+//
+//   WeightLoads loads;
+//   FakeOrderableEngine engine(time, loads, checksFencingNumbers);
+//   FakeEngineLink link(engine, time, pause);
+//   auto answer = co_await link.Order(order, deadline, reason);
+#pragma once
+
+#include "wigeonwalk/ports/model_engine.h"
+#include "wigeonwalk/testing/process_pause.h"
+#include "wigeonwalk/testing/virtual_time.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Engines that load weights now, from one weight store.
+struct WeightLoads
+{
+  std::uint32_t loading = 0;
+  std::uint32_t most = 0;
+
+  // One second, and longer where more than three load at once.
+  Duration LoadTime() const
+  {
+    return std::chrono::seconds(this->loading > 3 ? this->loading - 2 : 1);
+  }
+};
+
+// An order that took effect.
+struct OrderEffect
+{
+  std::uint64_t fencingNumber = 0;
+  std::string version;
+  TimePoint at;
+};
+
+// One engine. It serves nothing while it loads. An order for a version in
+// `failing` ends without any version.
+class FakeOrderableEngine
+{
+public:
+  FakeOrderableEngine(VirtualTime& aTime,
+                      WeightLoads& aLoads,
+                      bool aChecksFencingNumbers)
+    : time(aTime)
+    , loads(aLoads)
+    , checks(aChecksFencingNumbers)
+  {
+  }
+
+  Task<OrderAnswer> Apply(EngineOrder aOrder)
+  {
+    this->received.insert(aOrder.fencingNumber);
+    if (this->IsOld(aOrder)) {
+      co_return OrderAnswer::RefusedOldFencingNumber;
+    }
+    this->state.lastFencingNumber =
+      std::max(this->state.lastFencingNumber, aOrder.fencingNumber);
+    ++this->ordersRunning;
+    ++this->loads.loading;
+    this->loads.most = std::max(this->loads.most, this->loads.loading);
+    co_await this->time.WaitUntil(this->time.Now() + this->loads.LoadTime());
+    --this->loads.loading;
+    --this->ordersRunning;
+    // An order that a newer one overtook while loading is abandoned.
+    if (this->IsOld(aOrder)) {
+      co_return OrderAnswer::RefusedOldFencingNumber;
+    }
+    const bool fails = this->failing.contains(aOrder.target);
+    this->state.model = aOrder.model;
+    this->state.version = WeightVersion(fails ? "" : aOrder.target);
+    this->effects.push_back(
+      { aOrder.fencingNumber, this->state.version.Text(), this->time.Now() });
+    co_return fails ? OrderAnswer::Failed : OrderAnswer::Done;
+  }
+
+  bool Serves() const
+  {
+    return this->ordersRunning == 0 && !this->state.version.Empty();
+  }
+
+  EngineState state;
+  std::set<std::string> failing;
+  std::vector<OrderEffect> effects;
+  // Fencing numbers of all orders that arrived.
+  std::set<std::uint64_t> received;
+
+private:
+  bool IsOld(const EngineOrder& aOrder) const
+  {
+    return this->checks && aOrder.fencingNumber < this->state.lastFencingNumber;
+  }
+
+  VirtualTime& time;
+  WeightLoads& loads;
+  bool checks;
+  std::uint32_t ordersRunning = 0;
+};
+
+// One process's connection to an engine. Connecting takes a millisecond; after
+// it an order takes `delay` to arrive, also while its sender is paused. Like an
+// adapter, it sends nothing after the deadline, so a process that was paused
+// while connecting sends nothing.
+class FakeEngineLink
+{
+public:
+  FakeEngineLink(FakeOrderableEngine& aEngine,
+                 VirtualTime& aTime,
+                 const ProcessPause& aPause)
+    : engine(aEngine)
+    , time(aTime)
+    , pause(aPause)
+  {
+  }
+
+  Task<std::optional<OrderAnswer>> Order(EngineOrder aOrder,
+                                         TimePoint aDeadline,
+                                         LastReason& aReason)
+  {
+    co_await this->time.WaitUntil(
+      this->pause.RunsAt(this->time.Now() + std::chrono::milliseconds(1)));
+    if (this->time.Now() >= aDeadline) {
+      co_return Fail(aReason, ReasonCode::ConnectTimeout, "not sent in time");
+    }
+    co_await this->time.WaitUntil(this->time.Now() + this->delay);
+    const OrderAnswer answer = co_await this->engine.Apply(aOrder);
+    co_await this->time.WaitUntil(this->pause.RunsAt(this->time.Now()));
+    if (this->time.Now() > aDeadline) {
+      co_return Fail(aReason, ReasonCode::ResponseTimeout, "no answer in time");
+    }
+    co_return answer;
+  }
+
+  Task<std::optional<EngineState>> State(TimePoint, LastReason&)
+  {
+    co_await this->time.WaitUntil(
+      this->pause.RunsAt(this->time.Now() + std::chrono::milliseconds(2)));
+    co_return this->engine.state;
+  }
+
+  Duration delay = std::chrono::milliseconds(2);
+
+private:
+  FakeOrderableEngine& engine;
+  VirtualTime& time;
+  const ProcessPause& pause;
+};
+
+static_assert(OrderableEngine<FakeEngineLink>);
+
+} // namespace wigeonwalk
