--- a/wigeonwalk/adapters/ctl/ctl.cc
+++ b/wigeonwalk/adapters/ctl/ctl.cc
@@ -195,6 +195,8 @@
   app.add_option("--timeout", timeoutSeconds, "Seconds to wait for a daemon")
     ->check(CLI::Range(0.01, 3600.0));
   app.add_flag("--json", options.json, "Print JSON");
+  app.add_option("--author", options.author, "Who edits, for the history")
+    ->envname("USER");
   AddDaemonCommands(app, options);
   AddDocumentCommands(app, options);
   try {
--- a/wigeonwalk/adapters/ctl/internal/ctl_options.h
+++ b/wigeonwalk/adapters/ctl/internal/ctl_options.h
@@ -41,6 +41,8 @@
   std::string request;
   std::string chromeFile;
   std::string drainTimeout;
+  // Who makes an edit, for its history.
+  std::string author;
   // Revision that an edit starts from; zero creates the document.
   std::uint64_t base = 0;
   // Revisions to read or compare; zero is the one in force.
--- a/wigeonwalk/adapters/ctl/internal/document_commands.cc
+++ b/wigeonwalk/adapters/ctl/internal/document_commands.cc
@@ -81,11 +81,13 @@
     return;
   }
   const std::string editId = NewEditId();
-  const auto answer = aContext.CallFirst("documents.apply",
-                                         { { "service", document->name.Text() },
-                                           { "text", aText },
-                                           { "editId", editId },
-                                           { "baseRevision", aBase } });
+  const auto answer =
+    aContext.CallFirst("documents.apply",
+                       { { "service", document->name.Text() },
+                         { "text", aText },
+                         { "editId", editId },
+                         { "author", aContext.Options().author },
+                         { "baseRevision", aBase } });
   if (!answer) {
     return;
   }
@@ -186,10 +188,11 @@
     aContext.Out() << PrintJson(answer->result) << "\n";
     return;
   }
-  Table table({ "revision", "edit", "accepted" });
+  Table table({ "revision", "edit", "author", "accepted" });
   for (const auto& entry : ListOf(answer->result, "entries")) {
     table.Add({ Cell(entry, "revision"),
                 Cell(entry, "editId"),
+                Cell(entry, "author"),
                 Cell(entry, "acceptedAt") });
   }
   aContext.Out() << table.Print();
@@ -257,16 +260,19 @@
   if (!aContext.Options().service.empty()) {
     params["service"] = aContext.Options().service;
   }
-  const auto answer = aContext.CallFirst("documents.status", params);
-  if (!answer) {
-    return;
+  const auto answers = aContext.CallAll("documents.status", params);
+  Json services = Json::array();
+  for (const auto& answer : answers) {
+    for (const auto& service : ListOf(answer.result, "services")) {
+      services.push_back(service);
+    }
   }
   if (aContext.Options().json) {
-    aContext.Out() << PrintJson(answer->result) << "\n";
+    aContext.Out() << PrintJson(services) << "\n";
     return;
   }
   Table table({ "service", "host", "revision", "confirmed" });
-  for (const auto& service : ListOf(answer->result, "services")) {
+  for (const auto& service : services) {
     for (const auto& daemon : ListOf(service, "daemons")) {
       table.Add({ Cell(service, "service"),
                   Cell(daemon, "host"),
--- a/wigeonwalk/adapters/settings/internal/formats.h
+++ b/wigeonwalk/adapters/settings/internal/formats.h
@@ -1,12 +1,10 @@
 // Texts inside settings and documents: durations, addresses, names, digests.
 //
-//   ParseDuration("300ms");              // 300'000 us
-//   PrintDuration(std::chrono::minutes(10)); // "10m"
-//   CheckFormat("address", "127.0.0.1");     // "expected IP:port, ..."
+//   CheckFormat(TextFormat::Address, "127.0.0.1");   // "expected IP:port, ..."
 #pragma once
 
+#include "wigeonwalk/adapters/settings/duration_text.h"
 #include "wigeonwalk/base/enum_names.h"
-#include "wigeonwalk/base/time.h"
 
 #include <optional>
 #include <string>
@@ -60,14 +58,6 @@
 inline constexpr std::size_t kMaxNameBytes = 64;
 inline constexpr std::size_t kMaxLabelBytes = 128;
 
-// Returns the duration of a number with a unit: us, ms, s, m or h.
-std::optional<Duration>
-ParseDuration(std::string_view aText);
-
-// Returns the duration in the largest unit that loses nothing.
-std::string
-PrintDuration(Duration aDuration);
-
 // Returns what is wrong with a text of the format, or nothing.
 std::optional<std::string>
 CheckFormat(TextFormat aFormat, std::string_view aText);
