--- a/wigeonwalk/adapters/http/http_server.cc
+++ b/wigeonwalk/adapters/http/http_server.cc
@@ -1,7 +1,7 @@
 #include "wigeonwalk/adapters/http/http_server.h"
 
+#include "wigeonwalk/adapters/address/endpoint.h"
 #include "wigeonwalk/adapters/http/http_adopt.h"
-#include "wigeonwalk/adapters/http/internal/address.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/wigeonwalk/adapters/jsonrpc/operator_client.cc
+++ b/wigeonwalk/adapters/jsonrpc/operator_client.cc
@@ -1,6 +1,6 @@
 #include "wigeonwalk/adapters/jsonrpc/operator_client.h"
 
-#include "wigeonwalk/adapters/jsonrpc/address.h"
+#include "wigeonwalk/adapters/address/endpoint.h"
 #include "wigeonwalk/adapters/jsonrpc/frames.h"
 #include "wigeonwalk/adapters/jsonrpc/rpc14/json_rpc.h"
 
--- a/wigeonwalk/adapters/peer/internal/transport_state.h
+++ b/wigeonwalk/adapters/peer/internal/transport_state.h
@@ -1,6 +1,7 @@
 // State of a PeerTransport that its coroutines share.
 #pragma once
 
+#include "wigeonwalk/adapters/address/endpoint.h"
 #include "wigeonwalk/adapters/clock/system_timer.h"
 #include "wigeonwalk/adapters/peer/peer_transport.h"
 
@@ -20,10 +21,6 @@
 using Tcp = boost::asio::ip::tcp;
 using Udp = boost::asio::ip::udp;
 
-// Returns the endpoint of "IP:port", or nothing.
-std::optional<Tcp::endpoint>
-ParseEndpoint(const std::string& aAddress, LastReason& aReason);
-
 // One connection. The watchdog closes its socket when a step takes too long, so
 // that no coroutine waits for ever on a silent connection.
 class Connection
--- a/wigeonwalk/serving/upstream_observer.h
+++ b/wigeonwalk/serving/upstream_observer.h
@@ -76,7 +76,7 @@
       const auto events = co_await engine.CacheEvents(
         lastSequence, aTime.Now() + kPollTimeout, reason);
       if (events) {
-        aView.cache.Tracker().Apply(aRunner.id, *events);
+        aView.cache.Tracker().Apply(aRunner.id, *events, aTime.Now());
         if (!events->events.empty()) {
           lastSequence = events->events.back().sequence;
         }
