e2e, serving: test faults over separate processes; limits and shedding

Cause: the promises were proved part by part only, and neither limits nor shedding were on the request path. The request path takes a limit permit and offers its work to the shedder. The first move of a request that was certainly not run needs no retry budget. Conclusion: free moves are limited to one, so an outage at most doubles cheap attempts.

--- a/daemons/wigeonwalk-load.cc
+++ b/daemons/wigeonwalk-load.cc
@@ -17,6 +17,11 @@
 
 namespace {
 
+// Exit codes: some calls failed, as they may under faults; or an invariant was
+// broken, which no fault allows.
+constexpr int kFailedCalls = 1;
+constexpr int kBrokenPromise = 3;
+
 void
 AddOptions(CLI::App& aApp, LoadPlan& aPlan, std::uint32_t& aIntervalMs)
 {
@@ -26,6 +31,9 @@
   aApp.add_option("--service", aPlan.service, "Service of the completions")
     ->required();
   aApp.add_option("--booking-service", aPlan.bookingService);
+  aApp.add_option("--booking-address",
+                  aPlan.bookingAddress,
+                  "Address of the stand-in service, to check its runs");
   aApp.add_option("--engine-version",
                   aPlan.version,
                   "Weight version of the stand-in engines, to check answers");
@@ -64,5 +72,11 @@
   boost::asio::co_spawn(context, run.Run(), boost::asio::detached);
   context.run();
   std::cout << (json ? run.Report().ToJson() : run.Report().ToTable());
-  return run.Report().Failed() == 0 ? 0 : 1;
+  for (const std::string& line : run.Broken()) {
+    std::cout << "BROKEN " << line << '\n';
+  }
+  if (!run.Broken().empty()) {
+    return kBrokenPromise;
+  }
+  return run.Report().Failed() == 0 ? 0 : kFailedCalls;
 }
--- /dev/null
+++ b/wigeonwalk/adapters/limits/limit_msgpack.cc
@@ -0,0 +1,102 @@
+#include "wigeonwalk/adapters/limits/limit_msgpack.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <stdexcept>
+
+namespace wigeonwalk {
+
+using Json = nlohmann::json;
+
+namespace {
+
+std::string
+Pack(const Json& aJson)
+{
+  std::string bytes;
+  Json::to_msgpack(aJson, bytes);
+  return bytes;
+}
+
+template<typename Decode>
+auto
+Unpack(const std::string& aPayload, Decode aDecode)
+  -> std::optional<decltype(aDecode(Json()))>
+{
+  try {
+    return aDecode(Json::from_msgpack(aPayload));
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+Json
+AmountsToJson(const LimitAmounts& aAmounts)
+{
+  return Json(aAmounts.values);
+}
+
+LimitAmounts
+AmountsFromJson(const Json& aJson)
+{
+  LimitAmounts amounts;
+  for (std::size_t i = 0; i < amounts.values.size(); ++i) {
+    amounts.values[i] = aJson.at(i).get<double>();
+    if (std::isnan(amounts.values[i]) || amounts.values[i] < 0) {
+      throw std::out_of_range("amount");
+    }
+  }
+  return amounts;
+}
+
+LimitKey
+KeyFromJson(const Json& aOrganisation, const Json& aService)
+{
+  return { OrganisationId(aOrganisation.get<std::string>()),
+           ServiceName(aService.get<std::string>()) };
+}
+
+} // namespace
+
+std::string
+LimitMsgpack::EncodeReport(const DemandReport& aReport) const
+{
+  return Pack(Json::array({ aReport.key.organisation.Text(),
+                            aReport.key.service.Text(),
+                            aReport.host.Text(),
+                            AmountsToJson(aReport.demand),
+                            AmountsToJson(aReport.held) }));
+}
+
+std::optional<DemandReport>
+LimitMsgpack::DecodeReport(const std::string& aPayload) const
+{
+  return Unpack(aPayload, [](const Json& aJson) {
+    return DemandReport{ KeyFromJson(aJson.at(0), aJson.at(1)),
+                         HostId(aJson.at(2).get<std::string>()),
+                         AmountsFromJson(aJson.at(3)),
+                         AmountsFromJson(aJson.at(4)) };
+  });
+}
+
+std::string
+LimitMsgpack::EncodeAllotment(const Allotment& aAllotment) const
+{
+  return Pack(Json::array({ aAllotment.key.organisation.Text(),
+                            aAllotment.key.service.Text(),
+                            AmountsToJson(aAllotment.amounts),
+                            aAllotment.validFor.count() }));
+}
+
+std::optional<Allotment>
+LimitMsgpack::DecodeAllotment(const std::string& aPayload) const
+{
+  return Unpack(aPayload, [](const Json& aJson) {
+    return Allotment{ KeyFromJson(aJson.at(0), aJson.at(1)),
+                      AmountsFromJson(aJson.at(2)),
+                      Duration(aJson.at(3).get<std::int64_t>()) };
+  });
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/limits/limit_msgpack.h
@@ -0,0 +1,26 @@
+// MessagePack form of demand reports and allotments between daemons.
+//
+//   LimitMsgpack codec;
+//   std::string payload = codec.EncodeReport(report);
+#pragma once
+
+#include "wigeonwalk/serving/limit_gate.h"
+
+#include <optional>
+#include <string>
+
+namespace wigeonwalk {
+
+// Stateless.
+class LimitMsgpack
+{
+public:
+  std::string EncodeReport(const DemandReport& aReport) const;
+  std::optional<DemandReport> DecodeReport(const std::string& aPayload) const;
+  std::string EncodeAllotment(const Allotment& aAllotment) const;
+  std::optional<Allotment> DecodeAllotment(const std::string& aPayload) const;
+};
+
+static_assert(LimitCodec<LimitMsgpack>);
+
+} // namespace wigeonwalk
--- a/wigeonwalk/daemon/daemon.cc
+++ b/wigeonwalk/daemon/daemon.cc
@@ -2,6 +2,7 @@
 
 #include "wigeonwalk/adapters/cpu/cpu_pool.h"
 #include "wigeonwalk/adapters/directory/directory_msgpack.h"
+#include "wigeonwalk/adapters/limits/limit_msgpack.h"
 #include "wigeonwalk/adapters/openai/caller_session.h"
 #include "wigeonwalk/adapters/upstreams/http_upstreams.h"
 #include "wigeonwalk/daemon/cluster.h"
@@ -48,8 +49,9 @@
                              CpuPool>;
 using DaemonClaimLog = ClaimLog<DaemonKeyValue::Handle, SystemTimer>;
 using DaemonClaims = ClaimService<DaemonKeyValue::Handle, SystemTimer>;
+using DaemonLimits = LimitGate<PeerTransport, SystemTimer, LimitMsgpack>;
 using DaemonPath =
-  RequestPath<Cluster, DaemonParts, HttpUpstreams, DaemonClaims>;
+  RequestPath<Cluster, DaemonParts, HttpUpstreams, DaemonClaims, DaemonLimits>;
 
 HttpLimits
 LimitsOf(const CallerLimits& aLimits)
@@ -124,7 +126,13 @@
                settings.host,
                incarnation)
     , claims(claimLog, timer)
-    , path(cluster, parts, upstreams, claims)
+    , limits(cluster.Members(),
+             cluster.Channel(),
+             timer,
+             limitCodec,
+             hybrid,
+             [this](const LimitKey& aKey) { return this->LimitsOf(aKey); })
+    , path(cluster, parts, upstreams, claims, limits)
     , operators(this->OperatorParts())
   {
     this->caller.nextRequestId = [this] {
@@ -164,9 +172,26 @@
              } };
   }
 
+  // The limits of an organisation by the document in force.
+  std::optional<LimitAmounts> LimitsOf(const LimitKey& aKey) const
+  {
+    const auto accepted = this->cluster.Find(aKey.service);
+    if (accepted) {
+      for (const auto& organisation : accepted->document.organisations) {
+        if (organisation.id == aKey.organisation) {
+          return AmountsOf(organisation.limits);
+        }
+      }
+    }
+    return std::nullopt;
+  }
+
   // Answers what other daemons forward to this one.
   std::optional<ForwardedAnswer> Answer(const ForwardedCall& aCall)
   {
+    if (aCall.kind == ForwardedKind::DemandReport) {
+      return this->limits.OnCall(aCall);
+    }
     const bool forDirectory = aCall.kind == ForwardedKind::DirectoryLookup ||
                               aCall.kind == ForwardedKind::DirectoryUpdate;
     return forDirectory ? this->directory.OnCall(aCall) : std::nullopt;
@@ -296,6 +321,8 @@
   DaemonKeyValue::Handle claimCalls;
   DaemonClaimLog claimLog;
   DaemonClaims claims;
+  LimitMsgpack limitCodec;
+  DaemonLimits limits;
   DaemonPath path;
   OperatorFace operators;
   CallerContext caller;
@@ -331,6 +358,7 @@
   asio::co_spawn(
     daemon.context, daemon.AcceptCallers(*daemon.listener), asio::detached);
   asio::co_spawn(daemon.context, daemon.ObserveUpstreams(), asio::detached);
+  asio::co_spawn(daemon.context, daemon.limits.RunReports(), asio::detached);
   return true;
 }
 
--- a/wigeonwalk/load/caller.cc
+++ b/wigeonwalk/load/caller.cc
@@ -214,6 +214,8 @@
 Caller::Book(BookingCall aCall)
 {
   CallResult result;
+  // A try was sent and got no response.
+  bool unanswered = false;
   HttpRequest request = this->MakeRequest(
     "/v1/services/" + aCall.service + aCall.path, std::move(aCall.body));
   request.headers.push_back({ "Idempotency-Key", aCall.key });
@@ -233,10 +235,16 @@
       }
       if (response) {
         result.status = response->status;
-        result.verdict = VerdictOfResponse(*response);
+        const Verdict verdict = VerdictOfResponse(*response);
+        // "Not run" speaks of this try only.
+        result.verdict = unanswered && verdict == Verdict::NotRun
+                           ? Verdict::MayHaveRun
+                           : verdict;
         result.correct = response->status == 200;
         co_return result;
       }
+      unanswered = true;
+      result.verdict = Verdict::MayHaveRun;
     }
     ++result.moved;
     co_await this->timer.WaitUntil(this->timer.Now() + kRetryPause);
--- a/wigeonwalk/load/load_run.cc
+++ b/wigeonwalk/load/load_run.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
 
 #include <utility>
 
@@ -58,6 +59,30 @@
   while (this->open > 0) {
     co_await this->ended.Wait();
   }
+  if (!this->plan.bookingAddress.empty()) {
+    co_await this->CheckBookings();
+  }
+}
+
+Task<void>
+LoadRun::CheckBookings()
+{
+  HttpPool pool(this->timer, this->executor, std::chrono::seconds(5));
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/standin/runs";
+  LastReason reason;
+  const TimePoint deadline = this->timer.Now() + std::chrono::seconds(10);
+  const auto response = co_await pool.Exchange(
+    this->plan.bookingAddress, request, Reuse::FreshOnly, deadline, reason);
+  if (!response) {
+    this->broken.push_back("the service's runs could not be read: " +
+                           reason.ToString());
+    co_return;
+  }
+  const auto runs = nlohmann::json::parse(response->body);
+  this->broken = this->report.CheckBookings(
+    runs.get<std::map<std::string, std::uint64_t>>());
 }
 
 Task<void>
@@ -104,8 +129,10 @@
     std::chrono::floor<std::chrono::seconds>(this->timer.Now())
       .time_since_epoch()
       .count();
+  const std::string key = call.key;
   const CallResult result = co_await caller.Book(std::move(call));
   this->report.Add(LoadPhase::Booking, result);
+  this->report.AddBooking(key, result.verdict);
   this->EndOne();
 }
 
--- a/wigeonwalk/load/load_run.h
+++ b/wigeonwalk/load/load_run.h
@@ -23,6 +23,8 @@
   std::string key;
   std::string service;
   std::string bookingService;
+  // Address of the stand-in service, to check the bookings; empty for none.
+  std::string bookingAddress;
   std::string version = "1";
   std::uint32_t prompts = 20;
   std::uint32_t returns = 2;
@@ -50,16 +52,21 @@
 
   const RunReport& Report() const { return this->report; }
 
+  // Broken promises, one line each; see RunReport::CheckBookings.
+  const std::vector<std::string>& Broken() const { return this->broken; }
+
 private:
   // One prompt from its first visit to its last return.
   Task<void> Converse(std::uint64_t aNumber, TimePoint aStart);
   Task<void> BookOnce(std::uint64_t aNumber, TimePoint aStart);
+  Task<void> CheckBookings();
   void EndOne();
 
   LoadPlan plan;
   SystemTimer& timer;
   boost::asio::any_io_executor executor;
   RunReport report;
+  std::vector<std::string> broken;
   std::uint64_t open = 0;
   Signal ended;
 };
--- a/wigeonwalk/load/run_report.cc
+++ b/wigeonwalk/load/run_report.cc
@@ -111,4 +111,34 @@
   return failed;
 }
 
+void
+RunReport::AddBooking(const std::string& aKey, Verdict aVerdict)
+{
+  this->bookings[aKey] = aVerdict;
+}
+
+std::vector<std::string>
+RunReport::CheckBookings(
+  const std::map<std::string, std::uint64_t>& aRuns) const
+{
+  std::vector<std::string> broken;
+  for (const auto& [key, verdict] : this->bookings) {
+    const auto found = aRuns.find(key);
+    const std::uint64_t runs = found == aRuns.end() ? 0 : found->second;
+    const std::string detail = key + " verdict " +
+                               std::string(NameOf(verdict)) + " runs " +
+                               std::to_string(runs);
+    if (runs > 1) {
+      broken.push_back("ran twice: " + detail);
+    }
+    if (verdict == Verdict::NotRun && runs > 0) {
+      broken.push_back("reported as not run: " + detail);
+    }
+    if (verdict == Verdict::Ran && runs == 0) {
+      broken.push_back("reported as run: " + detail);
+    }
+  }
+  return broken;
+}
+
 } // namespace wigeonwalk
--- a/wigeonwalk/load/run_report.h
+++ b/wigeonwalk/load/run_report.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,16 @@
   // Calls whose answer was not whole and correct.
   std::uint64_t Failed() const;
 
+  // Notes the last verdict on a booking.
+  void AddBooking(const std::string& aKey, Verdict aVerdict);
+
+  // Holds the bookings against what the service ran, and returns one line for
+  // each broken promise: a key that ran twice, one that ran although it was
+  // reported as not run, or one that did not run although it was reported as
+  // run.
+  std::vector<std::string> CheckBookings(
+    const std::map<std::string, std::uint64_t>& aRuns) const;
+
 private:
   struct Phase
   {
@@ -60,6 +71,7 @@
   };
 
   std::array<Phase, EnumNames<LoadPhase>::kTable.size()> phases;
+  std::map<std::string, Verdict> bookings;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/serving/completion_run.h
+++ b/wigeonwalk/serving/completion_run.h
@@ -332,6 +332,19 @@
     }
   }
 
+  // The first move of a request that an upstream has certainly not run costs no
+  // upstream work and needs no budget; it doubles the cheap attempts of an
+  // outage at most. Every other attempt is taken from the budget.
+  bool MayMove(std::uint32_t aFailures, TimePoint aNow)
+  {
+    const bool free =
+      aFailures == 1 && this->state.refusal.verdict == Verdict::NotRun;
+    return free ||
+           this->parts.view.budget.TrySpend(this->state.caller.organisation->id,
+                                            this->state.document.name,
+                                            aNow);
+  }
+
   // Returns when the next attempt starts, or nothing where none may follow.
   std::optional<TimePoint> PlanRetry(const PlacedRequest& aPlaced,
                                      std::uint32_t aFailures)
@@ -341,9 +354,7 @@
     const bool keep = std::exchange(this->state.keepRunner, false);
     if (!IsTransient(this->state.refusal.reason.code) ||
         this->state.resume->PlanAfterBreak(keep) == ResumePlan::Fail ||
-        !view.budget.TrySpend(this->state.caller.organisation->id,
-                              this->state.document.name,
-                              now)) {
+        !this->MayMove(aFailures, now)) {
       return std::nullopt;
     }
     if (!keep) {
--- a/wigeonwalk/serving/daemon_view.h
+++ b/wigeonwalk/serving/daemon_view.h
@@ -11,6 +11,7 @@
 #include "wigeonwalk/serving/explain_log.h"
 #include "wigeonwalk/serving/placer.h"
 #include "wigeonwalk/serving/queue_gate.h"
+#include "wigeonwalk/serving/shed_gate.h"
 #include "wigeonwalk/serving/upstream_table.h"
 
 #include <cstdint>
@@ -70,6 +71,13 @@
     return this->queues.try_emplace(aDocument.name, capacity).first->second;
   }
 
+  // The overload shedder of a service, made at first use.
+  ShedGate& ShedderOf(const ServiceName& aService, TimePoint aNow)
+  {
+    return this->shedders.try_emplace(aService, this->random(), aNow)
+      .first->second;
+  }
+
   AttemptSource attempts;
   // Secret of the cluster, from which cache salts are derived.
   std::string secret;
@@ -84,6 +92,7 @@
 
 private:
   std::unordered_map<ServiceName, QueueGate> queues;
+  std::unordered_map<ServiceName, ShedGate> shedders;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/serving/request_path.h
+++ b/wigeonwalk/serving/request_path.h
@@ -1,11 +1,12 @@
 // The request path: from a decoded request to a whole answer or an accurate
 // error. It knows no protocol and no socket.
 //
-//   RequestPath path(documents, parts, services, claims);
+//   RequestPath path(documents, parts, services, claims, limits);
 //   co_await path.Complete(request, sink);
 #pragma once
 
 #include "wigeonwalk/serving/completion_run.h"
+#include "wigeonwalk/serving/limit_gate.h"
 #include "wigeonwalk/serving/plain_run.h"
 
 #include <memory>
@@ -14,23 +15,41 @@
 
 namespace wigeonwalk {
 
+// Keeps organisations within their limits.
+template<typename T>
+concept LimitKeeper = requires(T& aLimits,
+                               const OrganisationSpec& aOrganisation,
+                               const ServiceName& aService,
+                               LastReason& aReason)
+{
+  {
+    aLimits.Enter(aOrganisation, aService, 1.0, aReason)
+    } -> std::same_as<Task<std::optional<LimitPermit>>>;
+};
+
+// Advice to a caller whose organisation has used up a limit a second.
+inline constexpr Duration kLimitRetryAfter = std::chrono::seconds(1);
+
 // Serves requests of all callers of one daemon. Runs on the I/O thread only.
 // The references must outlive it.
 template<DocumentSource Documents,
          typename Parts,
          ServiceProvider Services,
-         CallClaims Claims>
+         CallClaims Claims,
+         LimitKeeper Limits>
 class RequestPath
 {
 public:
   RequestPath(const Documents& aDocuments,
               Parts& aParts,
               Services& aServices,
-              Claims& aClaims)
+              Claims& aClaims,
+              Limits& aLimits)
     : documents(aDocuments)
     , parts(aParts)
     , services(aServices)
     , claims(aClaims)
+    , limits(aLimits)
   {
   }
 
@@ -46,6 +65,14 @@
       co_await aSink.Fail(refusal);
       co_return;
     }
+    const double tokens =
+      static_cast<double>(CountTokens(aRequest.prompt)) + aRequest.maxTokens;
+    const auto permit = co_await this->EnterLimits(*caller, tokens, refusal);
+    if (!permit) {
+      this->RecordRefusal(aRequest.caller, refusal);
+      co_await aSink.Fail(refusal);
+      co_return;
+    }
     CompletionRun<Parts> run(this->parts, aRequest, *caller);
     co_await run.Serve(aSink);
   }
@@ -60,6 +87,11 @@
       this->RecordRefusal(aCall.caller, aRefusal);
       co_return std::nullopt;
     }
+    const auto permit = co_await this->EnterLimits(*caller, 0, aRefusal);
+    if (!permit) {
+      this->RecordRefusal(aCall.caller, aRefusal);
+      co_return std::nullopt;
+    }
     PlainRun<Parts, Services, Claims> run(
       this->parts, this->services, this->claims, aCall, *caller);
     auto response = co_await run.Serve(aRefusal);
@@ -81,6 +113,41 @@
       this->documents.Find(aCaller.service), aCaller, aRefusal.reason);
   }
 
+  // What an admitted request holds while it runs.
+  struct Permit
+  {
+    LimitPermit limit;
+    ShedGate::Work work;
+  };
+
+  // Takes the request within its organisation's limits and the service's
+  // capacity, or fills the refusal.
+  Task<std::optional<Permit>> EnterLimits(const AdmittedCaller& aCaller,
+                                          double aTokens,
+                                          Refusal& aRefusal)
+  {
+    const OrganisationSpec& organisation = *aCaller.organisation;
+    const ServiceName& service = aCaller.accepted->document.name;
+    auto limit = co_await this->limits.Enter(
+      organisation, service, aTokens, aRefusal.reason);
+    if (!limit) {
+      aRefusal.retryAfter = kLimitRetryAfter;
+      co_return std::nullopt;
+    }
+    auto work = this->parts.view.ShedderOf(service, this->parts.time.Now())
+                  .Offer(
+                    organisation,
+                    std::max(aTokens, 1.0),
+                    [this] { return this->parts.time.Now(); },
+                    aRefusal.retryAfter);
+    if (!work) {
+      co_return Fail(aRefusal.reason,
+                     ReasonCode::Overloaded,
+                     "the service has more work than it completes");
+    }
+    co_return Permit{ std::move(*limit), std::move(*work) };
+  }
+
   void Record(EventKind aKind, const CallerIdentity& aCaller)
   {
     this->parts.events.Record({ aKind,
@@ -105,6 +172,7 @@
   Parts& parts;
   Services& services;
   Claims& claims;
+  Limits& limits;
 };
 
 } // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/serving/shed_gate.h
@@ -0,0 +1,123 @@
+// Sheds a service's requests early under overload, by class and by what each
+// organisation uses of its share.
+//
+//   auto work = gate.Offer(organisation, tokens, now, retryAfter);
+//   if (!work) { ... NotRun, Retry-After ... }
+#pragma once
+
+#include "wigeonwalk/documents/service_document.h"
+#include "wigeonwalk/limits/overload.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace wigeonwalk {
+
+// One service's shedder at one daemon. One thread only; must outlive its work.
+class ShedGate
+{
+public:
+  ShedGate(std::uint64_t aSeed, TimePoint aNow)
+    : shedder(aSeed, aNow)
+  {
+  }
+
+  // Admitted work; ends when destroyed.
+  class Work
+  {
+  public:
+    Work(ShedGate& aGate,
+         OrganisationId aOrganisation,
+         double aTokens,
+         std::function<TimePoint()> aNow)
+      : gate(&aGate)
+      , organisation(std::move(aOrganisation))
+      , tokens(aTokens)
+      , now(std::move(aNow))
+    {
+    }
+    Work(Work&& aOther) noexcept
+      : gate(std::exchange(aOther.gate, nullptr))
+      , organisation(std::move(aOther.organisation))
+      , tokens(aOther.tokens)
+      , now(std::move(aOther.now))
+    {
+    }
+    Work& operator=(Work&&) = delete;
+    ~Work()
+    {
+      if (this->gate != nullptr) {
+        this->gate->End(this->organisation, this->tokens, this->now());
+      }
+    }
+
+  private:
+    ShedGate* gate;
+    OrganisationId organisation;
+    double tokens;
+    std::function<TimePoint()> now;
+  };
+
+  // Returns the work, or nothing with the time after which to come again.
+  std::optional<Work> Offer(const OrganisationSpec& aOrganisation,
+                            double aTokens,
+                            std::function<TimePoint()> aNow,
+                            Duration& aRetryAfter)
+  {
+    const ShedAnswer answer = this->shedder.Offer(aOrganisation.requestClass,
+                                                  this->ShareUse(aOrganisation),
+                                                  aTokens,
+                                                  aNow());
+    if (!answer.admitted) {
+      aRetryAfter = answer.retryAfter;
+      return std::nullopt;
+    }
+    Use& use = this->uses[aOrganisation.id];
+    use.tokens += aTokens;
+    use.weight = aOrganisation.weight;
+    this->total += aTokens;
+    return Work(*this, aOrganisation.id, aTokens, std::move(aNow));
+  }
+
+private:
+  struct Use
+  {
+    double tokens = 0;
+    double weight = 1;
+  };
+
+  // What the organisation has in flight relative to its fair part of all.
+  double ShareUse(const OrganisationSpec& aOrganisation) const
+  {
+    const auto own = this->uses.find(aOrganisation.id);
+    if (own == this->uses.end() || this->total <= 0) {
+      return 0;
+    }
+    double weights = 0;
+    for (const auto& [organisation, use] : this->uses) {
+      weights += use.weight;
+    }
+    const double fair = this->total * aOrganisation.weight / weights;
+    return own->second.tokens / fair;
+  }
+
+  void End(const OrganisationId& aOrganisation, double aTokens, TimePoint aNow)
+  {
+    Use& use = this->uses[aOrganisation];
+    use.tokens -= aTokens;
+    this->total -= aTokens;
+    if (use.tokens <= 0) {
+      this->uses.erase(aOrganisation);
+    }
+    this->shedder.Complete(aTokens, aNow);
+  }
+
+  OverloadShedder shedder;
+  std::unordered_map<OrganisationId, Use> uses;
+  double total = 0;
+};
+
+} // namespace wigeonwalk
