placement: queue short prefills first on the engine

Cause: a restored prompt waited on its runner behind the prefill of whole ones. Change: EngineClass queues a request with at most two pieces to compute as interactive. The replay ranks pieces by the chance of return within 24 h.

--- a/experiments/returning_prompts/policies.h
+++ b/experiments/returning_prompts/policies.h
@@ -83,6 +83,7 @@
   static constexpr PolicyTraits kTraits{ .name = "wigeonwalk",
                                          .restores = true,
                                          .keepsByWorth = true,
+                                         .shortFirst = true,
                                          .fairQueue = true };
   Choice Choose(const Sight& aSight);
 };
--- a/experiments/returning_prompts/replay.h
+++ b/experiments/returning_prompts/replay.h
@@ -39,7 +39,6 @@
     job->chain = chain;
   }
   job->tokens = aArrival.tokens;
-  job->requestClass = aArrival.requestClass;
   job->restoreFrom = choice.restoreFrom;
   job->restoreTo = choice.restoreTo;
   const bool restores =
@@ -48,6 +47,9 @@
   job->storedPieces = stored.size();
   const double held = static_cast<double>(choice.restoreTo) * kPieceTokens;
   const double work = std::max(1.0, double(aArrival.tokens) - held);
+  job->requestClass = P::kTraits.shortFirst
+                        ? EngineClass(aArrival.requestClass, work)
+                        : aArrival.requestClass;
   aDaemon.loads[choice.runner].NoteSent(
     work / aWorld.deployment.prefillTokensPerSecond, aWorld.time.Now());
   aDaemon.tracker.NoteSent(
--- a/experiments/returning_prompts/world.h
+++ b/experiments/returning_prompts/world.h
@@ -44,6 +44,8 @@
   // Keeps pieces by their worth instead of by their last use, spreads prompts
   // over store hosts and copies archives to a second one.
   bool keepsByWorth = false;
+  // Lets short prefills go first on the runners.
+  bool shortFirst = false;
   // Puts requests through the fair queue.
   bool fairQueue = false;
   // Runners keep no prompt.
--- a/experiments/returning_prompts/world_store.cc
+++ b/experiments/returning_prompts/world_store.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // Worth is compared by the chance of return within this time.
-constexpr Duration kHorizon = 6h;
+constexpr Duration kHorizon = 24h;
 
 constexpr std::size_t kGapBuckets = 80;
 
--- a/wigeonwalk/placement/placement.h
+++ b/wigeonwalk/placement/placement.h
@@ -159,6 +159,19 @@
   std::vector<Candidate> candidates;
 };
 
+// Prefill of at most this many tokens counts as short.
+inline constexpr double kShortPrefillTokens = 2.0 * kPieceTokens;
+
+// Returns the class under which an engine should queue a request. A request
+// whose prompt is restored or cached but for a short rest goes first: it delays
+// others by a fraction of a second, and would itself wait for whole prompts.
+constexpr RequestClass
+EngineClass(RequestClass aClass, double aPrefillTokens)
+{
+  return aPrefillTokens <= kShortPrefillTokens ? RequestClass::Interactive
+                                               : aClass;
+}
+
 // Chooses among all runners of the view. `aRandom` is any number that differs
 // between requests. Call it on the worker pool for
 // hundreds of runners; see placement_benchmark.cc.
--- a/wigeonwalk/placement/placement_test.cc
+++ b/wigeonwalk/placement/placement_test.cc
@@ -177,6 +177,15 @@
   }
 }
 
+// Guards against a restored prompt that waits behind the prefill of whole ones.
+TEST_CASE("a short prefill goes first on the engine", "[placement]")
+{
+  CHECK(EngineClass(RequestClass::Standard, 1500) == RequestClass::Interactive);
+  CHECK(EngineClass(RequestClass::Standard, 20'000) == RequestClass::Standard);
+  CHECK(EngineClass(RequestClass::Background, 90'000) ==
+        RequestClass::Background);
+}
+
 // Guards against costs that an operator cannot trace to their parts.
 TEST_CASE("a candidate explains its cost", "[placement]")
 {
