placement: compute restore times once for each zone

Cause: every runner computed the same restore times as the others of its zone. Change: RestoreTimes keeps them by zone and first piece for one placement.

--- a/wigeonwalk/placement/placement.cc
+++ b/wigeonwalk/placement/placement.cc
@@ -109,6 +109,49 @@
   double slowest = 0;
 };
 
+// Restore times by zone and first piece. Runners of a zone share them, so each
+// is computed once for a placement.
+class RestoreTimes
+{
+public:
+  // Restore of the pieces up to one, and the expected number of them missing.
+  struct Step
+  {
+    double seconds = 0;
+    double missing = 0;
+  };
+
+  explicit RestoreTimes(const PlacementView& aView)
+    : view(aView)
+    , rows(aView.zones * aView.stored.size())
+  {
+  }
+
+  // Returns one step for each stored piece from a position on.
+  std::span<const Step> From(ViewIndex aZone, std::size_t aFrom)
+  {
+    const std::size_t pieces = this->view.stored.size();
+    if (aFrom >= pieces) {
+      return {};
+    }
+    std::vector<Step>& row = this->rows[aZone * pieces + aFrom];
+    if (row.empty()) {
+      row.reserve(pieces - aFrom);
+      LinkTimes times(this->view, aZone);
+      double missing = 0;
+      for (std::size_t i = aFrom; i < pieces; ++i) {
+        missing += 1 - times.Add(this->view.stored[i]).weight;
+        row.push_back({ times.Slowest(), missing });
+      }
+    }
+    return row;
+  }
+
+private:
+  const PlacementView& view;
+  std::vector<std::vector<Step>> rows;
+};
+
 // Computes the costs of one runner's plans.
 class RunnerCosts
 {
@@ -116,11 +159,13 @@
   RunnerCosts(const PlacementRequest& aRequest,
               const PlacementView& aView,
               const PlacementOptions& aOptions,
+              RestoreTimes& aTimes,
               ViewIndex aRunner,
               double aMedianWait)
     : request(aRequest)
     , view(aView)
     , options(aOptions)
+    , times(aTimes)
     , runner(aView.runners[aRunner])
     , index(aRunner)
     , medianWait(aMedianWait)
@@ -148,12 +193,12 @@
     if (!this->options.mayRestore) {
       return;
     }
-    LinkTimes times(this->view, this->runner.zone);
-    double missing = this->DoubtfulPieces(aFrom);
-    for (std::size_t i = aFrom; i < this->view.stored.size(); ++i) {
-      missing += 1 - times.Add(this->view.stored[i]).weight;
-      const double restore = times.Slowest();
-      const Candidate candidate = this->Plan(aFrom, i + 1, restore, missing);
+    const double doubtful = this->DoubtfulPieces(aFrom);
+    std::size_t held = aFrom;
+    for (const auto& step : this->times.From(this->runner.zone, aFrom)) {
+      ++held;
+      const Candidate candidate =
+        this->Plan(aFrom, held, step.seconds, doubtful + step.missing);
       if (candidate.cost.Total() < aBest.cost.Total()) {
         aBest = candidate;
       }
@@ -212,6 +257,7 @@
   const PlacementRequest& request;
   const PlacementView& view;
   const PlacementOptions& options;
+  RestoreTimes& times;
   const RunnerView& runner;
   ViewIndex index;
   double medianWait;
@@ -304,9 +350,10 @@
 {
   Placement placement;
   const double medianWait = MedianWait(aView.runners);
+  RestoreTimes times(aView);
   placement.candidates.reserve(aView.runners.size());
   for (ViewIndex i = 0; i < aView.runners.size(); ++i) {
-    const RunnerCosts costs(aRequest, aView, aOptions, i, medianWait);
+    const RunnerCosts costs(aRequest, aView, aOptions, times, i, medianWait);
     placement.candidates.push_back(costs.Best());
   }
   if (!placement.candidates.empty()) {
