claims: count damaged logs, and keep the seeds of repaired faults

Cause: a damaged segment refuses a shard's bookings, which an operator could not tell from an outage; and the two faults that the explorer found show in none of the first 40 seeds. Change: loads that find a damaged segment or floor are counted; the explorer's test runs seeds 1009 and 2317, in which those faults show. Test: undoing either repair now fails the explorer's test; a damaged segment that is skipped fails the new test of the claim service.

--- a/wigeonwalk/claims/claim_explorer_test.cc
+++ b/wigeonwalk/claims/claim_explorer_test.cc
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
+#include <string>
 
 using namespace wigeonwalk;
 
@@ -10,6 +10,18 @@
 
 constexpr std::uint64_t kSeeds = 40;
 
+// Seeds of the long run that show faults that were repaired.
+struct FaultSeed
+{
+  const char* fault;
+  std::uint64_t seed;
+};
+
+constexpr FaultSeed kFaultSeeds[] = {
+  { "doubts were given up when the log was loaded again", 1009 },
+  { "the floor moved back after it was reread", 2317 },
+};
+
 void
 Add(ExplorerResult& aSum, const ExplorerResult& aPart)
 {
@@ -63,6 +75,15 @@
       CHECK(sum.discarded > 0);
     }
   }
+  for (const FaultSeed& row : kFaultSeeds) {
+    GIVEN(std::string("a schedule in which ") + row.fault)
+    {
+      THEN("it shows no fault any more")
+      {
+        CHECK(Explore(row.seed, 1).granted > 0);
+      }
+    }
+  }
   GIVEN("a service that ignores the expected revision")
   {
     THEN("the explorer finds a key that runs twice")
--- a/wigeonwalk/claims/claim_log.h
+++ b/wigeonwalk/claims/claim_log.h
@@ -106,6 +106,7 @@
     aSum.withdrawnLanded += aPart.withdrawnLanded;
     aSum.discarded += aPart.discarded;
     aSum.loads += aPart.loads;
+    aSum.corruptLoads += aPart.corruptLoads;
   }
 
   Kv& service;
--- a/wigeonwalk/claims/claim_service_test.cc
+++ b/wigeonwalk/claims/claim_service_test.cc
@@ -307,6 +307,35 @@
   }
 }
 
+// Guards against a damaged log being taken for an empty one, which would grant
+// its keys again.
+SCENARIO("a segment is damaged", "[claims]")
+{
+  World world;
+  const ClaimKey key =
+    ClaimKeyOf(OrganisationId("tofu-lenga"), ServiceName("order"), "a");
+  const PutRequest damage{ SegmentKey(ShardOf(key), 0), "1obAA", 0, 0 };
+  LastReason reason;
+  world.time.Spawn([](FakeKeyValue<>& aService,
+                      PutRequest aPut,
+                      TimePoint aDeadline,
+                      LastReason& aReason) -> Task<void> {
+    co_await aService.Put(aPut, aDeadline, aReason);
+  }(world.service, damage, world.time.Now() + 1s, reason));
+  world.Wait(1s);
+
+  GIVEN("a booking whose shard it is in")
+  {
+    const ClaimResult result = world.Claim(world.first, world.Call("a"));
+    THEN("it is refused as not run, and the damage is counted")
+    {
+      CHECK(result.answer == ClaimAnswer::Unavailable);
+      CHECK(result.verdict == Verdict::NotRun);
+      CHECK(world.first.log.Counts().corruptLoads > 0);
+    }
+  }
+}
+
 TEST_CASE("first answers stay within their bytes", "[claims]")
 {
   FirstAnswers answers(10'000);
--- a/wigeonwalk/claims/claim_shard.h
+++ b/wigeonwalk/claims/claim_shard.h
@@ -35,6 +35,8 @@
   // Own segments that were created below the floor.
   std::uint64_t discarded = 0;
   std::uint64_t loads = 0;
+  // Loads that found a damaged segment or floor; the shard refuses claims.
+  std::uint64_t corruptLoads = 0;
 };
 
 // Appends claims, releases and outcomes of one shard in batches. One coroutine
--- a/wigeonwalk/claims/internal/claim_log_view_impl.h
+++ b/wigeonwalk/claims/internal/claim_log_view_impl.h
@@ -20,7 +20,11 @@
     co_return false;
   }
   const auto segments = this->Order(*entries);
-  if (!segments || !FitTogether(*segments, this->floor)) {
+  if (!segments) {
+    co_return false;
+  }
+  if (!FitTogether(*segments, this->floor)) {
+    Fail(this->reason, ReasonCode::Stale, "the log changed while it was read");
     co_return false;
   }
   this->table.Clear();
--- a/wigeonwalk/claims/internal/claim_shard_impl.h
+++ b/wigeonwalk/claims/internal/claim_shard_impl.h
@@ -122,7 +122,10 @@
   }
   if (!this->view.Loaded()) {
     ++this->counts.loads;
-    if (!co_await this->view.Load()) {
+    const bool loaded = co_await this->view.Load();
+    if (!loaded) {
+      const bool corrupt = this->view.Reason().code == ReasonCode::Corrupt;
+      this->counts.corruptLoads += corrupt ? 1 : 0;
       co_return false;
     }
     this->SettleDoubts();
