documents: refuse an edit that reuses the id of the present revision

Cause: an edit sent with the id of the accepted one but another text was answered as accepted. The daemon that answered would have put that text in force under a revision at which all others have a different one, which digests of revisions cannot see. Change: where the id made the present revision, the text must be the same. Test: without the comparison the new check fails.

--- a/wigeonwalk/documents/document_acceptance_test.cc
+++ b/wigeonwalk/documents/document_acceptance_test.cc
@@ -128,6 +128,7 @@
   {
     CHECK(office.Send(Edit("", 2, "a\n")).outcome == EditOutcome::Refused);
     CHECK(office.Send(Edit("e2", 2, "x\n")).outcome == EditOutcome::Refused);
+    CHECK(office.Send(Edit("e2", 1, "x\n")).outcome == EditOutcome::Refused);
     CHECK(office.Send(Edit("e9", 7, "x\n")).outcome == EditOutcome::Refused);
     DocumentEdit edit = Edit("e9", 2, "");
     edit.text = "invalid\nzoen\n";
--- a/wigeonwalk/documents/internal/document_acceptance_impl.h
+++ b/wigeonwalk/documents/internal/document_acceptance_impl.h
@@ -73,7 +73,10 @@
     if (record.editId != aEdit.editId) {
       continue;
     }
-    if (record.revision == aEdit.baseRevision + 1) {
+    // Only the text of the present revision is still there to compare.
+    const bool otherText = record.revision == aCurrent.Revision() &&
+                           aCurrent.stored->copy.text != aEdit.text;
+    if (record.revision == aEdit.baseRevision + 1 && !otherText) {
       return { EditOutcome::Accepted, record.revision, {}, {}, {} };
     }
     return Refuse({ ReasonCode::AlreadyExists,
