--- a/wigeonwalk/adapters/jsonrpc/address.cc
+++ b/wigeonwalk/adapters/address/endpoint.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/adapters/jsonrpc/address.h"
+#include "wigeonwalk/adapters/address/endpoint.h"
 
 #include <boost/asio/ip/address.hpp>
 
--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -1,6 +1,6 @@
 #include "wigeonwalk/adapters/http/http_client.h"
 
-#include "wigeonwalk/adapters/http/internal/address.h"
+#include "wigeonwalk/adapters/address/endpoint.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/wigeonwalk/adapters/peer/internal/transport_calls.cc
+++ b/wigeonwalk/adapters/peer/internal/transport_calls.cc
@@ -20,33 +20,6 @@
 
 namespace peer_internal {
 
-std::optional<Tcp::endpoint>
-ParseEndpoint(const std::string& aAddress, LastReason& aReason)
-{
-  const std::size_t colon = aAddress.rfind(':');
-  std::uint16_t port = 0;
-  Error error;
-  boost::asio::ip::address ip;
-  bool valid = colon != std::string::npos;
-  if (valid) {
-    const char* end = aAddress.data() + aAddress.size();
-    const auto parsed = std::from_chars(aAddress.data() + colon + 1, end, port);
-    std::string host = aAddress.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-      host = host.substr(1, host.size() - 2);
-    }
-    ip = boost::asio::ip::make_address(host, error);
-    valid = parsed.ec == std::errc() && parsed.ptr == end && !error;
-  }
-  if (!valid) {
-    return Fail(aReason,
-                ReasonCode::InvalidArgument,
-                "not an IP address and port",
-                aAddress);
-  }
-  return Tcp::endpoint(ip, port);
-}
-
 Connection::Connection(Tcp::socket aSocket)
   : socket(std::move(aSocket))
   , watchdog(this->socket.get_executor())
@@ -255,7 +228,7 @@
                               Duration aTime,
                               LastReason& aReason)
 {
-  const auto endpoint = peer_internal::ParseEndpoint(aAddress, aReason);
+  const auto endpoint = ParseEndpoint(aAddress, aReason);
   if (!endpoint) {
     co_return nullptr;
   }
--- a/wigeonwalk/adapters/peer/peer_transport.cc
+++ b/wigeonwalk/adapters/peer/peer_transport.cc
@@ -14,7 +14,6 @@
 
 using peer_internal::Connection;
 using peer_internal::ConnectionPtr;
-using peer_internal::ParseEndpoint;
 using peer_internal::Tcp;
 using peer_internal::Udp;
 using Error = boost::system::error_code;
--- a/wigeonwalk/adapters/settings/duration_text.h
+++ b/wigeonwalk/adapters/settings/duration_text.h
@@ -1,7 +1,7 @@
-// The text form of durations in settings, documents and operators' calls.
+// Durations as text, as settings, documents and operators write them.
 //
-//   ParseDurationText("300ms");                   // 300'000 µs
-//   PrintDurationText(std::chrono::minutes(10));  // "10m"
+//   ParseDuration("300ms");                    // 300'000 us
+//   PrintDuration(std::chrono::minutes(10));   // "10m"
 #pragma once
 
 #include "wigeonwalk/base/time.h"
@@ -12,11 +12,12 @@
 
 namespace wigeonwalk {
 
-// Returns nothing for any text but a whole number with a unit.
+// Returns the duration of a number with a unit: us, ms, s, m or h.
 std::optional<Duration>
-ParseDurationText(std::string_view aText);
+ParseDuration(std::string_view aText);
 
+// Returns the duration in the largest unit that loses nothing.
 std::string
-PrintDurationText(Duration aDuration);
+PrintDuration(Duration aDuration);
 
 } // namespace wigeonwalk
