--- a/experiments/returning_prompts/world.cc
+++ b/experiments/returning_prompts/world.cc
@@ -1,26 +1,9 @@
 #include "returning_prompts/world.h"
 
-#include <cmath>
+#include <algorithm>
 
 namespace wigeonwalk::replay {
 
-using namespace std::chrono_literals;
-
-namespace {
-
-// Worth is compared by the chance of return within this time.
-constexpr Duration kHorizon = 6h;
-
-// Pieces of one transfer.
-constexpr std::uint32_t kBatchPieces = 2;
-
-// Organisations' archives have their own keys.
-constexpr std::uint64_t kArchiveBit = std::uint64_t{ 1 } << 63;
-
-constexpr std::size_t kGapBuckets = 80;
-
-} // namespace
-
 // Transfers of one restore that have not ended.
 struct Batches
 {
@@ -155,11 +138,13 @@
 {
   std::vector<StoredPiece> pieces;
   for (const auto& copies : this->directory.Lookup(aChain)) {
-    const PieceCopy& copy = copies.front();
-    const auto zone = static_cast<ViewIndex>(
-      std::stoul(copy.piece.store.Text().substr(std::size("store-") - 1)));
-    const ViewIndex disk = copy.piece.tier == StoreTier::Disk ? 1 : 0;
-    pieces.push_back({ 2 * zone + disk, zone, copy.weight, copy.piece.bytes });
+    StoredPiece& stored = pieces.emplace_back();
+    for (const PieceCopy& copy : copies) {
+      const auto zone = static_cast<ViewIndex>(
+        std::stoul(copy.piece.store.Text().substr(std::size("store-") - 1)));
+      const ViewIndex disk = copy.piece.tier == StoreTier::Disk ? 1 : 0;
+      stored.Add({ 2 * zone + disk, zone, copy.weight, copy.piece.bytes });
+    }
   }
   return pieces;
 }
@@ -184,12 +169,16 @@
 Task<bool>
 World::Restore(Daemon& aDaemon,
                const Arrival& aArrival,
-               std::vector<StoredPiece> aPieces,
+               std::vector<StoredCopy> aPieces,
                std::uint32_t aRunnerZone)
 {
   auto batches = std::make_shared<Batches>(this->time);
+  std::stable_sort(
+    aPieces.begin(), aPieces.end(), [](auto& aLeft, auto& aRight) {
+      return aLeft.link < aRight.link;
+    });
   for (std::size_t i = 0; i < aPieces.size();) {
-    const StoredPiece& first = aPieces[i];
+    const StoredCopy& first = aPieces[i];
     std::uint64_t bytes = 0;
     std::uint32_t pieces = 0;
     while (i < aPieces.size() && pieces < kBatchPieces &&
@@ -214,7 +203,7 @@
     co_await batches->done.Wait();
   }
   if (!batches->complete) {
-    for (const StoredPiece& piece : aPieces) {
+    for (const StoredCopy& piece : aPieces) {
       if (this->links[piece.link].broken) {
         this->directory.Forget(StoreName(piece.zone));
       }
@@ -223,133 +212,4 @@
   co_return batches->complete;
 }
 
-StoredGroup
-World::GroupOf(const Arrival& aArrival, bool aArchive) const
-{
-  StoredGroup group;
-  const std::uint64_t archive = kArchiveBit | aArrival.organisation;
-  const auto pieces = static_cast<std::uint32_t>(
-    (aArrival.tokens + aArrival.answerTokens) / kPieceTokens);
-  group.id = aArchive ? archive : aArrival.prompt;
-  group.organisation = aArrival.organisation;
-  group.first = aArchive ? 0 : aArrival.archivePieces;
-  group.pieces =
-    aArchive ? aArrival.archivePieces : pieces - aArrival.archivePieces;
-  group.root = { aArrival.archivePieces > 0 ? archive : aArrival.prompt, 0 };
-  return group;
-}
-
-Task<void>
-World::Export(Daemon& aDaemon, Arrival aArrival, std::uint32_t aZone)
-{
-  for (const bool archive : { true, false }) {
-    StoredGroup group = this->GroupOf(aArrival, archive);
-    if (group.pieces == 0) {
-      continue;
-    }
-    group.lastUse = this->time.Now();
-    const StoredGroup* known = this->stores->Find(group.id);
-    group.store = known != nullptr ? known->store : aZone;
-    group.tier = known != nullptr ? known->tier : StoreTier::Memory;
-    const std::uint32_t held = known != nullptr ? known->pieces : 0;
-    if (this->traits.keepsByWorth && known == nullptr) {
-      const auto action = this->retention.BeforeEviction(
-        this->ValueOf(group, this->time.Now()), this->ScarcityNow());
-      if (action == RetentionAction::Drop) {
-        continue;
-      }
-      group.tier = action == RetentionAction::KeepOnDisk ? StoreTier::Disk
-                                                         : StoreTier::Memory;
-    }
-    bool stored = !this->links[2 * group.store].broken;
-    const ViewIndex link =
-      2 * group.store + (group.tier == StoreTier::Disk ? 1 : 0);
-    for (std::uint32_t i = held; i < group.pieces && stored;) {
-      const std::uint32_t batch = std::min(kBatchPieces, group.pieces - i);
-      stored = co_await aDaemon.links[link]->Move(
-        TransferKind::Export,
-        this->Organisation(aArrival.organisation),
-        batch * this->deployment.pieceBytes);
-      i += batch;
-    }
-    if (stored) {
-      this->stores->Put(group, this->time.Now());
-    }
-  }
-}
-
-void
-World::NoteArrival(const Arrival& aArrival)
-{
-  const ServiceName service("service");
-  const OrganisationId& organisation =
-    this->Organisation(aArrival.organisation);
-  this->returns.NoteServed(service, organisation);
-  if (aArrival.gapSeconds >= 0) {
-    this->returns.NoteReturn(
-      service, organisation, FromSeconds(aArrival.gapSeconds));
-  }
-  this->stores->Touch(aArrival.prompt, this->time.Now());
-  if (aArrival.archivePieces > 0) {
-    this->stores->Touch(kArchiveBit | aArrival.organisation, this->time.Now());
-  }
-}
-
-double
-World::Chance(std::uint32_t aOrganisation, double aGapSeconds)
-{
-  // Buckets of the gap grow by a quarter of a doubling.
-  const auto bucket = std::min<std::size_t>(
-    static_cast<std::size_t>(4 * std::log2(1 + aGapSeconds / 15)),
-    kGapBuckets - 1);
-  if (this->chances.empty() || this->time.Now() >= this->chancesAt + 1min) {
-    this->chancesAt = this->time.Now();
-    this->chances.assign(this->deployment.organisations.size(),
-                         std::vector<double>(kGapBuckets, -1));
-  }
-  double& chance = this->chances[aOrganisation][bucket];
-  if (chance < 0) {
-    const double gap = 15 * (std::exp2(static_cast<double>(bucket) / 4) - 1);
-    chance = this->returns.ChanceWithin(ServiceName("service"),
-                                        this->Organisation(aOrganisation),
-                                        FromSeconds(gap),
-                                        kHorizon);
-  }
-  return chance;
-}
-
-Scarcity
-World::ScarcityNow() const
-{
-  return { .memoryDensity = this->stores->MarginalScore(StoreTier::Memory),
-           .diskDensity = this->stores->MarginalScore(StoreTier::Disk) };
-}
-
-PieceValue
-World::ValueOf(const StoredGroup& aGroup, TimePoint aNow)
-{
-  const auto bytes = static_cast<double>(this->deployment.pieceBytes);
-  return { .bytes = this->deployment.pieceBytes,
-           .recomputeSeconds =
-             kPieceTokens / this->deployment.prefillTokensPerSecond,
-           .memoryReadSeconds = bytes / this->deployment.memoryLinkRate,
-           .diskReadSeconds = bytes / this->deployment.diskLinkRate,
-           .returnChance = this->Chance(aGroup.organisation,
-                                        ToSeconds(aNow - aGroup.lastUse)),
-           .horizon = kHorizon };
-}
-
-double
-World::Score(const StoredGroup& aGroup, TimePoint aNow)
-{
-  if (!this->traits.keepsByWorth) {
-    return -ToSeconds(aNow - aGroup.lastUse);
-  }
-  // An archive is read by every consultation of its organisation.
-  if ((aGroup.id & kArchiveBit) != 0) {
-    return 1e9 - ToSeconds(aNow - aGroup.lastUse);
-  }
-  return this->retention.Density(this->ValueOf(aGroup, aNow), aGroup.tier);
-}
-
 } // namespace wigeonwalk::replay
--- a/experiments/returning_prompts/world.h
+++ b/experiments/returning_prompts/world.h
@@ -19,6 +19,12 @@
 // Time after the trace in which open requests may end.
 inline constexpr Duration kDrainTime = std::chrono::minutes(10);
 
+// Pieces of one transfer.
+inline constexpr std::uint32_t kBatchPieces = 2;
+
+// Organisations' archives have their own keys.
+inline constexpr std::uint64_t kArchiveBit = std::uint64_t{ 1 } << 63;
+
 // What fails at one third of the measured time.
 enum class Fault
 {
@@ -35,7 +41,8 @@
   const char* name;
   // Exports to store hosts and may restore from them.
   bool restores = false;
-  // Keeps pieces by their worth instead of by their last use.
+  // Keeps pieces by their worth instead of by their last use, spreads prompts
+  // over store hosts and copies archives to a second one.
   bool keepsByWorth = false;
   // Puts requests through the fair queue.
   bool fairQueue = false;
@@ -69,6 +76,8 @@
   std::uint32_t runner = 0;
   std::size_t restoreFrom = 0;
   std::size_t restoreTo = 0;
+  // Copies to read, one for each piece to restore.
+  std::vector<StoredCopy> sources;
 };
 
 class World
@@ -98,12 +107,17 @@
   // entries are then dropped.
   Task<bool> Restore(Daemon& aDaemon,
                      const Arrival& aArrival,
-                     std::vector<StoredPiece> aPieces,
+                     std::vector<StoredCopy> aPieces,
                      std::uint32_t aRunnerZone);
 
   // Stores what a runner computed.
   Task<void> Export(Daemon& aDaemon, Arrival aArrival, std::uint32_t aZone);
 
+  // Stores the missing pieces of one part of a group.
+  Task<void> ExportPart(Daemon& aDaemon,
+                        StoredGroup aGroup,
+                        std::uint32_t aZone);
+
   // Learns from an arrival.
   void NoteArrival(const Arrival& aArrival);
 
@@ -166,6 +180,10 @@
                        std::uint64_t aBytes,
                        std::shared_ptr<struct Batches> aBatches);
   double Score(const StoredGroup& aGroup, TimePoint aNow);
+  bool IsCopied(const StoredGroup& aGroup) const;
+  std::vector<StoredGroup> PartsOf(const StoredGroup& aGroup,
+                                   std::uint32_t aZone) const;
+  bool Accept(StoredGroup& aGroup, TimePoint aNow);
   PieceValue ValueOf(const StoredGroup& aGroup, TimePoint aNow);
   Scarcity ScarcityNow() const;
   double Chance(std::uint32_t aOrganisation, double aGapSeconds);
--- a/wigeonwalk/adapters/jsonrpc/jsonrpc_test.cc
+++ b/wigeonwalk/adapters/jsonrpc/jsonrpc_test.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/adapters/jsonrpc/address.h"
+#include "wigeonwalk/adapters/address/endpoint.h"
 #include "wigeonwalk/adapters/jsonrpc/frames.h"
 #include "wigeonwalk/adapters/jsonrpc/operator_client.h"
 #include "wigeonwalk/adapters/jsonrpc/operator_server.h"
