--- /dev/null
+++ b/wigeonwalk/adapters/settings/document_test.cc
@@ -0,0 +1,168 @@
+#include "wigeonwalk/adapters/settings/fault_table.h"
+#include "wigeonwalk/adapters/settings/internal/checked_json.h"
+#include "wigeonwalk/adapters/settings/service_document_json.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace wigeonwalk;
+using namespace wigeonwalk::settings_internal;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kDigest(64, 'a');
+
+Json
+SmallDocument()
+{
+  Json document = Json::parse(R"({ "name": "pattern-advice", "kind": "engine",
+    "weighs": "share-recomputed", "zones": [ "Isar", "Lech" ],
+    "model": { "name": "lace", "version": "v3", "cacheBytesPerToken": 131072,
+               "prefillTokensPerSecond": 9000.5 },
+    "runners": [
+      { "id": "r1", "zone": "Isar", "address": "127.0.0.1:9001" },
+      { "id": "r2", "zone": "Lech", "address": "[::1]:9002" } ],
+    "stores": [ { "id": "s1", "zone": "Isar", "address": "127.0.0.1:9003",
+      "memoryBytes": 1000000, "diskBytes": 2000000,
+      "memoryLinkRate": 5000, "diskLinkRate": 4000 } ],
+    "organisations": [ { "id": "o1", "keyDigests": [],
+      "limits": { "requestsPerSecond": 0.5 } } ],
+    "routes": [ { "method": "POST", "path": "/orders", "idempotent": false,
+      "keySource": "header", "keyName": "Idempotency-Key" } ],
+    "minimumServing": 2, "tokenTimeout": "1500ms" })");
+  document["organisations"][0]["keyDigests"].push_back(kDigest);
+  return document;
+}
+
+const std::vector<Fault> kDocumentFaults{
+  { "unknown zone",
+    R"([{"op":"replace","path":"/runners/1/zone","value":"Lehc"}])",
+    ReasonCode::NotFound,
+    "/runners/1/zone",
+    "did you mean 'Lech'?" },
+  { "runner id twice",
+    R"([{"op":"replace","path":"/runners/1/id","value":"r1"}])",
+    kTwice,
+    "/runners/1/id",
+    "'r1'" },
+  { "store with a runner's id",
+    R"([{"op":"replace","path":"/stores/0/id","value":"r2"}])",
+    kTwice,
+    "/stores/0/id",
+    "'r2'" },
+  { "address twice",
+    R"([{"op":"replace","path":"/stores/0/address","value":"127.0.0.1:9001"}])",
+    kTwice,
+    "/stores/0/address",
+    "9001" },
+  { "too many runners kept serving",
+    R"([{"op":"replace","path":"/minimumServing","value":3}])",
+    kInvalid,
+    "/minimumServing",
+    "number of runners, 2" },
+  { "non-idempotent call without a key",
+    R"([{"op":"remove","path":"/routes/0/keyName"}])",
+    kInvalid,
+    "/routes/0/keyName",
+    "set keyName" },
+  { "body field that is no pointer",
+    R"([{"op":"replace","path":"/routes/0/keySource","value":"body-field"}])",
+    kInvalid,
+    "/routes/0/keyName",
+    "JSON pointer" },
+  { "non-idempotent GET",
+    R"([{"op":"replace","path":"/routes/0/method","value":"GET"}])",
+    kInvalid,
+    "/routes/0/idempotent",
+    "POST" },
+  { "engine without a model",
+    R"([{"op":"remove","path":"/model"}])",
+    kInvalid,
+    "/model",
+    "needs a model" },
+  { "plain service with a store",
+    R"([{"op":"replace","path":"/kind","value":"plain"},
+        {"op":"remove","path":"/model"}])",
+    kInvalid,
+    "/stores",
+    "no cache store" },
+  { "plain service without calls",
+    R"([{"op":"replace","path":"/kind","value":"plain"},
+        {"op":"remove","path":"/routes"}])",
+    kInvalid,
+    "/routes",
+    "needs its calls" },
+  { "one key for two organisations",
+    R"([{"op":"copy","from":"/organisations/0","path":"/organisations/1"},
+        {"op":"replace","path":"/organisations/1/id","value":"o2"}])",
+    kTwice,
+    "/organisations/1/keyDigests/0",
+    "more than once" },
+  { "digest in capitals",
+    R"([{"op":"replace","path":"/organisations/0/keyDigests/0","value":"AB"}])",
+    kInvalid,
+    "/organisations/0/keyDigests/0",
+    "SHA-256" },
+  { "rate of zero",
+    R"([{"op":"replace","path":"/stores/0/diskLinkRate","value":0}])",
+    kInvalid,
+    "/stores/0/diskLinkRate",
+    "1000" },
+  { "weight of zero",
+    R"([{"op":"add","path":"/organisations/0/weight","value":0}])",
+    kInvalid,
+    "/organisations/0/weight",
+    "0.001" },
+  { "token timeout above the request's",
+    R"([{"op":"add","path":"/requestTimeout","value":"1s"}])",
+    kInvalid,
+    "/tokenTimeout",
+    "requestTimeout" },
+  { "id with a path separator",
+    R"([{"op":"replace","path":"/runners/0/id","value":"a/b"}])",
+    kInvalid,
+    "/runners/0/id",
+    "letters" },
+};
+
+} // namespace
+
+// Guards against a document that is accepted and cannot be served, and against
+// fields lost between a team's edit and the daemons.
+SCENARIO("a team's document is parsed and printed", "[documents]")
+{
+  std::vector<LastReason> reasons;
+  GIVEN("a valid document")
+  {
+    const auto document = ParseServiceDocument(SmallDocument().dump(), reasons);
+    INFO(AllOf(reasons));
+    REQUIRE(document.has_value());
+    CHECK(document->weighing == Weighing::ShareRecomputed);
+    CHECK(document->model.prefillTokensPerSecond == 9000.5);
+    CHECK(document->organisations[0].limits.requestsPerSecond == 0.5);
+    CHECK_FALSE(document->organisations[0].limits.tokensPerSecond.has_value());
+    CHECK(document->tokenTimeout == 1500ms);
+    THEN("its printed form parses to the same document")
+    {
+      const auto again =
+        ParseServiceDocument(PrintServiceDocument(*document), reasons);
+      INFO(AllOf(reasons));
+      CHECK(again == document);
+    }
+  }
+  GIVEN("a document with one fault")
+  {
+    for (const auto& fault : kDocumentFaults) {
+      DYNAMIC_SECTION(fault.name)
+      {
+        const Json file = SmallDocument().patch(Json::parse(fault.patch));
+        CHECK_FALSE(ParseServiceDocument(file.dump(), reasons).has_value());
+        INFO(AllOf(reasons));
+        CHECK(Names(reasons, fault));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/wigeonwalk/adapters/settings/fault_table.h
@@ -0,0 +1,50 @@
+// Tables of faults for the tests of settings and documents.
+//
+//   const Fault fault{ "unknown key", R"([{"op":"add",...}])", ... };
+//   CHECK(Names(reasons, fault));
+#pragma once
+
+#include "wigeonwalk/base/last_reason.h"
+
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// One change to a valid file and the error that it must cause.
+struct Fault
+{
+  const char* name;
+  // JSON patch operations (RFC 6902).
+  const char* patch;
+  ReasonCode code;
+  const char* place;
+  const char* detail;
+};
+
+inline bool
+Names(const std::vector<LastReason>& aReasons, const Fault& aFault)
+{
+  for (const auto& reason : aReasons) {
+    if (reason.code == aFault.code && reason.place == aFault.place &&
+        reason.detail.find(aFault.detail) != std::string::npos) {
+      return true;
+    }
+  }
+  return false;
+}
+
+inline std::string
+AllOf(const std::vector<LastReason>& aReasons)
+{
+  std::string text;
+  for (const auto& reason : aReasons) {
+    text += reason.ToString() + "\n";
+  }
+  return text;
+}
+
+inline constexpr auto kInvalid = ReasonCode::InvalidArgument;
+inline constexpr auto kTwice = ReasonCode::AlreadyExists;
+
+} // namespace wigeonwalk
