jsonrpc: refuse a call whose method throws

A parameter of another type made nlohmann::json throw in the method; the exception ended the connection's coroutine, which left the connection in the listener's table for good. The call is now refused as invalid-argument and the connection goes on. The new row of the fault table was seen to fail without the handler.

--- a/wigeonwalk/adapters/jsonrpc/jsonrpc_test.cc
+++ b/wigeonwalk/adapters/jsonrpc/jsonrpc_test.cc
@@ -59,6 +59,11 @@
       [](std::string, LastReason&) -> Task<std::optional<std::string>> {
         co_return "no JSON";
       });
+    this->server.Register(
+      "throws",
+      [](std::string aParams, LastReason&) -> Task<std::optional<std::string>> {
+        co_return json::parse(aParams).at("n").get<std::string>();
+      });
     this->server.Register(
       "stop",
       [this](std::string, LastReason&) -> Task<std::optional<std::string>> {
@@ -215,6 +220,9 @@
     { "version 1", Frame(R"({"method":"status","id":1})"), "-32600" },
     { "parameters in a list", Frame(Request("status", "[1]")), "-32602" },
     { "result that is no JSON", Frame(Request("broken")), "-32603" },
+    { "parameter that the method throws on",
+      Frame(Request("throws", R"({"n":1})")) + Frame(Request("no.such")),
+      "cannot process these parameters" },
     { "batch of two",
       Frame("[" + Request("status", R"({"n":1})") + "," +
             Request("documents.apply") + "]"),
--- a/wigeonwalk/adapters/jsonrpc/operator_server.cc
+++ b/wigeonwalk/adapters/jsonrpc/operator_server.cc
@@ -12,7 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
+#include <exception>
 #include <list>
 #include <map>
 #include <utility>
@@ -91,6 +91,7 @@
   {
   }
 
+  Task<> Run(Call& aCall);
   Task<std::string> Answer(std::string aRequest);
   Task<> Serve(std::shared_ptr<Connection> aConnection);
   Task<> ServeFrames(Connection& aConnection);
@@ -105,6 +106,22 @@
   bool stopping = false;
 };
 
+// An exception, such as that of a JSON library for a parameter of another type,
+// refuses this call and leaves the connection open.
+Task<>
+OperatorServer::State::Run(Call& aCall)
+{
+  try {
+    aCall.result =
+      co_await this->handlers.at(aCall.method)(aCall.params, aCall.reason);
+  } catch (const std::exception&) {
+    Fail(aCall.reason,
+         ReasonCode::InvalidArgument,
+         "the daemon cannot process these parameters",
+         "params");
+  }
+}
+
 // The library answers synchronously, and handlers may suspend. It therefore
 // sees each request twice: first it only names the calls, and once they are
 // done it encodes their outcomes.
@@ -126,8 +143,7 @@
     co_return response;
   }
   for (auto& call : calls) {
-    call.result =
-      co_await this->handlers.at(call.method)(call.params, call.reason);
+    co_await this->Run(call);
   }
   std::size_t next = 0;
   co_return this->rpc->HandleRequest(aRequest,
