retry, daemon: push poison evidence at once, combine verdicts over tries

Cause: a caller that repeats a poison request at four entries in 100 ms killed 9 engines, because evidence rode on probes only; and a request whose first engine crashed was reported as not run when the second one refused the connection.

--- a/wigeonwalk/base/base_test.cc
+++ b/wigeonwalk/base/base_test.cc
@@ -22,6 +22,19 @@
   CHECK_FALSE(ParseName<TestType>("no such name").has_value());
 }
 
+// Guards against "not run" for a request whose first try may have run: found
+// when a second runner refused the connection after the first one crashed.
+TEST_CASE("a later try does not take back what an earlier one may have done",
+          "[verdict]")
+{
+  CHECK(CombineVerdicts(Verdict::MayHaveRun, Verdict::NotRun) ==
+        Verdict::MayHaveRun);
+  CHECK(CombineVerdicts(Verdict::NotRun, Verdict::MayHaveRun) ==
+        Verdict::MayHaveRun);
+  CHECK(CombineVerdicts(Verdict::Ran, Verdict::NotRun) == Verdict::Ran);
+  CHECK(CombineVerdicts(Verdict::NotRun, Verdict::NotRun) == Verdict::NotRun);
+}
+
 // Guards against error texts that lose the place of the fault.
 SCENARIO("a failure carries its last reason", "[reason]")
 {
--- a/wigeonwalk/base/verdict.h
+++ b/wigeonwalk/base/verdict.h
@@ -28,6 +28,14 @@
 };
 static_assert(HasCompleteTable<Verdict>());
 
+// Returns the verdict on a request that was tried twice. A later try that did
+// not run says nothing about an earlier one that may have.
+constexpr Verdict
+CombineVerdicts(Verdict aEarlier, Verdict aLater)
+{
+  return aEarlier < aLater ? aLater : aEarlier;
+}
+
 // Returns true where sending the request again cannot make it run twice, or
 // where running it twice is harmless.
 constexpr bool
--- a/wigeonwalk/daemon/cluster.cc
+++ b/wigeonwalk/daemon/cluster.cc
@@ -84,9 +84,10 @@
     return this->store.Digest(aNow);
   }
 
+  // Evidence that has to be pushed rides on each datagram until the push ends.
   std::vector<PeerNotice> TakeNotices(TimePoint)
   {
-    std::vector<PeerNotice> notices;
+    std::vector<PeerNotice> notices = this->urgent;
     for (const auto& notice :
          this->view.poison.TakeNotices(kNoticesPerDatagram)) {
       notices.push_back(EncodeNotice(notice));
@@ -103,7 +104,9 @@
     this->onProbe(aDatagram);
     for (const PeerNotice& notice : aDatagram.notices) {
       if (const auto poison = DecodePoisonNotice(notice)) {
-        this->view.poison.MergeNotice(*poison, aNow);
+        if (this->view.poison.MergeNotice(*poison, aNow)) {
+          this->onEvidence();
+        }
       }
       if (const auto leaving = DecodeLeavingNotice(notice)) {
         this->view.upstreams.Marks().MergeNotice(*leaving);
@@ -144,6 +147,10 @@
   // Where digests and contacts go; set before the first datagram.
   std::function<void(const PeerDatagram&)> onProbe;
   std::function<void(const PeerDatagram&, TimePoint)> onContact;
+  // Called for new evidence against a request.
+  std::function<void()> onEvidence;
+  // Notices of the push that is under way.
+  std::vector<PeerNotice> urgent;
 
 private:
   DocumentStore& store;
@@ -201,12 +208,28 @@
     this->rider.onProbe = [this](const PeerDatagram& aDatagram) {
       this->propagation.OnProbe(aDatagram);
     };
+    this->rider.onEvidence = [this] { this->PushEvidence(); };
+    aParts.view.onEvidence = [this] { this->PushEvidence(); };
     this->rider.onContact = [this](const PeerDatagram& aAnswer,
                                    TimePoint aProbedAt) {
       this->propagation.OnContact(aAnswer, aProbedAt);
     };
   }
 
+  // Tells some daemons of new evidence at once: a caller repeats its request
+  // within milliseconds, and each daemon that does not know loses an upstream.
+  void PushEvidence()
+  {
+    for (const auto& notice :
+         this->parts.view.poison.TakeUrgent(kNoticesPerDatagram)) {
+      this->rider.urgent.push_back(EncodeNotice(notice));
+    }
+    if (!this->rider.urgent.empty()) {
+      this->detector.Notify(PoisonTracker::kPushFanOut);
+      this->rider.urgent.clear();
+    }
+  }
+
   // PeerHandler: what arrives from other daemons.
   void OnDatagram(const PeerDatagram& aDatagram)
   {
--- a/wigeonwalk/daemon/event_recorder.h
+++ b/wigeonwalk/daemon/event_recorder.h
@@ -31,13 +31,18 @@
   {
     const UpstreamId subject(aEvent.subject);
     if (aEvent.verdict) {
+      // The detail of a refusal is the name of its reason; other texts stay out
+      // of the log.
+      const ReasonCode reason =
+        ParseName<ReasonCode>(aEvent.detail).value_or(ReasonCode::None);
       this->log.Write(this->timer.Now(),
                       LogLevel::Info,
                       "step",
                       aEvent.request,
                       { { LogKey::Step, aEvent.kind },
                         { LogKey::Upstream, subject },
-                        { LogKey::Verdict, *aEvent.verdict } });
+                        { LogKey::Verdict, *aEvent.verdict },
+                        { LogKey::Reason, reason } });
     } else {
       this->log.Write(
         this->timer.Now(),
--- a/wigeonwalk/membership/failure_detector.h
+++ b/wigeonwalk/membership/failure_detector.h
@@ -82,6 +82,9 @@
   // Answers another daemon's MemberSync.
   MemberList OnSync(const MemberSync& aSync);
 
+  // Sends what rides on probes to some random members at once.
+  void Notify(std::size_t aCount);
+
   // Tells some members that this daemon leaves, and stops probing.
   void Leave();
 
--- a/wigeonwalk/membership/internal/failure_detector_impl.h
+++ b/wigeonwalk/membership/internal/failure_detector_impl.h
@@ -206,6 +206,8 @@
     case DatagramKind::ProbeRequest:
       this->ProbeFor(aDatagram);
       break;
+    case DatagramKind::Notice:
+      break;
   }
   // An accuser hears of the refutation at once; an answer already carries it.
   if (this->table.Self().incarnation != before &&
@@ -222,6 +224,17 @@
   return { this->table.Snapshot() };
 }
 
+template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
+void
+FailureDetector<T, C, S, R>::Notify(std::size_t aCount)
+{
+  for (const Member* member : this->RandomMembers(aCount, HostId())) {
+    const MemberUpdate& to = member->update;
+    this->channel.Send(to.address,
+                       this->Compose(DatagramKind::Notice, to.host));
+  }
+}
+
 template<Timer T, PeerChannel C, TaskSpawner S, ProbeRider R>
 void
 FailureDetector<T, C, S, R>::Leave()
--- a/wigeonwalk/ports/peer_messages.h
+++ b/wigeonwalk/ports/peer_messages.h
@@ -103,15 +103,18 @@
   ProbeAck,
   // Probe `target` and forward its ProbeAck.
   ProbeRequest,
+  // Only take what rides on it.
+  Notice,
 };
 
 template<>
 struct EnumNames<DatagramKind>
 {
-  static constexpr std::array<EnumName<DatagramKind>, 3> kTable{ {
+  static constexpr std::array<EnumName<DatagramKind>, 4> kTable{ {
     { DatagramKind::Probe, "probe" },
     { DatagramKind::ProbeAck, "probe-ack" },
     { DatagramKind::ProbeRequest, "probe-request" },
+    { DatagramKind::Notice, "notice" },
   } };
 };
 static_assert(HasCompleteTable<DatagramKind>());
--- a/wigeonwalk/serving/completion_run.h
+++ b/wigeonwalk/serving/completion_run.h
@@ -25,6 +25,9 @@
 // piece stays below 100 µs.
 inline constexpr std::size_t kInlinePieces = 12;
 
+// How often a suspect looks whether its runner is idle.
+inline constexpr Duration kIdleCheck = std::chrono::milliseconds(50);
+
 // One request. Lives in the caller's coroutine.
 template<typename Parts>
 class CompletionRun
@@ -58,6 +61,9 @@
       if (!placed) {
         break;
       }
+      if (this->admission == PoisonAdmission::RunAlone) {
+        co_await this->WaitUntilIdle(placed->runner.id);
+      }
       const AttemptEnd end = co_await this->RunAttempt(*placed, *slot, aSink);
       if (end != AttemptEnd::Broken) {
         co_return;
@@ -156,19 +162,18 @@
   {
     DaemonView& view = this->parts.view;
     const TimePoint now = this->parts.time.Now();
+    const std::unordered_set<UpstreamId> avoided =
+      this->admission == PoisonAdmission::RunAlone ? this->excluded
+                                                   : this->Avoided(now);
     PlacementInput input{
       this->state.document, this->version,
       this->chain,          CountTokens(this->state.request.prompt),
-      this->copies,         this->excluded,
+      this->copies,         avoided,
       std::nullopt,         view.random()
     };
     if (this->admission == PoisonAdmission::RunAlone) {
-      input.only = this->ChooseAlone(now);
-      if (!input.only) {
-        this->Refuse(ReasonCode::Overloaded,
-                     "the request may only run alone and no runner is idle");
-        return std::nullopt;
-      }
+      input.only =
+        PoisonTracker::ChooseAlone(this->print, this->UsableRunners(now));
     }
     LastReason reason;
     auto placed = view.placer.Place(input, now, reason);
@@ -187,17 +192,41 @@
     return placed;
   }
 
-  std::optional<UpstreamId> ChooseAlone(TimePoint aNow) const
+  std::vector<UpstreamId> UsableRunners(TimePoint aNow) const
   {
-    std::vector<AloneCandidate> candidates;
+    std::vector<UpstreamId> usable;
     for (const RunnerSpec& runner : this->state.document.runners) {
-      const UpstreamTable& upstreams = this->parts.view.upstreams;
-      const bool idle = upstreams.Usable(runner.id, aNow) &&
-                        upstreams.InFlight(runner.id) == 0 &&
-                        upstreams.WaitSeconds(runner.id, aNow) <= 0;
-      candidates.push_back({ runner.id, idle });
+      if (this->parts.view.upstreams.Usable(runner.id, aNow) &&
+          !this->excluded.contains(runner.id)) {
+        usable.push_back(runner.id);
+      }
+    }
+    return usable;
+  }
+
+  // Runners that this request must not use: those that failed it, and those
+  // that are kept free for suspects, unless no other is left.
+  std::unordered_set<UpstreamId> Avoided(TimePoint aNow) const
+  {
+    const std::vector<UpstreamId> usable = this->UsableRunners(aNow);
+    const auto reserved = this->parts.view.poison.Reserved(usable, aNow);
+    std::unordered_set<UpstreamId> avoided = this->excluded;
+    if (reserved.size() < usable.size()) {
+      avoided.insert(reserved.begin(), reserved.end());
+    }
+    return avoided;
+  }
+
+  // A suspect waits until its runner has no other work, so that a death proves
+  // its guilt and a success its innocence.
+  Task<void> WaitUntilIdle(UpstreamId aRunner)
+  {
+    const UpstreamTable& upstreams = this->parts.view.upstreams;
+    while (this->parts.time.Now() < this->state.deadline &&
+           !(upstreams.InFlight(aRunner) == 0 &&
+             upstreams.IsIdle(aRunner, this->parts.time.Now()))) {
+      co_await this->parts.time.WaitUntil(this->parts.time.Now() + kIdleCheck);
     }
-    return this->parts.view.poison.ChooseAlone(this->print, candidates);
   }
 
   template<AnswerSink Sink>
@@ -308,8 +337,9 @@
                        RunMark& aMark)
   {
     DaemonView& view = this->parts.view;
-    this->state.refusal.verdict =
-      this->state.resume->VerdictOnFailure(this->state.refusal.reason.code);
+    this->state.refusal.verdict = CombineVerdicts(
+      this->state.refusal.verdict,
+      this->state.resume->VerdictOnFailure(this->state.refusal.reason.code));
     this->Record(EventKind::StreamBroken,
                  std::string(NameOf(this->state.refusal.reason.code)),
                  aRunner.id);
@@ -323,6 +353,7 @@
         aMark.Settle();
         view.poison.UpstreamDied(
           aRunner.id, incarnation, this->parts.time.Now());
+        view.onEvidence();
         view.cache.Tracker().Forget(aRunner.id);
         this->Record(EventKind::UpstreamLost, std::string(), aRunner.id);
       }
--- a/wigeonwalk/serving/daemon_view.h
+++ b/wigeonwalk/serving/daemon_view.h
@@ -15,6 +15,7 @@
 #include "wigeonwalk/serving/upstream_table.h"
 
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -86,6 +87,8 @@
   Placer placer;
   RetryBudget budget;
   PoisonTracker poison;
+  // Called where the tracker has new evidence for other daemons.
+  std::function<void()> onEvidence = [] {};
   ReturnModel returns;
   ExplainLog explain;
   std::mt19937_64 random;
--- a/wigeonwalk/serving/plain_run.h
+++ b/wigeonwalk/serving/plain_run.h
@@ -150,7 +150,6 @@
     while (true) {
       const RunnerSpec* upstream = this->ChooseUpstream();
       if (upstream == nullptr) {
-        aRefusal.verdict = failures == 0 ? Verdict::NotRun : aRefusal.verdict;
         co_return Fail(
           aRefusal.reason, ReasonCode::Unavailable, "no usable upstream");
       }
@@ -187,7 +186,8 @@
     auto response = co_await this->services.ServiceOf(aUpstream).Call(
       request, this->deadline, aRefusal.reason);
     if (!response) {
-      aRefusal.verdict = VerdictOf(aRefusal.reason.code);
+      aRefusal.verdict =
+        CombineVerdicts(aRefusal.verdict, VerdictOf(aRefusal.reason.code));
       co_return std::nullopt;
     }
     this->Record(EventKind::RequestFinished, aUpstream.id);
--- a/wigeonwalk/serving/upstream_table.cc
+++ b/wigeonwalk/serving/upstream_table.cc
@@ -20,6 +20,7 @@
   const bool restarted =
     status.incarnation != 0 && aReport.incarnation != status.incarnation;
   status.incarnation = aReport.incarnation;
+  status.reported = aReport.running + aReport.waiting;
   status.load.Report(static_cast<double>(aReport.waitingTokens) /
                        std::max(aPrefillTokensPerSecond, 1.0),
                      aReport.measuredAt);
@@ -89,6 +90,14 @@
   return this->marks.IsLeaving(aUpstream, this->Incarnation(aUpstream));
 }
 
+bool
+UpstreamTable::IsIdle(const UpstreamId& aUpstream, TimePoint aNow) const
+{
+  const Status* status = this->Find(aUpstream);
+  return status != nullptr && status->reported == 0 &&
+         status->load.Waiting(aNow) <= 0;
+}
+
 double
 UpstreamTable::WaitSeconds(const UpstreamId& aUpstream, TimePoint aNow) const
 {
--- a/wigeonwalk/serving/upstream_table.h
+++ b/wigeonwalk/serving/upstream_table.h
@@ -54,6 +54,9 @@
   bool Usable(const UpstreamId& aUpstream, TimePoint aNow) const;
   bool IsLeaving(const UpstreamId& aUpstream) const;
 
+  // True where the last load report showed no work.
+  bool IsIdle(const UpstreamId& aUpstream, TimePoint aNow) const;
+
   double WaitSeconds(const UpstreamId& aUpstream, TimePoint aNow) const;
   std::uint32_t InFlight(const UpstreamId& aUpstream) const;
   std::uint64_t Incarnation(const UpstreamId& aUpstream) const;
@@ -69,6 +72,8 @@
     std::uint64_t incarnation = 0;
     WeightVersion version;
     std::uint32_t inFlight = 0;
+    // Requests that the last report showed running or waiting there.
+    std::uint32_t reported = 0;
     std::uint32_t failures = 0;
     TimePoint avoidUntil;
     LoadEstimate load;
--- a/wigeonwalk/standins/engine_standin.cc
+++ b/wigeonwalk/standins/engine_standin.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <iostream>
 #include <utility>
 
 namespace wigeonwalk {
@@ -108,6 +109,7 @@
 EngineStandin::Crash()
 {
   this->crashed = true;
+  std::clog << "engine " << this->settings.id.Text() << " crashed\n";
   this->listener->Close();
   for (HttpConnection* connection : this->connections) {
     connection->Close();
