--- a/wigeonwalk/base/ids.h
+++ b/wigeonwalk/base/ids.h
@@ -8,7 +8,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace wigeonwalk {
@@ -27,6 +29,8 @@
   const std::string& Text() const { return this->text; }
   bool Empty() const { return this->text.empty(); }
 
+  // clang-tidy 14 takes the zero of a rewritten comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Id&) const = default;
 
 private:
@@ -61,6 +65,10 @@
   std::string ToString() const;
 };
 
+// Returns the attempt that ToString printed, or nothing for any other text.
+std::optional<AttemptId>
+ParseAttemptId(std::string_view aText);
+
 } // namespace wigeonwalk
 
 template<typename Tag>
--- a/wigeonwalk/retry/poison_tracker.cc
+++ b/wigeonwalk/retry/poison_tracker.cc
@@ -53,24 +53,24 @@
   return found != this->records.end() && !found->second.deaths.empty();
 }
 
-Admission
+PoisonAdmission
 PoisonTracker::Admit(const Fingerprint& aPrint, TimePoint aNow)
 {
   const auto found = this->records.find(aPrint);
   if (found == this->records.end() || found->second.deaths.empty()) {
-    return Admission::Run;
+    return PoisonAdmission::Run;
   }
   Record& record = found->second;
   const bool refused = IsRefused(record);
   if (aNow - record.lastAt > (refused ? kRefusedMemory : kSuspectMemory)) {
     this->suspects.erase(aPrint);
     this->records.erase(found);
-    return Admission::Run;
+    return PoisonAdmission::Run;
   }
   if (refused) {
-    return Admission::Refuse;
+    return PoisonAdmission::Refuse;
   }
-  return IsSuspected(record) ? Admission::RunAlone : Admission::Run;
+  return IsSuspected(record) ? PoisonAdmission::RunAlone : PoisonAdmission::Run;
 }
 
 std::optional<UpstreamId>
@@ -166,9 +166,10 @@
                                       ? PoisonEvidence::DiedAlone
                                       : PoisonEvidence::DiedShared;
     const bool refusedBefore =
-      this->Admit(run.print, aNow) == Admission::Refuse;
+      this->Admit(run.print, aNow) == PoisonAdmission::Refuse;
     this->Apply({ run.print, death, aNow, evidence }, aNow);
-    if (!refusedBefore && this->Admit(run.print, aNow) == Admission::Refuse) {
+    if (!refusedBefore &&
+        this->Admit(run.print, aNow) == PoisonAdmission::Refuse) {
       refused.push_back(run.print);
     }
   }
--- a/wigeonwalk/retry/poison_tracker.h
+++ b/wigeonwalk/retry/poison_tracker.h
@@ -2,9 +2,9 @@
 //
 //   const Fingerprint print = FingerprintOf(organisation, body);
 //   switch (tracker.Admit(print, now)) {
-//     case Admission::Run: ...
-//     case Admission::RunAlone: upstream = tracker.ChooseAlone(print, live);
-//     case Admission::Refuse: ...
+//     case PoisonAdmission::Run: ...
+//     case PoisonAdmission::RunAlone: upstream = tracker.ChooseAlone(print,
+//     live); case PoisonAdmission::Refuse: ...
 //   }
 //   tracker.Started(upstream, print, RunKind::Shared);
 //   tracker.Succeeded(upstream, print, now);
@@ -44,7 +44,7 @@
 inline constexpr std::size_t kSuspectDeaths = 2;
 
 // How a request may be run.
-enum class Admission
+enum class PoisonAdmission
 {
   Run,
   // It is suspected; run it where nothing else runs.
@@ -53,15 +53,15 @@
 };
 
 template<>
-struct EnumNames<Admission>
+struct EnumNames<PoisonAdmission>
 {
-  static constexpr std::array<EnumName<Admission>, 3> kTable{ {
-    { Admission::Run, "run" },
-    { Admission::RunAlone, "run-alone" },
-    { Admission::Refuse, "refuse" },
+  static constexpr std::array<EnumName<PoisonAdmission>, 3> kTable{ {
+    { PoisonAdmission::Run, "run" },
+    { PoisonAdmission::RunAlone, "run-alone" },
+    { PoisonAdmission::Refuse, "refuse" },
   } };
 };
-static_assert(HasCompleteTable<Admission>());
+static_assert(HasCompleteTable<PoisonAdmission>());
 
 // Whether a run had its upstream to itself.
 enum class RunKind
@@ -134,7 +134,7 @@
   static constexpr std::size_t kMassDeaths = 4;
   static constexpr Duration kMassWindow = std::chrono::seconds(5);
 
-  Admission Admit(const Fingerprint& aPrint, TimePoint aNow);
+  PoisonAdmission Admit(const Fingerprint& aPrint, TimePoint aNow);
 
   // Returns where a suspect runs: of the given upstreams the one with the
   // highest hash, so that all daemons choose the same. The caller waits until
--- a/wigeonwalk/retry/poison_tracker_benchmark.cc
+++ b/wigeonwalk/retry/poison_tracker_benchmark.cc
@@ -158,13 +158,13 @@
   void Send(Request aRequest, TimePoint aGiveUpAt)
   {
     PoisonTracker& tracker = this->trackers[aRequest.daemon];
-    const Admission admission = tracker.Admit(aRequest.print, this->now);
-    if (admission == Admission::Refuse) {
+    const PoisonAdmission admission = tracker.Admit(aRequest.print, this->now);
+    if (admission == PoisonAdmission::Refuse) {
       this->figures.innocentsRefused += aRequest.poison ? 0 : 1;
       return;
     }
     std::vector<UpstreamId> live = this->Live();
-    if (admission == Admission::RunAlone) {
+    if (admission == PoisonAdmission::RunAlone) {
       const std::size_t runner =
         this->IndexOf(*PoisonTracker::ChooseAlone(aRequest.print, live));
       if (!this->runners[runner].running.empty()) {
@@ -307,12 +307,13 @@
   void Watch()
   {
     std::erase_if(this->refusedAt, [&](const auto& aEntry) {
-      const bool everywhere = std::all_of(
-        this->trackers.begin(),
-        this->trackers.end(),
-        [&](PoisonTracker& aTracker) {
-          return aTracker.Admit(aEntry.first, this->now) == Admission::Refuse;
-        });
+      const bool everywhere =
+        std::all_of(this->trackers.begin(),
+                    this->trackers.end(),
+                    [&](PoisonTracker& aTracker) {
+                      return aTracker.Admit(aEntry.first, this->now) ==
+                             PoisonAdmission::Refuse;
+                    });
       if (everywhere) {
         this->figures.slowestSpread = std::max(
           this->figures.slowestSpread, Duration(this->now - aEntry.second));
--- a/wigeonwalk/retry/poison_tracker_test.cc
+++ b/wigeonwalk/retry/poison_tracker_test.cc
@@ -26,7 +26,7 @@
           std::uint64_t aIncarnation,
           TimePoint aNow)
 {
-  const RunKind kind = aTracker.Admit(aPrint, aNow) == Admission::RunAlone
+  const RunKind kind = aTracker.Admit(aPrint, aNow) == PoisonAdmission::RunAlone
                          ? RunKind::Alone
                          : RunKind::Shared;
   aTracker.Started(kRunner, aPrint, kind);
@@ -52,8 +52,8 @@
 
     THEN("both may run elsewhere, apart from each other")
     {
-      CHECK(tracker.Admit(poison, now) == Admission::Run);
-      CHECK(tracker.Admit(innocent, now) == Admission::Run);
+      CHECK(tracker.Admit(poison, now) == PoisonAdmission::Run);
+      CHECK(tracker.Admit(innocent, now) == PoisonAdmission::Run);
       CHECK(tracker.Reserved({ kRunner }, now).empty());
     }
     THEN("after a second death both run alone, but no other's copy does")
@@ -61,10 +61,10 @@
       tracker.Started(kRunner, poison, RunKind::Shared);
       tracker.Started(kRunner, innocent, RunKind::Shared);
       tracker.UpstreamDied(kRunner, 2, now);
-      CHECK(tracker.Admit(poison, now) == Admission::RunAlone);
-      CHECK(tracker.Admit(innocent, now) == Admission::RunAlone);
+      CHECK(tracker.Admit(poison, now) == PoisonAdmission::RunAlone);
+      CHECK(tracker.Admit(innocent, now) == PoisonAdmission::RunAlone);
       CHECK(tracker.Admit(FingerprintOf(OrganisationId("x"), "poison"), now) ==
-            Admission::Run);
+            PoisonAdmission::Run);
     }
     WHEN("the innocent one succeeds")
     {
@@ -73,18 +73,18 @@
       THEN("its earlier death counts no more")
       {
         RunAndDie(tracker, innocent, 5, now + 2s);
-        CHECK(tracker.Admit(innocent, now + 2s) == Admission::Run);
+        CHECK(tracker.Admit(innocent, now + 2s) == PoisonAdmission::Run);
       }
     }
     WHEN("the poison kills two more runners, the second while it is alone")
     {
       RunAndDie(tracker, poison, 2, now + 1min);
-      CHECK(tracker.Admit(poison, now + 1min) == Admission::RunAlone);
+      CHECK(tracker.Admit(poison, now + 1min) == PoisonAdmission::RunAlone);
       RunAndDie(tracker, poison, 3, now + 2min);
       THEN("it is refused here")
       {
-        CHECK(tracker.Admit(poison, now + 2min) == Admission::Refuse);
-        CHECK(tracker.Admit(innocent, now + 2min) == Admission::Run);
+        CHECK(tracker.Admit(poison, now + 2min) == PoisonAdmission::Refuse);
+        CHECK(tracker.Admit(innocent, now + 2min) == PoisonAdmission::Run);
       }
       THEN("it is refused by a daemon that got the notices, in any order")
       {
@@ -95,7 +95,7 @@
           CHECK(other.MergeNotice(notice, now));
           CHECK_FALSE(other.MergeNotice(notice, now));
         }
-        CHECK(other.Admit(poison, now) == Admission::Refuse);
+        CHECK(other.Admit(poison, now) == PoisonAdmission::Refuse);
       }
       THEN("a daemon that missed every push learns it from any later probe")
       {
@@ -108,11 +108,11 @@
         for (const PoisonNotice& notice : tracker.TakeNotices(16)) {
           other.MergeNotice(notice, now);
         }
-        CHECK(other.Admit(poison, now) == Admission::Refuse);
+        CHECK(other.Admit(poison, now) == PoisonAdmission::Refuse);
       }
       THEN("it is forgotten a day later")
       {
-        CHECK(tracker.Admit(poison, now + 25h) == Admission::Run);
+        CHECK(tracker.Admit(poison, now + 25h) == PoisonAdmission::Run);
       }
     }
   }
@@ -124,7 +124,7 @@
     }
     THEN("it is not refused without a death of its own")
     {
-      CHECK(tracker.Admit(innocent, now + 3min) == Admission::RunAlone);
+      CHECK(tracker.Admit(innocent, now + 3min) == PoisonAdmission::RunAlone);
     }
     THEN("a late notice of a death before its success changes nothing")
     {
@@ -132,7 +132,7 @@
       tracker.Succeeded(kRunner, innocent, now + 4min);
       CHECK_FALSE(tracker.MergeNotice(
         { innocent, 99, now + 3min, PoisonEvidence::DiedAlone }, now + 5min));
-      CHECK(tracker.Admit(innocent, now + 5min) == Admission::Run);
+      CHECK(tracker.Admit(innocent, now + 5min) == PoisonAdmission::Run);
     }
   }
   GIVEN("two daemons that saw the same death")
@@ -190,7 +190,7 @@
     THEN("memory is bounded and what is refused stays refused")
     {
       CHECK(tracker.Records() == PoisonTracker::kMaxRecords);
-      CHECK(tracker.Admit(poison, now + 30s) == Admission::Refuse);
+      CHECK(tracker.Admit(poison, now + 30s) == PoisonAdmission::Refuse);
     }
   }
 }
--- /dev/null
+++ b/wigeonwalk/serving/completion_run.h
@@ -0,0 +1,434 @@
+// One completion from admission to its last token, written as one flow: choose
+// a runner, restore cache, open the stream, forward tokens, and on a failure
+// probe, resume, move or settle.
+//
+//   CompletionRun run(parts, request, caller);
+//   co_await run.Serve(sink);
+#pragma once
+
+#include "wigeonwalk/placement/placement.h"
+#include "wigeonwalk/retry/backoff.h"
+#include "wigeonwalk/retry/verdict_rules.h"
+#include "wigeonwalk/serving/stream_forwarder.h"
+
+#include <boost/asio/this_coro.hpp>
+
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Prompts up to this many pieces are hashed on the I/O thread: about 8 µs a
+// piece stays below 100 µs.
+inline constexpr std::size_t kInlinePieces = 12;
+
+// One request. Lives in the caller's coroutine.
+template<typename Parts>
+class CompletionRun
+{
+public:
+  CompletionRun(Parts& aParts,
+                const CompletionRequest& aRequest,
+                const AdmittedCaller& aCaller)
+    : parts(aParts)
+    , state(aRequest, aCaller, aParts.time.Now())
+    , forwarder(aParts, state)
+    , print(FingerprintOf(aCaller.organisation->id, aRequest.prompt))
+  {
+  }
+
+  template<AnswerSink Sink>
+  Task<void> Serve(Sink& aSink)
+  {
+    if (!co_await this->Prepare()) {
+      co_await this->EndWithRefusal(aSink);
+      co_return;
+    }
+    auto slot = co_await this->WaitForTurn();
+    if (!slot) {
+      co_await this->EndWithRefusal(aSink);
+      co_return;
+    }
+    std::uint32_t failures = 0;
+    while (true) {
+      const auto placed = this->PlaceNext();
+      if (!placed) {
+        break;
+      }
+      const AttemptEnd end = co_await this->RunAttempt(*placed, *slot, aSink);
+      if (end != AttemptEnd::Broken) {
+        co_return;
+      }
+      const auto next = this->PlanRetry(*placed, ++failures);
+      if (!next) {
+        break;
+      }
+      co_await this->parts.time.WaitUntil(*next);
+    }
+    co_await this->EndWithRefusal(aSink);
+  }
+
+private:
+  // Marks the request as running on an upstream for the poison tracker.
+  class RunMark
+  {
+  public:
+    RunMark(PoisonTracker& aTracker, UpstreamId aUpstream, Fingerprint aPrint)
+      : tracker(aTracker)
+      , upstream(std::move(aUpstream))
+      , print(aPrint)
+    {
+    }
+    ~RunMark()
+    {
+      if (!this->settled) {
+        this->tracker.Ended(this->upstream, this->print);
+      }
+    }
+    RunMark(const RunMark&) = delete;
+    RunMark& operator=(const RunMark&) = delete;
+    void Settle() { this->settled = true; }
+
+  private:
+    PoisonTracker& tracker;
+    UpstreamId upstream;
+    Fingerprint print;
+    bool settled = false;
+  };
+
+  // Refuses poison, hashes the prompt and looks up what is stored of it.
+  Task<bool> Prepare()
+  {
+    DaemonView& view = this->parts.view;
+    const TimePoint now = this->parts.time.Now();
+    this->admission = view.poison.Admit(this->print, now);
+    if (this->admission == PoisonAdmission::Refuse) {
+      this->Refuse(ReasonCode::Poisoned,
+                   "this request crashed the upstreams that ran it");
+      co_return false;
+    }
+    this->version =
+      view.placer.ChooseVersion(this->state.document, view.random(), now);
+    const PieceScope scope{ this->state.caller.organisation->id,
+                            this->state.document.name,
+                            this->state.document.model.name,
+                            this->version,
+                            AdapterName() };
+    this->salt = ScopeSalt(view.secret, scope);
+    if (this->state.request.prompt.size() <= kInlinePieces * kPieceBytes) {
+      this->chain = PieceChain(this->salt, this->state.request.prompt);
+    } else {
+      const auto hash = [this] {
+        return PieceChain(this->salt, this->state.request.prompt);
+      };
+      this->chain = co_await this->parts.pool.RunOnPool(hash);
+    }
+    this->copies = co_await this->parts.mover.Locate(this->chain);
+    this->Record(EventKind::DirectoryLookedUp,
+                 std::to_string(this->copies.size()) + " of " +
+                   std::to_string(this->chain.size()) + " pieces stored");
+    co_return true;
+  }
+
+  Task<std::optional<QueueGate::Slot>> WaitForTurn()
+  {
+    const double tokens =
+      static_cast<double>(CountTokens(this->state.request.prompt));
+    this->Record(EventKind::RequestQueued, std::string());
+    auto slot = co_await this->parts.view.QueueOf(this->state.document)
+                  .Enter(*this->state.caller.organisation,
+                         tokens,
+                         this->state.deadline,
+                         this->parts.time);
+    this->parts.measures.QueueTime(
+      this->state.scope, this->parts.time.Now() - this->state.arrivedAt);
+    if (!slot) {
+      this->Refuse(ReasonCode::Overloaded,
+                   "the request's time ended in the queue");
+    }
+    co_return slot;
+  }
+
+  std::optional<PlacedRequest> PlaceNext()
+  {
+    DaemonView& view = this->parts.view;
+    const TimePoint now = this->parts.time.Now();
+    PlacementInput input{
+      this->state.document, this->version,
+      this->chain,          CountTokens(this->state.request.prompt),
+      this->copies,         this->excluded,
+      std::nullopt,         view.random()
+    };
+    if (this->admission == PoisonAdmission::RunAlone) {
+      input.only = this->ChooseAlone(now);
+      if (!input.only) {
+        this->Refuse(ReasonCode::Overloaded,
+                     "the request may only run alone and no runner is idle");
+        return std::nullopt;
+      }
+    }
+    LastReason reason;
+    auto placed = view.placer.Place(input, now, reason);
+    if (!placed) {
+      // The reason of an earlier attempt tells the caller more.
+      if (this->state.refusal.reason.code == ReasonCode::None) {
+        this->Refuse(reason.code, reason.detail);
+      }
+      return std::nullopt;
+    }
+    view.explain.Put(this->state.request.caller.request, placed->explanation);
+    this->Record(EventKind::RequestPlaced,
+                 "first token expected in " +
+                   std::to_string(placed->cost.TimeToFirstToken()) + " s",
+                 placed->runner.id);
+    return placed;
+  }
+
+  std::optional<UpstreamId> ChooseAlone(TimePoint aNow) const
+  {
+    std::vector<UpstreamId> idleRunners;
+    for (const RunnerSpec& runner : this->state.document.runners) {
+      const UpstreamTable& upstreams = this->parts.view.upstreams;
+      const bool idle = upstreams.Usable(runner.id, aNow) &&
+                        upstreams.InFlight(runner.id) == 0 &&
+                        upstreams.WaitSeconds(runner.id, aNow) <= 0;
+      if (idle) {
+        idleRunners.push_back(runner.id);
+      }
+    }
+    return PoisonTracker::ChooseAlone(this->print, idleRunners);
+  }
+
+  template<AnswerSink Sink>
+  Task<AttemptEnd> RunAttempt(const PlacedRequest& aPlaced,
+                              QueueGate::Slot& aSlot,
+                              Sink& aSink)
+  {
+    DaemonView& view = this->parts.view;
+    const UpstreamId& runner = aPlaced.runner.id;
+    const auto load = view.upstreams.Begin(runner);
+    const double rate =
+      std::max(this->state.document.model.prefillTokensPerSecond, 1.0);
+    view.upstreams.NoteSent(runner,
+                            static_cast<double>(aPlaced.computedTokens) / rate,
+                            this->parts.time.Now());
+    auto& engine = this->parts.engines.EngineOf(aPlaced.runner);
+    co_await this->RestoreCache(aPlaced, engine);
+
+    const EngineRequest engineRequest = this->NextEngineRequest(runner);
+    view.cache.Tracker().NoteSent(runner, this->chain, this->parts.time.Now());
+    view.poison.Started(runner,
+                        this->print,
+                        this->admission == PoisonAdmission::RunAlone
+                          ? RunKind::Alone
+                          : RunKind::Shared);
+    RunMark mark(view.poison, runner, this->print);
+    this->state.refusal.reason = LastReason();
+    auto stream = co_await engine.Open(
+      engineRequest, this->state.deadline, this->state.refusal.reason);
+    if (!stream) {
+      co_await this->NoteBreak(aPlaced.runner, engine, mark);
+      co_return AttemptEnd::Broken;
+    }
+    this->Record(EventKind::StreamOpened, std::string(), runner);
+    const AttemptEnd end =
+      co_await this->forwarder.Forward(aPlaced, *stream, engine, aSlot, aSink);
+    if (end == AttemptEnd::Broken) {
+      co_await stream->Cancel();
+      co_await this->NoteBreak(aPlaced.runner, engine, mark);
+      co_return end;
+    }
+    if (end == AttemptEnd::CallerGone) {
+      co_return end;
+    }
+    mark.Settle();
+    view.poison.Succeeded(runner, this->print, this->parts.time.Now());
+    this->NoteAnswered(aPlaced.runner);
+    // The caller may close its connection with the last byte, which cancels
+    // this coroutine, so the export starts before.
+    const auto executor = co_await boost::asio::this_coro::executor;
+    this->parts.keeper.Start(
+      executor, this->state.caller, aPlaced.runner, this->chain);
+    co_await aSink.Finish(this->state.summary);
+    co_return end;
+  }
+
+  template<typename Engine>
+  Task<void> RestoreCache(const PlacedRequest& aPlaced, Engine& aEngine)
+  {
+    if (aPlaced.restore.empty()) {
+      co_return;
+    }
+    this->Record(EventKind::RestoreStarted,
+                 std::to_string(aPlaced.restore.size()) + " pieces",
+                 aPlaced.runner.id);
+    const std::size_t restored =
+      co_await this->parts.mover.Restore(this->state.document,
+                                         this->state.caller.organisation->id,
+                                         aPlaced.restore,
+                                         aEngine);
+    this->Record(EventKind::RestoreFinished,
+                 std::to_string(restored) + " pieces",
+                 aPlaced.runner.id);
+  }
+
+  // The next attempt: the first one, one that goes on at the next token on the
+  // engine that ran the broken one, or a rerun.
+  EngineRequest NextEngineRequest(const UpstreamId& aRunner)
+  {
+    EngineRequest next = MakeEngineRequest(this->state.request,
+                                           this->state.caller,
+                                           this->parts.view.attempts.Next());
+    next.version = this->version;
+    next.cacheSalt = this->salt.ToHex();
+    next.pieces = this->chain;
+    if (!this->state.resume) {
+      this->state.resume.emplace(next.attempt, IsDeterministic(next));
+    } else if (this->state.resume->NextIndex() > 0 &&
+               aRunner == this->state.lastRunner) {
+      next.resumeAt = this->state.resume->NextIndex();
+      next.resumes = this->state.resume->Attempt();
+      this->state.resume->StartResumed(next.attempt);
+      this->Record(EventKind::StreamResumed,
+                   "at token " + std::to_string(next.resumeAt),
+                   aRunner);
+    } else {
+      this->state.resume->StartRerun(next.attempt);
+    }
+    this->state.lastRunner = aRunner;
+    return next;
+  }
+
+  // Finds out whether a broken attempt's upstream died, and blames what ran
+  // there if it did.
+  template<typename Engine>
+  Task<void> NoteBreak(const RunnerSpec& aRunner,
+                       Engine& aEngine,
+                       RunMark& aMark)
+  {
+    DaemonView& view = this->parts.view;
+    this->state.refusal.verdict =
+      this->state.resume->VerdictOnFailure(this->state.refusal.reason.code);
+    this->Record(EventKind::StreamBroken,
+                 std::string(NameOf(this->state.refusal.reason.code)),
+                 aRunner.id);
+    const std::uint64_t incarnation = view.upstreams.Incarnation(aRunner.id);
+    const bool lost =
+      this->state.refusal.reason.code == ReasonCode::ConnectionLostAfterWrite;
+    if (lost && !this->state.keepRunner) {
+      const ProbeResult probe =
+        co_await this->forwarder.Probe(aRunner, aEngine);
+      if (probe == ProbeResult::Refused || probe == ProbeResult::Restarted) {
+        aMark.Settle();
+        view.poison.UpstreamDied(
+          aRunner.id, incarnation, this->parts.time.Now());
+        view.cache.Tracker().Forget(aRunner.id);
+        this->Record(EventKind::UpstreamLost, std::string(), aRunner.id);
+      }
+    }
+    if (!this->state.keepRunner) {
+      view.upstreams.NoteFailure(aRunner.id, this->parts.time.Now());
+    }
+  }
+
+  // Returns when the next attempt starts, or nothing where none may follow.
+  std::optional<TimePoint> PlanRetry(const PlacedRequest& aPlaced,
+                                     std::uint32_t aFailures)
+  {
+    DaemonView& view = this->parts.view;
+    const TimePoint now = this->parts.time.Now();
+    const bool keep = std::exchange(this->state.keepRunner, false);
+    if (!IsTransient(this->state.refusal.reason.code) ||
+        this->state.resume->PlanAfterBreak(keep) == ResumePlan::Fail ||
+        !view.budget.TrySpend(this->state.caller.organisation->id,
+                              this->state.document.name,
+                              now)) {
+      return std::nullopt;
+    }
+    if (!keep) {
+      this->excluded.insert(aPlaced.runner.id);
+    }
+    // A death may have made this request a suspect.
+    this->admission = view.poison.Admit(this->print, now);
+    if (this->admission == PoisonAdmission::Refuse) {
+      this->Refuse(ReasonCode::Poisoned,
+                   "this request crashed the upstreams that ran it");
+      return std::nullopt;
+    }
+    const auto next = NextAttemptAt(
+      BackoffSettings(), aFailures, now, this->state.deadline, view.random);
+    if (next) {
+      this->parts.measures.Retried(this->state.scope);
+      this->Record(EventKind::RequestRetried, std::string());
+    }
+    return next;
+  }
+
+  void NoteAnswered(const RunnerSpec& aRunner)
+  {
+    DaemonView& view = this->parts.view;
+    this->state.summary.completionTokens = this->state.resume->NextIndex();
+    this->state.summary.upstream = aRunner.id;
+    view.upstreams.NoteSuccess(aRunner.id);
+    view.budget.RecordSuccess(this->state.caller.organisation->id,
+                              this->state.document.name,
+                              this->parts.time.Now());
+    const std::uint64_t served = std::min<std::uint64_t>(
+      this->copies.size() * std::uint64_t{ kPieceTokens },
+      this->state.summary.promptTokens);
+    const std::uint64_t cached = this->state.summary.cachedTokens;
+    this->parts.measures.Prompt(this->state.scope,
+                                this->state.summary.promptTokens,
+                                served > cached ? served - cached : 0);
+    this->parts.measures.Ended(this->state.scope, Verdict::Ran);
+    this->Record(EventKind::RequestFinished,
+                 std::to_string(this->state.summary.cachedTokens) + " of " +
+                   std::to_string(this->state.summary.promptTokens) +
+                   " prompt tokens cached",
+                 aRunner.id);
+  }
+
+  template<AnswerSink Sink>
+  Task<void> EndWithRefusal(Sink& aSink)
+  {
+    this->parts.measures.Ended(this->state.scope, this->state.refusal.verdict);
+    this->parts.events.Record(
+      { EventKind::RequestRefused,
+        this->parts.time.Now(),
+        this->state.request.caller.request,
+        this->state.refusal.reason.place,
+        this->state.refusal.verdict,
+        std::string(NameOf(this->state.refusal.reason.code)) });
+    co_await aSink.Fail(this->state.refusal);
+  }
+
+  // Sets a refusal for a cause that is no failed attempt. The verdict on an
+  // earlier attempt stays.
+  void Refuse(ReasonCode aCode, std::string aDetail)
+  {
+    Fail(this->state.refusal.reason, aCode, std::move(aDetail));
+  }
+
+  void Record(EventKind aKind,
+              std::string aDetail,
+              const UpstreamId& aSubject = UpstreamId())
+  {
+    RecordStep(this->parts, this->state, aKind, std::move(aDetail), aSubject);
+  }
+
+  Parts& parts;
+  RequestState state;
+  StreamForwarder<Parts> forwarder;
+  Fingerprint print;
+  PoisonAdmission admission = PoisonAdmission::Run;
+  WeightVersion version;
+  PieceKey salt;
+  std::vector<PieceKey> chain;
+  std::vector<std::vector<PieceCopy>> copies;
+  std::unordered_set<UpstreamId> excluded;
+};
+
+} // namespace wigeonwalk
