platform: split the handle and the types from the client

Change: KeyValueHandle, the settings and the counts are headers of their own; nothing else changes. Conclusion: the platform tests pass as before; the fleet scenario (83 s) ran before the split and was not run again after it.

--- a/wigeonwalk/platform/key_value_client.h
+++ b/wigeonwalk/platform/key_value_client.h
@@ -11,6 +11,8 @@
 
 #include "wigeonwalk/platform/backoff_gate.h"
 #include "wigeonwalk/platform/call_budget.h"
+#include "wigeonwalk/platform/key_value_client_types.h"
+#include "wigeonwalk/platform/key_value_handle.h"
 #include "wigeonwalk/platform/key_value_user.h"
 #include "wigeonwalk/platform/read_back.h"
 #include "wigeonwalk/ports/clock.h"
@@ -30,43 +32,6 @@
 
 namespace wigeonwalk {
 
-// What a client is made with.
-struct KeyValueClientSettings
-{
-  // Differs between daemons, so that their backoffs differ.
-  std::uint64_t seed = 0;
-  BudgetRate budget{ 10, 20 };
-  // Longest time that one attempt waits for its answer.
-  Duration attemptTimeout = std::chrono::seconds(1);
-  // Time after which a read is sent a second time. The service answers in
-  // milliseconds, so few reads are.
-  Duration hedgeAfter = std::chrono::milliseconds(50);
-  // Longest time of one watch call, so that a connection that went silent
-  // hides a change for no longer than this.
-  Duration watchPeriod = std::chrono::seconds(3);
-  // How often a watch without changes is compared with a listing, for a service
-  // that accepts watches but reports nothing.
-  Duration watchCheck = std::chrono::seconds(30);
-};
-
-// Counts of one client since its start.
-struct KeyValueClientCounts
-{
-  // Calls sent, by user.
-  std::array<std::uint64_t, kKeyValueUsers> sent{};
-  // Calls not sent because the service does not answer.
-  std::uint64_t heldBack = 0;
-  // Calls not sent because the budget gave nothing before their deadline.
-  std::uint64_t overBudget = 0;
-  std::uint64_t hedges = 0;
-  std::uint64_t readBacks = 0;
-  // Changes that a listing found and the watch had not reported.
-  std::uint64_t missedByWatch = 0;
-};
-
-template<typename Client>
-class KeyValueHandle;
-
 // See the top of the file. Calls of one daemon run on its I/O thread.
 template<KeyValueService S, Timer T>
 class KeyValueClient
@@ -435,24 +400,6 @@
     aBatch.nextRevision = next;
   }
 
-  // Counts one waiting watch. It shares the count, because a cancelled
-  // coroutine can end after the client.
-  class PendingWatch
-  {
-  public:
-    explicit PendingWatch(std::shared_ptr<std::uint32_t> aCount)
-      : count(std::move(aCount))
-    {
-      ++*this->count;
-    }
-    PendingWatch(const PendingWatch&) = delete;
-    PendingWatch& operator=(const PendingWatch&) = delete;
-    ~PendingWatch() { --*this->count; }
-
-  private:
-    std::shared_ptr<std::uint32_t> count;
-  };
-
   S& service;
   T& timer;
   KeyValueClientSettings settings;
@@ -463,75 +410,4 @@
     std::make_shared<std::uint32_t>(0);
 };
 
-// The key-value service as one user sees it; see KeyValueClient.
-template<typename Client>
-class KeyValueHandle
-{
-public:
-  KeyValueHandle(Client& aClient, KeyValueUser aUser)
-    : client(&aClient)
-    , user(aUser)
-  {
-  }
-
-  Task<std::optional<ReadResult>> Get(std::string aKey,
-                                      TimePoint aDeadline,
-                                      LastReason& aReason)
-  {
-    return this->client->Get(this->user, std::move(aKey), aDeadline, aReason);
-  }
-
-  Task<std::optional<std::vector<KeyValueEntry>>> List(std::string aPrefix,
-                                                       TimePoint aDeadline,
-                                                       LastReason& aReason)
-  {
-    return this->client->List(
-      this->user, std::move(aPrefix), aDeadline, aReason);
-  }
-
-  Task<WriteResult> Put(PutRequest aPut,
-                        TimePoint aDeadline,
-                        LastReason& aReason)
-  {
-    return this->client->Put(this->user, std::move(aPut), aDeadline, aReason);
-  }
-
-  Task<WriteResult> Delete(std::string aKey,
-                           std::optional<std::int64_t> aExpectedRevision,
-                           TimePoint aDeadline,
-                           LastReason& aReason)
-  {
-    return this->client->Delete(
-      this->user, std::move(aKey), aExpectedRevision, aDeadline, aReason);
-  }
-
-  Task<std::optional<LeaseId>> GrantLease(Duration aTimeToLive,
-                                          TimePoint aDeadline,
-                                          LastReason& aReason)
-  {
-    return this->client->GrantLease(
-      this->user, aTimeToLive, aDeadline, aReason);
-  }
-
-  Task<std::optional<Duration>> KeepAlive(LeaseId aLease,
-                                          TimePoint aDeadline,
-                                          LastReason& aReason)
-  {
-    return this->client->KeepAlive(this->user, aLease, aDeadline, aReason);
-  }
-
-  Task<std::optional<WatchBatch>> Watch(std::string aPrefix,
-                                        std::int64_t aRevision,
-                                        TimePoint aDeadline,
-                                        LastReason& aReason)
-  {
-    return this->client->Watch(
-      this->user, std::move(aPrefix), aRevision, aDeadline, aReason);
-  }
-
-private:
-  Client* client;
-  KeyValueUser user;
-};
-
 } // namespace wigeonwalk
