metrics, ctl: name metrics without repeating their unit

A scrape of a running daemon showed wigeonwalk_key_value_calls_calls_total. The remedy for an unknown request now names the timeline.

--- a/wigeonwalk/adapters/ctl/internal/ctl_context.cc
+++ b/wigeonwalk/adapters/ctl/internal/ctl_context.cc
@@ -24,7 +24,8 @@
              "edit the document in force and apply it with its revision as "
              "--base";
     case ReasonCode::NotFound:
-      return "check the name; 'doc status' lists the services";
+      return "check the name and --daemon; 'doc status' lists services, "
+             "'timeline' requests";
     case ReasonCode::Unavailable:
       return "the key-value service or the file is unavailable; try again "
              "later";
--- a/wigeonwalk/adapters/metrics/metrics_test.cc
+++ b/wigeonwalk/adapters/metrics/metrics_test.cc
@@ -61,10 +61,10 @@
             "# TYPE wigeonwalk_verdicts_requests_total counter\n"
             "wigeonwalk_verdicts_requests_total{service=\"order\","
             "organisation=\"o\\\"1\\n\",verdict=\"not-run\"} 3\n"
-            "# HELP wigeonwalk_members_alive_members Daemons that are alive in "
+            "# HELP wigeonwalk_alive_members Daemons that are alive in "
             "this daemon's view.\n"
-            "# TYPE wigeonwalk_members_alive_members gauge\n"
-            "wigeonwalk_members_alive_members 5\n");
+            "# TYPE wigeonwalk_alive_members gauge\n"
+            "wigeonwalk_alive_members 5\n");
     }
   }
   GIVEN("values at the edges of a histogram")
