--- a/wigeonwalk/claims/claim_answer.h
+++ b/wigeonwalk/claims/claim_answer.h
@@ -58,13 +58,14 @@
 // because it never goes upstream; it says nothing about an earlier call with
 // the same key, so a caller repeats a call with the same key and never with a
 // new one. Duplicate stands for the earlier call: MayHaveRun until its outcome
-// is known.
+// is known. KeyTooOld stands for the earlier call as well: its claim may be
+// forgotten, so nobody can say any more that it did not run.
 inline constexpr std::array<ClaimAnswerRule, 7> kClaimAnswerRules{ {
   { ClaimAnswer::Granted, ReasonCode::None, Verdict::NotRun },
   { ClaimAnswer::Duplicate, ReasonCode::ClaimUnknown, Verdict::MayHaveRun },
   { ClaimAnswer::OtherBody, ReasonCode::Conflict, Verdict::NotRun },
   { ClaimAnswer::MissingKey, ReasonCode::InvalidArgument, Verdict::NotRun },
-  { ClaimAnswer::KeyTooOld, ReasonCode::Expired, Verdict::NotRun },
+  { ClaimAnswer::KeyTooOld, ReasonCode::Expired, Verdict::MayHaveRun },
   { ClaimAnswer::KeyTooNew, ReasonCode::InvalidArgument, Verdict::NotRun },
   { ClaimAnswer::Unavailable, ReasonCode::Unavailable, Verdict::NotRun },
 } };
--- a/wigeonwalk/serving/cache_keeper.h
+++ b/wigeonwalk/serving/cache_keeper.h
@@ -58,11 +58,8 @@
     const OrganisationId& organisation = aCaller.organisation->id;
     const double chance = this->returns.ChanceWithin(
       document.name, organisation, Duration(0), kHorizon);
-    co_await this->mover.Export(document,
-                                organisation,
-                                std::move(aChain),
-                                chance,
-                                this->engines.EngineOf(aRunner));
+    auto& engine = this->engines.EngineOf(aRunner);
+    co_await this->mover.Export(document, organisation, aChain, chance, engine);
   }
 
   Mover& mover;
--- a/wigeonwalk/serving/completion_run.h
+++ b/wigeonwalk/serving/completion_run.h
@@ -141,8 +141,11 @@
 
   Task<std::optional<QueueGate::Slot>> WaitForTurn()
   {
-    const double tokens =
-      static_cast<double>(CountTokens(this->state.request.prompt));
+    // Stored pieces are restored and cost the runner no prefill.
+    const std::uint64_t all = CountTokens(this->state.request.prompt);
+    const std::uint64_t stored = std::min<std::uint64_t>(
+      this->copies.size() * std::uint64_t{ kPieceTokens }, all);
+    const double tokens = std::max(1.0, static_cast<double>(all - stored));
     this->Record(EventKind::RequestQueued, std::string());
     auto slot = co_await this->parts.view.QueueOf(this->state.document)
                   .Enter(*this->state.caller.organisation,
@@ -245,7 +248,9 @@
     auto& engine = this->parts.engines.EngineOf(aPlaced.runner);
     co_await this->RestoreCache(aPlaced, engine);
 
-    const EngineRequest engineRequest = this->NextEngineRequest(runner);
+    EngineRequest engineRequest = this->NextEngineRequest(runner);
+    engineRequest.requestClass = EngineClass(
+      engineRequest.requestClass, static_cast<double>(aPlaced.computedTokens));
     view.cache.Tracker().NoteSent(runner, this->chain, this->parts.time.Now());
     view.poison.Started(runner,
                         this->print,
