serving, standins, adapters: remove logic that stood twice

Change: adapters/msgpack, standins/accept_loop, serving/prepared_prompt and serving/run_mark. Engines are polled by the number of all engines, with state and events in every fourth round, so that polls stay within their part of 22 KB/s: before, the interval followed one service's runners only.

--- a/experiments/returning_prompts/deployment.cc
+++ b/experiments/returning_prompts/deployment.cc
@@ -44,7 +44,7 @@
   return deployment;
 }
 
-// Long consultations read a lace archive first; quick questions run beside
+// Long consultations read a large archive first; quick questions run beside
 // them.
 Deployment
 MakeSchleierpfad()
--- a/wigeonwalk/adapters/directory/directory_msgpack.cc
+++ b/wigeonwalk/adapters/directory/directory_msgpack.cc
@@ -1,6 +1,6 @@
 #include "wigeonwalk/adapters/directory/directory_msgpack.h"
 
-#include <nlohmann/json.hpp>
+#include "wigeonwalk/adapters/msgpack/msgpack.h"
 
 #include <stdexcept>
 
@@ -10,27 +10,6 @@
 
 namespace {
 
-std::string
-Pack(const Json& aJson)
-{
-  std::string bytes;
-  Json::to_msgpack(aJson, bytes);
-  return bytes;
-}
-
-// Decodes with a function that may throw for a missing or wrong element.
-template<typename Decode>
-auto
-Unpack(const std::string& aPayload, Decode aDecode)
-  -> std::optional<decltype(aDecode(Json()))>
-{
-  try {
-    return aDecode(Json::from_msgpack(aPayload));
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-}
-
 Json
 HashToJson(const Hash128& aHash)
 {
@@ -112,13 +91,13 @@
   for (const PieceKey& key : aChain) {
     list.push_back(HashToJson(key));
   }
-  return Pack(list);
+  return PackMessage(list);
 }
 
 std::optional<std::vector<PieceKey>>
 DirectoryMsgpack::DecodeChain(const std::string& aPayload) const
 {
-  return Unpack(aPayload, [](const Json& aJson) {
+  return UnpackMessage(aPayload, [](const Json& aJson) {
     CheckSize(aJson);
     std::vector<PieceKey> chain;
     for (const Json& key : aJson) {
@@ -139,13 +118,13 @@
     }
     list.push_back(std::move(row));
   }
-  return Pack(list);
+  return PackMessage(list);
 }
 
 std::optional<ChainCopies>
 DirectoryMsgpack::DecodeCopies(const std::string& aPayload) const
 {
-  return Unpack(aPayload, [](const Json& aJson) {
+  return UnpackMessage(aPayload, [](const Json& aJson) {
     CheckSize(aJson);
     ChainCopies chain;
     for (const Json& row : aJson) {
@@ -162,14 +141,14 @@
 std::string
 DirectoryMsgpack::EncodeUpdate(const DirectoryUpdate& aUpdate) const
 {
-  return Pack(Json::array(
+  return PackMessage(Json::array(
     { PiecesToJson(aUpdate.added), PiecesToJson(aUpdate.removed) }));
 }
 
 std::optional<DirectoryUpdate>
 DirectoryMsgpack::DecodeUpdate(const std::string& aPayload) const
 {
-  return Unpack(aPayload, [](const Json& aJson) {
+  return UnpackMessage(aPayload, [](const Json& aJson) {
     return DirectoryUpdate{ PiecesFromJson(aJson.at(0)),
                             PiecesFromJson(aJson.at(1)) };
   });
--- a/wigeonwalk/adapters/limits/limit_msgpack.cc
+++ b/wigeonwalk/adapters/limits/limit_msgpack.cc
@@ -1,6 +1,6 @@
 #include "wigeonwalk/adapters/limits/limit_msgpack.h"
 
-#include <nlohmann/json.hpp>
+#include "wigeonwalk/adapters/msgpack/msgpack.h"
 
 #include <cmath>
 #include <stdexcept>
@@ -11,26 +11,6 @@
 
 namespace {
 
-std::string
-Pack(const Json& aJson)
-{
-  std::string bytes;
-  Json::to_msgpack(aJson, bytes);
-  return bytes;
-}
-
-template<typename Decode>
-auto
-Unpack(const std::string& aPayload, Decode aDecode)
-  -> std::optional<decltype(aDecode(Json()))>
-{
-  try {
-    return aDecode(Json::from_msgpack(aPayload));
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-}
-
 Json
 AmountsToJson(const LimitAmounts& aAmounts)
 {
@@ -62,17 +42,17 @@
 std::string
 LimitMsgpack::EncodeReport(const DemandReport& aReport) const
 {
-  return Pack(Json::array({ aReport.key.organisation.Text(),
-                            aReport.key.service.Text(),
-                            aReport.host.Text(),
-                            AmountsToJson(aReport.demand),
-                            AmountsToJson(aReport.held) }));
+  return PackMessage(Json::array({ aReport.key.organisation.Text(),
+                                   aReport.key.service.Text(),
+                                   aReport.host.Text(),
+                                   AmountsToJson(aReport.demand),
+                                   AmountsToJson(aReport.held) }));
 }
 
 std::optional<DemandReport>
 LimitMsgpack::DecodeReport(const std::string& aPayload) const
 {
-  return Unpack(aPayload, [](const Json& aJson) {
+  return UnpackMessage(aPayload, [](const Json& aJson) {
     return DemandReport{ KeyFromJson(aJson.at(0), aJson.at(1)),
                          HostId(aJson.at(2).get<std::string>()),
                          AmountsFromJson(aJson.at(3)),
@@ -83,16 +63,16 @@
 std::string
 LimitMsgpack::EncodeAllotment(const Allotment& aAllotment) const
 {
-  return Pack(Json::array({ aAllotment.key.organisation.Text(),
-                            aAllotment.key.service.Text(),
-                            AmountsToJson(aAllotment.amounts),
-                            aAllotment.validFor.count() }));
+  return PackMessage(Json::array({ aAllotment.key.organisation.Text(),
+                                   aAllotment.key.service.Text(),
+                                   AmountsToJson(aAllotment.amounts),
+                                   aAllotment.validFor.count() }));
 }
 
 std::optional<Allotment>
 LimitMsgpack::DecodeAllotment(const std::string& aPayload) const
 {
-  return Unpack(aPayload, [](const Json& aJson) {
+  return UnpackMessage(aPayload, [](const Json& aJson) {
     return Allotment{ KeyFromJson(aJson.at(0), aJson.at(1)),
                       AmountsFromJson(aJson.at(2)),
                       Duration(aJson.at(3).get<std::int64_t>()) };
--- /dev/null
+++ b/wigeonwalk/adapters/msgpack/msgpack.h
@@ -0,0 +1,39 @@
+// Packing and unpacking of the small messages between daemons.
+//
+//   std::string payload = PackMessage(nlohmann::json::array({ 1, "a" }));
+//   auto number = UnpackMessage(payload, [](const nlohmann::json& aJson) {
+//     return aJson.at(0).get<int>();
+//   });
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <exception>
+#include <optional>
+#include <string>
+
+namespace wigeonwalk {
+
+inline std::string
+PackMessage(const nlohmann::json& aJson)
+{
+  std::string bytes;
+  nlohmann::json::to_msgpack(aJson, bytes);
+  return bytes;
+}
+
+// Decodes with a function that may throw for a missing or wrong element, and
+// returns nothing where it does.
+template<typename Decode>
+auto
+UnpackMessage(const std::string& aPayload, Decode aDecode)
+  -> std::optional<decltype(aDecode(nlohmann::json()))>
+{
+  try {
+    return aDecode(nlohmann::json::from_msgpack(aPayload));
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/serving/completion_run.h
+++ b/wigeonwalk/serving/completion_run.h
@@ -9,6 +9,8 @@
 #include "wigeonwalk/placement/placement.h"
 #include "wigeonwalk/retry/backoff.h"
 #include "wigeonwalk/retry/verdict_rules.h"
+#include "wigeonwalk/serving/prepared_prompt.h"
+#include "wigeonwalk/serving/run_mark.h"
 #include "wigeonwalk/serving/stream_forwarder.h"
 
 #include <boost/asio/this_coro.hpp>
@@ -21,10 +23,6 @@
 
 namespace wigeonwalk {
 
-// Prompts up to this many pieces are hashed on the I/O thread: about 8 µs a
-// piece stays below 100 µs.
-inline constexpr std::size_t kInlinePieces = 12;
-
 // How often a suspect looks whether its runner is idle.
 inline constexpr Duration kIdleCheck = std::chrono::milliseconds(50);
 
@@ -78,64 +76,17 @@
   }
 
 private:
-  // Marks the request as running on an upstream for the poison tracker.
-  class RunMark
-  {
-  public:
-    RunMark(PoisonTracker& aTracker, UpstreamId aUpstream, Fingerprint aPrint)
-      : tracker(aTracker)
-      , upstream(std::move(aUpstream))
-      , print(aPrint)
-    {
-    }
-    ~RunMark()
-    {
-      if (!this->settled) {
-        this->tracker.Ended(this->upstream, this->print);
-      }
-    }
-    RunMark(const RunMark&) = delete;
-    RunMark& operator=(const RunMark&) = delete;
-    void Settle() { this->settled = true; }
-
-  private:
-    PoisonTracker& tracker;
-    UpstreamId upstream;
-    Fingerprint print;
-    bool settled = false;
-  };
-
-  // Refuses poison, hashes the prompt and looks up what is stored of it.
+  // Refuses poison, and prepares the prompt.
   Task<bool> Prepare()
   {
-    DaemonView& view = this->parts.view;
     const TimePoint now = this->parts.time.Now();
-    this->admission = view.poison.Admit(this->print, now);
+    this->admission = this->parts.view.poison.Admit(this->print, now);
     if (this->admission == PoisonAdmission::Refuse) {
       this->Refuse(ReasonCode::Poisoned,
                    "this request crashed the upstreams that ran it");
       co_return false;
     }
-    this->version =
-      view.placer.ChooseVersion(this->state.document, view.random(), now);
-    const PieceScope scope{ this->state.caller.organisation->id,
-                            this->state.document.name,
-                            this->state.document.model.name,
-                            this->version,
-                            AdapterName() };
-    this->salt = ScopeSalt(view.secret, scope);
-    if (this->state.request.prompt.size() <= kInlinePieces * kPieceBytes) {
-      this->chain = PieceChain(this->salt, this->state.request.prompt);
-    } else {
-      const auto hash = [this] {
-        return PieceChain(this->salt, this->state.request.prompt);
-      };
-      this->chain = co_await this->parts.pool.RunOnPool(hash);
-    }
-    this->copies = co_await this->parts.mover.Locate(this->chain);
-    this->Record(EventKind::DirectoryLookedUp,
-                 std::to_string(this->copies.size()) + " of " +
-                   std::to_string(this->chain.size()) + " pieces stored");
+    this->prompt = co_await PreparePrompt(this->parts, this->state);
     co_return true;
   }
 
@@ -143,8 +94,7 @@
   {
     // Stored pieces are restored and cost the runner no prefill.
     const std::uint64_t all = CountTokens(this->state.request.prompt);
-    const std::uint64_t stored = std::min<std::uint64_t>(
-      this->copies.size() * std::uint64_t{ kPieceTokens }, all);
+    const std::uint64_t stored = this->prompt.StoredTokens(all);
     const double tokens = std::max(1.0, static_cast<double>(all - stored));
     this->Record(EventKind::RequestQueued, std::string());
     auto slot = co_await this->parts.view.QueueOf(this->state.document)
@@ -169,9 +119,9 @@
       this->admission == PoisonAdmission::RunAlone ? this->excluded
                                                    : this->Avoided(now);
     PlacementInput input{
-      this->state.document, this->version,
-      this->chain,          CountTokens(this->state.request.prompt),
-      this->copies,         avoided,
+      this->state.document, this->prompt.version,
+      this->prompt.chain,   CountTokens(this->state.request.prompt),
+      this->prompt.copies,  avoided,
       std::nullopt,         view.random()
     };
     if (this->admission == PoisonAdmission::RunAlone) {
@@ -251,7 +201,8 @@
     EngineRequest engineRequest = this->NextEngineRequest(runner);
     engineRequest.requestClass = EngineClass(
       engineRequest.requestClass, static_cast<double>(aPlaced.computedTokens));
-    view.cache.Tracker().NoteSent(runner, this->chain, this->parts.time.Now());
+    view.cache.Tracker().NoteSent(
+      runner, this->prompt.chain, this->parts.time.Now());
     view.poison.Started(runner,
                         this->print,
                         this->admission == PoisonAdmission::RunAlone
@@ -283,7 +234,7 @@
     // this coroutine, so the export starts before.
     const auto executor = co_await boost::asio::this_coro::executor;
     this->parts.keeper.Start(
-      executor, this->state.caller, aPlaced.runner, this->chain);
+      executor, this->state.caller, aPlaced.runner, this->prompt.chain);
     co_await aSink.Finish(this->state.summary);
     co_return end;
   }
@@ -314,9 +265,9 @@
     EngineRequest next = MakeEngineRequest(this->state.request,
                                            this->state.caller,
                                            this->parts.view.attempts.Next());
-    next.version = this->version;
-    next.cacheSalt = this->salt.ToHex();
-    next.pieces = this->chain;
+    next.version = this->prompt.version;
+    next.cacheSalt = this->prompt.salt.ToHex();
+    next.pieces = this->prompt.chain;
     if (!this->state.resume) {
       this->state.resume.emplace(next.attempt, IsDeterministic(next));
     } else if (this->state.resume->NextIndex() > 0 &&
@@ -421,9 +372,8 @@
     view.budget.RecordSuccess(this->state.caller.organisation->id,
                               this->state.document.name,
                               this->parts.time.Now());
-    const std::uint64_t served = std::min<std::uint64_t>(
-      this->copies.size() * std::uint64_t{ kPieceTokens },
-      this->state.summary.promptTokens);
+    const std::uint64_t served =
+      this->prompt.StoredTokens(this->state.summary.promptTokens);
     const std::uint64_t cached = this->state.summary.cachedTokens;
     this->parts.measures.Prompt(this->state.scope,
                                 this->state.summary.promptTokens,
@@ -469,10 +419,7 @@
   StreamForwarder<Parts> forwarder;
   Fingerprint print;
   PoisonAdmission admission = PoisonAdmission::Run;
-  WeightVersion version;
-  PieceKey salt;
-  std::vector<PieceKey> chain;
-  std::vector<std::vector<PieceCopy>> copies;
+  PreparedPrompt prompt;
   std::unordered_set<UpstreamId> excluded;
 };
 
--- a/wigeonwalk/serving/engine_provider.h
+++ b/wigeonwalk/serving/engine_provider.h
@@ -11,6 +11,7 @@
 
 #include <concepts>
 #include <memory>
+#include <vector>
 
 namespace wigeonwalk {
 
--- /dev/null
+++ b/wigeonwalk/serving/prepared_prompt.h
@@ -0,0 +1,71 @@
+// A prompt with everything that placement needs to know of it: its weight
+// version, the keys of its pieces and the stored copies.
+//
+//   PreparedPrompt prompt = co_await PreparePrompt(parts, state);
+#pragma once
+
+#include "wigeonwalk/cache/piece_key.h"
+#include "wigeonwalk/serving/directory_service.h"
+#include "wigeonwalk/serving/stream_forwarder.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Prompts up to this many pieces are hashed on the I/O thread: about 8 µs a
+// piece stays below 100 µs.
+inline constexpr std::size_t kInlinePieces = 12;
+
+// One prompt of one request.
+struct PreparedPrompt
+{
+  WeightVersion version;
+  PieceKey salt;
+  std::vector<PieceKey> chain;
+  ChainCopies copies;
+
+  // Tokens of a prompt that store hosts hold.
+  std::uint64_t StoredTokens(std::uint64_t aPromptTokens) const
+  {
+    return std::min<std::uint64_t>(
+      this->copies.size() * std::uint64_t{ kPieceTokens }, aPromptTokens);
+  }
+};
+
+// Chooses the weight version, hashes the prompt and looks up what is stored.
+template<typename Parts>
+Task<PreparedPrompt>
+PreparePrompt(Parts& aParts, const RequestState& aState)
+{
+  DaemonView& view = aParts.view;
+  const std::string& text = aState.request.prompt;
+  PreparedPrompt prompt;
+  prompt.version = view.placer.ChooseVersion(
+    aState.document, view.random(), aParts.time.Now());
+  const PieceScope scope{ aState.caller.organisation->id,
+                          aState.document.name,
+                          aState.document.model.name,
+                          prompt.version,
+                          AdapterName() };
+  prompt.salt = ScopeSalt(view.secret, scope);
+  if (text.size() <= kInlinePieces * kPieceBytes) {
+    prompt.chain = PieceChain(prompt.salt, text);
+  } else {
+    const auto hash = [&prompt, &text] {
+      return PieceChain(prompt.salt, text);
+    };
+    prompt.chain = co_await aParts.pool.RunOnPool(hash);
+  }
+  prompt.copies = co_await aParts.mover.Locate(prompt.chain);
+  RecordStep(aParts,
+             aState,
+             EventKind::DirectoryLookedUp,
+             std::to_string(prompt.copies.size()) + " of " +
+               std::to_string(prompt.chain.size()) + " pieces stored");
+  co_return prompt;
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/serving/upstream_observer.h
+++ b/wigeonwalk/serving/upstream_observer.h
@@ -12,11 +12,13 @@
 
 namespace wigeonwalk {
 
-// Bytes that one round of polls of one engine takes, as measured with the
-// stand-ins, and the part of a daemon's 22 KB/s of control traffic that polls
-// may use.
-inline constexpr double kPollBytes = 900;
+// Bytes that one round of polls of one engine takes on average, as measured
+// with the stand-ins: 320 for the load, and 540 for state and events in every
+// kRoundsForDetail-th round. Polls may use a part of a daemon's 22 KB/s of
+// control traffic.
+inline constexpr double kPollBytes = 460;
 inline constexpr double kPollBytesPerSecond = 10'000;
+inline constexpr std::uint64_t kRoundsForDetail = 4;
 
 // Shortest time between two rounds.
 inline constexpr Duration kShortestPoll = std::chrono::milliseconds(250);
@@ -34,6 +36,20 @@
   return std::max(kShortestPoll, FromSeconds(seconds));
 }
 
+// Engines of all services in force, by which the interval grows.
+template<DocumentSource Documents>
+std::size_t
+CountEngines(const Documents& aDocuments)
+{
+  std::size_t engines = 0;
+  for (const auto& accepted : aDocuments.AllInForce()) {
+    const ServiceDocument& document = accepted->document;
+    engines +=
+      document.kind == ServiceKind::Engine ? document.runners.size() : 0;
+  }
+  return engines;
+}
+
 // Polls one engine until the service no longer lists it. Events that the engine
 // has dropped leave a gap, which the tracker notices.
 template<Timer Time, EngineProvider Engines, DocumentSource Documents>
@@ -46,6 +62,7 @@
               Time& aTime)
 {
   std::uint64_t lastSequence = 0;
+  std::uint64_t round = 0;
   while (true) {
     const auto accepted = aDocuments.Find(aService);
     if (!accepted) {
@@ -68,6 +85,8 @@
         aView.cache.Tracker().Forget(aRunner.id);
         lastSequence = 0;
       }
+    }
+    if (load && round++ % kRoundsForDetail == 0) {
       const auto state =
         co_await engine.State(aTime.Now() + kPollTimeout, reason);
       if (state) {
@@ -83,7 +102,7 @@
       }
     }
     co_await aTime.WaitUntil(aTime.Now() +
-                             PollInterval(document.runners.size()));
+                             PollInterval(CountEngines(aDocuments)));
   }
 }
 
--- a/wigeonwalk/standins/key_value_standin.cc
+++ b/wigeonwalk/standins/key_value_standin.cc
@@ -1,7 +1,6 @@
 #include "wigeonwalk/standins/key_value_standin.h"
+#include "wigeonwalk/standins/accept_loop.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include <utility>
@@ -58,16 +57,10 @@
 Task<void>
 KeyValueStandin::Run(LastReason& aReason)
 {
-  auto listener =
-    HttpListener::Open(this->executor, this->address, {}, aReason);
-  if (!listener) {
-    co_return;
-  }
-  while (auto connection = co_await listener->Accept(aReason)) {
-    boost::asio::co_spawn(this->executor,
-                          this->ServeConnection(std::move(*connection)),
-                          boost::asio::detached);
-  }
+  const auto serve = [this](HttpConnection aConnection) {
+    return this->ServeConnection(std::move(aConnection));
+  };
+  co_await AcceptAll(this->executor, this->address, serve, aReason);
 }
 
 Task<void>
--- a/wigeonwalk/standins/plain_standin.cc
+++ b/wigeonwalk/standins/plain_standin.cc
@@ -1,9 +1,8 @@
 #include "wigeonwalk/standins/plain_standin.h"
 
 #include "wigeonwalk/adapters/engine/engine_codec.h"
+#include "wigeonwalk/standins/accept_loop.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -20,16 +19,10 @@
 Task<void>
 PlainStandin::Run(LastReason& aReason)
 {
-  auto listener =
-    HttpListener::Open(this->executor, this->address, {}, aReason);
-  if (!listener) {
-    co_return;
-  }
-  while (auto connection = co_await listener->Accept(aReason)) {
-    boost::asio::co_spawn(this->executor,
-                          this->ServeConnection(std::move(*connection)),
-                          boost::asio::detached);
-  }
+  const auto serve = [this](HttpConnection aConnection) {
+    return this->ServeConnection(std::move(aConnection));
+  };
+  co_await AcceptAll(this->executor, this->address, serve, aReason);
 }
 
 Task<void>
--- a/wigeonwalk/standins/store_standin.cc
+++ b/wigeonwalk/standins/store_standin.cc
@@ -1,9 +1,7 @@
 #include "wigeonwalk/standins/store_standin.h"
 
 #include "wigeonwalk/adapters/engine/engine_codec.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "wigeonwalk/standins/accept_loop.h"
 
 #include <charconv>
 #include <utility>
@@ -90,16 +88,10 @@
 Task<void>
 StoreStandin::Run(LastReason& aReason)
 {
-  auto listener =
-    HttpListener::Open(this->executor, this->settings.address, {}, aReason);
-  if (!listener) {
-    co_return;
-  }
-  while (auto connection = co_await listener->Accept(aReason)) {
-    boost::asio::co_spawn(this->executor,
-                          this->ServeConnection(std::move(*connection)),
-                          boost::asio::detached);
-  }
+  const auto serve = [this](HttpConnection aConnection) {
+    return this->ServeConnection(std::move(aConnection));
+  };
+  co_await AcceptAll(this->executor, this->settings.address, serve, aReason);
 }
 
 Task<void>
