serving, engine: probe a broken stream's engine on a new connection

The log showed broken streams without the step upstream-lost: the probe took a pooled connection to the engine that had just died, failed like the first one, and the death was blamed on nobody. Ruled out: lost notices (each death that was seen reached all daemons) and equal incarnations. Change: ObservableEngine has Probe, which is Load on a new connection. Orders take a new connection too, because a pooled one could deliver them late.

--- a/wigeonwalk/adapters/engine/http_engine.cc
+++ b/wigeonwalk/adapters/engine/http_engine.cc
@@ -175,6 +175,7 @@
 HttpEngine::Call(std::string aMethod,
                  std::string aTarget,
                  std::string aBody,
+                 Reuse aReuse,
                  TimePoint aDeadline,
                  LastReason& aReason)
 {
@@ -184,7 +185,7 @@
   request.headers.push_back({ "Content-Type", "application/json" });
   request.body = std::move(aBody);
   auto response = co_await this->pool.Exchange(
-    this->address, request, Reuse::Allowed, aDeadline, aReason);
+    this->address, request, aReuse, aDeadline, aReason);
   if (!response) {
     co_return std::nullopt;
   }
@@ -197,8 +198,16 @@
 Task<std::optional<LoadReport>>
 HttpEngine::Load(TimePoint aDeadline, LastReason& aReason)
 {
-  const auto body =
-    co_await this->Call("GET", "/v1/load", {}, aDeadline, aReason);
+  const auto body = co_await this->Call(
+    "GET", "/v1/load", {}, Reuse::Allowed, aDeadline, aReason);
+  co_return body ? DecodeLoad(*body, aReason) : std::nullopt;
+}
+
+Task<std::optional<LoadReport>>
+HttpEngine::Probe(TimePoint aDeadline, LastReason& aReason)
+{
+  const auto body = co_await this->Call(
+    "GET", "/v1/load", {}, Reuse::FreshOnly, aDeadline, aReason);
   co_return body ? DecodeLoad(*body, aReason) : std::nullopt;
 }
 
@@ -207,12 +216,9 @@
                         TimePoint aDeadline,
                         LastReason& aReason)
 {
-  const auto body =
-    co_await this->Call("GET",
-                        "/v1/cache/events?since=" + std::to_string(aSequence),
-                        {},
-                        aDeadline,
-                        aReason);
+  std::string target = "/v1/cache/events?since=" + std::to_string(aSequence);
+  const auto body = co_await this->Call(
+    "GET", std::move(target), {}, Reuse::Allowed, aDeadline, aReason);
   co_return body ? DecodeCacheEvents(*body, aReason) : std::nullopt;
 }
 
@@ -221,8 +227,13 @@
                    TimePoint aDeadline,
                    LastReason& aReason)
 {
-  const auto body = co_await this->Call(
-    "POST", "/v1/cache/export", EncodeTicket(aTicket), aDeadline, aReason);
+  std::string ticket = EncodeTicket(aTicket);
+  const auto body = co_await this->Call("POST",
+                                        "/v1/cache/export",
+                                        std::move(ticket),
+                                        Reuse::Allowed,
+                                        aDeadline,
+                                        aReason);
   co_return body ? DecodeSealed(*body, aReason) : std::nullopt;
 }
 
@@ -231,8 +242,13 @@
                    TimePoint aDeadline,
                    LastReason& aReason)
 {
-  const auto body = co_await this->Call(
-    "POST", "/v1/cache/import", EncodeLease(aLease), aDeadline, aReason);
+  std::string lease = EncodeLease(aLease);
+  const auto body = co_await this->Call("POST",
+                                        "/v1/cache/import",
+                                        std::move(lease),
+                                        Reuse::Allowed,
+                                        aDeadline,
+                                        aReason);
   co_return body.has_value();
 }
 
@@ -241,16 +257,22 @@
                   TimePoint aDeadline,
                   LastReason& aReason)
 {
-  const auto body = co_await this->Call(
-    "POST", "/v1/orders", EncodeOrder(aOrder), aDeadline, aReason);
+  // A pooled connection could deliver an order late; orders take a fresh one.
+  std::string order = EncodeOrder(aOrder);
+  const auto body = co_await this->Call("POST",
+                                        "/v1/orders",
+                                        std::move(order),
+                                        Reuse::FreshOnly,
+                                        aDeadline,
+                                        aReason);
   co_return body ? DecodeOrderAnswer(*body, aReason) : std::nullopt;
 }
 
 Task<std::optional<EngineState>>
 HttpEngine::State(TimePoint aDeadline, LastReason& aReason)
 {
-  const auto body =
-    co_await this->Call("GET", "/v1/state", {}, aDeadline, aReason);
+  const auto body = co_await this->Call(
+    "GET", "/v1/state", {}, Reuse::Allowed, aDeadline, aReason);
   co_return body ? DecodeState(*body, aReason) : std::nullopt;
 }
 
--- a/wigeonwalk/adapters/engine/http_engine.h
+++ b/wigeonwalk/adapters/engine/http_engine.h
@@ -49,6 +49,8 @@
                                    LastReason& aReason);
   Task<std::optional<LoadReport>> Load(TimePoint aDeadline,
                                        LastReason& aReason);
+  Task<std::optional<LoadReport>> Probe(TimePoint aDeadline,
+                                        LastReason& aReason);
   Task<std::optional<CacheEventBatch>> CacheEvents(std::uint64_t aSequence,
                                                    TimePoint aDeadline,
                                                    LastReason& aReason);
@@ -68,6 +70,7 @@
   Task<std::optional<std::string>> Call(std::string aMethod,
                                         std::string aTarget,
                                         std::string aBody,
+                                        Reuse aReuse,
                                         TimePoint aDeadline,
                                         LastReason& aReason);
 
--- a/wigeonwalk/ports/model_engine.h
+++ b/wigeonwalk/ports/model_engine.h
@@ -235,7 +235,8 @@
     } -> std::same_as<Task<std::optional<EngineState>>>;
 };
 
-// Reports load and cache events.
+// Reports load and cache events. Probe is Load on a new connection, because an
+// old one may have gone silent or belong to an incarnation that is gone.
 template<typename T>
 concept ObservableEngine = requires(T& aEngine,
                                     std::uint64_t aSequence,
@@ -245,6 +246,9 @@
   {
     aEngine.Load(aDeadline, aReason)
     } -> std::same_as<Task<std::optional<LoadReport>>>;
+  {
+    aEngine.Probe(aDeadline, aReason)
+    } -> std::same_as<Task<std::optional<LoadReport>>>;
   {
     aEngine.CacheEvents(aSequence, aDeadline, aReason)
     } -> std::same_as<Task<std::optional<CacheEventBatch>>>;
--- a/wigeonwalk/serving/completion_run_test.cc
+++ b/wigeonwalk/serving/completion_run_test.cc
@@ -111,6 +111,11 @@
     report.measuredAt = this->time->Now();
     co_return report;
   }
+  Task<std::optional<LoadReport>> Probe(TimePoint aDeadline,
+                                        LastReason& aReason)
+  {
+    co_return co_await this->Load(aDeadline, aReason);
+  }
   Task<std::optional<CacheEventBatch>> CacheEvents(std::uint64_t,
                                                    TimePoint,
                                                    LastReason&)
--- a/wigeonwalk/serving/stream_forwarder.h
+++ b/wigeonwalk/serving/stream_forwarder.h
@@ -171,7 +171,7 @@
     LastReason reason;
     const TimePoint until =
       this->parts.time.Now() + LivenessSettings().probeTimeout;
-    const auto report = co_await aEngine.Load(until, reason);
+    const auto report = co_await aEngine.Probe(until, reason);
     if (!report) {
       co_return reason.code == ReasonCode::ConnectRefused
         ? ProbeResult::Refused
