--- a/wigeonwalk/adapters/ctl/ctl.cc
+++ b/wigeonwalk/adapters/ctl/ctl.cc
@@ -191,7 +191,9 @@
     .add_option(
       "--daemon", options.daemons, "Operator address IP:port; repeatable")
     ->envname("WIGEONWALK_DAEMONS")
-    ->delimiter(',');
+    ->delimiter(',')
+    // Without it the option takes the file or service behind it as well.
+    ->allow_extra_args(false);
   app.add_option("--timeout", timeoutSeconds, "Seconds to wait for a daemon")
     ->check(CLI::Range(0.01, 3600.0));
   app.add_flag("--json", options.json, "Print JSON");
--- a/wigeonwalk/adapters/ctl/ctl_test.cc
+++ b/wigeonwalk/adapters/ctl/ctl_test.cc
@@ -282,6 +282,8 @@
     THEN("document calls go to the next, and status reports the gap")
     {
       CHECK(Ctl({ "doc", "get", "order", "--daemon", words }).code == 0);
+      // The option before the service must not take the service as an address.
+      CHECK(Ctl({ "doc", "get", "--daemon", words, "order" }).code == 0);
       const Outcome status = Ctl({ "status", "--daemon", words });
       CHECK(status.code == 0);
       CHECK(status.out.find("lech-1") != std::string::npos);
