wigeonwalkd: end a failed start without unwinding coroutines

Cause: read-through. A start that failed after the cluster's tasks had begun destroyed the daemon before the context's coroutines, which refer to it. Change: every end goes through End, which flushes the log and quits.

--- a/daemons/wigeonwalkd.cc
+++ b/daemons/wigeonwalkd.cc
@@ -23,6 +23,15 @@
 constexpr int kFailedStart = 1;
 constexpr int kBadSettings = 2;
 
+// Ends the process without unwinding the coroutines that are still open: they
+// refer to the daemon's state.
+[[noreturn]] void
+End(Daemon& aDaemon, int aCode)
+{
+  aDaemon.FlushLog();
+  std::quick_exit(aCode);
+}
+
 int
 RunDaemon(DaemonSettings aSettings)
 {
@@ -31,7 +40,7 @@
   LastReason reason;
   if (!daemon.Start(reason)) {
     std::cerr << "wigeonwalkd: " << reason.ToString() << '\n';
-    return kFailedStart;
+    End(daemon, kFailedStart);
   }
   boost::asio::signal_set signals(context, SIGINT, SIGTERM);
   std::function<void(boost::system::error_code, int)> onSignal =
@@ -43,10 +52,7 @@
     };
   signals.async_wait(onSignal);
   context.run();
-  daemon.FlushLog();
-  // Coroutines that were still open refer to the daemon's state; the process
-  // ends without unwinding them.
-  std::quick_exit(0);
+  End(daemon, 0);
 }
 
 } // namespace
