--- a/wigeonwalk/serving/cache_view.h
+++ b/wigeonwalk/serving/cache_view.h
@@ -20,8 +20,8 @@
 class CacheView
 {
 public:
-  // Bounds: about 100 bytes a record and 64 bytes a piece, so that both stay
-  // well below the 256 MB that a daemon may use for control.
+  // Bounds: about 211 bytes a record and 56 bytes a piece, so a full directory
+  // takes 55 MB of the 256 MB that a daemon may use for control.
   static constexpr std::size_t kMaxDirectoryRecords = 262'144;
   static constexpr std::size_t kMaxPiecesPerEngine = 16'384;
 
