--- a/cmake/wigeonwalk.cmake
+++ b/cmake/wigeonwalk.cmake
@@ -21,8 +21,10 @@
   target_link_options(ww_flags INTERFACE -fsanitize=thread)
 endif()
 
-add_library(ww_catch_main STATIC ${PROJECT_SOURCE_DIR}/cmake/catch_main.cc)
-target_link_libraries(ww_catch_main PUBLIC ww_flags Catch2::Catch2)
+if(WIGEONWALK_TESTS)
+  add_library(ww_catch_main STATIC ${PROJECT_SOURCE_DIR}/cmake/catch_main.cc)
+  target_link_libraries(ww_catch_main PUBLIC ww_flags Catch2::Catch2)
+endif()
 
 # ww_folder(NAME DEPS ... TEST_DEPS ...)
 # Makes library ww_NAME from the folder's .cc files, one test program NAME_test
@@ -42,6 +44,9 @@
     add_library(ww_${NAME} INTERFACE)
     target_link_libraries(ww_${NAME} INTERFACE ww_flags ${ARG_DEPS})
   endif()
+  if(NOT WIGEONWALK_TESTS)
+    return()
+  endif()
   if(tests)
     add_executable(${NAME}_test ${tests})
     target_link_libraries(${NAME}_test PRIVATE ww_${NAME} ww_catch_main
--- /dev/null
+++ b/daemons/wigeonwalk-entry.cc
@@ -0,0 +1,97 @@
+// The daemon that forwards callers' requests to registered runners.
+//
+//   wigeonwalk-entry --settings entry.json
+
+#include "platform/entry_daemon.h"
+#include "wigeonwalk/adapters/settings/entry_settings_json.h"
+
+#include <CLI/CLI.hpp>
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+using namespace wigeonwalk;
+
+namespace {
+
+// Exit codes: 0 for a normal end, 1 for a failed start, 2 for bad settings.
+constexpr int kFailedStart = 1;
+constexpr int kBadSettings = 2;
+
+std::optional<EntrySettings>
+ReadSettings(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  std::vector<LastReason> reasons;
+  auto settings = ParseEntrySettings(text, reasons);
+  for (const LastReason& reason : reasons) {
+    std::cerr << aPath << ": " << reason.ToString() << '\n';
+  }
+  return settings;
+}
+
+// Handles signals one after the other until the process ends.
+void
+WaitForSignal(boost::asio::signal_set& aSignals,
+              platform::EntryDaemon& aDaemon,
+              const std::string& aPath)
+{
+  aSignals.async_wait([&](boost::system::error_code aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal != SIGHUP) {
+      aDaemon.RequestStop();
+    } else if (ReadSettings(aPath)) {
+      aDaemon.NoteReload();
+    }
+    WaitForSignal(aSignals, aDaemon, aPath);
+  });
+}
+
+int
+RunDaemon(EntrySettings aSettings, const std::string& aPath)
+{
+  boost::asio::io_context context(1);
+  auto daemon =
+    std::make_unique<platform::EntryDaemon>(context, std::move(aSettings));
+  LastReason reason;
+  if (!daemon->Start(reason)) {
+    std::cerr << "wigeonwalk-entry: " << reason.ToString() << '\n';
+    return kFailedStart;
+  }
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM, SIGHUP);
+  WaitForSignal(signals, *daemon, aPath);
+  context.run();
+  // Open tasks refer to the daemon, so they are not unwound.
+  daemon->FlushLog();
+  std::quick_exit(0);
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  CLI::App app("wigeonwalk entry daemon: forwards requests to model runners "
+               "and plain services");
+  std::string settingsFile;
+  bool check = false;
+  app.add_option("--settings", settingsFile, "JSON file with the settings")
+    ->required()
+    ->check(CLI::ExistingFile);
+  app.add_flag("--check-config", check, "Check the settings and exit");
+  app.set_version_flag("--version", "wigeonwalk-entry 0.1.0");
+  CLI11_PARSE(app, argc, argv);
+  auto settings = ReadSettings(settingsFile);
+  if (!settings) {
+    return kBadSettings;
+  }
+  return check ? 0 : RunDaemon(std::move(*settings), settingsFile);
+}
--- /dev/null
+++ b/wigeonwalk/adapters/event_stream/event_scanner_test.cc
@@ -0,0 +1,45 @@
+#include "wigeonwalk/adapters/event_stream/event_scanner.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wigeonwalk;
+
+TEST_CASE("a scanner passes on whole events only")
+{
+  const std::string stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\nid: 13\n"
+                             "data: c\ndata: d\n\n";
+
+  SECTION("whatever the sizes in which the bytes arrive")
+  {
+    const std::size_t size = GENERATE(1, 2, 3, 5, 7, 100);
+    EventScanner scanner;
+    std::string passed;
+    for (std::size_t i = 0; i < stream.size(); i += size) {
+      passed += scanner.Feed(stream.substr(i, size));
+    }
+    CHECK(passed == stream);
+    CHECK(scanner.LastId() == 13);
+    CHECK(scanner.Events() == 3);
+    CHECK_FALSE(scanner.HasPartialEvent());
+  }
+
+  SECTION("and keeps back an event that broke off")
+  {
+    const std::size_t cut = GENERATE(range(1, 40));
+    EventScanner scanner;
+    const std::string passed =
+      scanner.Feed(std::string_view(stream).substr(0, cut));
+    CHECK(stream.starts_with(passed));
+    CHECK((passed.empty() || passed.ends_with("\n\n") ||
+           passed.ends_with("\n\r\n")));
+    CHECK(scanner.HasPartialEvent() == (passed.size() < cut));
+    CHECK(scanner.LastId().value_or(0) == scanner.Events());
+  }
+
+  SECTION("and reads no id out of the data")
+  {
+    EventScanner scanner;
+    scanner.Feed("data: id: 7\n\n");
+    CHECK_FALSE(scanner.LastId().has_value());
+  }
+}
--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -10,6 +10,7 @@
 
 #include <netinet/tcp.h>
 
+#include <charconv>
 #include <utility>
 
 namespace wigeonwalk {
@@ -113,9 +114,11 @@
   message.version(11);
   message.method_string(aRequest.method);
   message.target(aRequest.target);
-  message.set(http::field::host, this->state->address);
+  if (FindHeader(aRequest.headers, "Host").empty()) {
+    message.set(http::field::host, this->state->address);
+  }
   for (const HttpHeader& header : aRequest.headers) {
-    message.set(header.name, header.value);
+    message.insert(header.name, header.value);
   }
   message.keep_alive(aRequest.keepAlive);
   message.body() = aRequest.body;
@@ -250,6 +253,37 @@
   }
 }
 
+bool
+HttpClientConnection::IsQuiet()
+{
+  asio::ip::tcp::socket& socket = this->state->stream.socket();
+  error_code error;
+  socket.non_blocking(true, error);
+  char byte = 0;
+  socket.receive(
+    asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+Duration
+HttpClientConnection::KeptFor() const
+{
+  if (!this->state->parser) {
+    return Duration::max();
+  }
+  const std::string_view text =
+    this->state->parser->get()[http::field::keep_alive];
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t begin = text.find(kTimeout);
+  if (begin == std::string_view::npos) {
+    return Duration::max();
+  }
+  const char* digits = text.data() + begin + kTimeout.size();
+  std::int64_t seconds = 0;
+  std::from_chars(digits, text.data() + text.size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
 bool
 HttpClientConnection::Reusable() const
 {
@@ -293,10 +327,12 @@
   const TimePoint oldest = this->timer.Now() - this->maxIdle;
   std::erase_if(connections,
                 [oldest](const Idle& aIdle) { return aIdle.since < oldest; });
-  if (aReuse == Reuse::Allowed && !connections.empty()) {
-    HttpClientConnection connection = std::move(connections.back().connection);
+  while (aReuse == Reuse::Allowed && !connections.empty()) {
+    Idle last = std::move(connections.back());
     connections.pop_back();
-    co_return connection;
+    if (this->timer.Now() < last.until && last.connection.IsQuiet()) {
+      co_return std::move(last.connection);
+    }
   }
   co_return co_await HttpClientConnection::Connect(
     this->timer, this->executor, aAddress, aDeadline, aReason);
@@ -309,7 +345,18 @@
     return;
   }
   auto& connections = this->idle[aConnection.Address()];
-  connections.push_back({ std::move(aConnection), this->timer.Now() });
+  const TimePoint now = this->timer.Now();
+  const Duration kept = aConnection.KeptFor();
+  // The peer's time began before the answer arrived here.
+  const TimePoint until =
+    kept == Duration::max() ? TimePoint::max() : now + kept * 3 / 4;
+  connections.push_back({ std::move(aConnection), now, until });
+}
+
+void
+HttpPool::Forget(const std::string& aAddress)
+{
+  this->idle.erase(aAddress);
 }
 
 Task<std::optional<HttpResponse>>
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -87,6 +87,13 @@
   // the peer keeps the connection open.
   bool Reusable() const;
 
+  // True where the peer has neither sent anything nor closed the connection.
+  bool IsQuiet();
+
+  // How long the peer keeps the idle connection, as it said in its last answer;
+  // Duration::max() where it said nothing.
+  Duration KeptFor() const;
+
   const std::string& Address() const;
   void Close();
 
@@ -121,6 +128,10 @@
                                              TimePoint aDeadline,
                                              LastReason& aReason);
 
+  // Closes the idle connections to an address: it belongs to another process
+  // now, or a connection to it went silent.
+  void Forget(const std::string& aAddress);
+
   SystemTimer& Clock() { return this->timer; }
 
 private:
@@ -128,6 +139,8 @@
   {
     HttpClientConnection connection;
     TimePoint since;
+    // The peer may close it after this time.
+    TimePoint until;
   };
 
   SystemTimer& timer;
--- a/wigeonwalk/adapters/http/http_server.cc
+++ b/wigeonwalk/adapters/http/http_server.cc
@@ -130,7 +130,7 @@
   message.version(11);
   message.result(aResponse.status);
   for (const HttpHeader& header : aResponse.headers) {
-    message.set(header.name, header.value);
+    message.insert(header.name, header.value);
   }
   message.keep_alive(aKeepAlive);
   message.body() = std::move(aResponse.body);
@@ -151,7 +151,7 @@
   message.version(11);
   message.result(aStatus);
   for (const HttpHeader& header : aHeaders) {
-    message.set(header.name, header.value);
+    message.insert(header.name, header.value);
   }
   message.chunked(true);
   http::response_serializer<http::empty_body> serializer(message);
@@ -211,6 +211,12 @@
   co_await never.async_wait(asio::use_awaitable);
 }
 
+void
+HttpConnection::SetLimits(const HttpLimits& aLimits)
+{
+  this->state->limits = aLimits;
+}
+
 void
 HttpConnection::Close()
 {
--- a/wigeonwalk/adapters/http/http_server.h
+++ b/wigeonwalk/adapters/http/http_server.h
@@ -42,6 +42,9 @@
   HttpConnection& operator=(HttpConnection&&) noexcept;
   ~HttpConnection();
 
+  // Sets the limits on the next requests.
+  void SetLimits(const HttpLimits& aLimits);
+
   // Reads the next request. Returns nothing with reason Cancelled where the
   // peer closed or stayed idle, and with TooLarge, InvalidArgument or Expired
   // where an error response is due before the connection is closed.
--- a/wigeonwalk/adapters/log/log.cc
+++ b/wigeonwalk/adapters/log/log.cc
@@ -110,10 +110,17 @@
   this->output->logger->log(spdlog::level::info, "{}", text);
 }
 
+void
+Log::Flush()
+{
+  this->threshold = LogLevel::Off;
+  this->output->pool.reset();
+}
+
 std::uint64_t
 Log::Dropped() const
 {
-  return this->output->pool->overrun_counter();
+  return this->output->pool ? this->output->pool->overrun_counter() : 0;
 }
 
 } // namespace wigeonwalk
--- a/wigeonwalk/adapters/log/log.h
+++ b/wigeonwalk/adapters/log/log.h
@@ -7,9 +7,9 @@
 //   //  "event":"upstream lost","request":"r-1","upstream":"u2","count":3}
 #pragma once
 
-#include "wigeonwalk/adapters/log/log_field.h"
 #include "wigeonwalk/base/ids.h"
 #include "wigeonwalk/base/time.h"
+#include "wigeonwalk/ports/log_field.h"
 
 #include <cstdint>
 #include <initializer_list>
@@ -18,33 +18,6 @@
 
 namespace wigeonwalk {
 
-// Severity of a line. Off is only a threshold.
-enum class LogLevel
-{
-  Trace,
-  Debug,
-  Info,
-  Warning,
-  Error,
-  Critical,
-  Off,
-};
-
-template<>
-struct EnumNames<LogLevel>
-{
-  static constexpr std::array<EnumName<LogLevel>, 7> kTable{ {
-    { LogLevel::Trace, "trace" },
-    { LogLevel::Debug, "debug" },
-    { LogLevel::Info, "info" },
-    { LogLevel::Warning, "warning" },
-    { LogLevel::Error, "error" },
-    { LogLevel::Critical, "critical" },
-    { LogLevel::Off, "off" },
-  } };
-};
-static_assert(HasCompleteTable<LogLevel>());
-
 // Longest text of one field in bytes.
 inline constexpr std::size_t kMaxLogText = 256;
 
@@ -69,6 +42,9 @@
              const RequestId& aRequest,
              std::initializer_list<LogField> aFields = {});
 
+  // Writes the lines that wait and returns. Later lines are dropped.
+  void Flush();
+
   // Returns how many lines were dropped because the output was slow.
   std::uint64_t Dropped() const;
 
--- /dev/null
+++ b/wigeonwalk/adapters/settings/entry_settings_json.cc
@@ -0,0 +1,58 @@
+#include "wigeonwalk/adapters/settings/entry_settings_json.h"
+
+#include "wigeonwalk/adapters/settings/internal/entry_settings_schema.h"
+#include "wigeonwalk/adapters/settings/internal/json_fields.h"
+
+namespace wigeonwalk {
+
+template<FieldsOf<EntryListeners> S>
+void
+VisitFields(auto&& aField, S& aListen)
+{
+  aField("callers", aListen.callers);
+  aField("readiness", aListen.readiness);
+  aField("peers", aListen.peers);
+  aField("metrics", aListen.metrics);
+}
+
+template<FieldsOf<EntryBounds> S>
+void
+VisitFields(auto&& aField, S& aBounds)
+{
+  aField("drain", aBounds.drain);
+  aField("stopGrace", aBounds.stopGrace);
+  aField("configurationPropagation", aBounds.configurationPropagation);
+  aField("newWeights", aBounds.newWeights);
+  aField("orderLease", aBounds.orderLease);
+  aField("repeatRatio", aBounds.repeatRatio);
+  aField("repeatSlack", aBounds.repeatSlack);
+  aField("repeatWindow", aBounds.repeatWindow);
+}
+
+template<FieldsOf<EntrySettings> S>
+void
+VisitFields(auto&& aField, S& aSettings)
+{
+  aField("host", aSettings.host);
+  aField("zone", aSettings.zone);
+  aField("region", aSettings.region);
+  aField("listen", aSettings.listen);
+  aField("registryAddress", aSettings.registryAddress);
+  aField("heartbeatInterval", aSettings.heartbeatInterval);
+  aField("bounds", aSettings.bounds);
+  aField("readTokensPerMs", aSettings.readTokensPerMs);
+  aField("logLevel", aSettings.logLevel);
+}
+
+std::optional<EntrySettings>
+ParseEntrySettings(std::string_view aText, std::vector<LastReason>& aReasons)
+{
+  using namespace settings_internal;
+  const auto json = ParseChecked(aText, kEntrySettingsSchema, aReasons);
+  if (!json) {
+    return std::nullopt;
+  }
+  return ReadStruct<EntrySettings>(*json);
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
@@ -0,0 +1,122 @@
+// JSON schema of an entry daemon's settings file.
+//
+//   ParseChecked(text, kEntrySettingsSchema, reasons);
+#pragma once
+
+#include <string_view>
+
+namespace wigeonwalk::settings_internal {
+
+// Defaults are those of EntrySettings; a test compares them.
+inline constexpr std::string_view kEntrySettingsSchema = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["host", "zone", "listen", "registryAddress"],
+  "properties": {
+    "host": {
+      "type": "string", "format": "name",
+      "description": "Id of this host; unique among the daemons."
+    },
+    "zone": {
+      "type": "string", "format": "label",
+      "description": "Availability zone of this host."
+    },
+    "region": {
+      "type": "string", "format": "label",
+      "description": "Region of this host."
+    },
+    "listen": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["callers", "readiness"],
+      "description": "Addresses on which this daemon listens.",
+      "properties": {
+        "callers": {
+          "type": "string", "format": "listener",
+          "description": "Listener for callers."
+        },
+        "readiness": {
+          "type": "string", "format": "listener",
+          "description": "Listener for the load balancer's readiness check."
+        },
+        "peers": {
+          "type": "string", "format": "listener",
+          "description": "Listener for other daemons, TCP and UDP on one port; absent for none."
+        },
+        "metrics": {
+          "type": "string", "format": "listener",
+          "description": "Listener for metrics; absent for none."
+        }
+      }
+    },
+    "registryAddress": {
+      "type": "string", "format": "address",
+      "description": "Address of the key-value service that holds configuration and registrations."
+    },
+    "heartbeatInterval": {
+      "type": "string", "format": "duration",
+      "x-minimum": "10ms", "x-maximum": "10m", "default": "1200ms",
+      "description": "Time between two registrations of a runner."
+    },
+    "bounds": {
+      "type": "object",
+      "additionalProperties": false,
+      "description": "Bounds that the deployment sets.",
+      "properties": {
+        "drain": {
+          "type": "string", "format": "duration",
+          "x-minimum": "0s", "x-maximum": "1h", "default": "2s",
+          "description": "Longest time in which a leaving runner still gets requests."
+        },
+        "stopGrace": {
+          "type": "string", "format": "duration",
+          "x-minimum": "100ms", "x-maximum": "24h", "default": "8s",
+          "description": "Time from the request to stop to the end of the process."
+        },
+        "configurationPropagation": {
+          "type": "string", "format": "duration",
+          "x-minimum": "100ms", "x-maximum": "1h", "default": "2s",
+          "description": "Time in which a new configuration is in force."
+        },
+        "newWeights": {
+          "type": "string", "format": "duration",
+          "x-minimum": "1s", "x-maximum": "24h", "default": "12s",
+          "description": "Time in which newly named weights are used everywhere."
+        },
+        "orderLease": {
+          "type": "string", "format": "duration",
+          "x-minimum": "100ms", "x-maximum": "1h", "default": "3s",
+          "description": "Least time between the orders of two holders."
+        },
+        "repeatRatio": {
+          "type": "number", "minimum": 0, "maximum": 10,
+          "default": 0.2, "x-unit": "repeats per request",
+          "description": "Repeats that each request of a service allows, over all daemons."
+        },
+        "repeatSlack": {
+          "type": "number", "minimum": 0, "maximum": 1000000,
+          "default": 0, "x-unit": "repeats",
+          "description": "Repeats that a window allows besides, over all daemons."
+        },
+        "repeatWindow": {
+          "type": "string", "format": "duration",
+          "x-minimum": "100ms", "x-maximum": "1h", "default": "10s",
+          "description": "Window over which repeats are counted."
+        }
+      }
+    },
+    "readTokensPerMs": {
+      "type": "number", "minimum": 0.001, "maximum": 1000000,
+      "default": 38, "x-unit": "tokens per millisecond",
+      "description": "Rate at which a runner reads prompts."
+    },
+    "logLevel": {
+      "type": "string",
+      "enum": ["trace", "debug", "info", "warning", "error", "critical", "off"],
+      "default": "info",
+      "description": "Least severe log lines that are written."
+    }
+  }
+})json";
+
+} // namespace wigeonwalk::settings_internal
--- a/wigeonwalk/daemon/cluster.h
+++ b/wigeonwalk/daemon/cluster.h
@@ -13,8 +13,8 @@
 #include "wigeonwalk/documents/document_acceptance.h"
 #include "wigeonwalk/documents/document_store.h"
 #include "wigeonwalk/documents/freshness.h"
+#include "wigeonwalk/kv_client/key_value_client.h"
 #include "wigeonwalk/membership/member_table.h"
-#include "wigeonwalk/platform/key_value_client.h"
 #include "wigeonwalk/serving/daemon_settings.h"
 #include "wigeonwalk/serving/daemon_view.h"
 
--- /dev/null
+++ b/wigeonwalk/entry/entry_state.cc
@@ -0,0 +1,97 @@
+#include "wigeonwalk/entry/entry_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wigeonwalk {
+
+EntryState::EntryState(EntrySettings aSettings)
+  : repeats({ .ratio = aSettings.bounds.repeatRatio,
+              .slack = aSettings.bounds.repeatSlack,
+              .window = aSettings.bounds.repeatWindow })
+  , settings(std::move(aSettings))
+{
+}
+
+FleetChange
+EntryState::Apply(RegistryItem aItem, TimePoint aNow)
+{
+  if (auto* entry = std::get_if<RunnerEntry>(&aItem)) {
+    return this->fleet.Register(*entry, aNow);
+  }
+  if (auto* configuration = std::get_if<RoutingConfiguration>(&aItem)) {
+    if (this->routes == nullptr ||
+        this->routes->Configuration().version < configuration->version) {
+      this->routes = std::make_shared<RouteTable>(std::move(*configuration));
+    }
+  } else if (auto* named = std::get_if<NamedWeights>(&aItem)) {
+    KnownWeights& known = this->weights[named->model];
+    if (known.version < named->version) {
+      known = { named->version, aNow };
+    }
+  } else if (auto* member = std::get_if<EntryMember>(&aItem)) {
+    this->members[member->host] = *member;
+  }
+  return FleetChange::None;
+}
+
+FleetChange
+EntryState::ApplyRemoved(const RemovedItem& aItem, TimePoint aNow)
+{
+  if (const auto* runner = std::get_if<UpstreamId>(&aItem)) {
+    return this->fleet.Unregister(*runner, aNow);
+  }
+  if (const auto* host = std::get_if<HostId>(&aItem)) {
+    this->members.erase(*host);
+  }
+  return FleetChange::None;
+}
+
+std::vector<std::shared_ptr<Runner>>
+EntryState::Candidates(const ServiceName& aService,
+                       const std::vector<UpstreamId>& aTried,
+                       TimePoint aNow) const
+{
+  std::vector<std::shared_ptr<Runner>> all = this->fleet.RunnersOf(aService);
+  std::erase_if(all, [&](const std::shared_ptr<Runner>& aRunner) {
+    return std::find(aTried.begin(), aTried.end(), aRunner->entry.id) !=
+             aTried.end() ||
+           aNow < aRunner->pausedUntil;
+  });
+  const Duration silence = this->settings.heartbeatInterval * kMissedHeartbeats;
+  std::vector<std::shared_ptr<Runner>> good;
+  for (const auto& runner : all) {
+    const bool silent = !this->registryAway && aNow - runner->heardAt > silence;
+    if (!silent && !runner->health.IsAvoided(aNow)) {
+      good.push_back(runner);
+    }
+  }
+  return good.empty() ? all : good;
+}
+
+std::vector<CacheHolder>
+EntryState::Sources(TimePoint aNow) const
+{
+  std::vector<CacheHolder> sources;
+  for (const auto& [id, followed] : this->holders) {
+    if (aNow - followed.answeredAt <= kSourceFresh) {
+      sources.push_back(followed.holder);
+    }
+  }
+  return sources;
+}
+
+KnownWeights
+EntryState::WeightsOf(const ModelName& aModel) const
+{
+  const auto found = this->weights.find(aModel);
+  return found == this->weights.end() ? KnownWeights{} : found->second;
+}
+
+std::size_t
+EntryState::Daemons() const
+{
+  return std::max<std::size_t>(this->members.size(), 1);
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/registry_watch.h
@@ -0,0 +1,253 @@
+// Keeps the daemon's view up to date with the registry.
+//
+//   RegistryWatch watch(state, mirror, store, decoder, timer, log);
+//   spawn(watch.Run());
+#pragma once
+
+#include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/item_mirror.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/decision_log.h"
+#include "wigeonwalk/ports/key_value.h"
+#include "wigeonwalk/ports/registry_items.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+
+namespace wigeonwalk {
+
+// Reads everything once and then watches all keys with one call at a time.
+// Runners register about once a second each, so a call that does not answer
+// soon has met an outage. One task.
+template<KeyValueService S, RegistryDecoder D, Timer T, DecisionLog L>
+class RegistryWatch
+{
+public:
+  // Longest wait of one watch call.
+  static constexpr Duration kWatchWait = std::chrono::milliseconds(1'500);
+  // Least time between two watch calls: each one is paid for, and half a
+  // second is a quarter of the shortest bound on configuration.
+  static constexpr Duration kWatchPace = std::chrono::milliseconds(500);
+  // Time after which a read is given up.
+  static constexpr Duration kReadTime = std::chrono::milliseconds(1'000);
+  // Pause after a failed call.
+  static constexpr Duration kFailurePause = std::chrono::milliseconds(200);
+  // The registry counts as away after this time without an answer.
+  static constexpr Duration kAwayAfter = std::chrono::milliseconds(1'000);
+
+  RegistryWatch(EntryState& aState,
+                ItemMirror& aMirror,
+                S& aStore,
+                const D& aDecoder,
+                T& aTimer,
+                L& aLog)
+    : state(aState)
+    , mirror(aMirror)
+    , store(aStore)
+    , decoder(aDecoder)
+    , timer(aTimer)
+    , log(aLog)
+  {
+  }
+
+  // Runs until the daemon ends.
+  Task<void> Run()
+  {
+    this->answeredAt = this->timer.Now();
+    while (true) {
+      const TimePoint startedAt = this->timer.Now();
+      LastReason reason;
+      bool ok = false;
+      if (this->complete) {
+        ok = co_await this->WatchOnce(reason);
+      } else {
+        ok = co_await this->ReadAll(reason);
+      }
+      const TimePoint now = this->timer.Now();
+      if (ok) {
+        co_await this->timer.WaitUntil(startedAt + kWatchPace);
+      } else {
+        this->NoteFailure(reason, now);
+        co_await this->timer.WaitUntil(now + kFailurePause);
+      }
+    }
+  }
+
+  // Takes over changes that another daemon reported.
+  void TakeOver(const std::vector<WatchEvent>& aChanges, std::int64_t aRevision)
+  {
+    for (const WatchEvent& change : aChanges) {
+      this->Apply(change);
+    }
+    this->mirror.NoteRevision(aRevision);
+  }
+
+  bool IsAway() const { return this->state.registryAway; }
+
+private:
+  Task<bool> ReadAll(LastReason& aReason)
+  {
+    const TimePoint deadline = this->timer.Now() + kReadTime;
+    // The listing's pages are no snapshot: the watch goes on from the revision
+    // before the first of them.
+    const std::string anyKey = "wigeonwalk/revision";
+    const auto before = co_await this->store.Get(anyKey, deadline, aReason);
+    if (!before) {
+      co_return false;
+    }
+    const std::string all;
+    const auto listing = co_await this->store.List(all, deadline, aReason);
+    if (!listing) {
+      co_return false;
+    }
+    this->NoteAnswer();
+    for (const WatchEvent& change :
+         this->mirror.Replace(*listing, before->revision)) {
+      this->Interpret(change);
+    }
+    this->complete = true;
+    this->log.Write(this->timer.Now(),
+                    LogLevel::Info,
+                    "registry read",
+                    {},
+                    { { LogKey::Count, listing->size() },
+                      { LogKey::Revision, before->revision } });
+    co_return true;
+  }
+
+  Task<bool> WatchOnce(LastReason& aReason)
+  {
+    const std::int64_t next = this->mirror.Revision() + 1;
+    const TimePoint deadline = this->timer.Now() + kWatchWait;
+    const std::string all;
+    const auto batch = co_await this->store.Watch(all, next, deadline, aReason);
+    if (!batch) {
+      if (aReason.code == ReasonCode::Stale) {
+        this->complete = false;
+      }
+      co_return false;
+    }
+    this->NoteAnswer();
+    for (const WatchEvent& change : batch->events) {
+      this->Apply(change);
+    }
+    this->mirror.NoteRevision(batch->nextRevision - 1);
+    this->Sweep();
+    co_return true;
+  }
+
+  void NoteAnswer()
+  {
+    const TimePoint now = this->timer.Now();
+    this->answeredAt = now;
+    if (!this->state.registryAway) {
+      return;
+    }
+    this->state.registryAway = false;
+    this->state.fleet.NoteRegistryReturned(now);
+    this->log.Write(now, LogLevel::Info, "registry answers", {});
+  }
+
+  void NoteFailure(const LastReason& aReason, TimePoint aNow)
+  {
+    const Duration age = aNow - this->answeredAt;
+    if (!this->state.registryAway && age > kAwayAfter) {
+      this->state.registryAway = true;
+      this->log.Write(aNow,
+                      LogLevel::Warning,
+                      "registry does not answer",
+                      {},
+                      { LogField(aReason), { LogKey::Age, age } });
+    }
+    this->Sweep();
+  }
+
+  void Sweep()
+  {
+    const TimePoint now = this->timer.Now();
+    for (const UpstreamId& runner : this->state.fleet.Expire(now)) {
+      this->log.Write(now,
+                      LogLevel::Info,
+                      "runner did not register again",
+                      {},
+                      { { LogKey::Upstream, runner } });
+    }
+  }
+
+  void Apply(const WatchEvent& aChange)
+  {
+    if (this->mirror.Apply(aChange)) {
+      this->Interpret(aChange);
+    }
+  }
+
+  // Takes over what a change of an item means.
+  void Interpret(const WatchEvent& aChange)
+  {
+    const TimePoint now = this->timer.Now();
+    const std::string& key = aChange.entry.key;
+    FleetChange change = FleetChange::None;
+    if (aChange.deleted) {
+      const RemovedItem removed = this->decoder.DecodeRemoved(key);
+      change = this->state.ApplyRemoved(removed, now);
+    } else {
+      LastReason reason;
+      RegistryItem item = this->decoder.Decode(aChange.entry, reason);
+      if (std::holds_alternative<UnreadableItem>(item)) {
+        this->log.Write(now,
+                        LogLevel::Warning,
+                        "item ignored",
+                        {},
+                        { LogField::Name(LogKey::Place, key),
+                          LogField(reason),
+                          { LogKey::Revision, aChange.entry.modRevision } });
+        return;
+      }
+      this->NoteItem(item, aChange.entry.modRevision);
+      change = this->state.Apply(std::move(item), now);
+    }
+    if (change != FleetChange::None && change != FleetChange::Updated) {
+      this->log.Write(now,
+                      LogLevel::Info,
+                      "runner changed",
+                      {},
+                      { LogField::Name(LogKey::Place, key),
+                        { LogKey::Outcome, change },
+                        { LogKey::Revision, aChange.entry.modRevision } });
+    }
+  }
+
+  void NoteItem(const RegistryItem& aItem, std::int64_t aRevision)
+  {
+    const TimePoint now = this->timer.Now();
+    if (const auto* routing = std::get_if<RoutingConfiguration>(&aItem)) {
+      this->log.Write(now,
+                      LogLevel::Info,
+                      "configuration in force",
+                      {},
+                      { { LogKey::Version, routing->version },
+                        { LogKey::Count, routing->routes.size() },
+                        { LogKey::Revision, aRevision } });
+    } else if (const auto* named = std::get_if<NamedWeights>(&aItem)) {
+      this->log.Write(now,
+                      LogLevel::Info,
+                      "weights named",
+                      {},
+                      { { LogKey::Model, named->model },
+                        { LogKey::Version, named->version },
+                        { LogKey::Revision, aRevision } });
+    }
+  }
+
+  EntryState& state;
+  ItemMirror& mirror;
+  S& store;
+  const D& decoder;
+  T& timer;
+  L& log;
+  bool complete = false;
+  TimePoint answeredAt;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/fleet/prompt.h
@@ -0,0 +1,32 @@
+// A prompt as its caller describes it: a list of parts and an opaque body.
+#pragma once
+
+#include "wigeonwalk/base/ids.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// One part of a prompt. Requests that share a part name it by the same id; the
+// last part belongs to one request or session.
+struct PromptPart
+{
+  std::string id;
+  std::uint32_t tokens = 0;
+
+  bool operator==(const PromptPart&) const = default;
+};
+
+struct Prompt
+{
+  ModelName model;
+  std::uint32_t inputTokens = 0;
+  std::uint32_t maxOutputTokens = 0;
+  std::vector<PromptPart> parts;
+
+  bool operator==(const Prompt&) const = default;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -0,0 +1,348 @@
+#include "wigeonwalk/fleet/runner_choice.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace wigeonwalk {
+
+namespace {
+
+constexpr double kBitsPerByte = 8;
+constexpr double kBytesPerKilobyte = 1'000;
+
+// Parts shorter than this are not worth a transfer's fixed delay.
+constexpr std::uint32_t kLeastFetchTokens = 32;
+
+// The prompt's keys under one version of its weights.
+struct VersionKeys
+{
+  std::string salt;
+  std::vector<PartKey> keys;
+};
+
+using KeysByVersion = std::map<WeightNumber, VersionKeys>;
+
+const VersionKeys&
+KeysOf(KeysByVersion& aKeys, const EngineQuery& aQuery, WeightNumber aVersion)
+{
+  const auto [entry, isNew] = aKeys.try_emplace(aVersion);
+  if (isNew) {
+    entry->second.salt = CacheSalt(aQuery.prompt.model, aVersion, aQuery.wall);
+    for (const PromptPart& part : aQuery.prompt.parts) {
+      entry->second.keys.push_back(KeyOfPart(entry->second.salt, part.id));
+    }
+  }
+  return entry->second;
+}
+
+double
+TransferMs(const EngineQuery& aQuery,
+           const CacheHolder& aHolder,
+           const AvailabilityZone& aTarget,
+           std::uint32_t aTokens)
+{
+  const double bits = static_cast<double>(aTokens) *
+                      static_cast<double>(aQuery.bytesPerToken) * kBitsPerByte;
+  const double bitsPerMs = std::max(aHolder.linkMegabits, 1.0) * 1'000;
+  const double zones = aHolder.zone == aTarget ? 1 : kZoneTransferFactor;
+  return zones * bits / bitsPerMs + ToSeconds(aHolder.transferDelay) * 1'000;
+}
+
+// The cheapest source of one part.
+struct Source
+{
+  const CacheHolder* holder = nullptr;
+  double ms = 0;
+};
+
+Source
+CheapestSource(const EngineQuery& aQuery,
+               const Runner& aRunner,
+               const PartKey& aKey,
+               std::uint32_t aTokens,
+               const PartIndex& aIndex,
+               std::span<const CacheHolder> aHolders)
+{
+  Source best;
+  for (const PartHolding& holding : aIndex.HoldersOf(aKey)) {
+    if (holding.tokens < aTokens || holding.holder == aRunner.entry.id) {
+      continue;
+    }
+    const auto holder = std::find_if(
+      aHolders.begin(), aHolders.end(), [&](const CacheHolder& aEntry) {
+        return aEntry.id == holding.holder;
+      });
+    if (holder == aHolders.end()) {
+      continue;
+    }
+    const double ms = TransferMs(aQuery, *holder, aRunner.entry.zone, aTokens);
+    if (best.holder == nullptr || ms < best.ms) {
+      best = { &*holder, ms };
+    }
+  }
+  return best;
+}
+
+// Fills in what the runner holds, fetches and reads. Returns the expected time
+// of that and its price in milliseconds.
+double
+PlanParts(const EngineQuery& aQuery,
+          const VersionKeys& aKeys,
+          const PartIndex& aIndex,
+          std::span<const CacheHolder> aHolders,
+          EngineChoice& aChoice)
+{
+  const ChoiceWeights& weights = aQuery.weights;
+  const std::vector<PromptPart>& parts = aQuery.prompt.parts;
+  aChoice.fetchFrom.assign(parts.size(), std::nullopt);
+  double cost = 0;
+  bool reading = false;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    const std::uint32_t tokens = parts[i].tokens;
+    const PartKey& key = aKeys.keys[i];
+    if (!reading && aIndex.TokensAt(aChoice.runner->entry.id, key) >= tokens) {
+      aChoice.cachedTokens += tokens;
+      continue;
+    }
+    const Source source =
+      reading || tokens < kLeastFetchTokens
+        ? Source{}
+        : CheapestSource(
+            aQuery, *aChoice.runner, key, tokens, aIndex, aHolders);
+    if (source.holder != nullptr) {
+      aChoice.fetchFrom[i] = source.holder->address;
+      aChoice.fetchedTokens += tokens;
+      cost += source.ms + weights.moveMsPerToken * tokens;
+      continue;
+    }
+    reading = true;
+    aChoice.readTokens += tokens;
+    const bool wasRead = !aIndex.HoldersOf(key).empty();
+    cost += tokens / weights.readTokensPerMs +
+            (wasRead ? weights.rereadMsPerToken * tokens : 0);
+  }
+  // Tokens that no part lists.
+  std::uint64_t listed = 0;
+  for (const PromptPart& part : parts) {
+    listed += part.tokens;
+  }
+  if (aQuery.prompt.inputTokens > listed) {
+    const auto rest =
+      static_cast<std::uint32_t>(aQuery.prompt.inputTokens - listed);
+    aChoice.readTokens += rest;
+    cost += rest / weights.readTokensPerMs;
+  }
+  return cost;
+}
+
+// Expected wait for work, memory and slots that others take there.
+double
+WaitMs(const EngineQuery& aQuery, const Runner& aRunner)
+{
+  const ChoiceWeights& weights = aQuery.weights;
+  const double toRead =
+    static_cast<double>(aRunner.tokensToRead + aRunner.othersTokensToRead);
+  double wait = toRead / weights.readTokensPerMs;
+  const std::uint64_t needed =
+    aRunner.tokensInFlight + aRunner.othersTokensInFlight +
+    aQuery.prompt.inputTokens + aQuery.prompt.maxOutputTokens;
+  if (aQuery.runnerTokens > 0) {
+    const double fill =
+      static_cast<double>(needed) /
+      (kMemoryShare * static_cast<double>(aQuery.runnerTokens));
+    if (fill > 1) {
+      wait += weights.fullMs * fill;
+    }
+  }
+  if (aRunner.entry.slots > 0) {
+    const std::uint32_t running = aRunner.inFlight + aRunner.othersInFlight;
+    const double share = static_cast<double>(running) / aRunner.entry.slots;
+    wait += share >= 1 ? weights.fullMs * share : weights.affinityMs * share;
+  }
+  return wait;
+}
+
+double
+ZoneMs(const ChoiceWeights& aWeights,
+       const AvailabilityZone& aFrom,
+       const AvailabilityZone& aTo,
+       std::size_t aBytes)
+{
+  if (aFrom == aTo) {
+    return 0;
+  }
+  return 2 * aWeights.zoneMs + aWeights.zoneMsPerKilobyte *
+                                 static_cast<double>(aBytes) /
+                                 kBytesPerKilobyte;
+}
+
+// The two highest rendezvous scores of the zone's candidates.
+struct AffinityScores
+{
+  std::uint64_t first = 0;
+  std::uint64_t second = 0;
+};
+
+std::uint64_t
+AffinityScore(const Runner& aRunner, std::uint64_t aSeed)
+{
+  return HashBytes(aRunner.entry.id.Text(), aSeed).low;
+}
+
+std::uint64_t
+AffinitySeed(const Prompt& aPrompt)
+{
+  // The last part is the request's own, unless it is the only one.
+  const PromptPart* largest = nullptr;
+  for (std::size_t i = 0; i < aPrompt.parts.size(); ++i) {
+    const PromptPart& part = aPrompt.parts[i];
+    const bool own = i + 1 == aPrompt.parts.size() && i > 0;
+    if (!own && (largest == nullptr || part.tokens > largest->tokens)) {
+      largest = &part;
+    }
+  }
+  return largest == nullptr ? 0 : HashBytes(largest->id, 0).low;
+}
+
+// Names the store that should keep each part that no store holds yet.
+void
+PlanSaves(const EngineQuery& aQuery,
+          const VersionKeys& aKeys,
+          const PartIndex& aIndex,
+          std::span<const CacheHolder> aHolders,
+          EngineChoice& aChoice)
+{
+  const std::vector<PromptPart>& parts = aQuery.prompt.parts;
+  aChoice.saveTo.assign(parts.size(), std::nullopt);
+  // The last part is not shared.
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    bool kept = false;
+    for (const PartHolding& holding : aIndex.HoldersOf(aKeys.keys[i])) {
+      kept = kept || std::any_of(aHolders.begin(),
+                                 aHolders.end(),
+                                 [&](const CacheHolder& aEntry) {
+                                   return aEntry.kind == HolderKind::Store &&
+                                          aEntry.id == holding.holder;
+                                 });
+    }
+    if (kept) {
+      continue;
+    }
+    const CacheHolder* best = nullptr;
+    std::uint64_t bestScore = 0;
+    for (const CacheHolder& holder : aHolders) {
+      if (holder.kind != HolderKind::Store ||
+          aIndex.TokensOf(holder.id) + parts[i].tokens >
+            holder.capacityTokens) {
+        continue;
+      }
+      const std::uint64_t score =
+        HashBytes(holder.id.Text(), aKeys.keys[i].low).low;
+      if (best == nullptr || score > bestScore) {
+        best = &holder;
+        bestScore = score;
+      }
+    }
+    if (best != nullptr) {
+      aChoice.saveTo[i] = best->address;
+    }
+  }
+}
+
+} // namespace
+
+std::string
+CacheSalt(const ModelName& aModel,
+          WeightNumber aVersion,
+          std::string_view aWall)
+{
+  return aModel.Text() + "." + std::to_string(aVersion) + "." +
+         std::string(aWall);
+}
+
+std::optional<EngineChoice>
+ChooseEngine(const EngineQuery& aQuery,
+             std::span<const std::shared_ptr<Runner>> aCandidates,
+             const PartIndex& aIndex,
+             std::span<const CacheHolder> aHolders,
+             TimePoint aNow)
+{
+  const std::uint64_t seed = AffinitySeed(aQuery.prompt);
+  AffinityScores scores;
+  for (const auto& runner : aCandidates) {
+    if (runner->entry.zone != aQuery.zone) {
+      continue;
+    }
+    const std::uint64_t score = AffinityScore(*runner, seed);
+    if (score > scores.first) {
+      scores = { score, scores.first };
+    } else if (score > scores.second) {
+      scores.second = score;
+    }
+  }
+  KeysByVersion keys;
+  std::optional<EngineChoice> best;
+  for (const auto& runner : aCandidates) {
+    const WeightNumber version = runner->VersionOf(aQuery.prompt.model);
+    const bool old = version < aQuery.newest;
+    if (old && aQuery.onlyNewest) {
+      continue;
+    }
+    EngineChoice choice;
+    choice.runner = runner;
+    choice.version = version;
+    const VersionKeys& versionKeys = KeysOf(keys, aQuery, version);
+    const ChoiceWeights& weights = aQuery.weights;
+    choice.cost =
+      PlanParts(aQuery, versionKeys, aIndex, aHolders, choice) +
+      WaitMs(aQuery, *runner) +
+      ZoneMs(weights, aQuery.zone, runner->entry.zone, aQuery.bodyBytes) +
+      weights.failureMs * runner->health.FailureRate(aNow) +
+      (old ? weights.oldWeightsMs : 0);
+    const std::uint64_t score = AffinityScore(*runner, seed);
+    if (score < scores.second) {
+      choice.cost += weights.affinityMs;
+    } else if (score < scores.first) {
+      choice.cost += weights.affinityMs / 2;
+    }
+    if (!best || choice.cost < best->cost) {
+      best = std::move(choice);
+    }
+  }
+  if (best) {
+    const VersionKeys& versionKeys = KeysOf(keys, aQuery, best->version);
+    best->salt = versionKeys.salt;
+    PlanSaves(aQuery, versionKeys, aIndex, aHolders, *best);
+  }
+  return best;
+}
+
+std::shared_ptr<Runner>
+ChoosePlain(const PlainQuery& aQuery,
+            std::span<const std::shared_ptr<Runner>> aCandidates,
+            TimePoint aNow)
+{
+  std::shared_ptr<Runner> best;
+  double bestCost = 0;
+  for (const auto& runner : aCandidates) {
+    const double latency = ToSeconds(runner->health.Latency()) * 1'000;
+    const std::uint32_t slots = std::max<std::uint32_t>(runner->entry.slots, 1);
+    const double running = runner->inFlight + runner->othersInFlight;
+    // Calls beyond the free slots wait for one to end.
+    const double waves = running / slots;
+    const double wait = waves < 1 ? waves * latency / 2 : waves * latency;
+    const double cost =
+      latency + wait +
+      ZoneMs(
+        aQuery.weights, aQuery.zone, runner->entry.zone, aQuery.bodyBytes) +
+      aQuery.weights.failureMs * runner->health.FailureRate(aNow);
+    if (best == nullptr || cost < bestCost) {
+      best = runner;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/platform/backoff_gate.cc
+++ b/wigeonwalk/kv_client/backoff_gate.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/platform/backoff_gate.h"
+#include "wigeonwalk/kv_client/backoff_gate.h"
 
 #include <algorithm>
 
--- a/wigeonwalk/platform/call_budget.cc
+++ b/wigeonwalk/kv_client/call_budget.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/platform/call_budget.h"
+#include "wigeonwalk/kv_client/call_budget.h"
 
 #include <algorithm>
 #include <limits>
--- a/wigeonwalk/platform/call_budget.h
+++ b/wigeonwalk/kv_client/call_budget.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "wigeonwalk/base/time.h"
-#include "wigeonwalk/platform/key_value_user.h"
+#include "wigeonwalk/kv_client/key_value_user.h"
 
 #include <array>
 #include <cstdint>
--- a/wigeonwalk/platform/call_budget_test.cc
+++ b/wigeonwalk/kv_client/call_budget_test.cc
@@ -1,6 +1,6 @@
-#include "wigeonwalk/platform/backoff_gate.h"
-#include "wigeonwalk/platform/call_budget.h"
-#include "wigeonwalk/platform/read_back.h"
+#include "wigeonwalk/kv_client/backoff_gate.h"
+#include "wigeonwalk/kv_client/call_budget.h"
+#include "wigeonwalk/kv_client/read_back.h"
 
 #include <catch2/catch.hpp>
 
--- a/wigeonwalk/platform/key_value_client.h
+++ b/wigeonwalk/kv_client/key_value_client.h
@@ -9,12 +9,12 @@
 // answers of writes by reading back. Reads are hedged once, writes never.
 #pragma once
 
-#include "wigeonwalk/platform/backoff_gate.h"
-#include "wigeonwalk/platform/call_budget.h"
-#include "wigeonwalk/platform/key_value_client_types.h"
-#include "wigeonwalk/platform/key_value_handle.h"
-#include "wigeonwalk/platform/key_value_user.h"
-#include "wigeonwalk/platform/read_back.h"
+#include "wigeonwalk/kv_client/backoff_gate.h"
+#include "wigeonwalk/kv_client/call_budget.h"
+#include "wigeonwalk/kv_client/key_value_client_types.h"
+#include "wigeonwalk/kv_client/key_value_handle.h"
+#include "wigeonwalk/kv_client/key_value_user.h"
+#include "wigeonwalk/kv_client/read_back.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/key_value.h"
 
--- a/wigeonwalk/platform/key_value_client_test.cc
+++ b/wigeonwalk/kv_client/key_value_client_test.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/platform/key_value_client.h"
+#include "wigeonwalk/kv_client/key_value_client.h"
 #include "wigeonwalk/testing/fake_key_value.h"
 
 #include <catch2/catch.hpp>
--- a/wigeonwalk/platform/key_value_handle.h
+++ b/wigeonwalk/kv_client/key_value_handle.h
@@ -4,7 +4,7 @@
 //   auto read = co_await claims.Get("claims/7/floor", deadline, reason);
 #pragma once
 
-#include "wigeonwalk/platform/key_value_user.h"
+#include "wigeonwalk/kv_client/key_value_user.h"
 #include "wigeonwalk/ports/key_value.h"
 
 #include <cstdint>
--- a/wigeonwalk/platform/lease_keeper_test.cc
+++ b/wigeonwalk/kv_client/lease_keeper_test.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/platform/lease_keeper.h"
+#include "wigeonwalk/kv_client/lease_keeper.h"
 #include "wigeonwalk/testing/fake_key_value.h"
 
 #include <catch2/catch.hpp>
--- a/wigeonwalk/platform/outage_test.cc
+++ b/wigeonwalk/kv_client/outage_test.cc
@@ -1,5 +1,5 @@
-#include "wigeonwalk/platform/key_value_client.h"
-#include "wigeonwalk/platform/lease_keeper.h"
+#include "wigeonwalk/kv_client/key_value_client.h"
+#include "wigeonwalk/kv_client/lease_keeper.h"
 #include "wigeonwalk/testing/fake_key_value.h"
 
 #include <catch2/catch.hpp>
--- a/wigeonwalk/platform/read_back.cc
+++ b/wigeonwalk/kv_client/read_back.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/platform/read_back.h"
+#include "wigeonwalk/kv_client/read_back.h"
 
 namespace wigeonwalk {
 
--- a/wigeonwalk/adapters/log/log_field.h
+++ b/wigeonwalk/ports/log_field.h
@@ -23,6 +23,33 @@
 
 namespace wigeonwalk {
 
+// Severity of a line. Off is only a threshold.
+enum class LogLevel
+{
+  Trace,
+  Debug,
+  Info,
+  Warning,
+  Error,
+  Critical,
+  Off,
+};
+
+template<>
+struct EnumNames<LogLevel>
+{
+  static constexpr std::array<EnumName<LogLevel>, 7> kTable{ {
+    { LogLevel::Trace, "trace" },
+    { LogLevel::Debug, "debug" },
+    { LogLevel::Info, "info" },
+    { LogLevel::Warning, "warning" },
+    { LogLevel::Error, "error" },
+    { LogLevel::Critical, "critical" },
+    { LogLevel::Off, "off" },
+  } };
+};
+static_assert(HasCompleteTable<LogLevel>());
+
 // Names of the fields.
 enum class LogKey
 {
@@ -46,12 +73,21 @@
   Bytes,
   Count,
   Elapsed,
+  Route,
+  Address,
+  Age,
+  CachedTokens,
+  FetchedTokens,
+  ReadTokens,
+  Cost,
+  FirstByte,
+  Outcome,
 };
 
 template<>
 struct EnumNames<LogKey>
 {
-  static constexpr std::array<EnumName<LogKey>, 20> kTable{ {
+  static constexpr std::array<EnumName<LogKey>, 29> kTable{ {
     { LogKey::Organisation, "organisation" },
     { LogKey::Service, "service" },
     { LogKey::Model, "model" },
@@ -72,6 +108,15 @@
     { LogKey::Bytes, "bytes" },
     { LogKey::Count, "count" },
     { LogKey::Elapsed, "elapsed_us" },
+    { LogKey::Route, "route" },
+    { LogKey::Address, "address" },
+    { LogKey::Age, "age_us" },
+    { LogKey::CachedTokens, "cached_tokens" },
+    { LogKey::FetchedTokens, "fetched_tokens" },
+    { LogKey::ReadTokens, "read_tokens" },
+    { LogKey::Cost, "cost_ms" },
+    { LogKey::FirstByte, "first_byte_us" },
+    { LogKey::Outcome, "outcome" },
   } };
 };
 static_assert(HasCompleteTable<LogKey>());
@@ -137,6 +182,14 @@
   {
   }
 
+  // An address or the name of a route: names of the configuration.
+  static LogField Name(LogKey aKey, std::string aName)
+  {
+    LogField field(aKey, false);
+    field.value = std::move(aName);
+    return field;
+  }
+
   template<NamedEnum E>
   LogField(LogKey aKey, E aValue)
     : key(aKey)
--- /dev/null
+++ b/wigeonwalk/retry/window_budget.cc
@@ -0,0 +1,51 @@
+#include "wigeonwalk/retry/window_budget.h"
+
+#include <algorithm>
+
+namespace wigeonwalk {
+
+WindowBudget::WindowBudget(WindowBudgetSettings aSettings)
+  : settings(aSettings)
+{
+}
+
+void
+WindowBudget::DropOld(Window& aWindow, TimePoint aNow) const
+{
+  const TimePoint oldest = aNow - this->settings.window;
+  for (auto* times : { &aWindow.requests, &aWindow.repeats }) {
+    while (!times->empty() && times->front() <= oldest) {
+      times->pop_front();
+    }
+  }
+}
+
+void
+WindowBudget::NoteRequest(const ServiceName& aService, TimePoint aNow)
+{
+  Window& window = this->windows[aService];
+  this->DropOld(window, aNow);
+  window.requests.push_back(aNow);
+}
+
+bool
+WindowBudget::TrySpend(const ServiceName& aService,
+                       std::size_t aDaemons,
+                       TimePoint aNow)
+{
+  Window& window = this->windows[aService];
+  this->DropOld(window, aNow);
+  const double daemons =
+    static_cast<double>(std::max<std::size_t>(aDaemons, 1));
+  const double allowed =
+    this->settings.used *
+    (this->settings.ratio * static_cast<double>(window.requests.size()) +
+     this->settings.slack / daemons);
+  if (static_cast<double>(window.repeats.size() + 1) > allowed) {
+    return false;
+  }
+  window.repeats.push_back(aNow);
+  return true;
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/rollout/rollout_test.cc
+++ b/wigeonwalk/rollout/rollout_test.cc
@@ -1,5 +1,5 @@
 #include "wigeonwalk/adapters/rollout_codec/rollout_codec.h"
-#include "wigeonwalk/platform/lease_keeper.h"
+#include "wigeonwalk/kv_client/lease_keeper.h"
 #include "wigeonwalk/rollout/rollout_flow.h"
 #include "wigeonwalk/testing/fake_key_value.h"
 #include "wigeonwalk/testing/fake_orderable_engine.h"
--- /dev/null
+++ b/wigeonwalk/routing/route_table.cc
@@ -0,0 +1,96 @@
+#include "wigeonwalk/routing/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace wigeonwalk {
+
+namespace {
+
+std::string
+NormalHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.find(':')));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return host;
+}
+
+} // namespace
+
+RouteTable::RouteTable(RoutingConfiguration aConfiguration)
+  : configuration(std::move(aConfiguration))
+{
+  for (const Route& route : this->configuration.routes) {
+    this->routesByHost[NormalHost(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : this->routesByHost) {
+    std::stable_sort(routes.begin(),
+                     routes.end(),
+                     [](const Route* aLeft, const Route* aRight) {
+                       return aLeft->prefix.size() > aRight->prefix.size();
+                     });
+  }
+  for (const auto& organisation : this->configuration.organisations) {
+    for (const std::string& key : organisation.apiKeys) {
+      this->organisationsByKey.emplace(key, &organisation);
+    }
+  }
+  for (const auto& service : this->configuration.services) {
+    this->servicesByName.emplace(service.name, &service);
+  }
+}
+
+const Route*
+RouteTable::FindRoute(std::string_view aHost, std::string_view aTarget) const
+{
+  const auto routes = this->routesByHost.find(NormalHost(aHost));
+  if (routes == this->routesByHost.end()) {
+    return nullptr;
+  }
+  const std::string_view path = aTarget.substr(0, aTarget.find('?'));
+  for (const Route* route : routes->second) {
+    if (path.starts_with(route->prefix)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const OrganisationConfiguration*
+RouteTable::FindByKey(std::string_view aKey) const
+{
+  const auto found = this->organisationsByKey.find(std::string(aKey));
+  return found == this->organisationsByKey.end() ? nullptr : found->second;
+}
+
+const ServiceConfiguration*
+RouteTable::FindService(const ServiceName& aService) const
+{
+  const auto found = this->servicesByName.find(aService);
+  return found == this->servicesByName.end() ? nullptr : found->second;
+}
+
+const ServiceName*
+ChooseService(const Route& aRoute, const RequestId& aRequest)
+{
+  std::uint64_t total = 0;
+  for (const WeightedService& entry : aRoute.services) {
+    total += entry.weight;
+  }
+  if (total == 0) {
+    return nullptr;
+  }
+  std::uint64_t point = HashBytes(aRequest.Text(), 0).low % total;
+  for (const WeightedService& entry : aRoute.services) {
+    if (point < entry.weight) {
+      return &entry.service;
+    }
+    point -= entry.weight;
+  }
+  return nullptr;
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/routing/route_table.h
@@ -0,0 +1,58 @@
+// Lookup of routes, organisations and services in one configuration.
+//
+//   RouteTable table(configuration);
+//   const Route* route = table.FindRoute("orders.example", "/bookings/7");
+//   const OrganisationConfiguration* caller = table.FindByKey(key);
+#pragma once
+
+#include "wigeonwalk/base/hash128.h"
+#include "wigeonwalk/routing/routing_configuration.h"
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Immutable. Pointers into it live as long as the table.
+class RouteTable
+{
+public:
+  explicit RouteTable(RoutingConfiguration aConfiguration);
+  RouteTable(const RouteTable&) = delete;
+  RouteTable& operator=(const RouteTable&) = delete;
+
+  // Returns the host's route with the longest prefix of the path, or null. The
+  // host compares without regard to case; a port and a query are ignored.
+  const Route* FindRoute(std::string_view aHost,
+                         std::string_view aTarget) const;
+
+  // Returns the organisation that holds the API key, or null.
+  const OrganisationConfiguration* FindByKey(std::string_view aKey) const;
+
+  const ServiceConfiguration* FindService(const ServiceName& aService) const;
+
+  // True where callers must present a key on routes that are not public.
+  bool NeedsKeys() const { return !this->configuration.organisations.empty(); }
+
+  const RoutingConfiguration& Configuration() const
+  {
+    return this->configuration;
+  }
+
+private:
+  RoutingConfiguration configuration;
+  // Routes of a host, longest prefix first.
+  std::unordered_map<std::string, std::vector<const Route*>> routesByHost;
+  std::unordered_map<std::string, const OrganisationConfiguration*>
+    organisationsByKey;
+  std::unordered_map<ServiceName, const ServiceConfiguration*> servicesByName;
+};
+
+// Returns the service that a request goes to: the same one for the same
+// request id, in proportion to the weights. Null where all weights are zero.
+const ServiceName*
+ChooseService(const Route& aRoute, const RequestId& aRequest);
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/routing/routing_configuration.h
@@ -0,0 +1,164 @@
+// What the operator has configured: routes, services, organisations, limits.
+//
+//   RoutingConfiguration configuration = ...;   // decoded by an adapter
+//   RouteTable table(std::move(configuration));
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/base/ids.h"
+#include "wigeonwalk/base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// What may be repeated of a route's requests.
+enum class RequestKind
+{
+  // May run more than once.
+  Idempotent,
+  // Runs at most once for each request of a caller.
+  NonIdempotent,
+  // The answer is a stream of events; runs at most once unless the route's
+  // streams can be resumed.
+  Streaming,
+};
+
+template<>
+struct EnumNames<RequestKind>
+{
+  static constexpr std::array<EnumName<RequestKind>, 3> kTable{ {
+    { RequestKind::Idempotent, "idempotent" },
+    { RequestKind::NonIdempotent, "non_idempotent" },
+    { RequestKind::Streaming, "streaming" },
+  } };
+};
+static_assert(HasCompleteTable<RequestKind>());
+
+// One of the services that share a route's requests.
+struct WeightedService
+{
+  ServiceName service;
+  // Share of the requests, relative to the other weights of the route.
+  std::uint32_t weight = 1;
+
+  bool operator==(const WeightedService&) const = default;
+};
+
+struct Route
+{
+  std::string name;
+  std::string host;
+  // Begins and ends with a slash.
+  std::string prefix;
+  RequestKind kind = RequestKind::NonIdempotent;
+  // Longest time that a request is kept waiting for its whole answer.
+  Duration timeout = std::chrono::seconds(30);
+  // Latency within which an answer has its full value: to the end of a plain
+  // answer, to the first event of a stream.
+  Duration targetLatency = std::chrono::seconds(1);
+  // Longest pause between events of a stream that counts as on time.
+  Duration targetGap{ 0 };
+  // Rank of the route's requests; 0 is the most urgent.
+  std::uint32_t priority = 0;
+  std::vector<WeightedService> services;
+  // Most runners that one request may be sent to.
+  std::uint32_t maxAttempts = 1;
+  // A public route needs no API key.
+  bool isPublic = false;
+  // A broken stream may go on at another runner after its last event.
+  bool resumable = false;
+
+  // True where a second run of the same request does no harm.
+  bool MayRunAgain() const
+  {
+    return this->kind == RequestKind::Idempotent ||
+           (this->kind == RequestKind::Streaming && this->resumable);
+  }
+
+  bool operator==(const Route&) const = default;
+};
+
+// Properties of the model runners of a service.
+struct EngineTraits
+{
+  std::uint32_t slots = 1;
+  // Memory shared by running requests and cached prompt parts.
+  std::uint64_t cacheTokens = 0;
+  std::uint64_t bytesPerToken = 0;
+  // Rate of a runner's link for KV cache, in megabits a second.
+  double linkMegabits = 0;
+  // Calls for cache events that one runner holds at a time.
+  std::uint32_t eventCalls = 0;
+  std::vector<ModelName> models;
+
+  bool operator==(const EngineTraits&) const = default;
+};
+
+// Properties of a store of KV cache.
+struct CacheStoreTraits
+{
+  std::string address;
+  AvailabilityZone zone;
+  std::uint64_t cacheTokens = 0;
+  double linkMegabits = 0;
+  // Additional wait of each transfer.
+  Duration transferDelay{ 0 };
+  std::uint32_t eventCalls = 0;
+  // The store never evicts; this system frees what it no longer needs.
+  bool freedByCaller = false;
+
+  bool operator==(const CacheStoreTraits&) const = default;
+};
+
+struct ServiceConfiguration
+{
+  ServiceName name;
+  std::string healthPath;
+  // Connections that one runner accepts from all callers together.
+  std::uint32_t maxConnections = 0;
+  std::optional<EngineTraits> engine;
+  std::optional<CacheStoreTraits> cacheStore;
+
+  bool operator==(const ServiceConfiguration&) const = default;
+};
+
+struct OrganisationConfiguration
+{
+  OrganisationId name;
+  std::vector<std::string> apiKeys;
+  // Takes precedence over the route's priority.
+  std::optional<std::uint32_t> priority;
+  // Its KV cache is shared with no other organisation.
+  bool isolated = false;
+
+  bool operator==(const OrganisationConfiguration&) const = default;
+};
+
+// What callers may send.
+struct CallerBounds
+{
+  std::uint32_t headerBytes = 16 * 1024;
+  std::uint64_t bodyBytes = 4 * 1024 * 1024;
+  Duration headerTimeout = std::chrono::seconds(10);
+  Duration idleTimeout = std::chrono::seconds(60);
+
+  bool operator==(const CallerBounds&) const = default;
+};
+
+struct RoutingConfiguration
+{
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<ServiceConfiguration> services;
+  // Empty where callers need no keys.
+  std::vector<OrganisationConfiguration> organisations;
+  CallerBounds bounds;
+
+  bool operator==(const RoutingConfiguration&) const = default;
+};
+
+} // namespace wigeonwalk
