--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -17,7 +17,11 @@
 EntryState::Apply(RegistryItem aItem, TimePoint aNow)
 {
   if (auto* entry = std::get_if<RunnerEntry>(&aItem)) {
-    return this->fleet.Register(*entry, aNow);
+    const FleetChange change = this->fleet.Register(*entry, aNow);
+    if (change == FleetChange::Restarted) {
+      this->ForgetHolder(entry->id);
+    }
+    return change;
   }
   if (auto* configuration = std::get_if<RoutingConfiguration>(&aItem)) {
     if (this->routes == nullptr ||
@@ -39,7 +43,11 @@
 EntryState::ApplyRemoved(const RemovedItem& aItem, TimePoint aNow)
 {
   if (const auto* runner = std::get_if<UpstreamId>(&aItem)) {
-    return this->fleet.Unregister(*runner, aNow);
+    const FleetChange change = this->fleet.Unregister(*runner, aNow);
+    if (change == FleetChange::Removed) {
+      this->ForgetHolder(*runner);
+    }
+    return change;
   }
   if (const auto* host = std::get_if<HostId>(&aItem)) {
     this->members.erase(*host);
@@ -47,6 +55,13 @@
   return FleetChange::None;
 }
 
+void
+EntryState::ForgetHolder(const UpstreamId& aHolder)
+{
+  this->parts.Forget(aHolder);
+  this->holders.erase(aHolder);
+}
+
 std::vector<std::shared_ptr<Runner>>
 EntryState::Candidates(const ServiceName& aService,
                        const std::vector<UpstreamId>& aTried,
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -92,6 +92,8 @@
   bool stopping = false;
 
 private:
+  void ForgetHolder(const UpstreamId& aHolder);
+
   EntrySettings settings;
   std::shared_ptr<const RouteTable> routes;
   std::map<ModelName, KnownWeights> weights;
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -347,7 +347,7 @@
     const bool stream = head->IsSuccess() && head->isEventStream;
     if (stream) {
       co_return co_await this->PassStream(
-        *attempt, aRun, load, aChoice, aExchange, aReason);
+        aRequest, *attempt, aRun, load, aChoice, aExchange, aReason);
     }
     co_return co_await this->PassAnswer(
       *attempt, *head, aRun, aChoice, sentAt, aExchange, aReason);
@@ -400,7 +400,8 @@
 
   // Passes on whole events as they arrive.
   template<CallerExchange<Attempt> X>
-  Task<AttemptEnd> PassStream(Attempt& aAttempt,
+  Task<AttemptEnd> PassStream(const Request& aRequest,
+                              Attempt& aAttempt,
                               Run& aRun,
                               RunnerLoad& aLoad,
                               const Choice& aChoice,
@@ -423,6 +424,7 @@
       } else {
         aRun.firstByteAt = this->timer.Now();
         aRun.streamBegun = true;
+        this->NoteParts(aRequest.facts, aChoice);
         written = co_await aExchange.BeginStream(aAttempt, std::move(*events));
       }
       if (!written) {
@@ -443,6 +445,20 @@
     co_return ended ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
   }
 
+  // A runner that has made its first token holds all parts of the prompt. Its
+  // events tell so later.
+  void NoteParts(const EntryRequest& aFacts, const Choice& aChoice)
+  {
+    if (!aFacts.prompt) {
+      return;
+    }
+    for (const PromptPart& part : aFacts.prompt->parts) {
+      this->state.parts.Set(aChoice.order.runner,
+                            KeyOfPart(aChoice.order.cacheSalt, part.id),
+                            part.tokens);
+    }
+  }
+
   void NoteRefused(const EntryRequest& aFacts,
                    const AnswerFacts& aHead,
                    const Choice& aChoice)
