entry: bring runners to newly named weights under one lease

Change: one daemon holds a lease in the store and orders loads, as many at once as the time bound needs, each naming the number of orders accepted before; a holder that follows another waits out the deployment's lease time. Open: other daemons learn of a load only from the runner's refusals.

--- a/wigeonwalk/entry/item_mirror.cc
+++ b/wigeonwalk/entry/item_mirror.cc
@@ -105,6 +105,14 @@
   return changes;
 }
 
+const KeyValueEntry*
+ItemMirror::Find(const std::string& aKey) const
+{
+  const auto found = this->items.find(aKey);
+  const bool present = found != this->items.end() && !found->second.deleted;
+  return present ? &found->second.entry : nullptr;
+}
+
 std::vector<KeyValueEntry>
 ItemMirror::Items() const
 {
--- a/wigeonwalk/entry/item_mirror.h
+++ b/wigeonwalk/entry/item_mirror.h
@@ -41,6 +41,9 @@
   std::optional<std::vector<WatchEvent>> ChangesSince(
     std::int64_t aRevision) const;
 
+  // Returns the present item of a key, or null.
+  const KeyValueEntry* Find(const std::string& aKey) const;
+
   // Returns all present items.
   std::vector<KeyValueEntry> Items() const;
 
--- /dev/null
+++ b/wigeonwalk/entry/member_presence.h
@@ -0,0 +1,103 @@
+// Keeps this daemon listed among the members.
+//
+//   MemberPresence presence(store, timer, log, key, value);
+//   spawn(presence.Run());
+#pragma once
+
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/decision_log.h"
+#include "wigeonwalk/ports/key_value.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace wigeonwalk {
+
+// Writes one key under a lease and renews it. One task.
+template<KeyValueService S, Timer T, DecisionLog L>
+class MemberPresence
+{
+public:
+  // Others drop a daemon that was killed after this time.
+  static constexpr Duration kTimeToLive = std::chrono::seconds(8);
+  static constexpr Duration kRenewEvery = kTimeToLive / 3;
+  static constexpr Duration kCallTime = std::chrono::seconds(1);
+  static constexpr Duration kFailurePause = std::chrono::milliseconds(500);
+
+  MemberPresence(S& aStore,
+                 T& aTimer,
+                 L& aLog,
+                 std::string aKey,
+                 std::string aValue)
+    : store(aStore)
+    , timer(aTimer)
+    , log(aLog)
+    , key(std::move(aKey))
+    , value(std::move(aValue))
+  {
+  }
+
+  Task<void> Run()
+  {
+    while (true) {
+      LastReason reason;
+      bool ok = false;
+      if (this->lease) {
+        ok = co_await this->Renew(reason);
+      } else {
+        ok = co_await this->Announce(reason);
+      }
+      const Duration pause = ok ? kRenewEvery : kFailurePause;
+      co_await this->timer.WaitUntil(this->timer.Now() + pause);
+    }
+  }
+
+private:
+  Task<bool> Announce(LastReason& aReason)
+  {
+    const TimePoint deadline = this->timer.Now() + kCallTime;
+    const auto granted =
+      co_await this->store.GrantLease(kTimeToLive, deadline, aReason);
+    if (!granted) {
+      co_return false;
+    }
+    const PutRequest put{
+      .key = this->key, .value = this->value, .lease = *granted
+    };
+    const WriteResult result =
+      co_await this->store.Put(put, deadline, aReason);
+    if (result.outcome != WriteOutcome::Applied) {
+      co_return false;
+    }
+    this->lease = granted;
+    co_return true;
+  }
+
+  Task<bool> Renew(LastReason& aReason)
+  {
+    const TimePoint deadline = this->timer.Now() + kCallTime;
+    LastReason why;
+    const auto left =
+      co_await this->store.KeepAlive(*this->lease, deadline, why);
+    if (!left && why.code == ReasonCode::Expired) {
+      this->lease.reset();
+      this->log.Write(this->timer.Now(),
+                      LogLevel::Warning,
+                      "membership lapsed",
+                      {},
+                      { LogField(why) });
+    }
+    aReason = why;
+    co_return left.has_value();
+  }
+
+  S& store;
+  T& timer;
+  L& log;
+  std::string key;
+  std::string value;
+  std::optional<LeaseId> lease;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/order_lead.h
@@ -0,0 +1,192 @@
+// Which daemon gives orders to runners.
+//
+//   OrderLead lead(state, mirror, store, timer, log);
+//   spawn(lead.Run());
+//   if (auto number = lead.FencingNumber()) { ... give an order ... }
+#pragma once
+
+#include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/item_mirror.h"
+#include "wigeonwalk/kv_client/lease_keeper.h"
+#include "wigeonwalk/membership/rendezvous.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/decision_log.h"
+#include "wigeonwalk/ports/key_value.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Holds the lease on orders where this daemon is the one to. The fencing number
+// is the revision of the lease's key, so that each later holder's is higher.
+// A holder that follows another one waits until orders of both can't count as
+// taking turns. One task.
+template<KeyValueService S, Timer T, DecisionLog L>
+class OrderLead
+{
+public:
+  static constexpr const char* kLeaseKey = "wigeonwalk/orders/lease";
+  // Remembers the last holder beyond its lease.
+  static constexpr const char* kHolderKey = "wigeonwalk/orders/holder";
+  // Time to live of the lease. Short, because a rollout stands still until a
+  // dead holder's lease has ended.
+  static constexpr Duration kTimeToLive = std::chrono::seconds(2);
+  static constexpr Duration kRenewEvery = kTimeToLive / 3;
+  static constexpr Duration kCallTime = std::chrono::milliseconds(500);
+  static constexpr Duration kPace = std::chrono::milliseconds(100);
+  // A daemon further down the ranking waits this much longer for each rank.
+  static constexpr Duration kRankDelay = std::chrono::milliseconds(600);
+  // Beyond the deployment's least time between two holders.
+  static constexpr Duration kTurnMargin = std::chrono::milliseconds(200);
+
+  OrderLead(EntryState& aState,
+            const ItemMirror& aMirror,
+            S& aStore,
+            T& aTimer,
+            L& aLog)
+    : state(aState)
+    , mirror(aMirror)
+    , store(aStore)
+    , timer(aTimer)
+    , log(aLog)
+    , keeper(aStore,
+             aTimer,
+             { kLeaseKey, aState.Settings().host.Text(), kTimeToLive })
+  {
+  }
+
+  // The number to fence orders with; nothing where this daemon may give none.
+  std::optional<std::uint64_t> FencingNumber() const
+  {
+    if (this->timer.Now() < this->ordersFrom || this->fenced) {
+      return std::nullopt;
+    }
+    return this->keeper.FencingNumber();
+  }
+
+  // A runner has seen a higher fencing number: this daemon's lease is over.
+  void NoteFenced() { this->fenced = true; }
+
+  // Runs until the daemon ends; gives the lease back when it stops.
+  Task<void> Run()
+  {
+    while (!this->state.stopping) {
+      if (this->keeper.FencingNumber() && !this->fenced) {
+        co_await this->Renew();
+      } else if (this->IsMyTurn()) {
+        co_await this->TakeOver();
+      }
+      co_await this->timer.WaitUntil(this->timer.Now() + kPace);
+    }
+    co_await this->keeper.Release();
+  }
+
+private:
+  Task<void> Renew()
+  {
+    const TimePoint now = this->timer.Now();
+    if (now < this->renewAt) {
+      co_return;
+    }
+    LastReason reason;
+    const TimePoint deadline = now + kCallTime;
+    if (co_await this->keeper.Renew(deadline, reason)) {
+      this->renewAt = now + kRenewEvery;
+      co_return;
+    }
+    if (!this->keeper.FencingNumber()) {
+      this->log.Write(this->timer.Now(),
+                      LogLevel::Warning,
+                      "lease on orders lost",
+                      {},
+                      { LogField(reason) });
+    }
+  }
+
+  // The first of the ranked daemons takes a free lease at once, the others
+  // later, in case those before them can't reach the registry.
+  bool IsMyTurn()
+  {
+    const TimePoint now = this->timer.Now();
+    const bool held = this->mirror.Find(kLeaseKey) != nullptr;
+    if (this->state.registryAway || held || this->state.Routes() == nullptr) {
+      this->freeSince.reset();
+      return false;
+    }
+    if (!this->freeSince) {
+      this->freeSince = now;
+    }
+    std::vector<HostId> hosts;
+    for (const auto& [host, member] : this->state.members) {
+      hosts.push_back(host);
+    }
+    const auto ranked = RankOwners(kLeaseKey, hosts, hosts.size());
+    const auto self =
+      std::find(ranked.begin(), ranked.end(), this->state.Settings().host);
+    const auto rank = static_cast<int>(self - ranked.begin());
+    return now - *this->freeSince >= rank * kRankDelay;
+  }
+
+  Task<void> TakeOver()
+  {
+    LastReason reason;
+    const TimePoint deadline = this->timer.Now() + kCallTime;
+    this->freeSince.reset();
+    if (!co_await this->keeper.Acquire(deadline, reason)) {
+      co_return;
+    }
+    const TimePoint now = this->timer.Now();
+    this->fenced = false;
+    this->renewAt = now + kRenewEvery;
+    const std::string self = this->state.Settings().host.Text();
+    const KeyValueEntry* last = this->mirror.Find(kHolderKey);
+    const bool follows = last != nullptr && last->value != self;
+    this->ordersFrom =
+      follows ? now + this->state.Settings().bounds.orderLease + kTurnMargin
+              : now;
+    this->log.Write(now,
+                    LogLevel::Info,
+                    "lease on orders held",
+                    {},
+                    { { LogKey::Revision, *this->keeper.FencingNumber() },
+                      { LogKey::Age, this->ordersFrom - now } });
+    if (last == nullptr || follows) {
+      co_await this->WriteHolder(self, deadline);
+    }
+  }
+
+  // Without the record, the next holder would not wait; so no order is given
+  // before it is written.
+  Task<void> WriteHolder(std::string aSelf, TimePoint aDeadline)
+  {
+    const PutRequest put{ .key = kHolderKey, .value = std::move(aSelf) };
+    LastReason reason;
+    const WriteResult result =
+      co_await this->store.Put(put, aDeadline, reason);
+    if (result.outcome != WriteOutcome::Applied) {
+      this->log.Write(this->timer.Now(),
+                      LogLevel::Warning,
+                      "holder of orders not recorded",
+                      {},
+                      { LogField(reason) });
+      co_await this->keeper.Release();
+    }
+  }
+
+  EntryState& state;
+  const ItemMirror& mirror;
+  S& store;
+  T& timer;
+  L& log;
+  LeaseKeeper<S, T> keeper;
+  TimePoint ordersFrom;
+  TimePoint renewAt;
+  std::optional<TimePoint> freeSince;
+  bool fenced = false;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -0,0 +1,284 @@
+// Brings runners to newly named weights.
+//
+//   WeightRollout rollout(state, lead, control, timer, log);
+//   for (auto& step : rollout.NextSteps()) { spawn(rollout.Load(step)); }
+#pragma once
+
+#include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/decision_log.h"
+#include "wigeonwalk/ports/runner_control.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Says whether this daemon gives orders.
+template<typename T>
+concept OrderAuthority = requires(T& aLead)
+{
+  {
+    aLead.FencingNumber()
+    } -> std::same_as<std::optional<std::uint64_t>>;
+  {
+    aLead.NoteFenced()
+    } -> std::same_as<void>;
+};
+
+// One runner that is to load other weights.
+struct LoadStep
+{
+  std::shared_ptr<Runner> runner;
+  ModelName model;
+  WeightNumber version = 0;
+};
+
+// How many runners may load at once so that all of them have loaded within the
+// deployment's time. More at once would load more slowly and take more runners
+// out of service.
+constexpr std::size_t
+MostLoading(std::size_t aRunners, Duration aAllowed)
+{
+  // Time from the order to the end of a load, with the runs that end first.
+  constexpr double kLoadSeconds = 1.4;
+  // Part of the allowed time that a rollout is planned to take.
+  constexpr double kPlannedPart = 0.8;
+  const double rounds = kPlannedPart * ToSeconds(aAllowed) / kLoadSeconds;
+  const double atOnce = static_cast<double>(aRunners) / std::max(rounds, 1.0);
+  return static_cast<std::size_t>(atOnce) + 1;
+}
+
+// Rolls out weights while the daemon holds the lease on orders. One task for
+// each runner that loads.
+template<OrderAuthority O, RunnerControl C, Timer T, DecisionLog L>
+class WeightRollout
+{
+public:
+  static constexpr Duration kPace = std::chrono::milliseconds(50);
+  static constexpr Duration kCallTime = std::chrono::milliseconds(600);
+  // A load takes longer than this, so no report is asked for before.
+  static constexpr Duration kShortestLoad = std::chrono::milliseconds(1'150);
+  static constexpr Duration kReportPace = std::chrono::milliseconds(250);
+  // A load that takes longer than this is looked into again.
+  static constexpr Duration kLongestLoad = std::chrono::seconds(6);
+  // Pause before a runner that failed is ordered again.
+  static constexpr Duration kFailurePause = std::chrono::milliseconds(700);
+
+  WeightRollout(EntryState& aState, O& aLead, C& aControl, T& aTimer, L& aLog)
+    : state(aState)
+    , lead(aLead)
+    , control(aControl)
+    , timer(aTimer)
+    , log(aLog)
+  {
+  }
+
+  // Returns the runners that begin to load now; each needs its task.
+  std::vector<LoadStep> NextSteps()
+  {
+    std::vector<LoadStep> steps;
+    const auto& routes = this->state.Routes();
+    if (!this->lead.FencingNumber() || routes == nullptr) {
+      return steps;
+    }
+    for (const auto& service : routes->Configuration().services) {
+      if (service.engine) {
+        this->AddSteps(service, steps);
+      }
+    }
+    return steps;
+  }
+
+  // Brings one runner to its new weights, or leaves it for a later step.
+  Task<void> Load(LoadStep aStep)
+  {
+    const UpstreamId id = aStep.runner->entry.id;
+    const bool done = co_await this->LoadOnce(aStep);
+    if (!done) {
+      co_await this->timer.WaitUntil(this->timer.Now() + kFailurePause);
+    }
+    this->loading.erase(id);
+  }
+
+private:
+  void AddSteps(const ServiceConfiguration& aService,
+                std::vector<LoadStep>& aSteps)
+  {
+    auto runners = this->state.fleet.RunnersOf(aService.name);
+    std::sort(runners.begin(), runners.end(), [](const auto& a, const auto& b) {
+      return a->entry.id < b->entry.id;
+    });
+    std::size_t busy = 0;
+    for (const auto& runner : runners) {
+      busy += this->loading.contains(runner->entry.id) ? 1 : 0;
+    }
+    const std::size_t most =
+      MostLoading(runners.size(), this->state.Settings().bounds.newWeights);
+    for (const auto& runner : runners) {
+      if (busy >= most) {
+        return;
+      }
+      if (this->loading.contains(runner->entry.id)) {
+        continue;
+      }
+      for (const LoadedModel& loaded : runner->entry.models) {
+        const KnownWeights newest = this->state.WeightsOf(loaded.model);
+        if (loaded.version < newest.version) {
+          aSteps.push_back({ runner, loaded.model, newest.version });
+          this->loading.insert(runner->entry.id);
+          ++busy;
+          break;
+        }
+      }
+    }
+  }
+
+  Task<bool> LoadOnce(const LoadStep& aStep)
+  {
+    Runner& runner = *aStep.runner;
+    LastReason reason;
+    const std::string address = runner.entry.address;
+    const TimePoint reportBy = this->timer.Now() + kCallTime;
+    const auto report =
+      co_await this->control.Report(address, reportBy, reason);
+    if (!report || !IsSameStart(runner, *report)) {
+      this->NoteStep(aStep, OrderOutcome::Unknown, reason);
+      co_return false;
+    }
+    if (HasWeights(*report, aStep)) {
+      this->Finish(aStep);
+      co_return true;
+    }
+    if (report->busy) {
+      co_return co_await this->AwaitLoad(aStep);
+    }
+    const auto number = this->lead.FencingNumber();
+    if (!number || runner.leaving) {
+      co_return false;
+    }
+    const WeightsOrder order{ runner.entry.id,
+                              address,
+                              aStep.model,
+                              aStep.version,
+                              this->state.Settings().host,
+                              *number,
+                              report->acceptedOrders };
+    runner.pausedUntil = this->timer.Now() + kLongestLoad;
+    const TimePoint orderBy = this->timer.Now() + kCallTime;
+    const OrderOutcome outcome =
+      co_await this->control.Order(order, orderBy, reason);
+    this->NoteStep(aStep, outcome, reason);
+    co_return co_await this->Settle(aStep, outcome);
+  }
+
+  Task<bool> Settle(const LoadStep& aStep, OrderOutcome aOutcome)
+  {
+    switch (aOutcome) {
+      case OrderOutcome::Accepted:
+      case OrderOutcome::Busy:
+      case OrderOutcome::Unknown: {
+        // An order without an answer may have been accepted. The next one names
+        // the number of accepted orders, so that only one of them counts.
+        const bool loaded = co_await this->AwaitLoad(aStep);
+        co_return loaded;
+      }
+      case OrderOutcome::AlreadyDone:
+        this->Finish(aStep);
+        co_return true;
+      case OrderOutcome::Fenced:
+        this->lead.NoteFenced();
+        break;
+      case OrderOutcome::Rejected:
+      case OrderOutcome::WrongRunner:
+        break;
+    }
+    aStep.runner->pausedUntil = TimePoint();
+    co_return false;
+  }
+
+  // Asks for reports until the runner has its weights. Gives up where it is
+  // not loading, or takes too long.
+  Task<bool> AwaitLoad(const LoadStep& aStep)
+  {
+    const TimePoint begunAt = this->timer.Now();
+    TimePoint next = begunAt + kShortestLoad;
+    while (next < begunAt + kLongestLoad) {
+      co_await this->timer.WaitUntil(next);
+      LastReason reason;
+      const TimePoint deadline = this->timer.Now() + kCallTime;
+      const auto report = co_await this->control.Report(
+        aStep.runner->entry.address, deadline, reason);
+      if (report && !IsSameStart(*aStep.runner, *report)) {
+        break;
+      }
+      if (report && HasWeights(*report, aStep)) {
+        this->Finish(aStep);
+        co_return true;
+      }
+      if (report && !report->busy) {
+        break;
+      }
+      next = this->timer.Now() + kReportPace;
+    }
+    aStep.runner->pausedUntil = TimePoint();
+    co_return false;
+  }
+
+  static bool IsSameStart(const Runner& aRunner, const RunnerReport& aReport)
+  {
+    return aReport.startedAt == 0 || aRunner.entry.startedAt == 0 ||
+           aReport.startedAt == aRunner.entry.startedAt;
+  }
+
+  static bool HasWeights(const RunnerReport& aReport, const LoadStep& aStep)
+  {
+    return std::any_of(aReport.models.begin(),
+                       aReport.models.end(),
+                       [&aStep](const LoadedModel& aLoaded) {
+                         return aLoaded.model == aStep.model &&
+                                aLoaded.version >= aStep.version;
+                       });
+  }
+
+  void Finish(const LoadStep& aStep)
+  {
+    aStep.runner->SetVersion(aStep.model, aStep.version);
+    aStep.runner->pausedUntil = TimePoint();
+    this->log.Write(this->timer.Now(),
+                    LogLevel::Info,
+                    "weights loaded",
+                    {},
+                    { { LogKey::Upstream, aStep.runner->entry.id },
+                      { LogKey::Model, aStep.model },
+                      { LogKey::Version, aStep.version } });
+  }
+
+  void NoteStep(const LoadStep& aStep,
+                OrderOutcome aOutcome,
+                const LastReason& aReason)
+  {
+    this->log.Write(this->timer.Now(),
+                    LogLevel::Info,
+                    "weights ordered",
+                    {},
+                    { { LogKey::Upstream, aStep.runner->entry.id },
+                      { LogKey::Model, aStep.model },
+                      { LogKey::Version, aStep.version },
+                      { LogKey::Outcome, aOutcome },
+                      LogField(aReason) });
+  }
+
+  EntryState& state;
+  O& lead;
+  C& control;
+  T& timer;
+  L& log;
+  std::set<UpstreamId> loading;
+};
+
+} // namespace wigeonwalk
