entry: exchange facts, pauses and loads between daemons

Cause: daemons sent requests to runners that were about to load weights (refused, and sent again), and a daemon that the store turns away learnt of no change. Change: loads go to the daemons of the zone, pauses to all, and a daemon without the registry asks its peers for what is newer than its copy, over the authenticated peer channel, whose key the first daemon writes to the store.

--- /dev/null
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -0,0 +1,126 @@
+#include "wigeonwalk/adapters/entry_notices/entry_msgpack.h"
+
+#include "wigeonwalk/adapters/msgpack/msgpack.h"
+
+#include <cstdint>
+
+namespace wigeonwalk {
+
+using Json = nlohmann::json;
+
+namespace {
+
+// Values may hold any bytes, so they travel as binary and not as text.
+Json
+Binary(const std::string& aBytes)
+{
+  return Json::binary({ aBytes.begin(), aBytes.end() });
+}
+
+std::string
+BytesOf(const Json& aJson)
+{
+  const auto& bytes = aJson.get_binary();
+  return { bytes.begin(), bytes.end() };
+}
+
+} // namespace
+
+std::string
+EntryMsgpack::EncodePause(const RunnerPause& aPause) const
+{
+  return PackMessage(Json::array({ aPause.runner.Text(),
+                                   aPause.model.Text(),
+                                   aPause.loaded,
+                                   aPause.pause.count() }));
+}
+
+std::optional<RunnerPause>
+EntryMsgpack::DecodePause(const std::string& aPayload) const
+{
+  return UnpackMessage(aPayload, [](const Json& aJson) {
+    return RunnerPause{ UpstreamId(aJson.at(0).get<std::string>()),
+                        ModelName(aJson.at(1).get<std::string>()),
+                        aJson.at(2).get<WeightNumber>(),
+                        Duration(aJson.at(3).get<std::int64_t>()) };
+  });
+}
+
+std::string
+EntryMsgpack::EncodeLoads(const RunnerLoads& aLoads) const
+{
+  Json rows = Json::array();
+  for (const RunnerLoadRow& row : aLoads.rows) {
+    rows.push_back(Json::array({ row.runner.Text(),
+                                 row.inFlight,
+                                 row.tokensInFlight,
+                                 row.tokensToRead }));
+  }
+  return PackMessage(rows);
+}
+
+std::optional<RunnerLoads>
+EntryMsgpack::DecodeLoads(const std::string& aPayload) const
+{
+  return UnpackMessage(aPayload, [](const Json& aJson) {
+    RunnerLoads loads;
+    for (const Json& row : aJson) {
+      loads.rows.push_back({ UpstreamId(row.at(0).get<std::string>()),
+                             row.at(1).get<std::uint32_t>(),
+                             row.at(2).get<std::uint64_t>(),
+                             row.at(3).get<std::uint64_t>() });
+    }
+    return loads;
+  });
+}
+
+std::string
+EntryMsgpack::EncodeQuery(const RegistryQuery& aQuery) const
+{
+  return PackMessage(Json::array({ aQuery.revision }));
+}
+
+std::optional<RegistryQuery>
+EntryMsgpack::DecodeQuery(const std::string& aPayload) const
+{
+  return UnpackMessage(aPayload, [](const Json& aJson) {
+    return RegistryQuery{ aJson.at(0).get<std::int64_t>() };
+  });
+}
+
+std::string
+EntryMsgpack::EncodeChanges(const RegistryChanges& aChanges) const
+{
+  Json rows = Json::array();
+  for (const WatchEvent& change : aChanges.changes) {
+    rows.push_back(Json::array({ change.deleted,
+                                 change.entry.key,
+                                 Binary(change.entry.value),
+                                 change.entry.createRevision,
+                                 change.entry.modRevision }));
+  }
+  return PackMessage(
+    Json::array({ aChanges.revision, aChanges.full, std::move(rows) }));
+}
+
+std::optional<RegistryChanges>
+EntryMsgpack::DecodeChanges(const std::string& aPayload) const
+{
+  return UnpackMessage(aPayload, [](const Json& aJson) {
+    RegistryChanges changes;
+    changes.revision = aJson.at(0).get<std::int64_t>();
+    changes.full = aJson.at(1).get<bool>();
+    for (const Json& row : aJson.at(2)) {
+      WatchEvent change;
+      change.deleted = row.at(0).get<bool>();
+      change.entry.key = row.at(1).get<std::string>();
+      change.entry.value = BytesOf(row.at(2));
+      change.entry.createRevision = row.at(3).get<std::int64_t>();
+      change.entry.modRevision = row.at(4).get<std::int64_t>();
+      changes.changes.push_back(std::move(change));
+    }
+    return changes;
+  });
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.h
@@ -0,0 +1,30 @@
+// MessagePack form of what entry daemons tell each other.
+//
+//   EntryMsgpack codec;
+//   std::string payload = codec.EncodePause(pause);
+#pragma once
+
+#include "wigeonwalk/entry/entry_notices.h"
+
+#include <optional>
+#include <string>
+
+namespace wigeonwalk {
+
+// Satisfies EntryNoticeCodec.
+struct EntryMsgpack
+{
+  std::string EncodePause(const RunnerPause& aPause) const;
+  std::optional<RunnerPause> DecodePause(const std::string& aPayload) const;
+  std::string EncodeLoads(const RunnerLoads& aLoads) const;
+  std::optional<RunnerLoads> DecodeLoads(const std::string& aPayload) const;
+  std::string EncodeQuery(const RegistryQuery& aQuery) const;
+  std::optional<RegistryQuery> DecodeQuery(const std::string& aPayload) const;
+  std::string EncodeChanges(const RegistryChanges& aChanges) const;
+  std::optional<RegistryChanges> DecodeChanges(
+    const std::string& aPayload) const;
+};
+
+static_assert(EntryNoticeCodec<EntryMsgpack>);
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/peer/late_transport.h
@@ -0,0 +1,68 @@
+// A peer transport that is opened once the cluster's key is known.
+//
+//   LateTransport channel(executor);
+//   channel.Open(key, "10.1.0.40:7700", handler, reason);
+#pragma once
+
+#include "wigeonwalk/adapters/peer/peer_transport.h"
+
+#include <optional>
+#include <string>
+
+namespace wigeonwalk {
+
+// Satisfies PeerChannel. Before it is open, datagrams are dropped and calls
+// fail. One I/O thread only.
+class LateTransport
+{
+public:
+  explicit LateTransport(boost::asio::any_io_executor aExecutor)
+    : executor(std::move(aExecutor))
+  {
+  }
+
+  template<PeerHandler H>
+  bool Open(ClusterKey aKey,
+            const std::string& aAddress,
+            H& aHandler,
+            LastReason& aReason)
+  {
+    this->transport.emplace(this->executor, std::move(aKey));
+    this->transport->Serve(aHandler);
+    if (!this->transport->Listen(aAddress, aReason)) {
+      this->transport.reset();
+      return false;
+    }
+    return true;
+  }
+
+  bool IsOpen() const { return this->transport.has_value(); }
+
+  void Send(const std::string& aAddress, const PeerDatagram& aDatagram)
+  {
+    if (this->transport) {
+      this->transport->Send(aAddress, aDatagram);
+    }
+  }
+
+  Task<std::optional<PeerAnswer>> Call(const std::string& aAddress,
+                                       const PeerCall& aCall,
+                                       TimePoint aDeadline,
+                                       LastReason& aReason)
+  {
+    if (!this->transport) {
+      co_return Fail(
+        aReason, ReasonCode::Unavailable, "the cluster's key is not known yet");
+    }
+    co_return co_await this->transport->Call(
+      aAddress, aCall, aDeadline, aReason);
+  }
+
+private:
+  boost::asio::any_io_executor executor;
+  std::optional<PeerTransport> transport;
+};
+
+static_assert(PeerChannel<LateTransport>);
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/cluster_key.h
@@ -0,0 +1,48 @@
+// The key that authenticates messages between daemons, kept in the registry.
+//
+//   std::string key = co_await ObtainClusterKey(mirror, store, timer, made);
+#pragma once
+
+#include "wigeonwalk/entry/item_mirror.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/key_value.h"
+
+#include <string>
+
+namespace wigeonwalk {
+
+inline constexpr const char* kClusterKeyItem = "wigeonwalk/cluster-key";
+
+// Returns the cluster's key as soon as the mirror shows it. The first daemon of
+// a new cluster writes the one it made; all others use that one.
+template<KeyValueService S, Timer T>
+Task<std::string>
+ObtainClusterKey(const ItemMirror& aMirror,
+                 S& aStore,
+                 T& aTimer,
+                 std::string aMade)
+{
+  constexpr Duration kPace = std::chrono::milliseconds(100);
+  constexpr Duration kCallTime = std::chrono::seconds(1);
+  constexpr Duration kWritePause = std::chrono::seconds(1);
+  TimePoint writeAt = aTimer.Now();
+  while (true) {
+    if (const KeyValueEntry* item = aMirror.Find(kClusterKeyItem)) {
+      co_return item->value;
+    }
+    const TimePoint now = aTimer.Now();
+    if (aMirror.Revision() > 0 && now >= writeAt) {
+      writeAt = now + kWritePause;
+      const PutRequest put{ .key = kClusterKeyItem,
+                            .value = aMade,
+                            .expectedRevision = 0 };
+      LastReason ignored;
+      const TimePoint deadline = now + kCallTime;
+      co_await aStore.Put(put, deadline, ignored);
+    }
+    const TimePoint next = aTimer.Now() + kPace;
+    co_await aTimer.WaitUntil(next);
+  }
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/entry_notices.h
@@ -0,0 +1,98 @@
+// What entry daemons tell each other, without its encoding.
+#pragma once
+
+#include "wigeonwalk/fleet/runner.h"
+#include "wigeonwalk/ports/key_value.h"
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// A runner is about to load weights, or has loaded them.
+struct RunnerPause
+{
+  UpstreamId runner;
+  ModelName model;
+  // The weights that it has now.
+  WeightNumber loaded = 0;
+  // No new work for this long.
+  Duration pause{ 0 };
+
+  bool operator==(const RunnerPause&) const = default;
+};
+
+// What one daemon has in flight at one runner.
+struct RunnerLoadRow
+{
+  UpstreamId runner;
+  std::uint32_t inFlight = 0;
+  std::uint64_t tokensInFlight = 0;
+  std::uint64_t tokensToRead = 0;
+
+  bool operator==(const RunnerLoadRow&) const = default;
+};
+
+struct RunnerLoads
+{
+  std::vector<RunnerLoadRow> rows;
+
+  bool operator==(const RunnerLoads&) const = default;
+};
+
+// Asks for what a daemon knows of the registry beyond a revision.
+struct RegistryQuery
+{
+  std::int64_t revision = 0;
+
+  bool operator==(const RegistryQuery&) const = default;
+};
+
+struct RegistryChanges
+{
+  // All changes up to this revision are known to the sender.
+  std::int64_t revision = 0;
+  // The changes are all present items: removals may be missing.
+  bool full = false;
+  std::vector<WatchEvent> changes;
+};
+
+// Encodes them. A decoder returns nothing for any other payload.
+template<typename T>
+concept EntryNoticeCodec = requires(const T& aCodec,
+                                    const RunnerPause& aPause,
+                                    const RunnerLoads& aLoads,
+                                    const RegistryQuery& aQuery,
+                                    const RegistryChanges& aChanges,
+                                    const std::string& aPayload)
+{
+  {
+    aCodec.EncodePause(aPause)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodePause(aPayload)
+    } -> std::same_as<std::optional<RunnerPause>>;
+  {
+    aCodec.EncodeLoads(aLoads)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodeLoads(aPayload)
+    } -> std::same_as<std::optional<RunnerLoads>>;
+  {
+    aCodec.EncodeQuery(aQuery)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodeQuery(aPayload)
+    } -> std::same_as<std::optional<RegistryQuery>>;
+  {
+    aCodec.EncodeChanges(aChanges)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodeChanges(aPayload)
+    } -> std::same_as<std::optional<RegistryChanges>>;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/load_board.cc
@@ -0,0 +1,50 @@
+#include "wigeonwalk/entry/load_board.h"
+
+#include <utility>
+
+namespace wigeonwalk {
+
+void
+LoadBoard::Take(const HostId& aDaemon, RunnerLoads aLoads, TimePoint aNow)
+{
+  this->reports[aDaemon] = { std::move(aLoads), aNow };
+}
+
+void
+LoadBoard::Spread(const Fleet& aFleet, TimePoint aNow)
+{
+  for (const auto& runner : aFleet.All()) {
+    runner->othersInFlight = 0;
+    runner->othersTokensInFlight = 0;
+    runner->othersTokensToRead = 0;
+  }
+  std::erase_if(this->reports, [aNow](const auto& aReport) {
+    return aNow - aReport.second.at > kLifetime;
+  });
+  for (const auto& [daemon, report] : this->reports) {
+    for (const RunnerLoadRow& row : report.loads.rows) {
+      if (const auto runner = aFleet.Find(row.runner)) {
+        runner->othersInFlight += row.inFlight;
+        runner->othersTokensInFlight += row.tokensInFlight;
+        runner->othersTokensToRead += row.tokensToRead;
+      }
+    }
+  }
+}
+
+RunnerLoads
+LoadsOf(const Fleet& aFleet)
+{
+  RunnerLoads loads;
+  for (const auto& runner : aFleet.All()) {
+    if (runner->inFlight > 0) {
+      loads.rows.push_back({ runner->entry.id,
+                             runner->inFlight,
+                             runner->tokensInFlight,
+                             runner->tokensToRead });
+    }
+  }
+  return loads;
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/load_board.h
@@ -0,0 +1,40 @@
+// The loads that other daemons told, summed up at the runners.
+//
+//   board.Take(daemon, loads, now);
+//   board.Spread(fleet, now);
+#pragma once
+
+#include "wigeonwalk/entry/entry_notices.h"
+#include "wigeonwalk/fleet/fleet.h"
+
+#include <map>
+
+namespace wigeonwalk {
+
+// Keeps the last report of each daemon for a short time. One thread only.
+class LoadBoard
+{
+public:
+  // A report that is older says nothing any more.
+  static constexpr Duration kLifetime = std::chrono::milliseconds(900);
+
+  void Take(const HostId& aDaemon, RunnerLoads aLoads, TimePoint aNow);
+
+  // Sets the loads of others at all runners, without those of lapsed reports.
+  void Spread(const Fleet& aFleet, TimePoint aNow);
+
+private:
+  struct Report
+  {
+    RunnerLoads loads;
+    TimePoint at;
+  };
+
+  std::map<HostId, Report> reports;
+};
+
+// Returns what this daemon has in flight at each runner.
+RunnerLoads
+LoadsOf(const Fleet& aFleet);
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -0,0 +1,260 @@
+// What this daemon exchanges with the others.
+//
+//   PeerExchange peers(state, watch, mirror, channel, codec, timer, log);
+//   peers.TellPause(pause);
+//   spawn(peers.Run());
+#pragma once
+
+#include "wigeonwalk/entry/entry_notices.h"
+#include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/item_mirror.h"
+#include "wigeonwalk/entry/load_board.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/decision_log.h"
+#include "wigeonwalk/ports/peer_channel.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Takes over changes of the registry that another daemon reported.
+template<typename T>
+concept ChangeTaker = requires(T& aTaker,
+                               const std::vector<WatchEvent>& aChanges,
+                               std::int64_t aRevision)
+{
+  aTaker.TakeOver(aChanges, aRevision);
+};
+
+// Tells loads to the daemons of the same zone, which use the same runners, and
+// pauses to all. Asks others for changes of the registry where this daemon
+// can't reach it. One task, and one for each call of another daemon.
+template<ChangeTaker W,
+         PeerChannel P,
+         EntryNoticeCodec C,
+         Timer T,
+         DecisionLog L>
+class PeerExchange
+{
+public:
+  static constexpr Duration kLoadPace = std::chrono::milliseconds(150);
+  // How often a daemon without the registry asks another one.
+  static constexpr Duration kQueryPace = std::chrono::milliseconds(300);
+  static constexpr Duration kCallTime = std::chrono::milliseconds(400);
+  // Daemons of a zone that loads are told to.
+  static constexpr std::size_t kMostLoadPeers = 24;
+  // Rows that fit into one datagram.
+  static constexpr std::size_t kMostRows = 24;
+
+  PeerExchange(EntryState& aState,
+               W& aWatch,
+               const ItemMirror& aMirror,
+               P& aChannel,
+               const C& aCodec,
+               T& aTimer,
+               L& aLog)
+    : state(aState)
+    , watch(aWatch)
+    , mirror(aMirror)
+    , channel(aChannel)
+    , codec(aCodec)
+    , timer(aTimer)
+    , log(aLog)
+    , random(std::hash<HostId>()(aState.Settings().host))
+  {
+  }
+
+  Task<void> Run()
+  {
+    while (true) {
+      const TimePoint now = this->timer.Now();
+      this->TellLoads();
+      this->board.Spread(this->state.fleet, now);
+      if (this->state.registryAway && now >= this->queryAt) {
+        this->queryAt = now + kQueryPace;
+        co_await this->AskForChanges();
+      }
+      co_await this->timer.WaitUntil(now + kLoadPace);
+    }
+  }
+
+  // Tells all other daemons that a runner loads weights or has loaded them.
+  void TellPause(const RunnerPause& aPause)
+  {
+    const PeerNotice notice{ NoticeKind::RunnerPause,
+                             this->codec.EncodePause(aPause) };
+    for (const EntryMember& member : this->Others()) {
+      this->Tell(member, notice);
+    }
+  }
+
+  void OnDatagram(const PeerDatagram& aDatagram)
+  {
+    for (const PeerNotice& notice : aDatagram.notices) {
+      if (notice.kind == NoticeKind::RunnerPause) {
+        if (const auto pause = this->codec.DecodePause(notice.payload)) {
+          this->TakePause(*pause);
+        }
+      } else if (notice.kind == NoticeKind::RunnerLoads) {
+        if (auto loads = this->codec.DecodeLoads(notice.payload)) {
+          this->board.Take(
+            aDatagram.sender.host, std::move(*loads), this->timer.Now());
+        }
+      }
+    }
+  }
+
+  Task<std::optional<PeerAnswer>> OnCall(PeerCall aCall)
+  {
+    const auto* forwarded = std::get_if<ForwardedCall>(&aCall.body);
+    if (forwarded == nullptr ||
+        forwarded->kind != ForwardedKind::RegistryChanges) {
+      co_return std::nullopt;
+    }
+    const auto query = this->codec.DecodeQuery(forwarded->payload);
+    if (!query) {
+      co_return std::nullopt;
+    }
+    RegistryChanges changes{ this->mirror.Revision(), false, {} };
+    if (auto since = this->mirror.ChangesSince(query->revision)) {
+      changes.changes = std::move(*since);
+    } else {
+      changes.full = true;
+      for (KeyValueEntry& entry : this->mirror.Items()) {
+        changes.changes.push_back({ false, std::move(entry) });
+      }
+    }
+    PeerAnswer answer;
+    answer.from = this->state.Settings().host;
+    answer.body = ForwardedAnswer{ ForwardedKind::RegistryChanges,
+                                   this->codec.EncodeChanges(changes) };
+    co_return answer;
+  }
+
+private:
+  std::vector<EntryMember> Others() const
+  {
+    std::vector<EntryMember> others;
+    for (const auto& [host, member] : this->state.members) {
+      if (host != this->state.Settings().host && !member.peerAddress.empty()) {
+        others.push_back(member);
+      }
+    }
+    return others;
+  }
+
+  void Tell(const EntryMember& aMember, const PeerNotice& aNotice)
+  {
+    PeerDatagram datagram;
+    datagram.kind = DatagramKind::Notice;
+    datagram.sender.host = this->state.Settings().host;
+    datagram.notices = { aNotice };
+    this->channel.Send(aMember.peerAddress, datagram);
+  }
+
+  void TellLoads()
+  {
+    RunnerLoads loads = LoadsOf(this->state.fleet);
+    // A daemon that has nothing in flight says so once.
+    if (loads.rows.empty() && this->toldNothing) {
+      return;
+    }
+    this->toldNothing = loads.rows.empty();
+    if (loads.rows.size() > kMostRows) {
+      std::sort(loads.rows.begin(),
+                loads.rows.end(),
+                [](const RunnerLoadRow& aLeft, const RunnerLoadRow& aRight) {
+                  return aLeft.tokensInFlight > aRight.tokensInFlight;
+                });
+      loads.rows.resize(kMostRows);
+    }
+    const PeerNotice notice{ NoticeKind::RunnerLoads,
+                             this->codec.EncodeLoads(loads) };
+    std::size_t told = 0;
+    for (const EntryMember& member : this->Others()) {
+      if (member.zone == this->state.Settings().zone &&
+          told++ < kMostLoadPeers) {
+        this->Tell(member, notice);
+      }
+    }
+  }
+
+  void TakePause(const RunnerPause& aPause)
+  {
+    const auto runner = this->state.fleet.Find(aPause.runner);
+    if (runner == nullptr) {
+      return;
+    }
+    const TimePoint now = this->timer.Now();
+    runner->pausedUntil = now + aPause.pause;
+    if (aPause.loaded > runner->VersionOf(aPause.model)) {
+      runner->SetVersion(aPause.model, aPause.loaded);
+    }
+    this->log.Write(now,
+                    LogLevel::Info,
+                    "runner pauses",
+                    {},
+                    { { LogKey::Upstream, aPause.runner },
+                      { LogKey::Version, aPause.loaded },
+                      { LogKey::Age, aPause.pause } });
+  }
+
+  // Asks one daemon, another one each time.
+  Task<void> AskForChanges()
+  {
+    const std::vector<EntryMember> others = this->Others();
+    if (others.empty()) {
+      co_return;
+    }
+    const EntryMember& peer = others[this->random() % others.size()];
+    PeerCall call;
+    call.from = this->state.Settings().host;
+    call.body = ForwardedCall{
+      ForwardedKind::RegistryChanges,
+      this->codec.EncodeQuery({ this->mirror.Revision() })
+    };
+    LastReason reason;
+    const TimePoint deadline = this->timer.Now() + kCallTime;
+    const auto answer = co_await this->channel.Call(
+      peer.peerAddress, call, deadline, reason);
+    if (!answer) {
+      co_return;
+    }
+    const auto* body = std::get_if<ForwardedAnswer>(&answer->body);
+    if (body == nullptr) {
+      co_return;
+    }
+    const auto changes = this->codec.DecodeChanges(body->payload);
+    if (!changes || changes->revision <= this->mirror.Revision()) {
+      co_return;
+    }
+    this->log.Write(this->timer.Now(),
+                    LogLevel::Info,
+                    "registry changes from a peer",
+                    {},
+                    { { LogKey::Peer, peer.host },
+                      { LogKey::Count, changes->changes.size() },
+                      { LogKey::Revision, changes->revision } });
+    this->watch.TakeOver(changes->changes, changes->revision);
+  }
+
+  EntryState& state;
+  W& watch;
+  const ItemMirror& mirror;
+  P& channel;
+  const C& codec;
+  T& timer;
+  L& log;
+  LoadBoard board;
+  std::mt19937_64 random;
+  TimePoint queryAt;
+  bool toldNothing = false;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -83,8 +83,6 @@
     this->mirror.NoteRevision(aRevision);
   }
 
-  bool IsAway() const { return this->state.registryAway; }
-
 private:
   Task<bool> ReadAll(LastReason& aReason)
   {
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -4,6 +4,7 @@
 //   for (auto& step : rollout.NextSteps()) { spawn(rollout.Load(step)); }
 #pragma once
 
+#include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/decision_log.h"
@@ -30,6 +31,13 @@
     } -> std::same_as<void>;
 };
 
+// Tells other daemons of runners that load weights.
+template<typename T>
+concept PauseTeller = requires(T& aTeller, const RunnerPause& aPause)
+{
+  aTeller.TellPause(aPause);
+};
+
 // One runner that is to load other weights.
 struct LoadStep
 {
@@ -55,7 +63,11 @@
 
 // Rolls out weights while the daemon holds the lease on orders. One task for
 // each runner that loads.
-template<OrderAuthority O, RunnerControl C, Timer T, DecisionLog L>
+template<OrderAuthority O,
+         PauseTeller P,
+         RunnerControl C,
+         Timer T,
+         DecisionLog L>
 class WeightRollout
 {
 public:
@@ -69,9 +81,15 @@
   // Pause before a runner that failed is ordered again.
   static constexpr Duration kFailurePause = std::chrono::milliseconds(700);
 
-  WeightRollout(EntryState& aState, O& aLead, C& aControl, T& aTimer, L& aLog)
+  WeightRollout(EntryState& aState,
+                O& aLead,
+                P& aPeers,
+                C& aControl,
+                T& aTimer,
+                L& aLog)
     : state(aState)
     , lead(aLead)
+    , peers(aPeers)
     , control(aControl)
     , timer(aTimer)
     , log(aLog)
@@ -168,7 +186,7 @@
                               this->state.Settings().host,
                               *number,
                               report->acceptedOrders };
-    runner.pausedUntil = this->timer.Now() + kLongestLoad;
+    this->Pause(aStep, kLongestLoad);
     const TimePoint orderBy = this->timer.Now() + kCallTime;
     const OrderOutcome outcome =
       co_await this->control.Order(order, orderBy, reason);
@@ -197,7 +215,7 @@
       case OrderOutcome::WrongRunner:
         break;
     }
-    aStep.runner->pausedUntil = TimePoint();
+    this->Pause(aStep, Duration(0));
     co_return false;
   }
 
@@ -225,7 +243,7 @@
       }
       next = this->timer.Now() + kReportPace;
     }
-    aStep.runner->pausedUntil = TimePoint();
+    this->Pause(aStep, Duration(0));
     co_return false;
   }
 
@@ -245,10 +263,21 @@
                        });
   }
 
+  // Keeps new work from the runner for a while, here and at the other daemons.
+  void Pause(const LoadStep& aStep, Duration aPause)
+  {
+    Runner& runner = *aStep.runner;
+    runner.pausedUntil = this->timer.Now() + aPause;
+    this->peers.TellPause({ runner.entry.id,
+                            aStep.model,
+                            runner.VersionOf(aStep.model),
+                            aPause });
+  }
+
   void Finish(const LoadStep& aStep)
   {
     aStep.runner->SetVersion(aStep.model, aStep.version);
-    aStep.runner->pausedUntil = TimePoint();
+    this->Pause(aStep, Duration(0));
     this->log.Write(this->timer.Now(),
                     LogLevel::Info,
                     "weights loaded",
@@ -275,6 +304,7 @@
 
   EntryState& state;
   O& lead;
+  P& peers;
   C& control;
   T& timer;
   L& log;
--- a/wigeonwalk/ports/peer_messages.h
+++ b/wigeonwalk/ports/peer_messages.h
@@ -74,14 +74,18 @@
 {
   Poison,
   Leaving,
+  RunnerPause,
+  RunnerLoads,
 };
 
 template<>
 struct EnumNames<NoticeKind>
 {
-  static constexpr std::array<EnumName<NoticeKind>, 2> kTable{ {
+  static constexpr std::array<EnumName<NoticeKind>, 4> kTable{ {
     { NoticeKind::Poison, "poison" },
     { NoticeKind::Leaving, "leaving" },
+    { NoticeKind::RunnerPause, "runner-pause" },
+    { NoticeKind::RunnerLoads, "runner-loads" },
   } };
 };
 static_assert(HasCompleteTable<NoticeKind>());
@@ -211,17 +215,19 @@
   DirectoryUpdate,
   DemandReport,
   Timeline,
+  RegistryChanges,
 };
 
 template<>
 struct EnumNames<ForwardedKind>
 {
-  static constexpr std::array<EnumName<ForwardedKind>, 5> kTable{ {
+  static constexpr std::array<EnumName<ForwardedKind>, 6> kTable{ {
     { ForwardedKind::ClaimAppend, "claim-append" },
     { ForwardedKind::DirectoryLookup, "directory-lookup" },
     { ForwardedKind::DirectoryUpdate, "directory-update" },
     { ForwardedKind::DemandReport, "demand-report" },
     { ForwardedKind::Timeline, "timeline" },
+    { ForwardedKind::RegistryChanges, "registry-changes" },
   } };
 };
 static_assert(HasCompleteTable<ForwardedKind>());
