entry: one preferred runner over all zones for short prompts

Change: the first choice for a prompt's largest shared part is the same for all daemons; long bodies still stay in their zone, which weighs more. Events are followed in the zone and at stores, and only parts of 1,024 tokens or more go to stores. Found: the log shows short prompts late behind long ones of other zones' daemons.

--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -134,7 +134,10 @@
     }
     for (const auto& runner : this->state.fleet.All()) {
       const auto* service = routes->FindService(runner->entry.service);
-      if (runner->leaving || service == nullptr || !service->engine) {
+      // Events of runners elsewhere would cost more than they save: prompts
+      // with long bodies stay in the zone, and stores hold the long parts.
+      if (runner->leaving || service == nullptr || !service->engine ||
+          runner->entry.zone != this->state.Settings().zone) {
         continue;
       }
       const CacheHolder holder{ runner->entry.id,
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -73,11 +73,9 @@
              aTried.end() ||
            aNow < aRunner->pausedUntil;
   });
-  const Duration silence = this->settings.heartbeatInterval * kMissedHeartbeats;
   std::vector<std::shared_ptr<Runner>> good;
   for (const auto& runner : all) {
-    const bool silent = !this->registryAway && aNow - runner->heardAt > silence;
-    if (!silent && !runner->health.IsAvoided(aNow)) {
+    if (!runner->health.IsAvoided(aNow)) {
       good.push_back(runner);
     }
   }
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -47,9 +47,6 @@
   // have restarted, and what it holds now may be partly written.
   static constexpr Duration kSourceFresh = std::chrono::milliseconds(900);
 
-  // Registrations that were missed before a runner counts as silent.
-  static constexpr int kMissedHeartbeats = 3;
-
   explicit EntryState(EntrySettings aSettings);
 
   // Takes over a decoded item. Returns what it changed of the runners.
@@ -63,8 +60,7 @@
   }
 
   // Returns the runners of a service that may get a request now. Runners that
-  // failed just now, pause or have gone silent are left out while others are
-  // there.
+  // failed just now are left out while others are there.
   std::vector<std::shared_ptr<Runner>> Candidates(
     const ServiceName& aService,
     const std::vector<UpstreamId>& aTried,
@@ -85,8 +81,7 @@
   std::map<UpstreamId, FollowedHolder> holders;
   std::map<HostId, EntryMember> members;
   WindowBudget repeats;
-  // No answer of the registry for a while: silence of the runners there says
-  // nothing.
+  // No answer of the registry for a while.
   bool registryAway = true;
   // The process is to stop.
   bool stopping = false;
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -235,16 +235,23 @@
     order.address = choice.runner->entry.address;
     order.runner = choice.runner->entry.id;
     order.timeLeft = aRun.deadline - aNow;
-    order.priority = aRun.route->priority;
     if (aRun.organisation != nullptr) {
       order.organisation = aRun.organisation->name;
-      order.priority =
-        aRun.organisation->priority.value_or(aRun.route->priority);
     }
     order.resumeAfter = aRun.lastEventId;
     return choice;
   }
 
+  // Rank of a request, 0 for the most urgent. That of its organisation takes
+  // precedence.
+  static std::uint32_t RankOf(const Run& aRun)
+  {
+    const std::uint32_t ofRoute = aRun.route->priority;
+    return aRun.organisation == nullptr
+             ? ofRoute
+             : aRun.organisation->priority.value_or(ofRoute);
+  }
+
   ChoiceWeights Weights() const
   {
     ChoiceWeights weights;
@@ -284,6 +291,8 @@
     aChoice.order.fetchFrom = std::move(engine->fetchFrom);
     aChoice.order.saveTo = std::move(engine->saveTo);
     aChoice.readTokens = engine->readTokens;
+    aChoice.order.priority =
+      EnginePriority(RankOf(aRun), engine->readTokens);
     aChoice.cachedTokens = engine->cachedTokens;
     aChoice.fetchedTokens = engine->fetchedTokens;
     aChoice.cost = engine->cost;
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -1,7 +1,6 @@
 #include "wigeonwalk/fleet/runner_choice.h"
 
 #include <algorithm>
-#include <array>
 #include <map>
 
 namespace wigeonwalk {
@@ -14,6 +13,10 @@
 // Parts shorter than this are not worth a transfer's fixed delay.
 constexpr std::uint32_t kLeastFetchTokens = 32;
 
+// Shorter parts stay with the runner that all daemons prefer for them; in a
+// store they would take room and events.
+constexpr std::uint32_t kLeastSaveTokens = 1'024;
+
 // The prompt's keys under one version of its weights.
 struct VersionKeys
 {
@@ -177,11 +180,11 @@
                                  kBytesPerKilobyte;
 }
 
-// The two highest rendezvous scores of the zone's candidates.
+// The highest rendezvous scores: of all candidates, and of those in the zone.
 struct AffinityScores
 {
-  std::uint64_t first = 0;
-  std::uint64_t second = 0;
+  std::uint64_t all = 0;
+  std::uint64_t zone = 0;
 };
 
 std::uint64_t
@@ -217,6 +220,9 @@
   aChoice.saveTo.assign(parts.size(), std::nullopt);
   // The last part is not shared.
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    if (parts[i].tokens < kLeastSaveTokens) {
+      continue;
+    }
     bool kept = false;
     for (const PartHolding& holding : aIndex.HoldersOf(aKeys.keys[i])) {
       kept = kept || std::any_of(aHolders.begin(),
@@ -252,6 +258,14 @@
 
 } // namespace
 
+std::uint32_t
+EnginePriority(std::uint32_t aRank, std::uint32_t aReadTokens)
+{
+  // Runners read prompts in pieces of this many tokens.
+  constexpr std::uint32_t kPieceTokens = 2'048;
+  return 2 * aRank + (aReadTokens > kPieceTokens ? 1 : 0);
+}
+
 std::string
 CacheSalt(const ModelName& aModel,
           WeightNumber aVersion,
@@ -271,14 +285,10 @@
   const std::uint64_t seed = AffinitySeed(aQuery.prompt);
   AffinityScores scores;
   for (const auto& runner : aCandidates) {
-    if (runner->entry.zone != aQuery.zone) {
-      continue;
-    }
     const std::uint64_t score = AffinityScore(*runner, seed);
-    if (score > scores.first) {
-      scores = { score, scores.first };
-    } else if (score > scores.second) {
-      scores.second = score;
+    scores.all = std::max(scores.all, score);
+    if (runner->entry.zone == aQuery.zone) {
+      scores.zone = std::max(scores.zone, score);
     }
   }
   KeysByVersion keys;
@@ -301,10 +311,10 @@
       weights.failureMs * runner->health.FailureRate(aNow) +
       (old ? weights.oldWeightsMs : 0);
     const std::uint64_t score = AffinityScore(*runner, seed);
-    if (score < scores.second) {
-      choice.cost += weights.affinityMs;
-    } else if (score < scores.first) {
-      choice.cost += weights.affinityMs / 2;
+    if (score != scores.all) {
+      const bool firstOfZone =
+        score == scores.zone && runner->entry.zone == aQuery.zone;
+      choice.cost += firstOfZone ? weights.affinityMs / 2 : weights.affinityMs;
     }
     if (!best || choice.cost < best->cost) {
       best = std::move(choice);
--- a/wigeonwalk/fleet/runner_choice.h
+++ b/wigeonwalk/fleet/runner_choice.h
@@ -63,8 +63,9 @@
   double rereadMsPerToken = 0.15;
   // Price of a token that is moved, beyond the time of the move.
   double moveMsPerToken = 0.002;
-  // Cost of a runner that is not the first choice for the prompt's largest
-  // shared part, so that few runners hold each part.
+  // Cost of a runner that is not the first choice of all daemons for the
+  // prompt's largest shared part, so that few runners hold each part. Half of
+  // it for the first choice in the zone.
   double affinityMs = 40;
   // Cost of a failure rate of one.
   double failureMs = 1'000;
@@ -112,6 +113,12 @@
   double cost = 0;
 };
 
+// Returns the priority of a request at its runner, 0 for the most urgent. Of the
+// same rank, prompts that are read in one piece go before longer ones, which
+// would keep them waiting for many times their own work.
+std::uint32_t
+EnginePriority(std::uint32_t aRank, std::uint32_t aReadTokens);
+
 // Returns the salt under which cache of a model's weights is kept. Cache of
 // other weights or behind another wall never matches it.
 std::string
