--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -51,10 +51,8 @@
 {
   Json rows = Json::array();
   for (const RunnerLoadRow& row : aLoads.rows) {
-    rows.push_back(Json::array({ row.runner.Text(),
-                                 row.inFlight,
-                                 row.tokensInFlight,
-                                 row.tokensToRead }));
+    rows.push_back(
+      Json::array({ row.runner.Text(), row.inFlight, row.tokensInFlight }));
   }
   return PackMessage(rows);
 }
@@ -67,13 +65,28 @@
     for (const Json& row : aJson) {
       loads.rows.push_back({ UpstreamId(row.at(0).get<std::string>()),
                              row.at(1).get<std::uint32_t>(),
-                             row.at(2).get<std::uint64_t>(),
-                             row.at(3).get<std::uint64_t>() });
+                             row.at(2).get<std::uint64_t>() });
     }
     return loads;
   });
 }
 
+std::string
+EntryMsgpack::EncodeWork(const RunnerWork& aWork) const
+{
+  return PackMessage(
+    Json::array({ aWork.runner.Text(), aWork.tokensToRead }));
+}
+
+std::optional<RunnerWork>
+EntryMsgpack::DecodeWork(const std::string& aPayload) const
+{
+  return UnpackMessage(aPayload, [](const Json& aJson) {
+    return RunnerWork{ UpstreamId(aJson.at(0).get<std::string>()),
+                       aJson.at(1).get<std::uint32_t>() };
+  });
+}
+
 std::string
 EntryMsgpack::EncodeQuery(const RegistryQuery& aQuery) const
 {
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.h
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.h
@@ -18,6 +18,8 @@
   std::optional<RunnerPause> DecodePause(const std::string& aPayload) const;
   std::string EncodeLoads(const RunnerLoads& aLoads) const;
   std::optional<RunnerLoads> DecodeLoads(const std::string& aPayload) const;
+  std::string EncodeWork(const RunnerWork& aWork) const;
+  std::optional<RunnerWork> DecodeWork(const std::string& aPayload) const;
   std::string EncodeQuery(const RegistryQuery& aQuery) const;
   std::optional<RegistryQuery> DecodeQuery(const std::string& aPayload) const;
   std::string EncodeChanges(const RegistryChanges& aChanges) const;
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -31,7 +31,6 @@
   UpstreamId runner;
   std::uint32_t inFlight = 0;
   std::uint64_t tokensInFlight = 0;
-  std::uint64_t tokensToRead = 0;
 
   bool operator==(const RunnerLoadRow&) const = default;
 };
@@ -43,6 +42,15 @@
   bool operator==(const RunnerLoads&) const = default;
 };
 
+// A long prompt was sent to a runner, which reads it before what comes later.
+struct RunnerWork
+{
+  UpstreamId runner;
+  std::uint32_t tokensToRead = 0;
+
+  bool operator==(const RunnerWork&) const = default;
+};
+
 // Asks for what a daemon knows of the registry beyond a revision.
 struct RegistryQuery
 {
@@ -65,6 +73,7 @@
 concept EntryNoticeCodec = requires(const T& aCodec,
                                     const RunnerPause& aPause,
                                     const RunnerLoads& aLoads,
+                                    const RunnerWork& aWork,
                                     const RegistryQuery& aQuery,
                                     const RegistryChanges& aChanges,
                                     const std::string& aPayload)
@@ -81,6 +90,12 @@
   {
     aCodec.DecodeLoads(aPayload)
     } -> std::same_as<std::optional<RunnerLoads>>;
+  {
+    aCodec.EncodeWork(aWork)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodeWork(aPayload)
+    } -> std::same_as<std::optional<RunnerWork>>;
   {
     aCodec.EncodeQuery(aQuery)
     } -> std::same_as<std::string>;
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -1,9 +1,10 @@
 // One request of a caller: from its route to the last byte of its answer.
 //
-//   ForwardRun<RunnerClient, SystemTimer, Log> run(state, client, timer, log);
+//   ForwardRun run(state, client, peers, timer, log);
 //   co_await run.Forward(request, exchange);
 #pragma once
 
+#include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/ports/attempts.h"
 #include "wigeonwalk/ports/clock.h"
@@ -41,8 +42,15 @@
 };
 static_assert(HasCompleteTable<AttemptEnd>());
 
+// Tells other daemons of prompts that a runner reads for long.
+template<typename T>
+concept WorkTeller = requires(T& aTeller, const RunnerWork& aWork)
+{
+  aTeller.TellWork(aWork);
+};
+
 // Forwards requests. Stateless between requests; the state must outlive it.
-template<AttemptOpener U, Timer T, DecisionLog L>
+template<AttemptOpener U, WorkTeller P, Timer T, DecisionLog L>
 class ForwardRun
 {
 public:
@@ -60,12 +68,16 @@
   static constexpr int kCandidateWaitPart = 8;
   // Where a refused request should try again, unless a cause says otherwise.
   static constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
+  // Prompt tokens to read from which on other daemons are told: what is sent to
+  // the runner next waits for about 50 ms.
+  static constexpr std::uint32_t kLongRead = 2'048;
   // A request without any time limit.
   static constexpr Duration kLongestWait = std::chrono::minutes(10);
 
-  ForwardRun(EntryState& aState, U& aUpstreams, T& aTimer, L& aLog)
+  ForwardRun(EntryState& aState, U& aUpstreams, P& aPeers, T& aTimer, L& aLog)
     : state(aState)
     , upstreams(aUpstreams)
+    , peers(aPeers)
     , timer(aTimer)
     , log(aLog)
   {
@@ -333,6 +345,9 @@
     }
     ++aRun.sends;
     aRun.lastRunner = aChoice.runner->entry.id;
+    if (aChoice.readTokens >= kLongRead) {
+      this->peers.TellWork({ aRun.lastRunner, aChoice.readTokens });
+    }
     const auto head = co_await attempt->ReadHead(aRun.deadline, aReason);
     if (!head) {
       co_return AttemptEnd::Failed;
@@ -593,6 +608,7 @@
 
   EntryState& state;
   U& upstreams;
+  P& peers;
   T& timer;
   L& log;
 };
--- a/wigeonwalk/entry/load_board.cc
+++ b/wigeonwalk/entry/load_board.cc
@@ -16,7 +16,6 @@
   for (const auto& runner : aFleet.All()) {
     runner->othersInFlight = 0;
     runner->othersTokensInFlight = 0;
-    runner->othersTokensToRead = 0;
   }
   std::erase_if(this->reports, [aNow](const auto& aReport) {
     return aNow - aReport.second.at > kLifetime;
@@ -26,7 +25,6 @@
       if (const auto runner = aFleet.Find(row.runner)) {
         runner->othersInFlight += row.inFlight;
         runner->othersTokensInFlight += row.tokensInFlight;
-        runner->othersTokensToRead += row.tokensToRead;
       }
     }
   }
@@ -38,10 +36,8 @@
   RunnerLoads loads;
   for (const auto& runner : aFleet.All()) {
     if (runner->inFlight > 0) {
-      loads.rows.push_back({ runner->entry.id,
-                             runner->inFlight,
-                             runner->tokensInFlight,
-                             runner->tokensToRead });
+      loads.rows.push_back(
+        { runner->entry.id, runner->inFlight, runner->tokensInFlight });
     }
   }
   return loads;
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -49,6 +49,8 @@
   static constexpr Duration kCallTime = std::chrono::milliseconds(400);
   // Daemons of a zone that loads are told to.
   static constexpr std::size_t kMostLoadPeers = 24;
+  // Daemons that one long prompt is told to.
+  static constexpr std::size_t kMostWorkPeers = 24;
   // Rows that fit into one datagram.
   static constexpr std::size_t kMostRows = 24;
 
@@ -94,6 +96,24 @@
     }
   }
 
+  // Tells other daemons, those of this zone first, of a prompt that a runner
+  // reads for long.
+  void TellWork(const RunnerWork& aWork)
+  {
+    const PeerNotice notice{ NoticeKind::RunnerWork,
+                             this->codec.EncodeWork(aWork) };
+    std::vector<EntryMember> others = this->Others();
+    const AvailabilityZone& zone = this->state.Settings().zone;
+    std::stable_partition(
+      others.begin(), others.end(), [&zone](const EntryMember& aMember) {
+        return aMember.zone == zone;
+      });
+    others.resize(std::min(others.size(), kMostWorkPeers));
+    for (const EntryMember& member : others) {
+      this->Tell(member, notice);
+    }
+  }
+
   void OnDatagram(const PeerDatagram& aDatagram)
   {
     for (const PeerNotice& notice : aDatagram.notices) {
@@ -101,6 +121,10 @@
         if (const auto pause = this->codec.DecodePause(notice.payload)) {
           this->TakePause(*pause);
         }
+      } else if (notice.kind == NoticeKind::RunnerWork) {
+        if (const auto work = this->codec.DecodeWork(notice.payload)) {
+          this->TakeWork(*work);
+        }
       } else if (notice.kind == NoticeKind::RunnerLoads) {
         if (auto loads = this->codec.DecodeLoads(notice.payload)) {
           this->board.Take(
@@ -110,6 +134,18 @@
     }
   }
 
+  void TakeWork(const RunnerWork& aWork)
+  {
+    const auto runner = this->state.fleet.Find(aWork.runner);
+    if (runner == nullptr) {
+      return;
+    }
+    const double milliseconds =
+      aWork.tokensToRead / this->state.Settings().readTokensPerMs;
+    runner->NoteOthersWork(FromSeconds(milliseconds / 1'000),
+                           this->timer.Now());
+  }
+
   Task<std::optional<PeerAnswer>> OnCall(PeerCall aCall)
   {
     const auto* forwarded = std::get_if<ForwardedCall>(&aCall.body);
--- a/wigeonwalk/fleet/runner.cc
+++ b/wigeonwalk/fleet/runner.cc
@@ -1,9 +1,16 @@
 #include "wigeonwalk/fleet/runner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wigeonwalk {
 
+void
+Runner::NoteOthersWork(Duration aReading, TimePoint aNow)
+{
+  this->othersReadBy = std::max(this->othersReadBy, aNow) + aReading;
+}
+
 WeightNumber
 Runner::VersionOf(const ModelName& aModel) const
 {
--- a/wigeonwalk/fleet/runner.h
+++ b/wigeonwalk/fleet/runner.h
@@ -88,7 +88,12 @@
   // The same of the other daemons, as they last told.
   std::uint32_t othersInFlight = 0;
   std::uint64_t othersTokensInFlight = 0;
-  std::uint64_t othersTokensToRead = 0;
+  // When the runner will have read the long prompts of other daemons.
+  TimePoint othersReadBy;
+
+  // Another daemon has sent a prompt that takes this long to read, after what
+  // is known to be read before.
+  void NoteOthersWork(Duration aReading, TimePoint aNow);
 
   // Returns the version of a model's weights, or zero.
   WeightNumber VersionOf(const ModelName& aModel) const;
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -141,12 +141,12 @@
 
 // Expected wait for work, memory and slots that others take there.
 double
-WaitMs(const EngineQuery& aQuery, const Runner& aRunner)
+WaitMs(const EngineQuery& aQuery, const Runner& aRunner, TimePoint aNow)
 {
   const ChoiceWeights& weights = aQuery.weights;
-  const double toRead =
-    static_cast<double>(aRunner.tokensToRead + aRunner.othersTokensToRead);
-  double wait = toRead / weights.readTokensPerMs;
+  const double own = static_cast<double>(aRunner.tokensToRead);
+  const Duration others = std::max(aRunner.othersReadBy - aNow, Duration(0));
+  double wait = own / weights.readTokensPerMs + ToSeconds(others) * 1'000;
   const std::uint64_t needed =
     aRunner.tokensInFlight + aRunner.othersTokensInFlight +
     aQuery.prompt.inputTokens + aQuery.prompt.maxOutputTokens;
@@ -306,7 +306,7 @@
     const ChoiceWeights& weights = aQuery.weights;
     choice.cost =
       PlanParts(aQuery, versionKeys, aIndex, aHolders, choice) +
-      WaitMs(aQuery, *runner) +
+      WaitMs(aQuery, *runner, aNow) +
       ZoneMs(weights, aQuery.zone, runner->entry.zone, aQuery.bodyBytes) +
       weights.failureMs * runner->health.FailureRate(aNow) +
       (old ? weights.oldWeightsMs : 0);
--- a/wigeonwalk/ports/peer_messages.h
+++ b/wigeonwalk/ports/peer_messages.h
@@ -76,16 +76,18 @@
   Leaving,
   RunnerPause,
   RunnerLoads,
+  RunnerWork,
 };
 
 template<>
 struct EnumNames<NoticeKind>
 {
-  static constexpr std::array<EnumName<NoticeKind>, 4> kTable{ {
+  static constexpr std::array<EnumName<NoticeKind>, 5> kTable{ {
     { NoticeKind::Poison, "poison" },
     { NoticeKind::Leaving, "leaving" },
     { NoticeKind::RunnerPause, "runner-pause" },
     { NoticeKind::RunnerLoads, "runner-loads" },
+    { NoticeKind::RunnerWork, "runner-work" },
   } };
 };
 static_assert(HasCompleteTable<NoticeKind>());
