rollout: pause the runners that load next ahead of their load

Change: the runners that load next get no work beforehand, at most a third of a service is out at once, and old weights weigh by the size of a prompt.

--- a/wigeonwalk/entry/order_lead.h
+++ b/wigeonwalk/entry/order_lead.h
@@ -40,8 +40,9 @@
   static constexpr Duration kPace = std::chrono::milliseconds(100);
   // A daemon further down the ranking waits this much longer for each rank.
   static constexpr Duration kRankDelay = std::chrono::milliseconds(600);
-  // Beyond the deployment's least time between two holders.
-  static constexpr Duration kTurnMargin = std::chrono::milliseconds(200);
+  // Beyond the deployment's least time between two holders, for clocks that run
+  // at different rates.
+  static constexpr Duration kTurnMargin = std::chrono::milliseconds(100);
 
   OrderLead(EntryState& aState,
             const ItemMirror& aMirror,
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -61,6 +61,14 @@
   return static_cast<std::size_t>(atOnce) + 1;
 }
 
+// How many runners may be out of service at once, those included that are to
+// load next.
+constexpr std::size_t
+MostOutOfService(std::size_t aRunners)
+{
+  return aRunners / 3;
+}
+
 // Rolls out weights while the daemon holds the lease on orders. One task for
 // each runner that loads.
 template<OrderAuthority O,
@@ -73,11 +81,13 @@
 public:
   static constexpr Duration kPace = std::chrono::milliseconds(50);
   static constexpr Duration kCallTime = std::chrono::milliseconds(600);
-  // A load takes longer than this, so no report is asked for before.
-  static constexpr Duration kShortestLoad = std::chrono::milliseconds(1'150);
-  static constexpr Duration kReportPace = std::chrono::milliseconds(250);
+  // A load takes 1.1 s and reports are 0.1 s old, so none is asked for before.
+  static constexpr Duration kShortestLoad = std::chrono::milliseconds(1'220);
+  static constexpr Duration kReportPace = std::chrono::milliseconds(120);
   // A load that takes longer than this is looked into again.
   static constexpr Duration kLongestLoad = std::chrono::seconds(6);
+  // For how long the runner that loads next gets no work beforehand.
+  static constexpr Duration kPauseAhead = std::chrono::milliseconds(1'800);
   // Pause before a runner that failed is ordered again.
   static constexpr Duration kFailurePause = std::chrono::milliseconds(700);
 
@@ -138,24 +148,43 @@
     const std::size_t most =
       MostLoading(runners.size(), this->state.Settings().bounds.newWeights);
     for (const auto& runner : runners) {
-      if (busy >= most) {
-        return;
-      }
-      if (this->loading.contains(runner->entry.id)) {
+      auto step = this->StepFor(runner);
+      if (!step) {
         continue;
       }
-      for (const LoadedModel& loaded : runner->entry.models) {
-        const KnownWeights newest = this->state.WeightsOf(loaded.model);
-        if (loaded.version < newest.version) {
-          aSteps.push_back({ runner, loaded.model, newest.version });
-          this->loading.insert(runner->entry.id);
-          ++busy;
-          break;
-        }
+      if (busy < most) {
+        aSteps.push_back(std::move(*step));
+        this->loading.insert(runner->entry.id);
+        ++busy;
+      } else if (busy < MostOutOfService(runners.size())) {
+        // Its runs end while the others load.
+        this->PauseAhead(*step);
+        ++busy;
       }
     }
   }
 
+  std::optional<LoadStep> StepFor(const std::shared_ptr<Runner>& aRunner) const
+  {
+    if (this->loading.contains(aRunner->entry.id)) {
+      return std::nullopt;
+    }
+    for (const LoadedModel& loaded : aRunner->entry.models) {
+      const KnownWeights newest = this->state.WeightsOf(loaded.model);
+      if (loaded.version < newest.version) {
+        return LoadStep{ aRunner, loaded.model, newest.version };
+      }
+    }
+    return std::nullopt;
+  }
+
+  void PauseAhead(const LoadStep& aStep)
+  {
+    if (aStep.runner->pausedUntil <= this->timer.Now()) {
+      this->Pause(aStep, kPauseAhead);
+    }
+  }
+
   Task<bool> LoadOnce(const LoadStep& aStep)
   {
     Runner& runner = *aStep.runner;
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -309,7 +309,9 @@
       WaitMs(aQuery, *runner, aNow) +
       ZoneMs(weights, aQuery.zone, runner->entry.zone, aQuery.bodyBytes) +
       weights.failureMs * runner->health.FailureRate(aNow) +
-      (old ? weights.oldWeightsMs : 0);
+      (old ? weights.oldWeightsMs +
+               weights.oldWeightsMsPerToken * aQuery.prompt.inputTokens
+           : 0);
     const std::uint64_t score = AffinityScore(*runner, seed);
     if (score != scores.all) {
       const bool firstOfZone =
--- a/wigeonwalk/fleet/runner_choice.h
+++ b/wigeonwalk/fleet/runner_choice.h
@@ -71,8 +71,10 @@
   double failureMs = 1'000;
   // Wait for memory or a slot where a runner is full.
   double fullMs = 600;
-  // Cost of a request on weights that are no longer the newest.
-  double oldWeightsMs = 300;
+  // Cost of a request on weights that are no longer the newest, and of each
+  // token of its prompt.
+  double oldWeightsMs = 50;
+  double oldWeightsMsPerToken = 0.015;
 };
 
 // A transfer between zones takes this many times as long.
