--- /dev/null
+++ b/wigeonwalk/entry/item_mirror_test.cc
@@ -0,0 +1,106 @@
+#include "wigeonwalk/entry/item_mirror.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wigeonwalk;
+
+namespace {
+
+WatchEvent
+Put(const std::string& aKey, std::int64_t aRevision, std::string aValue = "v")
+{
+  WatchEvent event;
+  event.entry.key = aKey;
+  event.entry.value = std::move(aValue);
+  event.entry.modRevision = aRevision;
+  return event;
+}
+
+WatchEvent
+Removal(const std::string& aKey, std::int64_t aRevision)
+{
+  WatchEvent event = Put(aKey, aRevision, "");
+  event.deleted = true;
+  return event;
+}
+
+} // namespace
+
+// Guards against a configuration that reverts because someone reports an older
+// state, or a removed runner that comes back.
+SCENARIO("the mirror moves forward only")
+{
+  ItemMirror mirror;
+  REQUIRE(mirror.Apply(Put("op", 5, "new")));
+
+  THEN("an older or repeated change is no news")
+  {
+    CHECK_FALSE(mirror.Apply(Put("op", 4, "old")));
+    CHECK_FALSE(mirror.Apply(Put("op", 5, "new")));
+    CHECK_FALSE(mirror.Apply(Removal("op", 3)));
+    CHECK(mirror.Find("op")->value == "new");
+  }
+
+  THEN("a removed key does not come back with an older state")
+  {
+    CHECK(mirror.Apply(Removal("op", 7)));
+    CHECK_FALSE(mirror.Apply(Put("op", 6, "late")));
+    CHECK(mirror.Find("op") == nullptr);
+    CHECK(mirror.Apply(Put("op", 8, "again")));
+  }
+}
+
+SCENARIO("a listing replaces what was known before it")
+{
+  ItemMirror mirror;
+  mirror.Apply(Put("a", 2));
+  mirror.Apply(Put("b", 3));
+  mirror.Apply(Put("c", 9));
+
+  WHEN("it lacks some keys")
+  {
+    const std::vector<KeyValueEntry> listing{ Put("a", 2).entry,
+                                              Put("d", 6).entry };
+    const auto changes = mirror.Replace(listing, 7);
+
+    THEN("older ones are removed and later ones stay")
+    {
+      CHECK(changes.size() == 2);
+      CHECK(mirror.Find("a") != nullptr);
+      CHECK(mirror.Find("b") == nullptr);
+      CHECK(mirror.Find("c") != nullptr);
+      CHECK(mirror.Find("d") != nullptr);
+      CHECK(mirror.Revision() == 7);
+    }
+  }
+}
+
+SCENARIO("a daemon that is behind catches up from another one")
+{
+  ItemMirror ahead;
+  ahead.Apply(Put("a", 2));
+  ahead.Apply(Put("b", 3));
+  ahead.Apply(Removal("a", 5));
+  ahead.NoteRevision(6);
+
+  THEN("it gets the later changes in order, removals included")
+  {
+    const auto changes = ahead.ChangesSince(2);
+    REQUIRE(changes.has_value());
+    REQUIRE(changes->size() == 2);
+    CHECK((*changes)[0].entry.key == "b");
+    CHECK((*changes)[1].deleted);
+    CHECK(ahead.ChangesSince(6)->empty());
+  }
+
+  THEN("a full copy is due where removals are forgotten")
+  {
+    const auto count = static_cast<std::int64_t>(ItemMirror::kMostRemoved);
+    for (std::int64_t i = 0; i <= count; ++i) {
+      ahead.Apply(Removal("k" + std::to_string(i), 10 + i));
+    }
+    CHECK_FALSE(ahead.ChangesSince(6).has_value());
+    CHECK(ahead.ChangesSince(10 + count).has_value());
+    CHECK(ahead.Items().size() == 1);
+  }
+}
--- /dev/null
+++ b/wigeonwalk/fleet/fleet_test.cc
@@ -0,0 +1,197 @@
+#include "wigeonwalk/fleet/fleet.h"
+#include "wigeonwalk/fleet/part_index.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{ 24h };
+
+RunnerEntry
+MakeEntry(const std::string& aId)
+{
+  RunnerEntry entry;
+  entry.id = UpstreamId(aId);
+  entry.service = ServiceName("engines");
+  entry.address = "10.0.0.1:8000";
+  entry.zone = AvailabilityZone("north");
+  entry.slots = 4;
+  entry.startedAt = 1'000;
+  entry.models = { { ModelName("m"), 1 } };
+  return entry;
+}
+
+} // namespace
+
+// Guards against work for runners that leave or are gone, and against dropping
+// runners whose registration only lapsed in an outage.
+SCENARIO("the fleet follows registrations")
+{
+  Fleet fleet;
+  const ServiceName service("engines");
+  const RunnerEntry entry = MakeEntry("r-1");
+  REQUIRE(fleet.Register(entry, kStart) == FleetChange::Added);
+
+  GIVEN("a runner that is ready")
+  {
+    THEN("it gets work, and a repeated registration changes nothing")
+    {
+      CHECK(fleet.Register(entry, kStart + 1s) == FleetChange::None);
+      CHECK(fleet.RunnersOf(service).size() == 1);
+      CHECK(fleet.RunnersOf(ServiceName("other")).empty());
+    }
+
+    WHEN("it says that it leaves")
+    {
+      RunnerEntry leaving = entry;
+      leaving.state = RunnerState::Leaving;
+      CHECK(fleet.Register(leaving, kStart + 1s) ==
+            FleetChange::StartedLeaving);
+
+      THEN("it gets no work, even where an older state is reported again")
+      {
+        CHECK(fleet.RunnersOf(service).empty());
+        CHECK(fleet.Register(entry, kStart + 2s) == FleetChange::Updated);
+        CHECK(fleet.RunnersOf(service).empty());
+      }
+
+      THEN("its next start gets work again")
+      {
+        RunnerEntry next = entry;
+        next.startedAt = 2'000;
+        CHECK(fleet.Register(next, kStart + 9s) == FleetChange::Restarted);
+        CHECK(fleet.RunnersOf(service).size() == 1);
+      }
+    }
+
+    WHEN("it is removed while the registry is steady")
+    {
+      CHECK(fleet.Unregister(entry.id, kStart + 60s) == FleetChange::Removed);
+
+      THEN("it is gone at once")
+      {
+        CHECK(fleet.RunnersOf(service).empty());
+        CHECK(fleet.Find(entry.id) == nullptr);
+      }
+    }
+
+    WHEN("its registration is missing right after an outage")
+    {
+      fleet.NoteRegistryReturned(kStart + 60s);
+      CHECK(fleet.Unregister(entry.id, kStart + 61s) == FleetChange::Missing);
+      CHECK(fleet.RunnersOf(service).size() == 1);
+
+      THEN("it stays where it registers again")
+      {
+        fleet.Register(entry, kStart + 62s);
+        CHECK(fleet.Expire(kStart + 70s).empty());
+        CHECK(fleet.RunnersOf(service).size() == 1);
+      }
+
+      THEN("it is gone where it does not")
+      {
+        CHECK(fleet.Expire(kStart + 62s).empty());
+        CHECK(fleet.Expire(kStart + 62s + 300ms).size() == 1);
+        CHECK(fleet.RunnersOf(service).empty());
+      }
+    }
+
+    WHEN("it has loaded weights that its last registration doesn't show")
+    {
+      fleet.Find(entry.id)->SetVersion(ModelName("m"), 3);
+      RunnerEntry late = entry;
+      late.slots = 5;
+      fleet.Register(late, kStart + 1s);
+
+      THEN("the newer weights stay known")
+      {
+        CHECK(fleet.Find(entry.id)->VersionOf(ModelName("m")) == 3);
+      }
+    }
+  }
+}
+
+// Guards against a load that is counted twice or never taken back.
+TEST_CASE("a load counts as long as it lives")
+{
+  const auto runner = std::make_shared<Runner>();
+  {
+    RunnerLoad first(runner, 100, 60);
+    RunnerLoad second(runner, 50, 50);
+    CHECK(runner->inFlight == 2);
+    CHECK(runner->tokensInFlight == 150);
+    CHECK(runner->tokensToRead == 110);
+    first.NoteRead();
+    first.NoteRead();
+    CHECK(runner->tokensToRead == 50);
+  }
+  CHECK(runner->inFlight == 0);
+  CHECK(runner->tokensInFlight == 0);
+  CHECK(runner->tokensToRead == 0);
+}
+
+// Guards against a failed runner that is asked by every request, or never
+// again.
+TEST_CASE("a failed runner is avoided for a while")
+{
+  RunnerHealth health;
+  health.NoteFailure(kStart);
+  CHECK(health.IsAvoided(kStart + 200ms));
+  CHECK_FALSE(health.IsAvoided(kStart + 300ms));
+
+  SECTION("longer after each further failure, up to a bound")
+  {
+    for (int i = 0; i < 20; ++i) {
+      health.NoteFailure(kStart);
+    }
+    CHECK(health.IsAvoided(kStart + 1'900ms));
+    CHECK_FALSE(health.IsAvoided(kStart + 2'100ms));
+  }
+
+  SECTION("and no longer after a success; its failures fade")
+  {
+    CHECK(health.FailureRate(kStart) > 0.1);
+    health.NoteSuccess(20ms, kStart);
+    CHECK_FALSE(health.IsAvoided(kStart));
+    CHECK(health.FailureRate(kStart + 20s) < 0.01);
+    CHECK(health.Latency() == 20ms);
+  }
+}
+
+// Guards against parts that are believed to be where they are not any more.
+TEST_CASE("the index knows who holds a part")
+{
+  PartIndex index;
+  const UpstreamId one("r-1");
+  const UpstreamId two("r-2");
+  const PartKey part = KeyOfPart("salt", "p");
+  index.Set(one, part, 100);
+  index.Set(two, part, 40);
+  index.Set(one, part, 120);
+  CHECK(index.TokensAt(one, part) == 120);
+  CHECK(index.HoldersOf(part).size() == 2);
+  CHECK(index.TokensOf(one) == 120);
+
+  SECTION("until it is evicted")
+  {
+    index.Set(one, part, 0);
+    CHECK(index.TokensAt(one, part) == 0);
+    CHECK(index.TokensOf(one) == 0);
+  }
+
+  SECTION("or its holder is forgotten")
+  {
+    index.Forget(two);
+    index.Forget(one);
+    CHECK(index.Parts() == 0);
+  }
+
+  SECTION("and keeps salts apart")
+  {
+    CHECK(KeyOfPart("salt", "p") != KeyOfPart("salt2", "p"));
+    CHECK(KeyOfPart("a", "bc") != KeyOfPart("ab", "c"));
+  }
+}
--- /dev/null
+++ b/wigeonwalk/fleet/runner_choice_test.cc
@@ -0,0 +1,326 @@
+#include "wigeonwalk/fleet/runner_choice.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow{ 24h };
+const ModelName kModel("m");
+
+std::shared_ptr<Runner>
+MakeRunner(const std::string& aId,
+           const std::string& aZone,
+           WeightNumber aVersion = 1)
+{
+  auto runner = std::make_shared<Runner>();
+  runner->entry.id = UpstreamId(aId);
+  runner->entry.address = "10.0.0.1:" + std::to_string(8000 + aId.back());
+  runner->entry.zone = AvailabilityZone(aZone);
+  runner->entry.slots = 64;
+  runner->entry.models = { { kModel, aVersion } };
+  return runner;
+}
+
+CacheHolder
+StoreHolder(const std::string& aId, const std::string& aZone)
+{
+  return { UpstreamId(aId), HolderKind::Store, aId, AvailabilityZone(aZone),
+           45'000,          1ms,               100'000 };
+}
+
+// A long prompt with a shared part, and what is needed to place it.
+struct Setting
+{
+  Prompt prompt{ kModel, 17'000, 100, { { "s", 12'800 }, { "own", 4'200 } } };
+  PartIndex index;
+  std::vector<CacheHolder> holders;
+  std::vector<std::shared_ptr<Runner>> runners;
+  std::string wall;
+  WeightNumber newest = 1;
+  bool onlyNewest = false;
+  std::size_t bodyBytes = 34'000;
+
+  std::optional<EngineChoice> Choose() const
+  {
+    const EngineQuery query{ .prompt = this->prompt,
+                             .wall = this->wall,
+                             .zone = AvailabilityZone("north"),
+                             .bodyBytes = this->bodyBytes,
+                             .runnerTokens = 65'000,
+                             .bytesPerToken = 18'432,
+                             .newest = this->newest,
+                             .onlyNewest = this->onlyNewest,
+                             .weights = {} };
+    return ChooseEngine(
+      query, this->runners, this->index, this->holders, kNow);
+  }
+
+  PartKey SharedKey(WeightNumber aVersion, const std::string& aWall = {}) const
+  {
+    return KeyOfPart(CacheSalt(kModel, aVersion, aWall), "s");
+  }
+};
+
+} // namespace
+
+// Guards against prompts that are read again although someone keeps them.
+SCENARIO("a prompt goes where its parts are")
+{
+  Setting setting;
+  setting.runners = { MakeRunner("r-1", "north"),
+                      MakeRunner("r-2", "north"),
+                      MakeRunner("r-3", "south") };
+
+  GIVEN("a runner of the zone that holds the shared part")
+  {
+    setting.index.Set(UpstreamId("r-2"), setting.SharedKey(1), 12'800);
+
+    THEN("it gets the request and reads only the rest")
+    {
+      const auto choice = setting.Choose();
+      REQUIRE(choice.has_value());
+      CHECK(choice->runner->entry.id == UpstreamId("r-2"));
+      CHECK(choice->cachedTokens == 12'800);
+      CHECK(choice->readTokens == 4'200);
+    }
+
+    THEN("another one does where the holder is busy for long")
+    {
+      setting.runners[1]->NoteOthersWork(5s, kNow);
+      CHECK(setting.Choose()->runner->entry.id != UpstreamId("r-2"));
+    }
+
+    THEN("another one does where the holder keeps failing")
+    {
+      for (int i = 0; i < 200; ++i) {
+        setting.runners[1]->health.NoteFailedAnswer(kNow);
+      }
+      setting.prompt.parts[0].tokens = 300;
+      setting.prompt.inputTokens = 4'500;
+      CHECK(setting.Choose()->runner->entry.id != UpstreamId("r-2"));
+    }
+  }
+
+  GIVEN("a part of which a runner holds only some tokens")
+  {
+    setting.index.Set(UpstreamId("r-2"), setting.SharedKey(1), 12'784);
+
+    THEN("it counts as read")
+    {
+      CHECK(setting.Choose()->readTokens == 17'000);
+    }
+  }
+
+  GIVEN("stores that hold the shared part")
+  {
+    setting.holders = { StoreHolder("s-south", "south"),
+                        StoreHolder("s-north", "north") };
+    setting.index.Set(UpstreamId("s-south"), setting.SharedKey(1), 12'800);
+
+    THEN("it is fetched from there and not saved again")
+    {
+      const auto choice = setting.Choose();
+      CHECK(choice->fetchFrom ==
+            std::vector<std::optional<std::string>>{ "s-south", {} });
+      CHECK(choice->saveTo ==
+            std::vector<std::optional<std::string>>{ {}, {} });
+      CHECK(choice->fetchedTokens == 12'800);
+    }
+
+    THEN("the store of the zone is preferred")
+    {
+      setting.index.Set(UpstreamId("s-north"), setting.SharedKey(1), 12'800);
+      CHECK(setting.Choose()->fetchFrom[0] == "s-north");
+    }
+
+    THEN("a store that does not answer is not fetched from")
+    {
+      setting.holders.erase(setting.holders.begin());
+      CHECK_FALSE(setting.Choose()->fetchFrom[0].has_value());
+    }
+  }
+
+  GIVEN("no holder of the part, and stores with room and without")
+  {
+    setting.holders = { StoreHolder("s-1", "north"),
+                        StoreHolder("s-2", "north") };
+    setting.index.Set(UpstreamId("s-1"), KeyOfPart("x", "y"), 99'000);
+
+    THEN("one with room is to keep the shared part, and none the last part")
+    {
+      CHECK(setting.Choose()->saveTo ==
+            std::vector<std::optional<std::string>>{ "s-2", {} });
+    }
+  }
+}
+
+// Guards against cache of other weights or of another organisation.
+SCENARIO("cache is never shared across weights or walls")
+{
+  Setting setting;
+  setting.runners = { MakeRunner("r-1", "north", 2) };
+
+  THEN("cache of older weights does not count")
+  {
+    setting.index.Set(UpstreamId("r-1"), setting.SharedKey(1), 12'800);
+    CHECK(setting.Choose()->cachedTokens == 0);
+    CHECK(setting.Choose()->version == 2);
+  }
+
+  THEN("an isolated organisation finds only its own, and others never it")
+  {
+    setting.index.Set(UpstreamId("r-1"), setting.SharedKey(2), 12'800);
+    setting.wall = "lace";
+    CHECK(setting.Choose()->cachedTokens == 0);
+    setting.index.Set(
+      UpstreamId("r-1"), setting.SharedKey(2, "lace"), 12'800);
+    CHECK(setting.Choose()->cachedTokens == 12'800);
+    setting.wall = "tofu";
+    CHECK(setting.Choose()->cachedTokens == 0);
+  }
+
+  THEN("salts differ wherever model, weights or wall differ")
+  {
+    const std::set<std::string> salts{
+      CacheSalt(ModelName("m"), 1, ""),  CacheSalt(ModelName("m"), 2, ""),
+      CacheSalt(ModelName("n"), 1, ""),  CacheSalt(ModelName("m"), 1, "a"),
+      CacheSalt(ModelName("m"), 11, ""), CacheSalt(ModelName("m"), 1, "b"),
+    };
+    CHECK(salts.size() == 6);
+  }
+}
+
+// Guards against requests on old weights after the time for new ones.
+SCENARIO("new weights replace old ones")
+{
+  Setting setting;
+  setting.runners = { MakeRunner("r-1", "north", 1),
+                      MakeRunner("r-2", "north", 2) };
+  setting.newest = 2;
+
+  THEN("a runner with new weights is preferred")
+  {
+    CHECK(setting.Choose()->version == 2);
+  }
+
+  THEN("one with old weights helps out where the new ones are busy")
+  {
+    setting.runners[1]->NoteOthersWork(3s, kNow);
+    CHECK(setting.Choose()->version == 1);
+  }
+
+  THEN("but never once only new weights are allowed")
+  {
+    setting.runners[1]->NoteOthersWork(3s, kNow);
+    setting.onlyNewest = true;
+    CHECK(setting.Choose()->version == 2);
+    setting.runners.pop_back();
+    CHECK_FALSE(setting.Choose().has_value());
+  }
+}
+
+// Guards against all daemons spreading a short prompt over all runners, and
+// against long bodies that cross zones without need.
+SCENARIO("daemons agree on the first choice for a prompt")
+{
+  Setting setting;
+  for (int i = 0; i < 8; ++i) {
+    setting.runners.push_back(
+      MakeRunner("r-" + std::to_string(i), i % 2 == 0 ? "north" : "south"));
+  }
+
+  WHEN("the body is short")
+  {
+    setting.bodyBytes = 700;
+    setting.prompt = { kModel, 330, 50, { { "g", 250 }, { "own", 80 } } };
+
+    THEN("the choice does not depend on the order of the runners")
+    {
+      const UpstreamId chosen = setting.Choose()->runner->entry.id;
+      std::reverse(setting.runners.begin(), setting.runners.end());
+      CHECK(setting.Choose()->runner->entry.id == chosen);
+    }
+
+    THEN("all runners of all zones are first choice for some part")
+    {
+      std::map<std::string, int> counts;
+      for (int i = 0; i < 400; ++i) {
+        setting.prompt.parts[0].id = "g" + std::to_string(i);
+        ++counts[setting.Choose()->runner->entry.id.Text()];
+      }
+      CHECK(counts.size() == 8);
+    }
+  }
+
+  WHEN("the body is long")
+  {
+    THEN("it stays in the zone")
+    {
+      for (int i = 0; i < 50; ++i) {
+        setting.prompt.parts[0].id = "s" + std::to_string(i);
+        CHECK(setting.Choose()->runner->entry.zone ==
+              AvailabilityZone("north"));
+      }
+    }
+
+    THEN("it leaves the zone where its runners are full")
+    {
+      for (const auto& runner : setting.runners) {
+        if (runner->entry.zone == AvailabilityZone("north")) {
+          runner->tokensInFlight = 60'000;
+        }
+      }
+      CHECK(setting.Choose()->runner->entry.zone == AvailabilityZone("south"));
+    }
+  }
+}
+
+// Guards against plain calls that pile up at one runner, or cross zones.
+SCENARIO("a plain call goes to the runner that answers first")
+{
+  const std::vector<std::shared_ptr<Runner>> runners{
+    MakeRunner("r-1", "north"), MakeRunner("r-2", "south")
+  };
+  for (const auto& runner : runners) {
+    runner->entry.slots = 2;
+    runner->health.NoteSuccess(15ms, kNow);
+  }
+  const PlainQuery query{ AvailabilityZone("north"), 600, {} };
+
+  THEN("of the zone, while it has free slots")
+  {
+    CHECK(ChoosePlain(query, runners, kNow) == runners[0]);
+  }
+
+  THEN("or of another zone, where it would wait")
+  {
+    runners[0]->inFlight = 6;
+    CHECK(ChoosePlain(query, runners, kNow) == runners[1]);
+  }
+
+  THEN("or of another zone, where it keeps failing")
+  {
+    for (int i = 0; i < 5; ++i) {
+      runners[0]->health.NoteFailedAnswer(kNow);
+    }
+    CHECK(ChoosePlain(query, runners, kNow) == runners[1]);
+  }
+
+  THEN("or nowhere, without runners")
+  {
+    CHECK(ChoosePlain(query, {}, kNow) == nullptr);
+  }
+}
+
+// Guards against long prompts that go before short ones of the same rank.
+TEST_CASE("priorities order by rank, then by what is read")
+{
+  CHECK(EnginePriority(0, 100) < EnginePriority(0, 10'000));
+  CHECK(EnginePriority(0, 10'000) < EnginePriority(1, 100));
+}
--- /dev/null
+++ b/wigeonwalk/testing/null_log.h
@@ -0,0 +1,21 @@
+// A log for tests that don't look at it.
+#pragma once
+
+#include "wigeonwalk/ports/decision_log.h"
+
+namespace wigeonwalk {
+
+struct NullLog
+{
+  void Write(TimePoint,
+             LogLevel,
+             LiteralText,
+             const RequestId&,
+             std::initializer_list<LogField> = {})
+  {
+  }
+};
+
+static_assert(DecisionLog<NullLog>);
+
+} // namespace wigeonwalk
