--- /dev/null
+++ b/wigeonwalk/entry/store_keeper.h
@@ -0,0 +1,166 @@
+// Frees what stores of KV cache no longer need.
+//
+//   StoreKeeper keeper(state, lead, control, timer, log);
+//   spawn(keeper.Run());
+#pragma once
+
+#include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/order_authority.h"
+#include "wigeonwalk/fleet/cache_salt.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/decision_log.h"
+#include "wigeonwalk/ports/runner_control.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// A store that never evicts keeps the cache of old weights until someone frees
+// it. It is freed once every runner of the model has newer weights: a request
+// names the weights that it expects, so none can fetch older cache any more.
+// Parts whose writing broke off are freed as well. Works while the daemon holds
+// the lease on orders. One task.
+template<OrderAuthority O, RunnerControl C, Timer T, DecisionLog L>
+class StoreKeeper
+{
+public:
+  static constexpr Duration kPace = std::chrono::milliseconds(500);
+  static constexpr Duration kCallTime = std::chrono::milliseconds(800);
+  // Beyond the end of a rollout, for fetches that end with a runner's last run
+  // on its old weights.
+  static constexpr Duration kFreeDelay = std::chrono::seconds(1);
+  // Parts that one call frees.
+  static constexpr std::size_t kMostParts = 256;
+
+  StoreKeeper(EntryState& aState, O& aLead, C& aControl, T& aTimer, L& aLog)
+    : state(aState)
+    , lead(aLead)
+    , control(aControl)
+    , timer(aTimer)
+    , log(aLog)
+  {
+  }
+
+  Task<void> Run()
+  {
+    while (true) {
+      if (this->lead.FencingNumber() && this->state.Routes() != nullptr) {
+        co_await this->CleanStores();
+      } else {
+        this->cleaned.clear();
+      }
+      const TimePoint next = this->timer.Now() + kPace;
+      co_await this->timer.WaitUntil(next);
+    }
+  }
+
+private:
+  using Versions = std::map<ModelName, WeightNumber>;
+
+  // Returns for each model the oldest weights that a runner has. Zero where one
+  // is unknown.
+  Versions OldestWeights() const
+  {
+    Versions oldest;
+    for (const auto& runner : this->state.fleet.All()) {
+      for (const LoadedModel& loaded : runner->entry.models) {
+        const auto [entry, isNew] =
+          oldest.try_emplace(loaded.model, loaded.version);
+        entry->second = std::min(entry->second, loaded.version);
+      }
+    }
+    return oldest;
+  }
+
+  Task<void> CleanStores()
+  {
+    const TimePoint now = this->timer.Now();
+    const Versions oldest = this->OldestWeights();
+    if (oldest != this->seen) {
+      this->seen = oldest;
+      this->seenSince = now;
+    }
+    if (now - this->seenSince < kFreeDelay) {
+      co_return;
+    }
+    std::vector<std::string> addresses;
+    for (const auto& service : this->state.Routes()->Configuration().services) {
+      if (service.cacheStore && service.cacheStore->freedByCaller) {
+        addresses.push_back(service.cacheStore->address);
+      }
+    }
+    for (const std::string& address : addresses) {
+      if (this->cleaned[address] != oldest &&
+          co_await this->CleanStore(address, oldest)) {
+        this->cleaned[address] = oldest;
+      }
+    }
+  }
+
+  static bool IsObsolete(const NamedPart& aPart, const Versions& aOldest)
+  {
+    const auto owner = ParseCacheSalt(aPart.salt);
+    if (!owner) {
+      return false;
+    }
+    const auto model = aOldest.find(owner->model);
+    return model != aOldest.end() && owner->version < model->second;
+  }
+
+  Task<bool> CleanStore(std::string aAddress, Versions aOldest)
+  {
+    LastReason reason;
+    const TimePoint listBy = this->timer.Now() + kCallTime;
+    const auto listing =
+      co_await this->control.ListParts(aAddress, listBy, reason);
+    if (!listing) {
+      co_return false;
+    }
+    std::vector<NamedPart> obsolete;
+    for (const PartEvent& part : listing->whole) {
+      if (IsObsolete(part.name, aOldest)) {
+        obsolete.push_back(part.name);
+      }
+    }
+    for (const NamedPart& part : listing->partial) {
+      if (IsObsolete(part, aOldest)) {
+        obsolete.push_back(part);
+      }
+    }
+    for (std::size_t i = 0; i < obsolete.size(); i += kMostParts) {
+      const auto first = obsolete.begin() + static_cast<std::ptrdiff_t>(i);
+      const auto count = std::min(kMostParts, obsolete.size() - i);
+      const std::vector<NamedPart> some(
+        first, first + static_cast<std::ptrdiff_t>(count));
+      const TimePoint freeBy = this->timer.Now() + kCallTime;
+      const bool freed = co_await this->control.FreeParts(
+        aAddress, some, listing->epoch, freeBy, reason);
+      if (!freed) {
+        co_return false;
+      }
+    }
+    this->log.Write(this->timer.Now(),
+                    LogLevel::Info,
+                    "store cleaned",
+                    {},
+                    { LogField::Name(LogKey::Address, aAddress),
+                      { LogKey::Count, obsolete.size() } });
+    co_return true;
+  }
+
+  EntryState& state;
+  O& lead;
+  C& control;
+  T& timer;
+  L& log;
+  Versions seen;
+  TimePoint seenSince;
+  // For each store, the weights before which nothing is left there.
+  std::map<std::string, Versions> cleaned;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -6,6 +6,7 @@
 
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/order_authority.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/decision_log.h"
 #include "wigeonwalk/ports/runner_control.h"
@@ -19,18 +20,6 @@
 
 namespace wigeonwalk {
 
-// Says whether this daemon gives orders.
-template<typename T>
-concept OrderAuthority = requires(T& aLead)
-{
-  {
-    aLead.FencingNumber()
-    } -> std::same_as<std::optional<std::uint64_t>>;
-  {
-    aLead.NoteFenced()
-    } -> std::same_as<void>;
-};
-
 // Tells other daemons of runners that load weights.
 template<typename T>
 concept PauseTeller = requires(T& aTeller, const RunnerPause& aPause)
--- /dev/null
+++ b/wigeonwalk/fleet/cache_salt.cc
@@ -0,0 +1,53 @@
+#include "wigeonwalk/fleet/cache_salt.h"
+
+#include <charconv>
+#include <cstddef>
+
+namespace wigeonwalk {
+
+namespace {
+
+// Reads a number that ends at a dot, and removes both from the text.
+template<typename T>
+std::optional<T>
+TakeNumber(std::string_view& aText)
+{
+  T number{};
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr == end || *parsed.ptr != '.') {
+    return std::nullopt;
+  }
+  aText.remove_prefix(
+    static_cast<std::size_t>(parsed.ptr - aText.data()) + 1);
+  return number;
+}
+
+} // namespace
+
+// The text is "version.length of the model's name.model.wall"; the length makes
+// it unique whatever characters the names hold.
+std::string
+CacheSalt(const ModelName& aModel,
+          WeightNumber aVersion,
+          std::string_view aWall)
+{
+  const std::string& model = aModel.Text();
+  return std::to_string(aVersion) + "." + std::to_string(model.size()) + "." +
+         model + "." + std::string(aWall);
+}
+
+std::optional<SaltOwner>
+ParseCacheSalt(std::string_view aSalt)
+{
+  const auto version = TakeNumber<WeightNumber>(aSalt);
+  const auto length =
+    version ? TakeNumber<std::size_t>(aSalt) : std::nullopt;
+  if (!length || *length >= aSalt.size() || aSalt[*length] != '.') {
+    return std::nullopt;
+  }
+  return SaltOwner{ ModelName(std::string(aSalt.substr(0, *length))),
+                    *version };
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -266,15 +266,6 @@
   return 2 * aRank + (aReadTokens > kPieceTokens ? 1 : 0);
 }
 
-std::string
-CacheSalt(const ModelName& aModel,
-          WeightNumber aVersion,
-          std::string_view aWall)
-{
-  return aModel.Text() + "." + std::to_string(aVersion) + "." +
-         std::string(aWall);
-}
-
 std::optional<EngineChoice>
 ChooseEngine(const EngineQuery& aQuery,
              std::span<const std::shared_ptr<Runner>> aCandidates,
--- a/wigeonwalk/fleet/runner_choice.h
+++ b/wigeonwalk/fleet/runner_choice.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "wigeonwalk/base/time.h"
+#include "wigeonwalk/fleet/cache_salt.h"
 #include "wigeonwalk/fleet/part_index.h"
 #include "wigeonwalk/fleet/prompt.h"
 #include "wigeonwalk/fleet/runner.h"
@@ -121,13 +122,6 @@
 std::uint32_t
 EnginePriority(std::uint32_t aRank, std::uint32_t aReadTokens);
 
-// Returns the salt under which cache of a model's weights is kept. Cache of
-// other weights or behind another wall never matches it.
-std::string
-CacheSalt(const ModelName& aModel,
-          WeightNumber aVersion,
-          std::string_view aWall);
-
 // Returns the candidate with the lowest expected cost, or nothing where none
 // may be used. `aHolders` are the sources that answer at present.
 std::optional<EngineChoice>
--- a/wigeonwalk/fleet/runner_choice_test.cc
+++ b/wigeonwalk/fleet/runner_choice_test.cc
@@ -193,9 +193,22 @@
       CacheSalt(ModelName("m"), 11, ""), CacheSalt(ModelName("m"), 1, "b"),
     };
     CHECK(salts.size() == 6);
+    CHECK(CacheSalt(ModelName("a.b"), 1, "c") !=
+          CacheSalt(ModelName("a"), 1, "b.c"));
   }
 }
 
+// Guards against freeing cache of weights that are still in use.
+TEST_CASE("a salt names the weights that it belongs to")
+{
+  const SaltOwner owner{ ModelName("a.b/c"), 12 };
+  CHECK(ParseCacheSalt(CacheSalt(owner.model, 12, "wall.x")) == owner);
+  CHECK(ParseCacheSalt(CacheSalt(owner.model, 12, "")) == owner);
+  const std::string foreign =
+    GENERATE("", "1", "1.", "1.3", "1.3.ab", "1.3.abcd", "x.1.a.", "s1");
+  CHECK_FALSE(ParseCacheSalt(foreign).has_value());
+}
+
 // Guards against requests on old weights after the time for new ones.
 SCENARIO("new weights replace old ones")
 {
