rollout: a runner that does not load keeps no other waiting

Cause: found by the new test of a dark runner: the first runner in order was tried again and again and counted as loading meanwhile, so that a small service loaded nothing else. Change: failed loads wait apart and go last. Tests of rollouts, of the lease on orders and of freeing stores run over fakes in virtual time, 1 to 890 runners; the dark runner's test failed before.

--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -14,8 +14,10 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace wigeonwalk {
@@ -116,20 +118,43 @@
   {
     const UpstreamId id = aStep.runner->entry.id;
     const bool done = co_await this->LoadOnce(aStep);
-    if (!done) {
-      co_await this->timer.WaitUntil(this->timer.Now() + kFailurePause);
-    }
     this->loading.erase(id);
+    if (done) {
+      this->failed.erase(id);
+    } else {
+      FailedLoad& failure = this->failed[id];
+      ++failure.count;
+      failure.retryAt = this->timer.Now() + kFailurePause;
+    }
   }
 
 private:
+  // A runner that did not load counts neither as loading nor, for a while, as
+  // one that could.
+  struct FailedLoad
+  {
+    std::uint32_t count = 0;
+    TimePoint retryAt;
+  };
+
+  std::uint32_t FailuresOf(const UpstreamId& aRunner) const
+  {
+    const auto found = this->failed.find(aRunner);
+    return found == this->failed.end() ? 0 : found->second.count;
+  }
+
   void AddSteps(const ServiceConfiguration& aService,
                 std::vector<LoadStep>& aSteps)
   {
     auto runners = this->state.fleet.RunnersOf(aService.name);
-    std::sort(runners.begin(), runners.end(), [](const auto& a, const auto& b) {
-      return a->entry.id < b->entry.id;
-    });
+    // One that fails again and again must not keep the others waiting.
+    std::sort(
+      runners.begin(), runners.end(), [this](const auto& a, const auto& b) {
+        const std::uint32_t failuresOfA = this->FailuresOf(a->entry.id);
+        const std::uint32_t failuresOfB = this->FailuresOf(b->entry.id);
+        return std::tie(failuresOfA, a->entry.id) <
+               std::tie(failuresOfB, b->entry.id);
+      });
     std::size_t busy = 0;
     for (const auto& runner : runners) {
       busy += this->loading.contains(runner->entry.id) ? 1 : 0;
@@ -155,7 +180,10 @@
 
   std::optional<LoadStep> StepFor(const std::shared_ptr<Runner>& aRunner) const
   {
-    if (this->loading.contains(aRunner->entry.id)) {
+    const auto failure = this->failed.find(aRunner->entry.id);
+    const bool waits = failure != this->failed.end() &&
+                       this->timer.Now() < failure->second.retryAt;
+    if (waits || this->loading.contains(aRunner->entry.id)) {
       return std::nullopt;
     }
     for (const LoadedModel& loaded : aRunner->entry.models) {
@@ -327,6 +355,7 @@
   T& timer;
   L& log;
   std::set<UpstreamId> loading;
+  std::map<UpstreamId, FailedLoad> failed;
 };
 
 } // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/testing/fake_runner_control.h
@@ -0,0 +1,207 @@
+// Runners that load weights and a store that holds parts, in virtual time.
+//
+//   FakeRunnerControl control(time);
+//   control.runners["10.0.0.1:8000"] = {};
+#pragma once
+
+#include "wigeonwalk/ports/runner_control.h"
+#include "wigeonwalk/testing/virtual_time.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// What goes wrong with the orders to one runner.
+enum class OrderFault
+{
+  None,
+  // Nothing answers.
+  Dark,
+  // The order is carried out and its answer is lost.
+  AnswerLost,
+  // The order is lost and never carried out.
+  OrderLost,
+  // The order gets no answer and is carried out after kLateOrder.
+  AppliedLate,
+};
+
+// Reports, orders and parts of runners and stores by address.
+class FakeRunnerControl
+{
+public:
+  static constexpr Duration kLoadTime = std::chrono::milliseconds(1'100);
+  static constexpr Duration kLateOrder = std::chrono::seconds(4);
+
+  struct FakeRunner
+  {
+    WeightNumber version = 1;
+    std::int64_t startedAt = 0;
+    std::uint64_t acceptedOrders = 0;
+    std::uint64_t highestFence = 0;
+    TimePoint busyUntil;
+    WeightNumber loadingVersion = 0;
+    OrderFault fault = OrderFault::None;
+    // One fault only.
+    bool faultOnce = true;
+    std::uint64_t loads = 0;
+  };
+
+  explicit FakeRunnerControl(VirtualTime& aTime)
+    : time(aTime)
+  {
+  }
+
+  Task<std::optional<PartEventBatch>> CacheEvents(const std::string& aAddress,
+                                                  std::uint64_t aSince,
+                                                  Duration aWait,
+                                                  TimePoint,
+                                                  LastReason& aReason)
+  {
+    ++this->eventCalls;
+    if (this->dark.contains(aAddress)) {
+      co_return Fail(aReason, ReasonCode::ConnectRefused, "dark");
+    }
+    const auto& batches = this->events[aAddress];
+    if (aSince < batches.size()) {
+      co_return batches[aSince];
+    }
+    const TimePoint until = this->time.Now() + aWait;
+    co_await this->time.WaitUntil(until);
+    PartEventBatch empty;
+    empty.epoch = batches.empty() ? 1 : batches.back().epoch;
+    empty.next = aSince;
+    co_return empty;
+  }
+
+  Task<std::optional<PartListing>> ListParts(const std::string& aAddress,
+                                             TimePoint,
+                                             LastReason& aReason)
+  {
+    if (this->dark.contains(aAddress)) {
+      co_return Fail(aReason, ReasonCode::ConnectRefused, "dark");
+    }
+    co_return this->listings[aAddress];
+  }
+
+  Task<bool> FreeParts(const std::string& aAddress,
+                       const std::vector<NamedPart>& aParts,
+                       std::int64_t,
+                       TimePoint,
+                       LastReason&)
+  {
+    for (const NamedPart& part : aParts) {
+      this->freed.emplace_back(aAddress + " " + part.salt + " " + part.part);
+    }
+    co_return true;
+  }
+
+  Task<std::optional<RunnerReport>> Report(const std::string& aAddress,
+                                           TimePoint aDeadline,
+                                           LastReason& aReason)
+  {
+    FakeRunner& runner = this->runners.at(aAddress);
+    this->Advance(runner);
+    if (runner.fault == OrderFault::Dark) {
+      co_await this->time.WaitUntil(aDeadline);
+      co_return Fail(aReason, ReasonCode::ResponseTimeout, "dark");
+    }
+    RunnerReport report;
+    report.startedAt = runner.startedAt;
+    report.models = { { ModelName("m"), runner.version } };
+    report.busy = this->time.Now() < runner.busyUntil;
+    report.acceptedOrders = runner.acceptedOrders;
+    co_return report;
+  }
+
+  Task<OrderOutcome> Order(const WeightsOrder& aOrder,
+                           TimePoint aDeadline,
+                           LastReason& aReason)
+  {
+    FakeRunner& runner = this->runners.at(aOrder.address);
+    this->Advance(runner);
+    this->orders.push_back({ aOrder, this->time.Now() });
+    const OrderFault fault = runner.fault;
+    if (runner.faultOnce && fault != OrderFault::Dark) {
+      runner.fault = OrderFault::None;
+    }
+    switch (fault) {
+      case OrderFault::None:
+        co_return this->Accept(runner, aOrder);
+      case OrderFault::AnswerLost:
+        this->Accept(runner, aOrder);
+        break;
+      case OrderFault::AppliedLate:
+        this->time.Spawn(this->AcceptLater(aOrder));
+        break;
+      case OrderFault::Dark:
+      case OrderFault::OrderLost:
+        break;
+    }
+    co_await this->time.WaitUntil(aDeadline);
+    Fail(aReason, ReasonCode::ResponseTimeout, "no answer");
+    co_return OrderOutcome::Unknown;
+  }
+
+  struct GivenOrder
+  {
+    WeightsOrder order;
+    TimePoint at;
+  };
+
+  std::map<std::string, FakeRunner> runners;
+  std::vector<GivenOrder> orders;
+  // Answers to calls for events, by position.
+  std::map<std::string, std::vector<PartEventBatch>> events;
+  std::map<std::string, PartListing> listings;
+  std::vector<std::string> freed;
+  std::set<std::string> dark;
+  std::uint64_t eventCalls = 0;
+
+private:
+  void Advance(FakeRunner& aRunner)
+  {
+    if (aRunner.loadingVersion != 0 && this->time.Now() >= aRunner.busyUntil) {
+      aRunner.version = aRunner.loadingVersion;
+      aRunner.loadingVersion = 0;
+    }
+  }
+
+  OrderOutcome Accept(FakeRunner& aRunner, const WeightsOrder& aOrder)
+  {
+    if (aOrder.fencingNumber < aRunner.highestFence) {
+      return OrderOutcome::Fenced;
+    }
+    aRunner.highestFence = aOrder.fencingNumber;
+    if (aRunner.loadingVersion != 0 ||
+        aOrder.acceptedOrders != aRunner.acceptedOrders) {
+      return OrderOutcome::Busy;
+    }
+    if (aRunner.version == aOrder.version) {
+      return OrderOutcome::AlreadyDone;
+    }
+    ++aRunner.acceptedOrders;
+    ++aRunner.loads;
+    aRunner.loadingVersion = aOrder.version;
+    aRunner.busyUntil = this->time.Now() + kLoadTime;
+    return OrderOutcome::Accepted;
+  }
+
+  Task<void> AcceptLater(WeightsOrder aOrder)
+  {
+    const TimePoint late = this->time.Now() + kLateOrder;
+    co_await this->time.WaitUntil(late);
+    FakeRunner& runner = this->runners.at(aOrder.address);
+    this->Advance(runner);
+    this->Accept(runner, aOrder);
+  }
+
+  VirtualTime& time;
+};
+
+static_assert(RunnerControl<FakeRunnerControl>);
+
+} // namespace wigeonwalk
