--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -17,9 +17,8 @@
 
   SECTION("about their loads")
   {
-    const RunnerLoads loads{
-      { { UpstreamId("r-1"), 2, 17'000 }, { UpstreamId("r-2"), 0, 0 } }
-    };
+    const RunnerLoads loads{ { { UpstreamId("r-1"), 2, 17'000 },
+                               { UpstreamId("r-2"), 0, 0 } } };
     CHECK(codec.DecodeLoads(codec.EncodeLoads(loads)) == loads);
     const RunnerWork work{ UpstreamId("r-1"), 12'800 };
     CHECK(codec.DecodeWork(codec.EncodeWork(work)) == work);
--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -161,10 +161,8 @@
     const std::size_t followers =
       aCalls > kSpareCalls ? aCalls - kSpareCalls : aCalls;
     return aHosts.size() <= followers ||
-           IsOwner(aHolder.id.Text(),
-                   this->state.Settings().host,
-                   aHosts,
-                   followers);
+           IsOwner(
+             aHolder.id.Text(), this->state.Settings().host, aHosts, followers);
   }
 
   void Take(const UpstreamId& aHolder,
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -311,8 +311,7 @@
     aChoice.order.fetchFrom = std::move(engine->fetchFrom);
     aChoice.order.saveTo = std::move(engine->saveTo);
     aChoice.readTokens = engine->readTokens;
-    aChoice.order.priority =
-      EnginePriority(RankOf(aRun), engine->readTokens);
+    aChoice.order.priority = EnginePriority(RankOf(aRun), engine->readTokens);
     aChoice.cachedTokens = engine->cachedTokens;
     aChoice.fetchedTokens = engine->fetchedTokens;
     aChoice.cost = engine->cost;
--- a/wigeonwalk/entry/forward_run_test.cc
+++ b/wigeonwalk/entry/forward_run_test.cc
@@ -239,7 +239,9 @@
     add("stream", RequestKind::Streaming);
     add("resumable", RequestKind::Streaming);
     configuration.routes.back().resumable = true;
-    configuration.services = { { ServiceName("plain"), "/health", 10, {}, {} } };
+    configuration.services = {
+      { ServiceName("plain"), "/health", 10, {}, {} }
+    };
     configuration.organisations = {
       { OrganisationId("tofu"), { "key" }, std::nullopt, false }
     };
@@ -309,42 +311,110 @@
 {
   const auto row = GENERATE(values<FaultRow>({
     { "answered", "booking", { Script::Answer }, 1, 200, {} },
-    { "not connected, sent elsewhere", "booking",
-      { Script::RefuseConnection, Script::Answer }, 1, 200, {} },
-    { "never connected", "booking", { Script::RefuseConnection }, 0, 0,
+    { "not connected, sent elsewhere",
+      "booking",
+      { Script::RefuseConnection, Script::Answer },
+      1,
+      200,
+      {} },
+    { "never connected",
+      "booking",
+      { Script::RefuseConnection },
+      0,
+      0,
       Verdict::NotRun },
-    { "half written", "booking", { Script::BreakWhileSending, Script::Answer },
-      1, 0, Verdict::MayHaveRun },
-    { "refused unrun, sent elsewhere", "booking",
-      { Script::RefuseUnrun, Script::Answer }, 2, 200, {} },
-    { "refused unrun twice", "booking", { Script::RefuseUnrun }, 2, 0,
+    { "half written",
+      "booking",
+      { Script::BreakWhileSending, Script::Answer },
+      1,
+      0,
+      Verdict::MayHaveRun },
+    { "refused unrun, sent elsewhere",
+      "booking",
+      { Script::RefuseUnrun, Script::Answer },
+      2,
+      200,
+      {} },
+    { "refused unrun twice",
+      "booking",
+      { Script::RefuseUnrun },
+      2,
+      0,
       Verdict::NotRun },
-    { "address of another runner", "booking",
-      { Script::Misdirected, Script::Answer }, 2, 200, {} },
-    { "answer lost", "booking", { Script::LoseAnswer, Script::Answer }, 1, 0,
+    { "address of another runner",
+      "booking",
+      { Script::Misdirected, Script::Answer },
+      2,
+      200,
+      {} },
+    { "answer lost",
+      "booking",
+      { Script::LoseAnswer, Script::Answer },
+      1,
+      0,
       Verdict::MayHaveRun },
-    { "answer lost after a refusal", "booking",
-      { Script::RefuseUnrun, Script::LoseAnswer }, 2, 0, Verdict::MayHaveRun },
-    { "answer cut", "booking", { Script::CutAnswer, Script::Answer }, 1, 0,
+    { "answer lost after a refusal",
+      "booking",
+      { Script::RefuseUnrun, Script::LoseAnswer },
+      2,
+      0,
       Verdict::MayHaveRun },
-    { "success without a signature", "booking", { Script::Unsigned }, 1, 0,
+    { "answer cut",
+      "booking",
+      { Script::CutAnswer, Script::Answer },
+      1,
+      0,
       Verdict::MayHaveRun },
-    { "failed by the runner", "booking", { Script::FailOnce, Script::Answer },
-      1, 500, {} },
+    { "success without a signature",
+      "booking",
+      { Script::Unsigned },
+      1,
+      0,
+      Verdict::MayHaveRun },
+    { "failed by the runner",
+      "booking",
+      { Script::FailOnce, Script::Answer },
+      1,
+      500,
+      {} },
     { "silent", "booking", { Script::Hang }, 1, 0, Verdict::MayHaveRun },
-    { "lookup lost, sent again", "lookup",
-      { Script::LoseAnswer, Script::Answer }, 2, 200, {} },
-    { "lookup cut, sent again", "lookup",
-      { Script::CutAnswer, Script::Answer }, 2, 200, {} },
-    { "lookup failed, sent again", "lookup",
-      { Script::FailOnce, Script::Answer }, 2, 200, {} },
+    { "lookup lost, sent again",
+      "lookup",
+      { Script::LoseAnswer, Script::Answer },
+      2,
+      200,
+      {} },
+    { "lookup cut, sent again",
+      "lookup",
+      { Script::CutAnswer, Script::Answer },
+      2,
+      200,
+      {} },
+    { "lookup failed, sent again",
+      "lookup",
+      { Script::FailOnce, Script::Answer },
+      2,
+      200,
+      {} },
     { "lookup failed twice", "lookup", { Script::FailOnce }, 2, 500, {} },
-    { "lookup lost twice", "lookup", { Script::LoseAnswer }, 2, 0,
+    { "lookup lost twice",
+      "lookup",
+      { Script::LoseAnswer },
+      2,
+      0,
+      Verdict::MayHaveRun },
+    { "lookup failed, then lost",
+      "lookup",
+      { Script::FailOnce, Script::LoseAnswer },
+      2,
+      500,
+      {} },
+    { "stream lost before its first event",
+      "stream",
+      { Script::LoseAnswer, Script::Answer },
+      1,
+      0,
       Verdict::MayHaveRun },
-    { "lookup failed, then lost", "lookup",
-      { Script::FailOnce, Script::LoseAnswer }, 2, 500, {} },
-    { "stream lost before its first event", "stream",
-      { Script::LoseAnswer, Script::Answer }, 1, 0, Verdict::MayHaveRun },
   }));
   Setting setting;
   setting.runners.scripts = row.scripts;
@@ -401,8 +471,7 @@
 
   WHEN("a resumed stream is refused")
   {
-    setting.runners.scripts = { Script::BreakStreamAfterTwo,
-                                Script::FailOnce };
+    setting.runners.scripts = { Script::BreakStreamAfterTwo, Script::FailOnce };
     const FakeCaller caller = setting.Send("resumable");
     CHECK(caller.body == "1;2;");
     CHECK(caller.aborted);
@@ -532,8 +601,7 @@
     setting.state, setting.runners, setting.peers, setting.time, setting.log);
   const auto session = [&]() -> Task<void> {
     const TimePoint leavesAt = setting.time.Now() + 100ms;
-    co_await (run.Forward(request, caller) ||
-              setting.time.WaitUntil(leavesAt));
+    co_await (run.Forward(request, caller) || setting.time.WaitUntil(leavesAt));
   };
   setting.time.Spawn(session());
   setting.time.RunUntil(setting.time.Now() + 50ms);
--- a/wigeonwalk/entry/member_presence.h
+++ b/wigeonwalk/entry/member_presence.h
@@ -62,11 +62,10 @@
     if (!granted) {
       co_return false;
     }
-    const PutRequest put{
-      .key = this->key, .value = this->value, .lease = *granted
-    };
-    const WriteResult result =
-      co_await this->store.Put(put, deadline, aReason);
+    const PutRequest put{ .key = this->key,
+                          .value = this->value,
+                          .lease = *granted };
+    const WriteResult result = co_await this->store.Put(put, deadline, aReason);
     if (result.outcome != WriteOutcome::Applied) {
       co_return false;
     }
--- a/wigeonwalk/entry/order_lead.h
+++ b/wigeonwalk/entry/order_lead.h
@@ -166,8 +166,7 @@
   {
     const PutRequest put{ .key = kHolderKey, .value = std::move(aSelf) };
     LastReason reason;
-    const WriteResult result =
-      co_await this->store.Put(put, aDeadline, reason);
+    const WriteResult result = co_await this->store.Put(put, aDeadline, reason);
     if (result.outcome != WriteOutcome::Applied) {
       this->log.Write(this->timer.Now(),
                       LogLevel::Warning,
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -251,14 +251,13 @@
     const EntryMember& peer = others[this->random() % others.size()];
     PeerCall call;
     call.from = this->state.Settings().host;
-    call.body = ForwardedCall{
-      ForwardedKind::RegistryChanges,
-      this->codec.EncodeQuery({ this->mirror.Revision() })
-    };
+    call.body =
+      ForwardedCall{ ForwardedKind::RegistryChanges,
+                     this->codec.EncodeQuery({ this->mirror.Revision() }) };
     LastReason reason;
     const TimePoint deadline = this->timer.Now() + kCallTime;
-    const auto answer = co_await this->channel.Call(
-      peer.peerAddress, call, deadline, reason);
+    const auto answer =
+      co_await this->channel.Call(peer.peerAddress, call, deadline, reason);
     if (!answer) {
       co_return;
     }
--- /dev/null
+++ b/wigeonwalk/entry/registry_watch_test.cc
@@ -0,0 +1,370 @@
+#include "wigeonwalk/entry/peer_exchange.h"
+#include "wigeonwalk/entry/registry_watch.h"
+#include "wigeonwalk/testing/fake_key_value.h"
+#include "wigeonwalk/testing/null_log.h"
+#include "wigeonwalk/testing/peer_network.h"
+
+#include <catch2/catch.hpp>
+
+#include <charconv>
+#include <memory>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Items of this test: "config" holds a version, "runners/ID" a state,
+// "members/HOST" an address.
+struct TestDecoder
+{
+  RegistryItem Decode(const KeyValueEntry& aEntry, LastReason& aReason) const
+  {
+    if (aEntry.value == "unreadable") {
+      Fail(aReason, ReasonCode::Corrupt, "unreadable");
+      return UnreadableItem{};
+    }
+    if (aEntry.key == "config") {
+      RoutingConfiguration configuration;
+      configuration.version = std::stoul(aEntry.value);
+      return configuration;
+    }
+    if (aEntry.key.starts_with("members/")) {
+      return EntryMember{ HostId(aEntry.key.substr(8)),
+                          AvailabilityZone("north"),
+                          aEntry.value };
+    }
+    if (!aEntry.key.starts_with("runners/")) {
+      return ForeignItem{};
+    }
+    RunnerEntry entry;
+    entry.id = UpstreamId(aEntry.key.substr(8));
+    entry.service = ServiceName("s");
+    entry.address = "10.0.0.1:1";
+    entry.state =
+      ParseName<RunnerState>(aEntry.value).value_or(RunnerState::Ready);
+    return entry;
+  }
+
+  RemovedItem DecodeRemoved(const std::string& aKey) const
+  {
+    if (aKey.starts_with("runners/")) {
+      return UpstreamId(aKey.substr(8));
+    }
+    return ForeignItem{};
+  }
+};
+
+static_assert(RegistryDecoder<TestDecoder>);
+
+// Passes messages on as they are.
+struct PlainCodec
+{
+  std::string EncodePause(const RunnerPause& aPause) const
+  {
+    return aPause.runner.Text();
+  }
+  std::optional<RunnerPause> DecodePause(const std::string& aPayload) const
+  {
+    return RunnerPause{ UpstreamId(aPayload), ModelName("m"), 2, 1s };
+  }
+  std::string EncodeLoads(const RunnerLoads& aLoads) const
+  {
+    return std::to_string(aLoads.rows.size());
+  }
+  std::optional<RunnerLoads> DecodeLoads(const std::string&) const
+  {
+    return RunnerLoads{ { { UpstreamId("r-1"), 3, 5'000 } } };
+  }
+  std::string EncodeWork(const RunnerWork& aWork) const
+  {
+    return aWork.runner.Text();
+  }
+  std::optional<RunnerWork> DecodeWork(const std::string& aPayload) const
+  {
+    return RunnerWork{ UpstreamId(aPayload), 38'000 };
+  }
+  std::string EncodeQuery(const RegistryQuery& aQuery) const
+  {
+    return std::to_string(aQuery.revision);
+  }
+  std::optional<RegistryQuery> DecodeQuery(const std::string& aPayload) const
+  {
+    return RegistryQuery{ std::stol(aPayload) };
+  }
+  std::string EncodeChanges(const RegistryChanges& aChanges) const
+  {
+    std::string text = std::to_string(aChanges.revision);
+    for (const WatchEvent& change : aChanges.changes) {
+      text += "\n" + std::to_string(change.entry.modRevision) + " " +
+              (change.deleted ? "-" : "+") + change.entry.key + "=" +
+              change.entry.value;
+    }
+    return text;
+  }
+  std::optional<RegistryChanges> DecodeChanges(const std::string& aText) const
+  {
+    RegistryChanges changes;
+    std::istringstream lines(aText);
+    std::string line;
+    std::getline(lines, line);
+    changes.revision = std::stol(line);
+    while (std::getline(lines, line)) {
+      WatchEvent change;
+      const std::size_t space = line.find(' ');
+      const std::size_t equals = line.find('=');
+      change.entry.modRevision = std::stol(line.substr(0, space));
+      change.deleted = line[space + 1] == '-';
+      change.entry.key = line.substr(space + 2, equals - space - 2);
+      change.entry.value = line.substr(equals + 1);
+      changes.changes.push_back(change);
+    }
+    return changes;
+  }
+};
+
+static_assert(EntryNoticeCodec<PlainCodec>);
+
+EntrySettings
+MakeSettings(const std::string& aHost)
+{
+  EntrySettings settings;
+  settings.host = HostId(aHost);
+  settings.zone = AvailabilityZone("north");
+  return settings;
+}
+
+// One daemon that watches the registry and talks to its peers.
+struct Daemon
+{
+  using Watch = RegistryWatch<FakeKeyValue, TestDecoder, VirtualTime, NullLog>;
+  using Peers =
+    PeerExchange<Watch, FakePeerChannel, PlainCodec, VirtualTime, NullLog>;
+
+  Daemon(VirtualTime& aTime,
+         FakeKeyValue& aService,
+         PeerNetwork& aNetwork,
+         const std::string& aHost)
+    : service(aService.Connect())
+    , state(MakeSettings(aHost))
+    , watch(state, mirror, service, decoder, aTime, log)
+    , endpoint(aNetwork.Add("peer-" + aHost, "north"))
+    , channel(aNetwork, endpoint)
+    , peers(state, watch, mirror, channel, codec, aTime, log)
+  {
+    this->endpoint.onDatagram = [this](const PeerDatagram& aDatagram) {
+      this->peers.OnDatagram(aDatagram);
+    };
+    this->endpoint.onCall = [this](PeerCall aCall) {
+      return this->peers.OnCall(std::move(aCall));
+    };
+    aTime.Spawn(this->watch.Run());
+    aTime.Spawn(this->peers.Run());
+  }
+
+  std::uint64_t Version() const
+  {
+    return this->state.Routes() ? this->state.Routes()->Configuration().version
+                                : 0;
+  }
+
+  std::size_t Runners() const
+  {
+    return this->state.fleet.RunnersOf(ServiceName("s")).size();
+  }
+
+  FakeKeyValue service;
+  NullLog log;
+  EntryState state;
+  ItemMirror mirror;
+  TestDecoder decoder;
+  Watch watch;
+  PeerNetwork::Endpoint& endpoint;
+  FakePeerChannel channel;
+  PlainCodec codec;
+  Peers peers;
+};
+
+struct Setting
+{
+  Setting()
+    : service(time)
+    , network(time, 7)
+  {
+    this->service.Store("config", "1");
+    this->service.Store("runners/r-1", "ready");
+    this->service.Store("runners/r-2", "ready");
+    this->service.Store("members/front-1", "peer-front-1");
+    this->service.Store("members/front-2", "peer-front-2");
+    this->one = std::make_unique<Daemon>(
+      this->time, this->service, this->network, "front-1");
+    this->two = std::make_unique<Daemon>(
+      this->time, this->service, this->network, "front-2");
+    this->RunFor(3s);
+  }
+
+  void RunFor(Duration aSpan) { this->time.RunUntil(this->time.Now() + aSpan); }
+
+  void CutFromRegistry(Daemon& aDaemon, KeyValueFault aFault, Duration aSpan)
+  {
+    aDaemon.service.AddLinkFault({ .fault = aFault,
+                                   .from = this->time.Now(),
+                                   .until = this->time.Now() + aSpan });
+  }
+
+  VirtualTime time;
+  FakeKeyValue service;
+  PeerNetwork network;
+  std::unique_ptr<Daemon> one;
+  std::unique_ptr<Daemon> two;
+};
+
+} // namespace
+
+// Guards against changes that arrive late or not at all.
+SCENARIO("a daemon follows the registry")
+{
+  Setting setting;
+  Daemon& daemon = *setting.one;
+  REQUIRE(daemon.Version() == 1);
+  REQUIRE(daemon.Runners() == 2);
+  const Duration bound =
+    daemon.state.Settings().bounds.configurationPropagation;
+
+  WHEN("the configuration changes")
+  {
+    setting.service.Store("config", "4");
+    setting.RunFor(bound / 2);
+    CHECK(daemon.Version() == 4);
+  }
+
+  WHEN("a runner leaves")
+  {
+    setting.service.Store("runners/r-1", "draining");
+    setting.RunFor(daemon.state.Settings().bounds.drain / 2);
+    CHECK(daemon.Runners() == 1);
+  }
+
+  WHEN("another writer's item can't be read")
+  {
+    setting.service.Store("runners/r-3", "unreadable");
+    setting.service.Store("config", "unreadable");
+    setting.RunFor(2s);
+    CHECK(daemon.Version() == 1);
+    CHECK(daemon.Runners() == 2);
+    CHECK(daemon.state.fleet.Find(UpstreamId("r-3")) == nullptr);
+  }
+
+  WHEN("nothing happens for long")
+  {
+    const auto before = setting.service.Count(KeyValueCall::Watch);
+    setting.RunFor(60s);
+
+    THEN("two daemons spend at most one watch a second each")
+    {
+      CHECK(setting.service.Count(KeyValueCall::Watch) - before <= 2 * 60);
+    }
+  }
+}
+
+// Guards against a daemon that misses changes while the registry refuses it,
+// reverts, or drops runners whose registrations only lapsed.
+SCENARIO("the registry does not answer one daemon")
+{
+  Setting setting;
+  Daemon& daemon = *setting.one;
+  const auto fault = GENERATE(
+    KeyValueFault::Down, KeyValueFault::Silent, KeyValueFault::AnswerLost);
+  setting.CutFromRegistry(daemon, fault, 9s);
+
+  THEN("it learns of changes from its peers within seconds")
+  {
+    setting.RunFor(2s);
+    setting.service.Store("config", "5");
+    setting.service.Store("runners/r-1", "draining");
+    setting.RunFor(4s);
+    CHECK(daemon.Version() == 5);
+    CHECK(daemon.Runners() == 1);
+    CHECK(daemon.state.registryAway);
+
+    AND_THEN("it goes on from there once the registry answers again")
+    {
+      setting.RunFor(8s);
+      CHECK_FALSE(daemon.state.registryAway);
+      CHECK(daemon.Version() == 5);
+      CHECK(daemon.Runners() == 1);
+    }
+  }
+}
+
+// Guards against the loss of all runners after an outage in which their leases
+// ran out.
+SCENARIO("the registry is down for all, and registrations lapse")
+{
+  Setting setting;
+  Daemon& daemon = *setting.one;
+  setting.service.AddFault({ .fault = KeyValueFault::Down,
+                             .from = setting.time.Now(),
+                             .until = setting.time.Now() + 6s });
+  setting.RunFor(5s);
+  CHECK(daemon.Runners() == 2);
+  LastReason ignored;
+  setting.time.Spawn([](FakeKeyValue aService, VirtualTime& aTime) -> Task<> {
+    LastReason why;
+    // Removed when the registry is back; one of them registers again.
+    co_await aTime.WaitUntil(aTime.Now() + 1'010ms);
+    const std::string first = "runners/r-1";
+    const std::string second = "runners/r-2";
+    const TimePoint deadline = aTime.Now() + 1s;
+    co_await aService.Delete(first, std::nullopt, deadline, why);
+    co_await aService.Delete(second, std::nullopt, deadline, why);
+  }(setting.service.Connect(), setting.time));
+  setting.RunFor(2s);
+  CHECK(daemon.Runners() == 2);
+  setting.service.Store("runners/r-1", "ready");
+  setting.RunFor(4s);
+  CHECK(daemon.Runners() == 1);
+  CHECK(daemon.state.fleet.Find(UpstreamId("r-1")) != nullptr);
+}
+
+// Guards against requests to runners that others have filled or paused.
+SCENARIO("daemons tell each other of runners")
+{
+  Setting setting;
+  const auto runner = setting.two->state.fleet.Find(UpstreamId("r-1"));
+
+  WHEN("one of them orders a load of weights")
+  {
+    setting.one->peers.TellPause({ UpstreamId("r-1"), ModelName("m"), 2, 1s });
+    setting.RunFor(50ms);
+    CHECK(runner->pausedUntil > setting.time.Now());
+    CHECK(runner->VersionOf(ModelName("m")) == 2);
+    CHECK(
+      setting.two->state.Candidates(ServiceName("s"), {}, setting.time.Now())
+        .size() == 1);
+  }
+
+  WHEN("one of them sends a long prompt")
+  {
+    setting.one->peers.TellWork({ UpstreamId("r-1"), 38'000 });
+    setting.RunFor(50ms);
+    CHECK(runner->othersReadBy > setting.time.Now() + 900ms);
+    CHECK(runner->othersReadBy < setting.time.Now() + 1'100ms);
+  }
+
+  WHEN("one of them has requests in flight")
+  {
+    const RunnerLoad load(
+      setting.one->state.fleet.Find(UpstreamId("r-1")), 5'000, 0);
+    setting.RunFor(400ms);
+    CHECK(runner->othersInFlight == 3);
+    CHECK(runner->othersTokensInFlight == 5'000);
+
+    THEN("the report lapses where no other follows")
+    {
+      setting.one->endpoint.alive = false;
+      setting.RunFor(1'200ms);
+      CHECK(runner->othersInFlight == 0);
+    }
+  }
+}
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -314,10 +314,8 @@
   {
     Runner& runner = *aStep.runner;
     runner.pausedUntil = this->timer.Now() + aPause;
-    this->peers.TellPause({ runner.entry.id,
-                            aStep.model,
-                            runner.VersionOf(aStep.model),
-                            aPause });
+    this->peers.TellPause(
+      { runner.entry.id, aStep.model, runner.VersionOf(aStep.model), aPause });
   }
 
   void Finish(const LoadStep& aStep)
--- a/wigeonwalk/entry/weight_rollout_test.cc
+++ b/wigeonwalk/entry/weight_rollout_test.cc
@@ -65,8 +65,8 @@
   service.engine = EngineTraits{};
   ServiceConfiguration store;
   store.name = ServiceName("store");
-  store.cacheStore = CacheStoreTraits{ .address = "store",
-                                       .freedByCaller = true };
+  store.cacheStore =
+    CacheStoreTraits{ .address = "store", .freedByCaller = true };
   configuration.services = { service, store };
   return configuration;
 }
@@ -121,11 +121,10 @@
 
   bool AllHave(WeightNumber aVersion) const
   {
-    return std::all_of(this->control.runners.begin(),
-                       this->control.runners.end(),
-                       [&](const auto& aRunner) {
-                         return aRunner.second.version == aVersion;
-                       });
+    return std::all_of(
+      this->control.runners.begin(),
+      this->control.runners.end(),
+      [&](const auto& aRunner) { return aRunner.second.version == aVersion; });
   }
 
   std::uint64_t Loads() const
@@ -144,7 +143,11 @@
   NullLog log;
   EntryState state;
   std::size_t mostLoading = 0;
-  WeightRollout<AlwaysLeads, PauseRecord, FakeRunnerControl, VirtualTime, NullLog>
+  WeightRollout<AlwaysLeads,
+                PauseRecord,
+                FakeRunnerControl,
+                VirtualTime,
+                NullLog>
     rollout;
 };
 
--- a/wigeonwalk/fleet/cache_salt.cc
+++ b/wigeonwalk/fleet/cache_salt.cc
@@ -18,8 +18,7 @@
   if (parsed.ec != std::errc() || parsed.ptr == end || *parsed.ptr != '.') {
     return std::nullopt;
   }
-  aText.remove_prefix(
-    static_cast<std::size_t>(parsed.ptr - aText.data()) + 1);
+  aText.remove_prefix(static_cast<std::size_t>(parsed.ptr - aText.data()) + 1);
   return number;
 }
 
@@ -41,8 +40,7 @@
 ParseCacheSalt(std::string_view aSalt)
 {
   const auto version = TakeNumber<WeightNumber>(aSalt);
-  const auto length =
-    version ? TakeNumber<std::size_t>(aSalt) : std::nullopt;
+  const auto length = version ? TakeNumber<std::size_t>(aSalt) : std::nullopt;
   if (!length || *length >= aSalt.size() || aSalt[*length] != '.') {
     return std::nullopt;
   }
--- a/wigeonwalk/fleet/runner_choice.h
+++ b/wigeonwalk/fleet/runner_choice.h
@@ -116,9 +116,9 @@
   double cost = 0;
 };
 
-// Returns the priority of a request at its runner, 0 for the most urgent. Of the
-// same rank, prompts that are read in one piece go before longer ones, which
-// would keep them waiting for many times their own work.
+// Returns the priority of a request at its runner, 0 for the most urgent. Of
+// the same rank, prompts that are read in one piece go before longer ones,
+// which would keep them waiting for many times their own work.
 std::uint32_t
 EnginePriority(std::uint32_t aRank, std::uint32_t aReadTokens);
 
--- a/wigeonwalk/fleet/runner_choice_test.cc
+++ b/wigeonwalk/fleet/runner_choice_test.cc
@@ -30,8 +30,13 @@
 CacheHolder
 StoreHolder(const std::string& aId, const std::string& aZone)
 {
-  return { UpstreamId(aId), HolderKind::Store, aId, AvailabilityZone(aZone),
-           45'000,          1ms,               100'000 };
+  return { UpstreamId(aId),
+           HolderKind::Store,
+           aId,
+           AvailabilityZone(aZone),
+           45'000,
+           1ms,
+           100'000 };
 }
 
 // A long prompt with a shared part, and what is needed to place it.
@@ -57,8 +62,7 @@
                              .newest = this->newest,
                              .onlyNewest = this->onlyNewest,
                              .weights = {} };
-    return ChooseEngine(
-      query, this->runners, this->index, this->holders, kNow);
+    return ChooseEngine(query, this->runners, this->index, this->holders, kNow);
   }
 
   PartKey SharedKey(WeightNumber aVersion, const std::string& aWall = {}) const
@@ -178,8 +182,7 @@
     setting.index.Set(UpstreamId("r-1"), setting.SharedKey(2), 12'800);
     setting.wall = "lace";
     CHECK(setting.Choose()->cachedTokens == 0);
-    setting.index.Set(
-      UpstreamId("r-1"), setting.SharedKey(2, "lace"), 12'800);
+    setting.index.Set(UpstreamId("r-1"), setting.SharedKey(2, "lace"), 12'800);
     CHECK(setting.Choose()->cachedTokens == 12'800);
     setting.wall = "tofu";
     CHECK(setting.Choose()->cachedTokens == 0);
