entry: stop requests that crash runners; serve metrics

The existing PoisonTracker follows each attempt at a runner: a connection that breaks under a running request counts as a death of that start of the runner, all daemons are told at once, and after the third the request is refused as not run. The measures of requests go to the existing Metrics by RequestMeasures and are served on the metrics address.

--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -1,6 +1,7 @@
 #include "wigeonwalk/adapters/entry_notices/entry_msgpack.h"
 
 #include "wigeonwalk/adapters/msgpack/msgpack.h"
+#include "wigeonwalk/adapters/notices/notice_codec.h"
 
 #include <cstdint>
 
@@ -86,6 +87,18 @@
   });
 }
 
+PeerNotice
+EntryMsgpack::EncodePoison(const PoisonNotice& aNotice) const
+{
+  return EncodeNotice(aNotice);
+}
+
+std::optional<PoisonNotice>
+EntryMsgpack::DecodePoison(const PeerNotice& aNotice) const
+{
+  return DecodePoisonNotice(aNotice);
+}
+
 std::string
 EntryMsgpack::EncodeQuery(const RegistryQuery& aQuery) const
 {
--- a/wigeonwalk/daemon/notice_codec.cc
+++ b/wigeonwalk/adapters/notices/notice_codec.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/daemon/notice_codec.h"
+#include "wigeonwalk/adapters/notices/notice_codec.h"
 
 #include <charconv>
 #include <string>
--- a/wigeonwalk/daemon/cluster.cc
+++ b/wigeonwalk/daemon/cluster.cc
@@ -1,7 +1,7 @@
 #include "wigeonwalk/daemon/cluster.h"
 
 #include "wigeonwalk/adapters/documents/stored_document_json.h"
-#include "wigeonwalk/daemon/notice_codec.h"
+#include "wigeonwalk/adapters/notices/notice_codec.h"
 #include "wigeonwalk/documents/document_propagation.h"
 #include "wigeonwalk/membership/failure_detector.h"
 
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -3,6 +3,8 @@
 
 #include "wigeonwalk/fleet/runner.h"
 #include "wigeonwalk/ports/key_value.h"
+#include "wigeonwalk/ports/peer_messages.h"
+#include "wigeonwalk/retry/poison_tracker.h"
 
 #include <concepts>
 #include <cstdint>
@@ -74,6 +76,8 @@
                                     const RunnerPause& aPause,
                                     const RunnerLoads& aLoads,
                                     const RunnerWork& aWork,
+                                    const PoisonNotice& aPoison,
+                                    const PeerNotice& aNotice,
                                     const RegistryQuery& aQuery,
                                     const RegistryChanges& aChanges,
                                     const std::string& aPayload)
@@ -96,6 +100,12 @@
   {
     aCodec.DecodeWork(aPayload)
     } -> std::same_as<std::optional<RunnerWork>>;
+  {
+    aCodec.EncodePoison(aPoison)
+    } -> std::same_as<PeerNotice>;
+  {
+    aCodec.DecodePoison(aNotice)
+    } -> std::same_as<std::optional<PoisonNotice>>;
   {
     aCodec.EncodeQuery(aQuery)
     } -> std::same_as<std::string>;
--- a/wigeonwalk/entry/entry_request.h
+++ b/wigeonwalk/entry/entry_request.h
@@ -1,6 +1,7 @@
 // A caller's request as the entry's decisions see it, without its encoding.
 #pragma once
 
+#include "wigeonwalk/base/hash128.h"
 #include "wigeonwalk/base/ids.h"
 #include "wigeonwalk/base/time.h"
 #include "wigeonwalk/fleet/prompt.h"
@@ -26,6 +27,8 @@
   // Absent where the request is none for a model.
   std::optional<Prompt> prompt;
   std::size_t bodyBytes = 0;
+  // Stands for method, target and body.
+  Hash128 content;
 };
 
 // What one attempt adds to the caller's request.
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -10,6 +10,7 @@
 #include "wigeonwalk/fleet/part_index.h"
 #include "wigeonwalk/fleet/runner_choice.h"
 #include "wigeonwalk/ports/registry_items.h"
+#include "wigeonwalk/retry/poison_tracker.h"
 #include "wigeonwalk/retry/window_budget.h"
 #include "wigeonwalk/routing/route_table.h"
 
@@ -81,6 +82,7 @@
   std::map<UpstreamId, FollowedHolder> holders;
   std::map<HostId, EntryMember> members;
   WindowBudget repeats;
+  PoisonTracker poison;
   // No answer of the registry for a while.
   bool registryAway = true;
   // The process is to stop.
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -1,6 +1,6 @@
 // One request of a caller: from its route to the last byte of its answer.
 //
-//   ForwardRun run(state, client, peers, timer, log);
+//   ForwardRun run(state, client, peers, measures, timer, log);
 //   co_await run.Forward(request, exchange);
 #pragma once
 
@@ -9,6 +9,7 @@
 #include "wigeonwalk/ports/attempts.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/decision_log.h"
+#include "wigeonwalk/ports/measures.h"
 #include "wigeonwalk/retry/verdict_rules.h"
 
 #include <boost/asio/this_coro.hpp>
@@ -44,15 +45,21 @@
 };
 static_assert(HasCompleteTable<AttemptEnd>());
 
-// Tells other daemons of prompts that a runner reads for long.
+// Tells other daemons of prompts that a runner reads for long, and of requests
+// that crash runners.
 template<typename T>
 concept WorkTeller = requires(T& aTeller, const RunnerWork& aWork)
 {
   aTeller.TellWork(aWork);
+  aTeller.TellPoison();
 };
 
 // Forwards requests. Stateless between requests; the state must outlive it.
-template<AttemptOpener U, WorkTeller P, Timer T, DecisionLog L>
+template<AttemptOpener U,
+         WorkTeller P,
+         RequestMeasures M,
+         Timer T,
+         DecisionLog L>
 class ForwardRun
 {
 public:
@@ -76,10 +83,16 @@
   // A request without any time limit.
   static constexpr Duration kLongestWait = std::chrono::minutes(10);
 
-  ForwardRun(EntryState& aState, U& aUpstreams, P& aPeers, T& aTimer, L& aLog)
+  ForwardRun(EntryState& aState,
+             U& aUpstreams,
+             P& aPeers,
+             M& aMeasures,
+             T& aTimer,
+             L& aLog)
     : state(aState)
     , upstreams(aUpstreams)
     , peers(aPeers)
+    , measures(aMeasures)
     , timer(aTimer)
     , log(aLog)
   {
@@ -114,6 +127,8 @@
     const Route* route = nullptr;
     const ServiceConfiguration* service = nullptr;
     const OrganisationConfiguration* organisation = nullptr;
+    Fingerprint print;
+    RunKind kind = RunKind::Shared;
     std::vector<UpstreamId> tried;
     UpstreamId lastRunner;
     std::uint32_t sends = 0;
@@ -133,12 +148,37 @@
     unsigned status = 0;
   };
 
+  // Counts a request as running at a runner as long as it lives.
+  class FollowedRun
+  {
+  public:
+    FollowedRun(PoisonTracker& aTracker,
+                UpstreamId aRunner,
+                const Fingerprint& aPrint,
+                RunKind aKind)
+      : tracker(aTracker)
+      , runner(std::move(aRunner))
+      , print(aPrint)
+    {
+      this->tracker.Started(this->runner, this->print, aKind);
+    }
+    ~FollowedRun() { this->tracker.Ended(this->runner, this->print); }
+    FollowedRun(const FollowedRun&) = delete;
+    FollowedRun& operator=(const FollowedRun&) = delete;
+
+  private:
+    PoisonTracker& tracker;
+    UpstreamId runner;
+    Fingerprint print;
+  };
+
   // One chosen runner.
   struct Choice
   {
     std::shared_ptr<Runner> runner;
     AttemptOrder order;
     std::uint32_t readTokens = 0;
+    std::uint32_t rereadTokens = 0;
     std::uint32_t cachedTokens = 0;
     std::uint32_t fetchedTokens = 0;
     double cost = 0;
@@ -174,6 +214,25 @@
     const Duration patience = aFacts.patience.value_or(kLongestWait);
     aRun.deadline = aRun.arrivedAt + std::min(patience, aRun.route->timeout);
     this->state.repeats.NoteRequest(aRun.service->name, aRun.arrivedAt);
+    return this->AdmitContent(aFacts, aRun, aReason);
+  }
+
+  // Refuses a request that has crashed runner after runner.
+  bool AdmitContent(const EntryRequest& aFacts, Run& aRun, LastReason& aReason)
+  {
+    const OrganisationId organisation =
+      aRun.organisation ? aRun.organisation->name : OrganisationId();
+    aRun.print = FingerprintOf(organisation, aFacts.content.ToHex());
+    const PoisonAdmission admission =
+      this->state.poison.Admit(aRun.print, aRun.arrivedAt);
+    if (admission == PoisonAdmission::Refuse) {
+      Fail(aReason,
+           ReasonCode::Poisoned,
+           "requests like this one have crashed runners");
+      return false;
+    }
+    aRun.kind =
+      admission == PoisonAdmission::RunAlone ? RunKind::Alone : RunKind::Shared;
     return true;
   }
 
@@ -189,10 +248,8 @@
       LastReason reason;
       aRun.end =
         co_await this->TryOnce(aRequest, aRun, *choice, aExchange, reason);
-      // A caller that leaves cancels this task, and with it the attempt.
-      const auto cancellation =
-        co_await boost::asio::this_coro::cancellation_state;
-      if (cancellation.cancelled() != boost::asio::cancellation_type::none) {
+      const bool cancelled = co_await this->IsCancelled();
+      if (cancelled) {
         aRun.end = AttemptEnd::CallerGone;
       }
       if (aRun.end != AttemptEnd::Failed) {
@@ -312,6 +369,7 @@
     aChoice.order.saveTo = std::move(engine->saveTo);
     aChoice.readTokens = engine->readTokens;
     aChoice.order.priority = EnginePriority(RankOf(aRun), engine->readTokens);
+    aChoice.rereadTokens = engine->rereadTokens;
     aChoice.cachedTokens = engine->cachedTokens;
     aChoice.fetchedTokens = engine->fetchedTokens;
     aChoice.cost = engine->cost;
@@ -352,10 +410,36 @@
     }
     ++aRun.sends;
     aRun.lastRunner = aChoice.runner->entry.id;
+    const FollowedRun followed(
+      this->state.poison, aRun.lastRunner, aRun.print, aRun.kind);
     if (aChoice.readTokens >= kLongRead) {
       this->peers.TellWork({ aRun.lastRunner, aChoice.readTokens });
     }
-    const auto head = co_await attempt->ReadHead(aRun.deadline, aReason);
+    const AttemptEnd end = co_await this->PassOn(
+      aRequest, *attempt, aRun, load, aChoice, sentAt, aExchange, aReason);
+    const bool cancelled = co_await this->IsCancelled();
+    if (end == AttemptEnd::Delivered) {
+      this->state.poison.Succeeded(
+        aRun.lastRunner, aRun.print, this->timer.Now());
+    } else if (end == AttemptEnd::Failed && !cancelled &&
+               aReason.code == ReasonCode::ConnectionLostAfterWrite) {
+      this->NoteLost(aRequest.facts, aRun, aChoice);
+    }
+    co_return end;
+  }
+
+  // Reads the answer of a runner and passes it on.
+  template<CallerExchange<Attempt> X>
+  Task<AttemptEnd> PassOn(const Request& aRequest,
+                          Attempt& aAttempt,
+                          Run& aRun,
+                          RunnerLoad& aLoad,
+                          const Choice& aChoice,
+                          TimePoint aSentAt,
+                          X& aExchange,
+                          LastReason& aReason)
+  {
+    const auto head = co_await aAttempt.ReadHead(aRun.deadline, aReason);
     if (!head) {
       co_return AttemptEnd::Failed;
     }
@@ -378,10 +462,39 @@
     const bool stream = head->IsSuccess() && head->isEventStream;
     if (stream) {
       co_return co_await this->PassStream(
-        aRequest, *attempt, aRun, load, aChoice, aExchange, aReason);
+        aRequest, aAttempt, aRun, aLoad, aChoice, aExchange, aReason);
     }
     co_return co_await this->PassAnswer(
-      *attempt, *head, aRun, aChoice, sentAt, aExchange, aReason);
+      aAttempt, *head, aRun, aChoice, aSentAt, aExchange, aReason);
+  }
+
+  // True where the caller has left, which cancels this task.
+  Task<bool> IsCancelled() const
+  {
+    const auto cancellation =
+      co_await boost::asio::this_coro::cancellation_state;
+    co_return cancellation.cancelled() != boost::asio::cancellation_type::none;
+  }
+
+  // The connection of a running request broke: its runner may have crashed.
+  void NoteLost(const EntryRequest& aFacts,
+                const Run& aRun,
+                const Choice& aChoice)
+  {
+    const TimePoint now = this->timer.Now();
+    const auto refused = this->state.poison.UpstreamDied(
+      aRun.lastRunner,
+      static_cast<std::uint64_t>(aChoice.runner->entry.startedAt),
+      now);
+    this->peers.TellPoison();
+    if (!refused.empty()) {
+      this->log.Write(now,
+                      LogLevel::Warning,
+                      "request crashes runners",
+                      aFacts.id,
+                      { { LogKey::Upstream, aRun.lastRunner },
+                        { LogKey::Count, refused.size() } });
+    }
   }
 
   // Passes on an answer of one piece. It is read whole first, so that a broken
@@ -453,9 +566,7 @@
       if (aRun.streamBegun) {
         written = co_await aExchange.WriteEvents(std::move(*events));
       } else {
-        aRun.firstByteAt = this->timer.Now();
-        aRun.streamBegun = true;
-        this->NoteParts(aRequest.facts, aChoice);
+        this->NoteFirstEvents(aRequest.facts, aRun, aChoice);
         written = co_await aExchange.BeginStream(aAttempt, std::move(*events));
       }
       if (!written) {
@@ -476,13 +587,27 @@
     co_return ended ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
   }
 
+  static MeasureScope ScopeOf(const Run& aRun)
+  {
+    return { aRun.service ? aRun.service->name : ServiceName(),
+             aRun.organisation ? aRun.organisation->name : OrganisationId() };
+  }
+
   // A runner that has made its first token holds all parts of the prompt. Its
   // events tell so later.
-  void NoteParts(const EntryRequest& aFacts, const Choice& aChoice)
+  void NoteFirstEvents(const EntryRequest& aFacts,
+                       Run& aRun,
+                       const Choice& aChoice)
   {
+    aRun.firstByteAt = this->timer.Now();
+    aRun.streamBegun = true;
+    const MeasureScope scope = ScopeOf(aRun);
+    this->measures.FirstToken(scope, aRun.firstByteAt - aRun.arrivedAt);
     if (!aFacts.prompt) {
       return;
     }
+    this->measures.Prompt(
+      scope, aFacts.prompt->inputTokens, aChoice.rereadTokens);
     for (const PromptPart& part : aFacts.prompt->parts) {
       this->state.parts.Set(aChoice.order.runner,
                             KeyOfPart(aChoice.order.cacheSalt, part.id),
@@ -592,6 +717,12 @@
   void NoteEnd(const EntryRequest& aFacts, const Run& aRun)
   {
     const TimePoint now = this->timer.Now();
+    const MeasureScope scope = ScopeOf(aRun);
+    const bool ran = aRun.end == AttemptEnd::Delivered;
+    this->measures.Ended(scope, ran ? Verdict::Ran : aRun.verdict);
+    if (aRun.sends > 1) {
+      this->measures.Retried(scope);
+    }
     const Duration firstByte = aRun.firstByteAt == TimePoint()
                                  ? Duration(0)
                                  : aRun.firstByteAt - aRun.arrivedAt;
@@ -616,6 +747,7 @@
   EntryState& state;
   U& upstreams;
   P& peers;
+  M& measures;
   T& timer;
   L& log;
 };
--- a/wigeonwalk/entry/forward_run_test.cc
+++ b/wigeonwalk/entry/forward_run_test.cc
@@ -207,11 +207,27 @@
 
 struct NoPeers
 {
-  void TellWork(const RunnerWork&) { ++this->told; }
-  int told = 0;
+  void TellWork(const RunnerWork&) {}
+  void TellPoison() {}
 };
 
-using Run = ForwardRun<FakeRunners, NoPeers, VirtualTime, NullLog>;
+// Counts how requests ended.
+struct CountMeasures
+{
+  void FirstToken(const MeasureScope&, Duration) {}
+  void QueueTime(const MeasureScope&, Duration) {}
+  void TokenGap(const MeasureScope&, Duration) {}
+  void Prompt(const MeasureScope&, std::uint64_t, std::uint64_t) {}
+  void Ended(const MeasureScope&, Verdict aVerdict) { ++this->ended[aVerdict]; }
+  void Retried(const MeasureScope&) { ++this->retried; }
+  void Dropped(const MeasureScope&) {}
+
+  std::map<Verdict, int> ended;
+  int retried = 0;
+};
+
+using Run =
+  ForwardRun<FakeRunners, NoPeers, CountMeasures, VirtualTime, NullLog>;
 
 // A daemon with one plain service of three runners and one engine service.
 struct Setting
@@ -273,11 +289,17 @@
     request.facts.id = RequestId("q-1");
     request.facts.host = "a.example";
     request.facts.target = "/" + aRoute + "/7";
+    request.facts.content = HashBytes(request.facts.target, 0);
     request.facts.apiKey = std::move(aKey);
     request.facts.patience = this->patience;
     this->runners.stream = aRoute == "stream" || aRoute == "resumable";
     FakeCaller caller;
-    Run run(this->state, this->runners, this->peers, this->time, this->log);
+    Run run(this->state,
+            this->runners,
+            this->peers,
+            this->measures,
+            this->time,
+            this->log);
     this->time.Spawn(run.Forward(request, caller));
     this->time.RunUntilIdle(this->time.Now() + 1min);
     return caller;
@@ -287,6 +309,7 @@
   EntryState state;
   FakeRunners runners;
   NoPeers peers;
+  CountMeasures measures;
   NullLog log;
   Duration patience = 10s;
 };
@@ -479,6 +502,37 @@
   }
 }
 
+// Guards against a request that crashes one runner after the other.
+SCENARIO("a request crashes each runner that runs it")
+{
+  Setting setting;
+  setting.runners.scripts = { Script::LoseAnswer };
+  for (int i = 0; i < 8; ++i) {
+    setting.Send("booking");
+    // The runner is back as another start.
+    for (const auto& runner : setting.state.fleet.All()) {
+      RunnerEntry next = runner->entry;
+      ++next.startedAt;
+      setting.state.Apply(next, setting.time.Now());
+    }
+    setting.time.RunUntil(setting.time.Now() + 6s);
+  }
+
+  THEN("it reaches no runner after the third")
+  {
+    CHECK(setting.runners.orders.size() == kMaxDeaths);
+    const FakeCaller caller = setting.Send("booking");
+    CHECK(caller.refusal->reason.code == ReasonCode::Poisoned);
+    CHECK(caller.refusal->verdict == Verdict::NotRun);
+  }
+
+  THEN("other requests are served")
+  {
+    setting.runners.scripts = { Script::Answer };
+    CHECK(setting.Send("lookup").status == 200);
+  }
+}
+
 // Guards against requests that run without a right to, and against refusals of
 // requests that have one.
 SCENARIO("only requests that the configuration allows are forwarded")
@@ -523,7 +577,12 @@
     EntryState empty(Setting::Settings());
     FakeRunners::Request request;
     FakeCaller caller;
-    Run run(empty, setting.runners, setting.peers, setting.time, setting.log);
+    Run run(empty,
+            setting.runners,
+            setting.peers,
+            setting.measures,
+            setting.time,
+            setting.log);
     setting.time.Spawn(run.Forward(request, caller));
     setting.time.RunUntilIdle(setting.time.Now() + 1s);
     CHECK(caller.refusal->reason.code == ReasonCode::Unavailable);
@@ -597,8 +656,12 @@
   request.facts.target = "/booking/7";
   request.facts.apiKey = "key";
   FakeCaller caller;
-  Run run(
-    setting.state, setting.runners, setting.peers, setting.time, setting.log);
+  Run run(setting.state,
+          setting.runners,
+          setting.peers,
+          setting.measures,
+          setting.time,
+          setting.log);
   const auto session = [&]() -> Task<void> {
     const TimePoint leavesAt = setting.time.Now() + 100ms;
     co_await (run.Forward(request, caller) || setting.time.WaitUntil(leavesAt));
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -51,6 +51,7 @@
   static constexpr std::size_t kMostLoadPeers = 24;
   // Daemons that one long prompt is told to.
   static constexpr std::size_t kMostWorkPeers = 24;
+  static constexpr std::size_t kMostPoisonNotices = 8;
   // Rows that fit into one datagram.
   static constexpr std::size_t kMostRows = 24;
 
@@ -114,23 +115,27 @@
     }
   }
 
+  // Tells new evidence against requests that crash runners: their callers send
+  // them again within seconds, to any daemon.
+  void TellPoison()
+  {
+    PeerDatagram datagram = this->Datagram();
+    for (const PoisonNotice& notice :
+         this->state.poison.TakeUrgent(kMostPoisonNotices)) {
+      datagram.notices.push_back(this->codec.EncodePoison(notice));
+    }
+    if (datagram.notices.empty()) {
+      return;
+    }
+    for (const EntryMember& member : this->Others()) {
+      this->channel.Send(member.peerAddress, datagram);
+    }
+  }
+
   void OnDatagram(const PeerDatagram& aDatagram)
   {
     for (const PeerNotice& notice : aDatagram.notices) {
-      if (notice.kind == NoticeKind::RunnerPause) {
-        if (const auto pause = this->codec.DecodePause(notice.payload)) {
-          this->TakePause(*pause);
-        }
-      } else if (notice.kind == NoticeKind::RunnerWork) {
-        if (const auto work = this->codec.DecodeWork(notice.payload)) {
-          this->TakeWork(*work);
-        }
-      } else if (notice.kind == NoticeKind::RunnerLoads) {
-        if (auto loads = this->codec.DecodeLoads(notice.payload)) {
-          this->board.Take(
-            aDatagram.sender.host, std::move(*loads), this->timer.Now());
-        }
-      }
+      this->TakeNotice(aDatagram.sender.host, notice);
     }
   }
 
@@ -185,11 +190,47 @@
     return others;
   }
 
-  void Tell(const EntryMember& aMember, const PeerNotice& aNotice)
+  void TakeNotice(const HostId& aSender, const PeerNotice& aNotice)
+  {
+    const TimePoint now = this->timer.Now();
+    switch (aNotice.kind) {
+      case NoticeKind::RunnerPause:
+        if (const auto pause = this->codec.DecodePause(aNotice.payload)) {
+          this->TakePause(*pause);
+        }
+        break;
+      case NoticeKind::RunnerWork:
+        if (const auto work = this->codec.DecodeWork(aNotice.payload)) {
+          this->TakeWork(*work);
+        }
+        break;
+      case NoticeKind::RunnerLoads:
+        if (auto loads = this->codec.DecodeLoads(aNotice.payload)) {
+          this->board.Take(aSender, std::move(*loads), now);
+        }
+        break;
+      case NoticeKind::Poison:
+        if (const auto poison = this->codec.DecodePoison(aNotice)) {
+          this->state.poison.MergeNotice(*poison, now);
+        }
+        break;
+      case NoticeKind::Leaving:
+        // Registrations say which runners leave.
+        break;
+    }
+  }
+
+  PeerDatagram Datagram() const
   {
     PeerDatagram datagram;
     datagram.kind = DatagramKind::Notice;
     datagram.sender.host = this->state.Settings().host;
+    return datagram;
+  }
+
+  void Tell(const EntryMember& aMember, const PeerNotice& aNotice)
+  {
+    PeerDatagram datagram = this->Datagram();
     datagram.notices = { aNotice };
     this->channel.Send(aMember.peerAddress, datagram);
   }
--- a/wigeonwalk/entry/registry_watch_test.cc
+++ b/wigeonwalk/entry/registry_watch_test.cc
@@ -84,6 +84,17 @@
   {
     return RunnerWork{ UpstreamId(aPayload), 38'000 };
   }
+  PeerNotice EncodePoison(const PoisonNotice&) const
+  {
+    return { NoticeKind::Poison, "" };
+  }
+  std::optional<PoisonNotice> DecodePoison(const PeerNotice&) const
+  {
+    PoisonNotice notice;
+    notice.fingerprint = { 1, 2 };
+    notice.death = 3;
+    return notice;
+  }
   std::string EncodeQuery(const RegistryQuery& aQuery) const
   {
     return std::to_string(aQuery.revision);
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -122,6 +122,7 @@
     reading = true;
     aChoice.readTokens += tokens;
     const bool wasRead = !aIndex.HoldersOf(key).empty();
+    aChoice.rereadTokens += wasRead ? tokens : 0;
     cost += tokens / weights.readTokensPerMs +
             (wasRead ? weights.rereadMsPerToken * tokens : 0);
   }
--- a/wigeonwalk/fleet/runner_choice.h
+++ b/wigeonwalk/fleet/runner_choice.h
@@ -112,6 +112,8 @@
   std::uint32_t cachedTokens = 0;
   std::uint32_t fetchedTokens = 0;
   std::uint32_t readTokens = 0;
+  // Of these, tokens of parts that some holder keeps.
+  std::uint32_t rereadTokens = 0;
   // The estimate that decided, in milliseconds.
   double cost = 0;
 };
