--- a/wigeonwalk/adapters/clock/system_timer.cc
+++ b/wigeonwalk/adapters/clock/system_timer.cc
@@ -3,24 +3,37 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <ctime>
 #include <utility>
 
 namespace wigeonwalk {
 
+namespace {
+
+Duration
+BootTime()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds(now.tv_sec) +
+         std::chrono::duration_cast<Duration>(
+           std::chrono::nanoseconds(now.tv_nsec));
+}
+
+} // namespace
+
 SystemTimer::SystemTimer(boost::asio::any_io_executor aExecutor)
   : executor(std::move(aExecutor))
   , wallStart(
       std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now()))
-  , monotonicStart(std::chrono::steady_clock::now())
+  , bootTimeStart(BootTime())
 {
 }
 
 TimePoint
 SystemTimer::Now() const
 {
-  return this->wallStart +
-         std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() -
-                                              this->monotonicStart);
+  return this->wallStart + (BootTime() - this->bootTimeStart);
 }
 
 Task<void>
--- a/wigeonwalk/adapters/clock/system_timer.h
+++ b/wigeonwalk/adapters/clock/system_timer.h
@@ -10,8 +10,10 @@
 
 namespace wigeonwalk {
 
-// Wall-clock time that never steps back within the process: the wall clock is
-// read once, and the monotonic clock moves it on. Safe for one I/O thread.
+// Wall-clock time that never steps within the process: the wall clock is read
+// once, and the boot-time clock moves it on. That clock counts the time for
+// which the host was suspended, so that a lease that ended meanwhile is found
+// to be over. Safe for one I/O thread.
 class SystemTimer
 {
 public:
@@ -23,7 +25,7 @@
 private:
   boost::asio::any_io_executor executor;
   TimePoint wallStart;
-  std::chrono::steady_clock::time_point monotonicStart;
+  Duration bootTimeStart;
 };
 
 static_assert(Timer<SystemTimer>);
--- /dev/null
+++ b/wigeonwalk/adapters/settings/entry_settings_test.cc
@@ -0,0 +1,84 @@
+#include "wigeonwalk/adapters/settings/entry_settings_json.h"
+
+#include <nlohmann/json.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+nlohmann::json
+GoodSettings()
+{
+  return { { "host", "front-1" },
+           { "zone", "north" },
+           { "listen",
+             { { "callers", "10.1.0.40:8005" },
+               { "readiness", "10.1.0.40:8002" } } },
+           { "registryAddress", "10.200.1.7:8007" } };
+}
+
+} // namespace
+
+// Guards against a daemon that starts with settings that can't be used.
+SCENARIO("an entry daemon's settings are checked whole")
+{
+  std::vector<LastReason> reasons;
+
+  GIVEN("the required keys")
+  {
+    const auto settings = ParseEntrySettings(GoodSettings().dump(), reasons);
+    REQUIRE(settings.has_value());
+
+    THEN("all others have the defaults that the reference states")
+    {
+      const EntrySettings defaults;
+      CHECK(settings->heartbeatInterval == defaults.heartbeatInterval);
+      CHECK(settings->bounds.drain == defaults.bounds.drain);
+      CHECK(settings->bounds.newWeights == defaults.bounds.newWeights);
+      CHECK(settings->readTokensPerMs == defaults.readTokensPerMs);
+      CHECK(settings->listen.peers.empty());
+    }
+  }
+
+  GIVEN("bounds of the deployment")
+  {
+    nlohmann::json json = GoodSettings();
+    json["bounds"] = { { "drain", "3s" },
+                       { "orderLease", "3000ms" },
+                       { "repeatSlack", 54 } };
+    const auto settings = ParseEntrySettings(json.dump(), reasons);
+    REQUIRE(settings.has_value());
+    CHECK(settings->bounds.drain == 3s);
+    CHECK(settings->bounds.orderLease == 3s);
+    CHECK(settings->bounds.repeatSlack == 54);
+  }
+
+  GIVEN("a key that is missing, unknown or out of range")
+  {
+    nlohmann::json json = GoodSettings();
+    const std::string place = GENERATE("/host",
+                                       "/listen/callers",
+                                       "/registryAddress",
+                                       "/bounds/drain",
+                                       "/readTokensPerMs",
+                                       "/registryAdress");
+    const nlohmann::json::json_pointer pointer(place);
+    json[pointer] = "no such value";
+    if (place == "/host") {
+      json.erase("host");
+    }
+    CAPTURE(place);
+    CHECK_FALSE(ParseEntrySettings(json.dump(), reasons).has_value());
+    REQUIRE_FALSE(reasons.empty());
+    CHECK_FALSE(reasons[0].ToString().empty());
+  }
+
+  GIVEN("no JSON at all")
+  {
+    CHECK_FALSE(ParseEntrySettings("host = \"a\"", reasons).has_value());
+    CHECK(reasons.size() == 1);
+  }
+}
--- a/wigeonwalk/adapters/settings/settings_reference.cc
+++ b/wigeonwalk/adapters/settings/settings_reference.cc
@@ -2,6 +2,7 @@
 
 #include "wigeonwalk/adapters/settings/internal/checked_json.h"
 #include "wigeonwalk/adapters/settings/internal/daemon_settings_schema.h"
+#include "wigeonwalk/adapters/settings/internal/entry_settings_schema.h"
 #include "wigeonwalk/adapters/settings/internal/service_document_schema.h"
 
 #include <string_view>
@@ -127,6 +128,8 @@
   return std::string(kIntroduction) +
          section("Settings of a daemon",
                  settings_internal::kDaemonSettingsSchema) +
+         section("Settings of an entry daemon",
+                 settings_internal::kEntrySettingsSchema) +
          section("Service document", settings_internal::kServiceDocumentSchema);
 }
 
--- a/wigeonwalk/entry/order_lead.h
+++ b/wigeonwalk/entry/order_lead.h
@@ -164,7 +164,9 @@
   // before it is written.
   Task<void> WriteHolder(std::string aSelf, TimePoint aDeadline)
   {
-    const PutRequest put{ .key = kHolderKey, .value = std::move(aSelf) };
+    PutRequest put;
+    put.key = kHolderKey;
+    put.value = aSelf;
     LastReason reason;
     const WriteResult result = co_await this->store.Put(put, aDeadline, reason);
     if (result.outcome != WriteOutcome::Applied) {
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -148,13 +148,15 @@
   {
     auto runners = this->state.fleet.RunnersOf(aService.name);
     // One that fails again and again must not keep the others waiting.
-    std::sort(
-      runners.begin(), runners.end(), [this](const auto& a, const auto& b) {
-        const std::uint32_t failuresOfA = this->FailuresOf(a->entry.id);
-        const std::uint32_t failuresOfB = this->FailuresOf(b->entry.id);
-        return std::tie(failuresOfA, a->entry.id) <
-               std::tie(failuresOfB, b->entry.id);
-      });
+    std::sort(runners.begin(),
+              runners.end(),
+              [this](const auto& aLeft, const auto& aRight) {
+                const std::uint32_t ofLeft = this->FailuresOf(aLeft->entry.id);
+                const std::uint32_t ofRight =
+                  this->FailuresOf(aRight->entry.id);
+                return std::tie(ofLeft, aLeft->entry.id) <
+                       std::tie(ofRight, aRight->entry.id);
+              });
     std::size_t busy = 0;
     for (const auto& runner : runners) {
       busy += this->loading.contains(runner->entry.id) ? 1 : 0;
--- a/wigeonwalk/routing/route_table.cc
+++ b/wigeonwalk/routing/route_table.cc
@@ -12,9 +12,10 @@
 NormalHost(std::string_view aHost)
 {
   std::string host(aHost.substr(0, aHost.find(':')));
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
+  std::transform(
+    host.begin(), host.end(), host.begin(), [](unsigned char aCharacter) {
+      return static_cast<char>(std::tolower(aCharacter));
+    });
   return host;
 }
 
