--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -17,15 +17,16 @@
 
 namespace wigeonwalk {
 
-// Reads everything once and then watches all keys with one call at a time.
-// Runners register about once a second each, so a call that does not answer
-// soon has met an outage. One task.
+// Reads everything once and then watches all keys with one call at a time, each
+// of which is paid for. One task.
 template<KeyValueService S, RegistryDecoder D, Timer T, DecisionLog L>
 class RegistryWatch
 {
 public:
-  // Longest wait of one watch call.
-  static constexpr Duration kWatchWait = std::chrono::milliseconds(1'500);
+  // Longest time of one watch call. A connection that went silent is found at
+  // its end, and the daemon then asks its peers, within the bound on
+  // configuration in an outage.
+  static constexpr Duration kWatchWait = std::chrono::seconds(3);
   // Least time between two watch calls: each one is paid for, and half a
   // second is a quarter of the shortest bound on configuration.
   static constexpr Duration kWatchPace = std::chrono::milliseconds(500);
