entry: followers of a holder tell the daemons that do not follow it

Ruled out: more calls, which holders refuse. Change: runners are followed by ten daemons of their zone, and each follower passes changes on to its part of the others, empty ones too, so that a silent holder stays no source.

--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -87,6 +87,33 @@
   });
 }
 
+std::string
+EntryMsgpack::EncodeParts(const HeldParts& aParts) const
+{
+  Json rows = Json::array();
+  for (const HeldPart& row : aParts.changes) {
+    rows.push_back(Json::array({ row.part.high, row.part.low, row.tokens }));
+  }
+  return PackMessage(
+    Json::array({ aParts.holder.Text(), aParts.epoch, std::move(rows) }));
+}
+
+std::optional<HeldParts>
+EntryMsgpack::DecodeParts(const std::string& aPayload) const
+{
+  return UnpackMessage(aPayload, [](const Json& aJson) {
+    HeldParts parts;
+    parts.holder = UpstreamId(aJson.at(0).get<std::string>());
+    parts.epoch = aJson.at(1).get<std::int64_t>();
+    for (const Json& row : aJson.at(2)) {
+      parts.changes.push_back(
+        { { row.at(0).get<std::uint64_t>(), row.at(1).get<std::uint64_t>() },
+          row.at(2).get<std::uint32_t>() });
+    }
+    return parts;
+  });
+}
+
 PeerNotice
 EntryMsgpack::EncodePoison(const PoisonNotice& aNotice) const
 {
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -24,6 +24,14 @@
     CHECK(codec.DecodeWork(codec.EncodeWork(work)) == work);
   }
 
+  SECTION("about parts that a holder has")
+  {
+    const HeldParts parts{ UpstreamId("172.20.0.2:8006"),
+                           77,
+                           { { { 1, ~0ULL }, 12'800 }, { { 2, 3 }, 0 } } };
+    CHECK(codec.DecodeParts(codec.EncodeParts(parts)) == parts);
+  }
+
   SECTION("about the registry, values of any bytes included")
   {
     RegistryChanges changes{ 12, true, {} };
--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -1,12 +1,13 @@
 // Follows the cache events of runners and stores.
 //
-//   CacheFollower follower(state, control, timer, log);
+//   CacheFollower follower(state, control, peers, timer, log);
 //   for (const UpstreamId& holder : follower.Reconcile()) {
 //     spawn(follower.Follow(holder));
 //   }
 #pragma once
 
 #include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/held_parts.h"
 #include "wigeonwalk/membership/rendezvous.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/decision_log.h"
@@ -20,10 +21,19 @@
 
 namespace wigeonwalk {
 
+// Tells one daemon of a holder's parts.
+template<typename T>
+concept PartTeller = requires(T& aTeller,
+                              const HostId& aHost,
+                              const HeldParts& aParts)
+{
+  aTeller.TellParts(aHost, aParts);
+};
+
 // One task for each holder that this daemon follows. A holder takes only a few
-// calls at a time, so that in a large fleet a few daemons follow each one, and
-// each daemon a few.
-template<RunnerControl C, Timer T, DecisionLog L>
+// calls at a time, so that in a large fleet a few daemons follow each one and
+// pass on to the others what they saw.
+template<RunnerControl C, PartTeller P, Timer T, DecisionLog L>
 class CacheFollower
 {
 public:
@@ -41,10 +51,13 @@
   // Calls at each holder that are left free for daemons whose view of the
   // members differs.
   static constexpr std::uint32_t kSpareCalls = 2;
+  // Changes that fit into one datagram.
+  static constexpr std::size_t kMostChanges = 32;
 
-  CacheFollower(EntryState& aState, C& aControl, T& aTimer, L& aLog)
+  CacheFollower(EntryState& aState, C& aControl, P& aPeers, T& aTimer, L& aLog)
     : state(aState)
     , control(aControl)
+    , peers(aPeers)
     , timer(aTimer)
     , log(aLog)
   {
@@ -54,12 +67,12 @@
   // Returns the holders that need a task.
   std::vector<UpstreamId> Reconcile()
   {
-    std::map<UpstreamId, CacheHolder> wanted = this->WantedHolders();
+    const std::map<UpstreamId, Wanted> wanted = this->WantedHolders();
     for (auto it = this->state.holders.begin();
          it != this->state.holders.end();) {
       const auto found = wanted.find(it->first);
       if (found == wanted.end() ||
-          found->second.address != it->second.holder.address) {
+          found->second.holder.address != it->second.holder.address) {
         this->state.parts.Forget(it->first);
         it = this->state.holders.erase(it);
       } else {
@@ -67,21 +80,23 @@
       }
     }
     std::vector<UpstreamId> started;
-    for (auto& [id, holder] : wanted) {
-      if (this->state.holders.contains(id) || this->tasks.contains(id)) {
-        continue;
+    for (const auto& [id, entry] : wanted) {
+      this->state.holders.try_emplace(id, FollowedHolder{ entry.holder });
+      this->followers[id] = entry.followers;
+      if (this->IsFollower(id) && this->tasks.insert(id).second) {
+        started.push_back(id);
       }
-      this->state.holders[id].holder = holder;
-      this->tasks.insert(id);
-      started.push_back(id);
     }
+    std::erase_if(this->followers, [&wanted](const auto& aEntry) {
+      return !wanted.contains(aEntry.first);
+    });
     return started;
   }
 
-  // Follows one holder until it is no longer wanted.
+  // Follows one holder for as long as this daemon is to.
   Task<void> Follow(UpstreamId aHolder)
   {
-    while (true) {
+    while (this->IsFollower(aHolder)) {
       const auto found = this->state.holders.find(aHolder);
       if (found == this->state.holders.end()) {
         break;
@@ -106,16 +121,34 @@
   }
 
 private:
-  std::map<UpstreamId, CacheHolder> WantedHolders() const
+  // A holder, and the daemons that follow it, or all that use it where it takes
+  // enough calls. Those after the followers are told by them.
+  struct Followers
   {
-    std::map<UpstreamId, CacheHolder> wanted;
+    std::vector<HostId> ranked;
+    std::size_t following = 0;
+  };
+  struct Wanted
+  {
+    CacheHolder holder;
+    Followers followers;
+  };
+
+  std::map<UpstreamId, Wanted> WantedHolders() const
+  {
+    std::map<UpstreamId, Wanted> wanted;
     const auto& routes = this->state.Routes();
     if (routes == nullptr) {
       return wanted;
     }
-    std::vector<HostId> hosts;
+    const AvailabilityZone& zone = this->state.Settings().zone;
+    std::vector<HostId> all;
+    std::vector<HostId> ofZone;
     for (const auto& [host, member] : this->state.members) {
-      hosts.push_back(host);
+      all.push_back(host);
+      if (member.zone == zone) {
+        ofZone.push_back(host);
+      }
     }
     for (const auto& service : routes->Configuration().services) {
       if (service.cacheStore) {
@@ -127,9 +160,8 @@
                                   store.linkMegabits,
                                   store.transferDelay,
                                   store.cacheTokens };
-        if (this->IsMine(holder, store.eventCalls, hosts)) {
-          wanted.emplace(holder.id, holder);
-        }
+        wanted.emplace(holder.id,
+                       Wanted{ holder, Rank(holder, store.eventCalls, all) });
       }
     }
     for (const auto& runner : this->state.fleet.All()) {
@@ -137,7 +169,7 @@
       // Events of runners elsewhere would cost more than they save: prompts
       // with long bodies stay in the zone, and stores hold the long parts.
       if (runner->leaving || service == nullptr || !service->engine ||
-          runner->entry.zone != this->state.Settings().zone) {
+          runner->entry.zone != zone) {
         continue;
       }
       const CacheHolder holder{ runner->entry.id,
@@ -147,22 +179,68 @@
                                 service->engine->linkMegabits,
                                 Duration(0),
                                 service->engine->cacheTokens };
-      if (this->IsMine(holder, service->engine->eventCalls, hosts)) {
-        wanted.emplace(holder.id, holder);
-      }
+      wanted.emplace(
+        holder.id,
+        Wanted{ holder, Rank(holder, service->engine->eventCalls, ofZone) });
     }
     return wanted;
   }
 
-  bool IsMine(const CacheHolder& aHolder,
-              std::uint32_t aCalls,
-              const std::vector<HostId>& aHosts) const
+  static Followers Rank(const CacheHolder& aHolder,
+                        std::uint32_t aCalls,
+                        const std::vector<HostId>& aHosts)
   {
-    const std::size_t followers =
+    const std::size_t following =
       aCalls > kSpareCalls ? aCalls - kSpareCalls : aCalls;
-    return aHosts.size() <= followers ||
-           IsOwner(
-             aHolder.id.Text(), this->state.Settings().host, aHosts, followers);
+    return { RankOwners(aHolder.id.Text(), aHosts, aHosts.size()), following };
+  }
+
+  // A daemon that is not listed yet follows, since none would tell it anything.
+  bool IsFollower(const UpstreamId& aHolder) const
+  {
+    const auto found = this->followers.find(aHolder);
+    if (found == this->followers.end()) {
+      return false;
+    }
+    const std::vector<HostId>& ranked = found->second.ranked;
+    const auto self =
+      std::find(ranked.begin(), ranked.end(), this->state.Settings().host);
+    return self == ranked.end() ||
+           self - ranked.begin() <
+             static_cast<std::ptrdiff_t>(found->second.following);
+  }
+
+  // Passes on to the daemons that do not follow the holder, each of which is
+  // told by one follower.
+  void PassOn(const HeldParts& aParts)
+  {
+    const Followers& all = this->followers.at(aParts.holder);
+    if (all.ranked.size() <= all.following) {
+      return;
+    }
+    const auto self = std::find(
+      all.ranked.begin(), all.ranked.end(), this->state.Settings().host);
+    const auto rank = static_cast<std::size_t>(self - all.ranked.begin());
+    for (std::size_t i = all.following + rank; i < all.ranked.size();
+         i += all.following) {
+      this->Tell(all.ranked[i], aParts);
+    }
+  }
+
+  void Tell(const HostId& aHost, const HeldParts& aParts)
+  {
+    HeldParts some{ aParts.holder, aParts.epoch, {} };
+    std::size_t told = 0;
+    // A message without changes says that the holder still answers.
+    do {
+      const std::size_t count =
+        std::min(kMostChanges, aParts.changes.size() - told);
+      const auto first =
+        aParts.changes.begin() + static_cast<std::ptrdiff_t>(told);
+      some.changes.assign(first, first + static_cast<std::ptrdiff_t>(count));
+      this->peers.TellParts(aHost, some);
+      told += count;
+    } while (told < aParts.changes.size());
   }
 
   void Take(const UpstreamId& aHolder,
@@ -183,30 +261,30 @@
       // Another start of the runner, or another runner at its address.
       return;
     }
-    if (followed.epoch != aBatch.epoch) {
-      this->state.parts.Forget(aHolder);
-      if (followed.epoch != 0) {
-        this->log.Write(aNow,
-                        LogLevel::Info,
-                        "cache holder restarted",
-                        {},
-                        { { LogKey::Upstream, aHolder } });
-      }
-      const bool first = followed.epoch == 0;
-      followed.epoch = aBatch.epoch;
-      if (!first) {
-        // These events were asked for from a position of the earlier epoch.
-        followed.nextEvent = 0;
-        followed.answeredAt = TimePoint();
-        return;
-      }
-    }
+    HeldParts parts{ aHolder, aBatch.epoch, {} };
     for (const PartEvent& event : aBatch.events) {
-      this->state.parts.Set(
-        aHolder, KeyOfPart(event.name.salt, event.name.part), event.tokens);
+      parts.changes.push_back(
+        { KeyOfPart(event.name.salt, event.name.part), event.tokens });
+    }
+    const bool restarted =
+      followed.epoch != 0 && followed.epoch != aBatch.epoch;
+    if (restarted) {
+      // These events were asked for from a position of the earlier epoch.
+      parts.changes.clear();
+      this->log.Write(aNow,
+                      LogLevel::Info,
+                      "cache holder restarted",
+                      {},
+                      { { LogKey::Upstream, aHolder } });
+    }
+    TakeHeldParts(this->state, parts, aNow);
+    this->PassOn(parts);
+    if (restarted) {
+      followed.nextEvent = 0;
+      followed.answeredAt = TimePoint();
+      return;
     }
     followed.nextEvent = aBatch.next;
-    followed.answeredAt = aNow;
     if (runner != nullptr) {
       runner->heardAt = aNow;
     }
@@ -234,8 +312,10 @@
 
   EntryState& state;
   C& control;
+  P& peers;
   T& timer;
   L& log;
+  std::map<UpstreamId, Followers> followers;
   // Holders with a running task.
   std::set<UpstreamId> tasks;
 };
--- a/wigeonwalk/entry/cache_follower_test.cc
+++ b/wigeonwalk/entry/cache_follower_test.cc
@@ -9,13 +9,25 @@
 
 namespace {
 
+// Remembers which daemons were told.
+struct ToldParts
+{
+  void TellParts(const HostId& aHost, const HeldParts& aParts)
+  {
+    ++this->told[aHost];
+    this->changes += aParts.changes.size();
+  }
+  std::map<HostId, int> told;
+  std::size_t changes = 0;
+};
+
 // A daemon that follows one runner and one store.
 struct Setting
 {
   Setting()
     : control(time)
     , state(Settings())
-    , follower(state, control, time, log)
+    , follower(state, control, peers, time, log)
   {
     RoutingConfiguration configuration;
     configuration.version = 1;
@@ -89,9 +101,10 @@
 
   VirtualTime time;
   FakeRunnerControl control;
+  ToldParts peers;
   NullLog log;
   EntryState state;
-  CacheFollower<FakeRunnerControl, VirtualTime, NullLog> follower;
+  CacheFollower<FakeRunnerControl, ToldParts, VirtualTime, NullLog> follower;
 };
 
 } // namespace
@@ -163,8 +176,9 @@
   }
 }
 
-// Guards against more calls at a holder than it takes.
-SCENARIO("in a large fleet few daemons follow each holder")
+// Guards against more calls at a holder than it takes, and against daemons that
+// learn nothing of it.
+SCENARIO("in a large fleet few daemons follow each holder and tell the others")
 {
   Setting setting;
   for (int i = 1; i <= 60; ++i) {
@@ -177,7 +191,38 @@
     setting.AddRunner("r-" + std::to_string(i), "north");
   }
   setting.RunFor(1s);
-  // 10 of 60 daemons follow each of 102 holders.
-  CHECK(setting.state.holders.size() > 5);
-  CHECK(setting.state.holders.size() < 35);
+  const auto before = setting.control.eventCalls;
+  setting.RunFor(5s);
+  // 10 of 60 daemons follow each of 102 holders, with up to 4 calls a second.
+  CHECK(setting.control.eventCalls - before < 35 * 4 * 5);
+  CHECK(setting.control.eventCalls - before > 5 * 2 * 5);
+
+  THEN("each holder's parts are told to one in ten of the others")
+  {
+    CHECK(setting.peers.told.size() > 10);
+    CHECK_FALSE(setting.peers.told.contains(HostId("front-1")));
+  }
+
+  THEN("what another daemon tells counts like an own answer")
+  {
+    const UpstreamId store("store");
+    const PartKey part = KeyOfPart("salt", "told");
+    TakeHeldParts(
+      setting.state, { store, 5, { { part, 700 } } }, setting.time.Now());
+    CHECK(setting.state.parts.TokensAt(store, part) == 700);
+    CHECK_FALSE(setting.state.Sources(setting.time.Now()).empty());
+
+    AND_THEN("until the holder restarts")
+    {
+      CHECK(TakeHeldParts(setting.state, { store, 6, {} }, setting.time.Now()));
+      CHECK(setting.state.parts.TokensAt(store, part) == 0);
+    }
+
+    AND_THEN("or is not heard of any more")
+    {
+      CHECK(setting.state
+              .Sources(setting.time.Now() + EntryState::kSourceFresh + 1ms)
+              .empty());
+    }
+  }
 }
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -1,6 +1,7 @@
 // What entry daemons tell each other, without its encoding.
 #pragma once
 
+#include "wigeonwalk/fleet/part_index.h"
 #include "wigeonwalk/fleet/runner.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/peer_messages.h"
@@ -53,6 +54,27 @@
   bool operator==(const RunnerWork&) const = default;
 };
 
+// One part at a holder, by the hash of its salt and id.
+struct HeldPart
+{
+  PartKey part;
+  // Zero where it is gone.
+  std::uint32_t tokens = 0;
+
+  bool operator==(const HeldPart&) const = default;
+};
+
+// What a follower of a holder tells a daemon that does not follow it.
+struct HeldParts
+{
+  UpstreamId holder;
+  // Changes when the holder restarts: nothing told before counts any more.
+  std::int64_t epoch = 0;
+  std::vector<HeldPart> changes;
+
+  bool operator==(const HeldParts&) const = default;
+};
+
 // Asks for what a daemon knows of the registry beyond a revision.
 struct RegistryQuery
 {
@@ -76,6 +98,7 @@
                                     const RunnerPause& aPause,
                                     const RunnerLoads& aLoads,
                                     const RunnerWork& aWork,
+                                    const HeldParts& aParts,
                                     const PoisonNotice& aPoison,
                                     const PeerNotice& aNotice,
                                     const RegistryQuery& aQuery,
@@ -100,6 +123,12 @@
   {
     aCodec.DecodeWork(aPayload)
     } -> std::same_as<std::optional<RunnerWork>>;
+  {
+    aCodec.EncodeParts(aParts)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodeParts(aPayload)
+    } -> std::same_as<std::optional<HeldParts>>;
   {
     aCodec.EncodePoison(aPoison)
     } -> std::same_as<PeerNotice>;
--- /dev/null
+++ b/wigeonwalk/entry/held_parts.cc
@@ -0,0 +1,25 @@
+#include "wigeonwalk/entry/held_parts.h"
+
+namespace wigeonwalk {
+
+bool
+TakeHeldParts(EntryState& aState, const HeldParts& aParts, TimePoint aNow)
+{
+  const auto found = aState.holders.find(aParts.holder);
+  if (found == aState.holders.end()) {
+    return false;
+  }
+  FollowedHolder& followed = found->second;
+  const bool restarted = followed.epoch != 0 && followed.epoch != aParts.epoch;
+  if (followed.epoch != aParts.epoch) {
+    aState.parts.Forget(aParts.holder);
+    followed.epoch = aParts.epoch;
+  }
+  for (const HeldPart& change : aParts.changes) {
+    aState.parts.Set(aParts.holder, change.part, change.tokens);
+  }
+  followed.answeredAt = aNow;
+  return restarted;
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -7,6 +7,7 @@
 
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/held_parts.h"
 #include "wigeonwalk/entry/item_mirror.h"
 #include "wigeonwalk/entry/load_board.h"
 #include "wigeonwalk/ports/clock.h"
@@ -115,6 +116,17 @@
     }
   }
 
+  // Tells one daemon what a holder has that it does not follow.
+  void TellParts(const HostId& aHost, const HeldParts& aParts)
+  {
+    const auto member = this->state.members.find(aHost);
+    if (member == this->state.members.end()) {
+      return;
+    }
+    this->Tell(member->second,
+               { NoticeKind::HeldParts, this->codec.EncodeParts(aParts) });
+  }
+
   // Tells new evidence against requests that crash runners: their callers send
   // them again within seconds, to any daemon.
   void TellPoison()
@@ -209,6 +221,11 @@
           this->board.Take(aSender, std::move(*loads), now);
         }
         break;
+      case NoticeKind::HeldParts:
+        if (const auto parts = this->codec.DecodeParts(aNotice.payload)) {
+          TakeHeldParts(this->state, *parts, now);
+        }
+        break;
       case NoticeKind::Poison:
         if (const auto poison = this->codec.DecodePoison(aNotice)) {
           this->state.poison.MergeNotice(*poison, now);
--- a/wigeonwalk/entry/registry_watch_test.cc
+++ b/wigeonwalk/entry/registry_watch_test.cc
@@ -84,6 +84,14 @@
   {
     return RunnerWork{ UpstreamId(aPayload), 38'000 };
   }
+  std::string EncodeParts(const HeldParts& aParts) const
+  {
+    return aParts.holder.Text();
+  }
+  std::optional<HeldParts> DecodeParts(const std::string& aPayload) const
+  {
+    return HeldParts{ UpstreamId(aPayload), 1, { { { 1, 2 }, 500 } } };
+  }
   PeerNotice EncodePoison(const PoisonNotice&) const
   {
     return { NoticeKind::Poison, "" };
--- a/wigeonwalk/ports/peer_messages.h
+++ b/wigeonwalk/ports/peer_messages.h
@@ -77,17 +77,19 @@
   RunnerPause,
   RunnerLoads,
   RunnerWork,
+  HeldParts,
 };
 
 template<>
 struct EnumNames<NoticeKind>
 {
-  static constexpr std::array<EnumName<NoticeKind>, 5> kTable{ {
+  static constexpr std::array<EnumName<NoticeKind>, 6> kTable{ {
     { NoticeKind::Poison, "poison" },
     { NoticeKind::Leaving, "leaving" },
     { NoticeKind::RunnerPause, "runner-pause" },
     { NoticeKind::RunnerLoads, "runner-loads" },
     { NoticeKind::RunnerWork, "runner-work" },
+    { NoticeKind::HeldParts, "held-parts" },
   } };
 };
 static_assert(HasCompleteTable<NoticeKind>());
