log: end the pool before the logger

Cause: beside load, ThreadSanitizer reported a race in the concurrent test of the log: the pool's thread could be the last owner of the logger and delete it, while the release by the main thread came just before. Ruled out: the new Flush, which that test doesn't call. Change: the pool is joined first.

--- a/wigeonwalk/adapters/log/log.cc
+++ b/wigeonwalk/adapters/log/log.cc
@@ -68,8 +68,10 @@
     this->logger->set_level(spdlog::level::trace);
   }
 
-  // The destructor of the pool writes the waiting lines and joins its thread.
-  // It is not the last owner of the logger, which holds the pool only weakly.
+  // The pool ends first: its destructor writes the waiting lines and joins its
+  // thread, so that this thread, not the pool's, is the last owner of the logger.
+  ~Output() { this->pool.reset(); }
+
   std::shared_ptr<spdlog::details::thread_pool> pool;
   std::shared_ptr<spdlog::async_logger> logger;
 };
