fleet: what is believed of a runner fits its memory

Cause: one in a hundred eviction events is lost, and daemons see only their own use of runners that they don't follow, so that the index grew without bound. Change: a holder's parts that were reported or used longest ago go once they exceed its memory, or this daemon's part of it.

--- a/wigeonwalk/adapters/log/log.cc
+++ b/wigeonwalk/adapters/log/log.cc
@@ -69,7 +69,8 @@
   }
 
   // The pool ends first: its destructor writes the waiting lines and joins its
-  // thread, so that this thread, not the pool's, is the last owner of the logger.
+  // thread, so that this thread, not the pool's, is the last owner of the
+  // logger.
   ~Output() { this->pool.reset(); }
 
   std::shared_ptr<spdlog::details::thread_pool> pool;
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -613,6 +613,15 @@
                             KeyOfPart(aChoice.order.cacheSalt, part.id),
                             part.tokens);
     }
+    // Of a runner whose events are not followed, only this daemon's part of the
+    // memory is known.
+    const std::uint64_t memory = aRun.service->engine->cacheTokens;
+    if (memory == 0) {
+      return;
+    }
+    const bool followed = this->state.holders.contains(aChoice.order.runner);
+    this->state.parts.Trim(aChoice.order.runner,
+                           followed ? memory : memory / this->state.Daemons());
   }
 
   void NoteRefused(const EntryRequest& aFacts,
--- a/wigeonwalk/entry/held_parts.cc
+++ b/wigeonwalk/entry/held_parts.cc
@@ -18,6 +18,10 @@
   for (const HeldPart& change : aParts.changes) {
     aState.parts.Set(aParts.holder, change.part, change.tokens);
   }
+  // A configuration may leave the capacity out.
+  if (followed.holder.capacityTokens > 0) {
+    aState.parts.Trim(aParts.holder, followed.holder.capacityTokens);
+  }
   followed.answeredAt = aNow;
   return restarted;
 }
--- a/wigeonwalk/fleet/fleet_test.cc
+++ b/wigeonwalk/fleet/fleet_test.cc
@@ -189,6 +189,19 @@
     CHECK(index.Parts() == 0);
   }
 
+  SECTION("or too much is believed of it: the oldest goes first")
+  {
+    index.Set(one, KeyOfPart("salt", "q"), 50);
+    index.Set(one, KeyOfPart("salt", "r"), 30);
+    index.Set(one, part, 120);
+    index.Trim(one, 160);
+    CHECK(index.TokensAt(one, KeyOfPart("salt", "q")) == 0);
+    CHECK(index.TokensAt(one, KeyOfPart("salt", "r")) == 30);
+    CHECK(index.TokensAt(one, part) == 120);
+    CHECK(index.TokensAt(two, part) == 40);
+    CHECK(index.TokensOf(one) == 150);
+  }
+
   SECTION("and keeps salts apart")
   {
     CHECK(KeyOfPart("salt", "p") != KeyOfPart("salt2", "p"));
--- a/wigeonwalk/fleet/part_index.cc
+++ b/wigeonwalk/fleet/part_index.cc
@@ -10,42 +10,58 @@
   return HashBytes(aPart, HashBytes(aSalt, 0).low);
 }
 
+void
+PartIndex::Remove(const UpstreamId& aHolder, const PartKey& aPart)
+{
+  const auto entry = this->holdings.find(aPart);
+  if (entry == this->holdings.end()) {
+    return;
+  }
+  HolderRecord& record = this->records[aHolder];
+  std::erase_if(entry->second, [&](const PartHolding& aHolding) {
+    if (aHolding.holder != aHolder) {
+      return false;
+    }
+    record.tokens -= aHolding.tokens;
+    record.partsByUse.erase(aHolding.lastUse);
+    return true;
+  });
+  if (entry->second.empty()) {
+    this->holdings.erase(entry);
+  }
+}
+
 void
 PartIndex::Set(const UpstreamId& aHolder,
                const PartKey& aPart,
                std::uint32_t aTokens)
 {
-  auto& holders = this->holdings[aPart];
-  const auto found = std::find_if(
-    holders.begin(), holders.end(), [&](const PartHolding& aEntry) {
-      return aEntry.holder == aHolder;
-    });
-  std::uint64_t& total = this->totals[aHolder];
-  if (found != holders.end()) {
-    total -= found->tokens;
-    found->tokens = aTokens;
-    if (aTokens == 0) {
-      holders.erase(found);
-    }
-  } else if (aTokens > 0) {
-    holders.push_back({ aHolder, aTokens });
+  this->Remove(aHolder, aPart);
+  if (aTokens == 0) {
+    return;
   }
-  total += aTokens;
-  if (holders.empty()) {
-    this->holdings.erase(aPart);
+  const std::uint64_t use = ++this->uses;
+  this->holdings[aPart].push_back({ aHolder, aTokens, use });
+  HolderRecord& record = this->records[aHolder];
+  record.tokens += aTokens;
+  record.partsByUse.emplace(use, aPart);
+}
+
+void
+PartIndex::Trim(const UpstreamId& aHolder, std::uint64_t aTokens)
+{
+  const auto found = this->records.find(aHolder);
+  while (found != this->records.end() && found->second.tokens > aTokens) {
+    const PartKey oldest = found->second.partsByUse.begin()->second;
+    this->Remove(aHolder, oldest);
   }
 }
 
 void
 PartIndex::Forget(const UpstreamId& aHolder)
 {
-  this->totals.erase(aHolder);
-  for (auto it = this->holdings.begin(); it != this->holdings.end();) {
-    std::erase_if(it->second, [&](const PartHolding& aEntry) {
-      return aEntry.holder == aHolder;
-    });
-    it = it->second.empty() ? this->holdings.erase(it) : std::next(it);
-  }
+  this->Trim(aHolder, 0);
+  this->records.erase(aHolder);
 }
 
 std::uint32_t
@@ -70,8 +86,8 @@
 std::uint64_t
 PartIndex::TokensOf(const UpstreamId& aHolder) const
 {
-  const auto found = this->totals.find(aHolder);
-  return found == this->totals.end() ? 0 : found->second;
+  const auto found = this->records.find(aHolder);
+  return found == this->records.end() ? 0 : found->second.tokens;
 }
 
 } // namespace wigeonwalk
--- a/wigeonwalk/fleet/part_index.h
+++ b/wigeonwalk/fleet/part_index.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -28,6 +29,8 @@
   UpstreamId holder;
   // Leading tokens of the part that it holds.
   std::uint32_t tokens = 0;
+  // Rises with each report or use.
+  std::uint64_t lastUse = 0;
 };
 
 // What the holders reported, and what was sent to them and is expected there.
@@ -40,6 +43,10 @@
            const PartKey& aPart,
            std::uint32_t aTokens);
 
+  // Removes the parts of a holder that were reported or used longest ago until
+  // the rest fits into a number of tokens: some reports of evictions are lost.
+  void Trim(const UpstreamId& aHolder, std::uint64_t aTokens);
+
   // Removes everything of one holder.
   void Forget(const UpstreamId& aHolder);
 
@@ -54,8 +61,18 @@
   std::size_t Parts() const { return this->holdings.size(); }
 
 private:
+  struct HolderRecord
+  {
+    std::uint64_t tokens = 0;
+    std::map<std::uint64_t, PartKey> partsByUse;
+  };
+
+  // Removes one holding, and its part where no holder is left.
+  void Remove(const UpstreamId& aHolder, const PartKey& aPart);
+
   std::unordered_map<PartKey, std::vector<PartHolding>> holdings;
-  std::unordered_map<UpstreamId, std::uint64_t> totals;
+  std::unordered_map<UpstreamId, HolderRecord> records;
+  std::uint64_t uses = 0;
 };
 
 } // namespace wigeonwalk
