--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -4,8 +4,10 @@
 //   co_await run.Forward(request, exchange);
 #pragma once
 
+#include "wigeonwalk/entry/admission.h"
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/runner_pick.h"
 #include "wigeonwalk/ports/attempts.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/decision_log.h"
@@ -104,7 +106,8 @@
   {
     Run run{ .arrivedAt = this->timer.Now() };
     LastReason reason;
-    const bool admitted = this->Admit(aRequest.facts, run, reason);
+    const bool admitted = AdmitRequest(
+      this->state, aRequest.facts, run.arrivedAt, run.admitted, reason);
     if (admitted) {
       co_await this->RunAttempts(aRequest, run, aExchange);
     } else {
@@ -121,14 +124,7 @@
   struct Run
   {
     TimePoint arrivedAt;
-    TimePoint deadline;
-    // Keeps the route alive where the configuration changes.
-    std::shared_ptr<const RouteTable> routes;
-    const Route* route = nullptr;
-    const ServiceConfiguration* service = nullptr;
-    const OrganisationConfiguration* organisation = nullptr;
-    Fingerprint print;
-    RunKind kind = RunKind::Shared;
+    AdmittedRequest admitted;
     std::vector<UpstreamId> tried;
     UpstreamId lastRunner;
     std::uint32_t sends = 0;
@@ -148,94 +144,6 @@
     unsigned status = 0;
   };
 
-  // Counts a request as running at a runner as long as it lives.
-  class FollowedRun
-  {
-  public:
-    FollowedRun(PoisonTracker& aTracker,
-                UpstreamId aRunner,
-                const Fingerprint& aPrint,
-                RunKind aKind)
-      : tracker(aTracker)
-      , runner(std::move(aRunner))
-      , print(aPrint)
-    {
-      this->tracker.Started(this->runner, this->print, aKind);
-    }
-    ~FollowedRun() { this->tracker.Ended(this->runner, this->print); }
-    FollowedRun(const FollowedRun&) = delete;
-    FollowedRun& operator=(const FollowedRun&) = delete;
-
-  private:
-    PoisonTracker& tracker;
-    UpstreamId runner;
-    Fingerprint print;
-  };
-
-  // One chosen runner.
-  struct Choice
-  {
-    std::shared_ptr<Runner> runner;
-    AttemptOrder order;
-    std::uint32_t readTokens = 0;
-    std::uint32_t rereadTokens = 0;
-    std::uint32_t cachedTokens = 0;
-    std::uint32_t fetchedTokens = 0;
-    double cost = 0;
-  };
-
-  // Finds route, organisation and service of a request, and its deadline.
-  bool Admit(const EntryRequest& aFacts, Run& aRun, LastReason& aReason)
-  {
-    aRun.routes = this->state.Routes();
-    if (aRun.routes == nullptr) {
-      Fail(aReason, ReasonCode::Unavailable, "no configuration is known yet");
-      return false;
-    }
-    aRun.route = aRun.routes->FindRoute(aFacts.host, aFacts.target);
-    if (aRun.route == nullptr) {
-      Fail(aReason, ReasonCode::NotFound, "no route matches", "host, path");
-      return false;
-    }
-    if (aRun.routes->NeedsKeys() && !aRun.route->isPublic) {
-      aRun.organisation = aRun.routes->FindByKey(aFacts.apiKey);
-      if (aRun.organisation == nullptr) {
-        Fail(aReason, ReasonCode::Unauthorized, "unknown API key");
-        return false;
-      }
-    }
-    const ServiceName* service = ChooseService(*aRun.route, aFacts.id);
-    aRun.service =
-      service == nullptr ? nullptr : aRun.routes->FindService(*service);
-    if (aRun.service == nullptr) {
-      Fail(aReason, ReasonCode::Unavailable, "the route has no service");
-      return false;
-    }
-    const Duration patience = aFacts.patience.value_or(kLongestWait);
-    aRun.deadline = aRun.arrivedAt + std::min(patience, aRun.route->timeout);
-    this->state.repeats.NoteRequest(aRun.service->name, aRun.arrivedAt);
-    return this->AdmitContent(aFacts, aRun, aReason);
-  }
-
-  // Refuses a request that has crashed runner after runner.
-  bool AdmitContent(const EntryRequest& aFacts, Run& aRun, LastReason& aReason)
-  {
-    const OrganisationId organisation =
-      aRun.organisation ? aRun.organisation->name : OrganisationId();
-    aRun.print = FingerprintOf(organisation, aFacts.content.ToHex());
-    const PoisonAdmission admission =
-      this->state.poison.Admit(aRun.print, aRun.arrivedAt);
-    if (admission == PoisonAdmission::Refuse) {
-      Fail(aReason,
-           ReasonCode::Poisoned,
-           "requests like this one have crashed runners");
-      return false;
-    }
-    aRun.kind =
-      admission == PoisonAdmission::RunAlone ? RunKind::Alone : RunKind::Shared;
-    return true;
-  }
-
   template<CallerExchange<Attempt> X>
   Task<void> RunAttempts(const Request& aRequest, Run& aRun, X& aExchange)
   {
@@ -265,15 +173,18 @@
   }
 
   // Waits a moment where no runner may be used now.
-  Task<std::optional<Choice>> Choose(const EntryRequest& aFacts, Run& aRun)
+  Task<std::optional<RunnerPick>> Choose(const EntryRequest& aFacts, Run& aRun)
   {
-    const TimePoint giveUp = std::min(
-      aRun.deadline,
-      this->timer.Now() + aRun.route->targetLatency / kCandidateWaitPart);
+    const TimePoint giveUp =
+      std::min(aRun.admitted.deadline,
+               this->timer.Now() +
+                 aRun.admitted.route->targetLatency / kCandidateWaitPart);
     while (true) {
       const TimePoint now = this->timer.Now();
-      auto choice = this->ChooseNow(aFacts, aRun, now);
+      auto choice =
+        PickRunner(this->state, aFacts, aRun.admitted, aRun.tried, now);
       if (choice) {
+        choice->order.resumeAfter = aRun.lastEventId;
         co_return choice;
       }
       if (now >= giveUp) {
@@ -288,108 +199,11 @@
     co_return std::nullopt;
   }
 
-  std::optional<Choice> ChooseNow(const EntryRequest& aFacts,
-                                  const Run& aRun,
-                                  TimePoint aNow) const
-  {
-    const auto candidates =
-      this->state.Candidates(aRun.service->name, aRun.tried, aNow);
-    if (candidates.empty()) {
-      return std::nullopt;
-    }
-    Choice choice;
-    if (aFacts.prompt && aRun.service->engine) {
-      if (!this->ChooseForPrompt(aFacts, aRun, candidates, choice, aNow)) {
-        return std::nullopt;
-      }
-    } else {
-      const PlainQuery query{ this->state.Settings().zone,
-                              aFacts.bodyBytes,
-                              this->Weights() };
-      choice.runner = ChoosePlain(query, candidates, aNow);
-    }
-    AttemptOrder& order = choice.order;
-    order.address = choice.runner->entry.address;
-    order.runner = choice.runner->entry.id;
-    order.timeLeft = aRun.deadline - aNow;
-    if (aRun.organisation != nullptr) {
-      order.organisation = aRun.organisation->name;
-    }
-    order.resumeAfter = aRun.lastEventId;
-    return choice;
-  }
-
-  // Rank of a request, 0 for the most urgent. That of its organisation takes
-  // precedence.
-  static std::uint32_t RankOf(const Run& aRun)
-  {
-    const std::uint32_t ofRoute = aRun.route->priority;
-    return aRun.organisation == nullptr
-             ? ofRoute
-             : aRun.organisation->priority.value_or(ofRoute);
-  }
-
-  ChoiceWeights Weights() const
-  {
-    ChoiceWeights weights;
-    weights.readTokensPerMs = this->state.Settings().readTokensPerMs;
-    return weights;
-  }
-
-  bool ChooseForPrompt(const EntryRequest& aFacts,
-                       const Run& aRun,
-                       const std::vector<std::shared_ptr<Runner>>& aCandidates,
-                       Choice& aChoice,
-                       TimePoint aNow) const
-  {
-    const KnownWeights newest = this->state.WeightsOf(aFacts.prompt->model);
-    const bool isolated =
-      aRun.organisation != nullptr && aRun.organisation->isolated;
-    const EngineQuery query{
-      .prompt = *aFacts.prompt,
-      .wall = isolated ? aRun.organisation->name.Text() : std::string(),
-      .zone = this->state.Settings().zone,
-      .bodyBytes = aFacts.bodyBytes,
-      .runnerTokens = aRun.service->engine->cacheTokens,
-      .bytesPerToken = aRun.service->engine->bytesPerToken,
-      .newest = newest.version,
-      .onlyNewest = this->OnlyNewest(newest, aNow),
-      .weights = this->Weights(),
-    };
-    const auto sources = this->state.Sources(aNow);
-    auto engine =
-      ChooseEngine(query, aCandidates, this->state.parts, sources, aNow);
-    if (!engine) {
-      return false;
-    }
-    aChoice.runner = engine->runner;
-    aChoice.order.version = engine->version;
-    aChoice.order.cacheSalt = std::move(engine->salt);
-    aChoice.order.fetchFrom = std::move(engine->fetchFrom);
-    aChoice.order.saveTo = std::move(engine->saveTo);
-    aChoice.readTokens = engine->readTokens;
-    aChoice.order.priority = EnginePriority(RankOf(aRun), engine->readTokens);
-    aChoice.rereadTokens = engine->rereadTokens;
-    aChoice.cachedTokens = engine->cachedTokens;
-    aChoice.fetchedTokens = engine->fetchedTokens;
-    aChoice.cost = engine->cost;
-    return true;
-  }
-
-  // Older weights are out of bounds once most of the time for new ones is over.
-  bool OnlyNewest(const KnownWeights& aNewest, TimePoint aNow) const
-  {
-    constexpr double kPartOfTime = 0.8;
-    const Duration allowed = FromSeconds(
-      kPartOfTime * ToSeconds(this->state.Settings().bounds.newWeights));
-    return aNewest.version > 1 && aNow - aNewest.since > allowed;
-  }
-
   // Sends the request to one runner and passes its answer on.
   template<CallerExchange<Attempt> X>
   Task<AttemptEnd> TryOnce(const Request& aRequest,
                            Run& aRun,
-                           const Choice& aChoice,
+                           const RunnerPick& aChoice,
                            X& aExchange,
                            LastReason& aReason)
   {
@@ -399,9 +213,10 @@
                     prompt ? prompt->inputTokens + prompt->maxOutputTokens : 0,
                     aChoice.readTokens);
     ++aRun.connects;
-    const TimePoint connectBy = std::min(aRun.deadline, sentAt + kConnectTime);
+    const TimePoint connectBy =
+      std::min(aRun.admitted.deadline, sentAt + kConnectTime);
     auto attempt = co_await this->upstreams.Open(
-      aRequest, aChoice.order, connectBy, aRun.deadline, aReason);
+      aRequest, aChoice.order, connectBy, aRun.admitted.deadline, aReason);
     if (!attempt) {
       if (VerdictOf(aReason.code) != Verdict::NotRun) {
         ++aRun.sends;
@@ -410,8 +225,10 @@
     }
     ++aRun.sends;
     aRun.lastRunner = aChoice.runner->entry.id;
-    const FollowedRun followed(
-      this->state.poison, aRun.lastRunner, aRun.print, aRun.kind);
+    const FollowedRun followed(this->state.poison,
+                               aRun.lastRunner,
+                               aRun.admitted.print,
+                               aRun.admitted.kind);
     if (aChoice.readTokens >= kLongRead) {
       this->peers.TellWork({ aRun.lastRunner, aChoice.readTokens });
     }
@@ -420,7 +237,7 @@
     const bool cancelled = co_await this->IsCancelled();
     if (end == AttemptEnd::Delivered) {
       this->state.poison.Succeeded(
-        aRun.lastRunner, aRun.print, this->timer.Now());
+        aRun.lastRunner, aRun.admitted.print, this->timer.Now());
     } else if (end == AttemptEnd::Failed && !cancelled &&
                aReason.code == ReasonCode::ConnectionLostAfterWrite) {
       this->NoteLost(aRequest.facts, aRun, aChoice);
@@ -434,12 +251,13 @@
                           Attempt& aAttempt,
                           Run& aRun,
                           RunnerLoad& aLoad,
-                          const Choice& aChoice,
+                          const RunnerPick& aChoice,
                           TimePoint aSentAt,
                           X& aExchange,
                           LastReason& aReason)
   {
-    const auto head = co_await aAttempt.ReadHead(aRun.deadline, aReason);
+    const auto head =
+      co_await aAttempt.ReadHead(aRun.admitted.deadline, aReason);
     if (!head) {
       co_return AttemptEnd::Failed;
     }
@@ -479,7 +297,7 @@
   // The connection of a running request broke: its runner may have crashed.
   void NoteLost(const EntryRequest& aFacts,
                 const Run& aRun,
-                const Choice& aChoice)
+                const RunnerPick& aChoice)
   {
     const TimePoint now = this->timer.Now();
     const auto refused = this->state.poison.UpstreamDied(
@@ -503,14 +321,15 @@
   Task<AttemptEnd> PassAnswer(Attempt& aAttempt,
                               const AnswerFacts& aHead,
                               Run& aRun,
-                              const Choice& aChoice,
+                              const RunnerPick& aChoice,
                               TimePoint aSentAt,
                               X& aExchange,
                               LastReason& aReason)
   {
     std::string body;
     while (true) {
-      const auto bytes = co_await aAttempt.ReadBody(aRun.deadline, aReason);
+      const auto bytes =
+        co_await aAttempt.ReadBody(aRun.admitted.deadline, aReason);
       if (!bytes) {
         co_return AttemptEnd::Failed;
       }
@@ -548,13 +367,14 @@
                               Attempt& aAttempt,
                               Run& aRun,
                               RunnerLoad& aLoad,
-                              const Choice& aChoice,
+                              const RunnerPick& aChoice,
                               X& aExchange,
                               LastReason& aReason)
   {
     const TimePoint openedAt = this->timer.Now();
     while (true) {
-      auto events = co_await aAttempt.ReadEvents(aRun.deadline, aReason);
+      auto events =
+        co_await aAttempt.ReadEvents(aRun.admitted.deadline, aReason);
       if (!events) {
         co_return AttemptEnd::Failed;
       }
@@ -587,21 +407,15 @@
     co_return ended ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
   }
 
-  static MeasureScope ScopeOf(const Run& aRun)
-  {
-    return { aRun.service ? aRun.service->name : ServiceName(),
-             aRun.organisation ? aRun.organisation->name : OrganisationId() };
-  }
-
   // A runner that has made its first token holds all parts of the prompt. Its
   // events tell so later.
   void NoteFirstEvents(const EntryRequest& aFacts,
                        Run& aRun,
-                       const Choice& aChoice)
+                       const RunnerPick& aChoice)
   {
     aRun.firstByteAt = this->timer.Now();
     aRun.streamBegun = true;
-    const MeasureScope scope = ScopeOf(aRun);
+    const MeasureScope scope = aRun.admitted.Scope();
     this->measures.FirstToken(scope, aRun.firstByteAt - aRun.arrivedAt);
     if (!aFacts.prompt) {
       return;
@@ -615,7 +429,7 @@
     }
     // Of a runner whose events are not followed, only this daemon's part of the
     // memory is known.
-    const std::uint64_t memory = aRun.service->engine->cacheTokens;
+    const std::uint64_t memory = aRun.admitted.service->engine->cacheTokens;
     if (memory == 0) {
       return;
     }
@@ -626,7 +440,7 @@
 
   void NoteRefused(const EntryRequest& aFacts,
                    const AnswerFacts& aHead,
-                   const Choice& aChoice)
+                   const RunnerPick& aChoice)
   {
     Runner& runner = *aChoice.runner;
     if (aHead.wrongWeights && aFacts.prompt) {
@@ -638,7 +452,9 @@
     }
   }
 
-  void NoteFailed(const EntryRequest& aFacts, Run& aRun, const Choice& aChoice)
+  void NoteFailed(const EntryRequest& aFacts,
+                  Run& aRun,
+                  const RunnerPick& aChoice)
   {
     const Verdict verdict = VerdictOf(aRun.failure.code);
     aRun.verdict = CombineVerdicts(aRun.verdict, verdict);
@@ -663,20 +479,22 @@
   bool MayTryAgain(const Run& aRun)
   {
     const bool mayRunAgain =
-      aRun.route->MayRunAgain() &&
-      (!aRun.streamBegun || (aRun.route->resumable && aRun.lastEventId));
+      aRun.admitted.route->MayRunAgain() &&
+      (!aRun.streamBegun ||
+       (aRun.admitted.route->resumable && aRun.lastEventId));
     if (!MayRepeat(aRun.verdict, mayRunAgain) ||
-        aRun.sends >= aRun.route->maxAttempts ||
+        aRun.sends >= aRun.admitted.route->maxAttempts ||
         aRun.connects >= kMostConnects) {
       return false;
     }
     const TimePoint now = this->timer.Now();
-    if (now >= aRun.deadline) {
+    if (now >= aRun.admitted.deadline) {
       return false;
     }
     // A connection that never opened was no arrival at a runner.
-    return aRun.sends == 0 || this->state.repeats.TrySpend(
-                                aRun.service->name, this->state.Daemons(), now);
+    return aRun.sends == 0 ||
+           this->state.repeats.TrySpend(
+             aRun.admitted.service->name, this->state.Daemons(), now);
   }
 
   template<CallerExchange<Attempt> X>
@@ -703,7 +521,7 @@
 
   void NotePlaced(const EntryRequest& aFacts,
                   const Run& aRun,
-                  const Choice& aChoice)
+                  const RunnerPick& aChoice)
   {
     if (!aFacts.prompt) {
       return;
@@ -726,7 +544,7 @@
   void NoteEnd(const EntryRequest& aFacts, const Run& aRun)
   {
     const TimePoint now = this->timer.Now();
-    const MeasureScope scope = ScopeOf(aRun);
+    const MeasureScope scope = aRun.admitted.Scope();
     const bool ran = aRun.end == AttemptEnd::Delivered;
     this->measures.Ended(scope, ran ? Verdict::Ran : aRun.verdict);
     if (aRun.sends > 1) {
@@ -740,9 +558,11 @@
       LogLevel::Info,
       "request finished",
       aFacts.id,
-      { LogField::Name(LogKey::Route, aRun.route ? aRun.route->name : ""),
+      { LogField::Name(LogKey::Route,
+                       aRun.admitted.route ? aRun.admitted.route->name : ""),
         { LogKey::Organisation,
-          aRun.organisation ? aRun.organisation->name : OrganisationId() },
+          aRun.admitted.organisation ? aRun.admitted.organisation->name
+                                     : OrganisationId() },
         { LogKey::Upstream, aRun.lastRunner },
         { LogKey::Outcome, aRun.end },
         { LogKey::Status, aRun.status },
--- /dev/null
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -0,0 +1,107 @@
+#include "wigeonwalk/entry/runner_pick.h"
+
+#include <utility>
+
+namespace wigeonwalk {
+
+namespace {
+
+using Candidates = std::vector<std::shared_ptr<Runner>>;
+
+ChoiceWeights
+WeightsOf(const EntryState& aState)
+{
+  ChoiceWeights weights;
+  weights.readTokensPerMs = aState.Settings().readTokensPerMs;
+  return weights;
+}
+
+// Older weights are out of bounds once most of the time for new ones is over.
+bool
+OnlyNewest(const EntryState& aState,
+           const KnownWeights& aNewest,
+           TimePoint aNow)
+{
+  constexpr double kPartOfTime = 0.8;
+  const Duration allowed =
+    FromSeconds(kPartOfTime * ToSeconds(aState.Settings().bounds.newWeights));
+  return aNewest.version > 1 && aNow - aNewest.since > allowed;
+}
+
+bool
+PickForPrompt(const EntryState& aState,
+              const EntryRequest& aFacts,
+              const AdmittedRequest& aAdmitted,
+              const Candidates& aCandidates,
+              RunnerPick& aPick,
+              TimePoint aNow)
+{
+  const KnownWeights newest = aState.WeightsOf(aFacts.prompt->model);
+  const bool isolated =
+    aAdmitted.organisation != nullptr && aAdmitted.organisation->isolated;
+  const EngineTraits& traits = *aAdmitted.service->engine;
+  const EngineQuery query{
+    .prompt = *aFacts.prompt,
+    .wall = isolated ? aAdmitted.organisation->name.Text() : std::string(),
+    .zone = aState.Settings().zone,
+    .bodyBytes = aFacts.bodyBytes,
+    .runnerTokens = traits.cacheTokens,
+    .bytesPerToken = traits.bytesPerToken,
+    .newest = newest.version,
+    .onlyNewest = OnlyNewest(aState, newest, aNow),
+    .weights = WeightsOf(aState),
+  };
+  const auto sources = aState.Sources(aNow);
+  auto choice = ChooseEngine(query, aCandidates, aState.parts, sources, aNow);
+  if (!choice) {
+    return false;
+  }
+  aPick.runner = std::move(choice->runner);
+  aPick.order.version = choice->version;
+  aPick.order.cacheSalt = std::move(choice->salt);
+  aPick.order.fetchFrom = std::move(choice->fetchFrom);
+  aPick.order.saveTo = std::move(choice->saveTo);
+  aPick.order.priority = EnginePriority(aAdmitted.Rank(), choice->readTokens);
+  aPick.readTokens = choice->readTokens;
+  aPick.rereadTokens = choice->rereadTokens;
+  aPick.cachedTokens = choice->cachedTokens;
+  aPick.fetchedTokens = choice->fetchedTokens;
+  aPick.cost = choice->cost;
+  return true;
+}
+
+} // namespace
+
+std::optional<RunnerPick>
+PickRunner(const EntryState& aState,
+           const EntryRequest& aFacts,
+           const AdmittedRequest& aAdmitted,
+           const std::vector<UpstreamId>& aTried,
+           TimePoint aNow)
+{
+  const Candidates candidates =
+    aState.Candidates(aAdmitted.service->name, aTried, aNow);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  RunnerPick pick;
+  if (aFacts.prompt && aAdmitted.service->engine) {
+    if (!PickForPrompt(aState, aFacts, aAdmitted, candidates, pick, aNow)) {
+      return std::nullopt;
+    }
+  } else {
+    const PlainQuery query{ aState.Settings().zone,
+                            aFacts.bodyBytes,
+                            WeightsOf(aState) };
+    pick.runner = ChoosePlain(query, candidates, aNow);
+  }
+  pick.order.address = pick.runner->entry.address;
+  pick.order.runner = pick.runner->entry.id;
+  pick.order.timeLeft = aAdmitted.deadline - aNow;
+  if (aAdmitted.organisation != nullptr) {
+    pick.order.organisation = aAdmitted.organisation->name;
+  }
+  return pick;
+}
+
+} // namespace wigeonwalk
