entry: a status that promises too much is not passed on

Cause, found by reading: a runner's 503 or 429 without its signature and without saying that it did not run the request was passed on as it came, and promised what nobody knew.

--- a/wigeonwalk/entry/entry_request.h
+++ b/wigeonwalk/entry/entry_request.h
@@ -58,6 +58,8 @@
   unsigned status = 0;
   // The runner says that it did not run the request.
   bool refusedUnrun = false;
+  // The status promises that the request has not run and never will.
+  bool promisesUnrun = false;
   // Another runner has the address now.
   bool wrongRunner = false;
   // The runner's weights are not those that the attempt named.
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -82,8 +82,6 @@
   // Prompt tokens to read from which on other daemons are told: what is sent to
   // the runner next waits for about 50 ms.
   static constexpr std::uint32_t kLongRead = 2'048;
-  // A request without any time limit.
-  static constexpr Duration kLongestWait = std::chrono::minutes(10);
 
   ForwardRun(EntryState& aState,
              U& aUpstreams,
@@ -270,10 +268,11 @@
       this->NoteRefused(aRequest.facts, *head, aChoice);
       co_return AttemptEnd::Failed;
     }
-    if (head->IsSuccess() && !head->isSigned) {
+    if (!head->isSigned && (head->IsSuccess() || head->promisesUnrun)) {
       Fail(aReason,
            ReasonCode::MalformedResponse,
-           "a success without the runner's signature",
+           "status " + std::to_string(head->status) +
+             " without the runner's signature",
            aChoice.runner->entry.id.Text());
       co_return AttemptEnd::Failed;
     }
--- a/wigeonwalk/entry/forward_run_test.cc
+++ b/wigeonwalk/entry/forward_run_test.cc
@@ -27,6 +27,8 @@
   CutAnswer,
   Unsigned,
   BreakStreamAfterTwo,
+  // A status that promises too much, without the runner's word for it.
+  PromiseUnrun,
   Hang,
 };
 
@@ -64,6 +66,12 @@
         head.refusedUnrun = true;
         head.wrongRunner = true;
         break;
+      case Script::PromiseUnrun:
+        head.status = 503;
+        head.promisesUnrun = true;
+        head.isSigned = false;
+        head.isEventStream = false;
+        break;
       case Script::FailOnce:
         head.status = 500;
         head.isEventStream = false;
@@ -400,6 +408,12 @@
       1,
       500,
       {} },
+    { "promised unrun by nobody",
+      "booking",
+      { Script::PromiseUnrun, Script::Answer },
+      1,
+      0,
+      Verdict::MayHaveRun },
     { "silent", "booking", { Script::Hang }, 1, 0, Verdict::MayHaveRun },
     { "lookup lost, sent again",
       "lookup",
