--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -7,6 +7,7 @@
 #include "wigeonwalk/entry/admission.h"
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/request_log.h"
 #include "wigeonwalk/entry/runner_pick.h"
 #include "wigeonwalk/ports/attempts.h"
 #include "wigeonwalk/ports/clock.h"
@@ -26,27 +27,6 @@
 
 namespace wigeonwalk {
 
-// How one attempt ended.
-enum class AttemptEnd
-{
-  // The caller has the whole answer.
-  Delivered,
-  CallerGone,
-  // The runner, or the way to it, failed.
-  Failed,
-};
-
-template<>
-struct EnumNames<AttemptEnd>
-{
-  static constexpr std::array<EnumName<AttemptEnd>, 3> kTable{ {
-    { AttemptEnd::Delivered, "delivered" },
-    { AttemptEnd::CallerGone, "caller-gone" },
-    { AttemptEnd::Failed, "failed" },
-  } };
-};
-static_assert(HasCompleteTable<AttemptEnd>());
-
 // Tells other daemons of prompts that a runner reads for long, and of requests
 // that crash runners.
 template<typename T>
@@ -150,7 +130,8 @@
       if (!choice) {
         co_return;
       }
-      this->NotePlaced(aRequest.facts, aRun, *choice);
+      LogPlaced(
+        this->log, this->timer.Now(), aRequest.facts, *choice, aRun.sends);
       LastReason reason;
       aRun.end =
         co_await this->TryOnce(aRequest, aRun, *choice, aExchange, reason);
@@ -463,14 +444,8 @@
         aRun.failure.code != ReasonCode::ResponseTimeout) {
       aChoice.runner->health.NoteFailure(now);
     }
-    this->log.Write(now,
-                    LogLevel::Info,
-                    "attempt failed",
-                    aFacts.id,
-                    { { LogKey::Upstream, aChoice.runner->entry.id },
-                      LogField(aRun.failure),
-                      { LogKey::Verdict, verdict },
-                      { LogKey::Count, aRun.sends } });
+    LogFailed(
+      this->log, now, aFacts.id, *aChoice.runner, aRun.failure, aRun.sends);
   }
 
   // True where another attempt can't make the request run twice, and the
@@ -518,58 +493,18 @@
     co_await aExchange.Refuse(refusal);
   }
 
-  void NotePlaced(const EntryRequest& aFacts,
-                  const Run& aRun,
-                  const RunnerPick& aChoice)
-  {
-    if (!aFacts.prompt) {
-      return;
-    }
-    const TimePoint now = this->timer.Now();
-    this->log.Write(now,
-                    LogLevel::Info,
-                    "request placed",
-                    aFacts.id,
-                    { { LogKey::Upstream, aChoice.runner->entry.id },
-                      { LogKey::Zone, aChoice.runner->entry.zone },
-                      { LogKey::Version, aChoice.order.version },
-                      { LogKey::CachedTokens, aChoice.cachedTokens },
-                      { LogKey::FetchedTokens, aChoice.fetchedTokens },
-                      { LogKey::ReadTokens, aChoice.readTokens },
-                      { LogKey::Cost, aChoice.cost },
-                      { LogKey::Count, aRun.sends } });
-  }
-
   void NoteEnd(const EntryRequest& aFacts, const Run& aRun)
   {
-    const TimePoint now = this->timer.Now();
     const MeasureScope scope = aRun.admitted.Scope();
     const bool ran = aRun.end == AttemptEnd::Delivered;
     this->measures.Ended(scope, ran ? Verdict::Ran : aRun.verdict);
     if (aRun.sends > 1) {
       this->measures.Retried(scope);
     }
-    const Duration firstByte = aRun.firstByteAt == TimePoint()
-                                 ? Duration(0)
-                                 : aRun.firstByteAt - aRun.arrivedAt;
-    this->log.Write(
-      now,
-      LogLevel::Info,
-      "request finished",
-      aFacts.id,
-      { LogField::Name(LogKey::Route,
-                       aRun.admitted.route ? aRun.admitted.route->name : ""),
-        { LogKey::Organisation,
-          aRun.admitted.organisation ? aRun.admitted.organisation->name
-                                     : OrganisationId() },
-        { LogKey::Upstream, aRun.lastRunner },
-        { LogKey::Outcome, aRun.end },
-        { LogKey::Status, aRun.status },
-        { LogKey::Verdict, aRun.verdict },
-        LogField(aRun.failure),
-        { LogKey::Count, aRun.sends },
-        { LogKey::FirstByte, firstByte },
-        { LogKey::Elapsed, now - aRun.arrivedAt } });
+    const RequestEnd end{ aRun.end,       aRun.lastRunner, aRun.status,
+                          aRun.verdict,   aRun.failure,    aRun.sends,
+                          aRun.arrivedAt, aRun.firstByteAt };
+    LogEnd(this->log, this->timer.Now(), aFacts.id, aRun.admitted, end);
   }
 
   EntryState& state;
--- /dev/null
+++ b/wigeonwalk/entry/request_log.h
@@ -0,0 +1,128 @@
+// The log lines of one request; docs/OPERATIONS.md explains them.
+//
+//   LogPlaced(log, now, facts, pick, sends);
+//   LogEnd(log, now, facts.id, admitted, end);
+#pragma once
+
+#include "wigeonwalk/entry/admission.h"
+#include "wigeonwalk/entry/runner_pick.h"
+#include "wigeonwalk/ports/decision_log.h"
+#include "wigeonwalk/retry/verdict_rules.h"
+
+#include <cstdint>
+
+namespace wigeonwalk {
+
+// How one attempt ended.
+enum class AttemptEnd
+{
+  // The caller has the whole answer.
+  Delivered,
+  CallerGone,
+  // The runner, or the way to it, failed.
+  Failed,
+};
+
+template<>
+struct EnumNames<AttemptEnd>
+{
+  static constexpr std::array<EnumName<AttemptEnd>, 3> kTable{ {
+    { AttemptEnd::Delivered, "delivered" },
+    { AttemptEnd::CallerGone, "caller-gone" },
+    { AttemptEnd::Failed, "failed" },
+  } };
+};
+static_assert(HasCompleteTable<AttemptEnd>());
+
+// How a request ended.
+struct RequestEnd
+{
+  AttemptEnd end = AttemptEnd::Failed;
+  UpstreamId lastRunner;
+  // Status of the last runner's answer; zero without one.
+  unsigned status = 0;
+  Verdict verdict = Verdict::NotRun;
+  LastReason failure;
+  // Attempts that were sent.
+  std::uint32_t sends = 0;
+  TimePoint arrivedAt;
+  // The epoch where the caller got nothing of a runner.
+  TimePoint firstByteAt;
+};
+
+// A runner was chosen for a prompt.
+template<DecisionLog L>
+void
+LogPlaced(L& aLog,
+          TimePoint aNow,
+          const EntryRequest& aFacts,
+          const RunnerPick& aPick,
+          std::uint32_t aSends)
+{
+  if (!aFacts.prompt) {
+    return;
+  }
+  aLog.Write(aNow,
+             LogLevel::Info,
+             "request placed",
+             aFacts.id,
+             { { LogKey::Upstream, aPick.runner->entry.id },
+               { LogKey::Zone, aPick.runner->entry.zone },
+               { LogKey::Version, aPick.order.version },
+               { LogKey::CachedTokens, aPick.cachedTokens },
+               { LogKey::FetchedTokens, aPick.fetchedTokens },
+               { LogKey::ReadTokens, aPick.readTokens },
+               { LogKey::Cost, aPick.cost },
+               { LogKey::Count, aSends } });
+}
+
+// An attempt at a runner failed.
+template<DecisionLog L>
+void
+LogFailed(L& aLog,
+          TimePoint aNow,
+          const RequestId& aRequest,
+          const Runner& aRunner,
+          const LastReason& aFailure,
+          std::uint32_t aSends)
+{
+  aLog.Write(aNow,
+             LogLevel::Info,
+             "attempt failed",
+             aRequest,
+             { { LogKey::Upstream, aRunner.entry.id },
+               LogField(aFailure),
+               { LogKey::Verdict, VerdictOf(aFailure.code) },
+               { LogKey::Count, aSends } });
+}
+
+// The caller has its last byte, or is gone.
+template<DecisionLog L>
+void
+LogEnd(L& aLog,
+       TimePoint aNow,
+       const RequestId& aRequest,
+       const AdmittedRequest& aAdmitted,
+       const RequestEnd& aEnd)
+{
+  const Duration firstByte = aEnd.firstByteAt == TimePoint()
+                               ? Duration(0)
+                               : aEnd.firstByteAt - aEnd.arrivedAt;
+  const Route* route = aAdmitted.route;
+  aLog.Write(aNow,
+             LogLevel::Info,
+             "request finished",
+             aRequest,
+             { LogField::Name(LogKey::Route, route ? route->name : ""),
+               { LogKey::Organisation, aAdmitted.Scope().organisation },
+               { LogKey::Upstream, aEnd.lastRunner },
+               { LogKey::Outcome, aEnd.end },
+               { LogKey::Status, aEnd.status },
+               { LogKey::Verdict, aEnd.verdict },
+               LogField(aEnd.failure),
+               { LogKey::Count, aEnd.sends },
+               { LogKey::FirstByte, firstByte },
+               { LogKey::Elapsed, aNow - aEnd.arrivedAt } });
+}
+
+} // namespace wigeonwalk
