--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -44,12 +44,15 @@
 class PeerExchange
 {
 public:
-  static constexpr Duration kLoadPace = std::chrono::milliseconds(150);
+  // How often loads are told: a third of the time after which they lapse.
+  static constexpr Duration kLoadPace = std::chrono::milliseconds(300);
+  static constexpr Duration kPace = std::chrono::milliseconds(100);
   // How often a daemon without the registry asks another one.
   static constexpr Duration kQueryPace = std::chrono::milliseconds(300);
   static constexpr Duration kCallTime = std::chrono::milliseconds(400);
-  // Daemons of a zone that loads are told to.
-  static constexpr std::size_t kMostLoadPeers = 24;
+  // Daemons of a zone that loads are told to. With full datagrams of about 250
+  // bytes that is 10 KB/s, within the bound on control traffic.
+  static constexpr std::size_t kMostLoadPeers = 12;
   // Daemons that one long prompt is told to.
   static constexpr std::size_t kMostWorkPeers = 24;
   static constexpr std::size_t kMostPoisonNotices = 8;
@@ -78,13 +81,16 @@
   {
     while (true) {
       const TimePoint now = this->timer.Now();
-      this->TellLoads();
-      this->board.Spread(this->state.fleet, now);
+      if (now >= this->loadsAt) {
+        this->loadsAt = now + kLoadPace;
+        this->TellLoads();
+        this->board.Spread(this->state.fleet, now);
+      }
       if (this->state.registryAway && now >= this->queryAt) {
         this->queryAt = now + kQueryPace;
         co_await this->AskForChanges();
       }
-      co_await this->timer.WaitUntil(now + kLoadPace);
+      co_await this->timer.WaitUntil(now + kPace);
     }
   }
 
@@ -346,6 +352,7 @@
   L& log;
   LoadBoard board;
   std::mt19937_64 random;
+  TimePoint loadsAt;
   TimePoint queryAt;
   bool toldNothing = false;
 };
