--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -225,6 +225,7 @@
       case NoticeKind::RunnerLoads:
         if (auto loads = this->codec.DecodeLoads(aNotice.payload)) {
           this->board.Take(aSender, std::move(*loads), now);
+          this->board.Spread(this->state.fleet, now);
         }
         break;
       case NoticeKind::HeldParts:
