entry: wait for the first configuration just after the start

Change: for 600 ms after the start of the process a request waits for the configuration. Ruled out: waiting always, which would hold callers for nothing while the store is away. The test failed before.

--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -85,6 +85,8 @@
   PoisonTracker poison;
   // No answer of the registry for a while.
   bool registryAway = true;
+  // When the process started; the epoch where that does not matter.
+  TimePoint startedAt;
   // The process is to stop.
   bool stopping = false;
 
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -54,6 +54,9 @@
   static constexpr int kMostConnects = 4;
   // How often a request without a candidate looks for one.
   static constexpr Duration kCandidatePause = std::chrono::milliseconds(20);
+  // Time after the start of the process for which a request waits for the first
+  // configuration. Several tries of a read of the registry.
+  static constexpr Duration kStartTime = std::chrono::milliseconds(600);
   // Part of the route's target latency for which a request waits for a
   // candidate.
   static constexpr int kCandidateWaitPart = 8;
@@ -84,6 +87,7 @@
   {
     Run run{ .arrivedAt = this->timer.Now() };
     LastReason reason;
+    co_await this->AwaitConfiguration();
     const bool admitted = AdmitRequest(
       this->state, aRequest.facts, run.arrivedAt, run.admitted, reason);
     if (admitted) {
@@ -122,6 +126,16 @@
     unsigned status = 0;
   };
 
+  // A process that has just started reads the configuration in some 70 ms.
+  Task<void> AwaitConfiguration()
+  {
+    const TimePoint until = this->state.startedAt + kStartTime;
+    while (this->state.Routes() == nullptr && this->timer.Now() < until) {
+      const TimePoint next = this->timer.Now() + kCandidatePause;
+      co_await this->timer.WaitUntil(next);
+    }
+  }
+
   template<CallerExchange<Attempt> X>
   Task<void> RunAttempts(const Request& aRequest, Run& aRun, X& aExchange)
   {
--- a/wigeonwalk/entry/forward_run_test.cc
+++ b/wigeonwalk/entry/forward_run_test.cc
@@ -586,6 +586,32 @@
     CHECK(setting.Send("booking").status == 200);
   }
 
+  THEN("just after the start it waits for the configuration to be read")
+  {
+    EntryState fresh(Setting::Settings());
+    fresh.startedAt = setting.time.Now();
+    FakeRunners::Request request;
+    request.facts.host = "a.example";
+    request.facts.target = "/booking/7";
+    request.facts.apiKey = "key";
+    FakeCaller caller;
+    Run run(fresh,
+            setting.runners,
+            setting.peers,
+            setting.measures,
+            setting.time,
+            setting.log);
+    setting.time.Spawn(run.Forward(request, caller));
+    setting.time.RunUntil(setting.time.Now() + 100ms);
+    CHECK_FALSE(caller.complete);
+    fresh.Apply(setting.state.Routes()->Configuration(), setting.time.Now());
+    for (const auto& runner : setting.state.fleet.All()) {
+      fresh.Apply(runner->entry, setting.time.Now());
+    }
+    setting.time.RunUntilIdle(setting.time.Now() + 1s);
+    CHECK(caller.status == 200);
+  }
+
   THEN("without any configuration the caller is asked to come back")
   {
     EntryState empty(Setting::Settings());
