entry: a watch call ends well within the deployment's bounds

Since watch calls may take 3 s, one that went silent hides a change for longer than the bound of 2 s. Ruled out: pacing, 0.5 s, and the peers, which a daemon asks only once the call has ended.

--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -23,10 +23,9 @@
 class RegistryWatch
 {
 public:
-  // Longest time of one watch call. A connection that went silent is found at
-  // its end, and the daemon then asks its peers, within the bound on
-  // configuration in an outage.
-  static constexpr Duration kWatchWait = std::chrono::seconds(3);
+  // Part of the shortest bound on changes that one watch call may take: one
+  // that goes silent is found at its end, and the change is still due in time.
+  static constexpr double kWatchPart = 0.75;
   // Least time between two watch calls: each one is paid for, and half a
   // second is a quarter of the shortest bound on configuration.
   static constexpr Duration kWatchPace = std::chrono::milliseconds(500);
@@ -85,6 +84,14 @@
   }
 
 private:
+  Duration WatchTime() const
+  {
+    const EntryBounds& bounds = this->state.Settings().bounds;
+    const Duration shortest =
+      std::min(bounds.drain, bounds.configurationPropagation);
+    return FromSeconds(kWatchPart * ToSeconds(shortest));
+  }
+
   Task<bool> ReadAll(LastReason& aReason)
   {
     const TimePoint deadline = this->timer.Now() + kReadTime;
@@ -118,7 +125,7 @@
   Task<bool> WatchOnce(LastReason& aReason)
   {
     const std::int64_t next = this->mirror.Revision() + 1;
-    const TimePoint deadline = this->timer.Now() + kWatchWait;
+    const TimePoint deadline = this->timer.Now() + this->WatchTime();
     const std::string all;
     const auto batch = co_await this->store.Watch(all, next, deadline, aReason);
     if (!batch) {
--- a/wigeonwalk/entry/registry_watch_test.cc
+++ b/wigeonwalk/entry/registry_watch_test.cc
@@ -316,6 +316,25 @@
   }
 }
 
+// Guards against a call that hangs and hides a change for longer than the
+// deployment allows.
+SCENARIO("a call to the registry goes silent")
+{
+  Setting setting;
+  Daemon& daemon = *setting.one;
+  const auto silence =
+    std::chrono::milliseconds(GENERATE(range(0, 3'000, 100)));
+  setting.CutFromRegistry(daemon, KeyValueFault::Silent, silence);
+  // The peers know nothing either.
+  setting.two->endpoint.alive = false;
+  setting.RunFor(silence);
+  setting.service.Store("runners/r-1", "draining");
+  setting.service.Store("config", "9");
+  setting.RunFor(daemon.state.Settings().bounds.drain - 100ms);
+  CHECK(daemon.Runners() == 1);
+  CHECK(daemon.Version() == 9);
+}
+
 // Guards against the loss of all runners after an outage in which their leases
 // ran out.
 SCENARIO("the registry is down for all, and registrations lapse")
