entry: remove what nothing reads any more

The time of a runner's last sign of life and the heartbeat setting served a check for silent runners that registrations can't support (an entry does not change with each heartbeat); which 421 means another runner was decoded and not used.

--- a/wigeonwalk/adapters/settings/entry_settings_json.cc
+++ b/wigeonwalk/adapters/settings/entry_settings_json.cc
@@ -38,7 +38,6 @@
   aField("region", aSettings.region);
   aField("listen", aSettings.listen);
   aField("registryAddress", aSettings.registryAddress);
-  aField("heartbeatInterval", aSettings.heartbeatInterval);
   aField("bounds", aSettings.bounds);
   aField("readTokensPerMs", aSettings.readTokensPerMs);
   aField("logLevel", aSettings.logLevel);
--- a/wigeonwalk/adapters/settings/entry_settings_test.cc
+++ b/wigeonwalk/adapters/settings/entry_settings_test.cc
@@ -35,7 +35,6 @@
     THEN("all others have the defaults that the reference states")
     {
       const EntrySettings defaults;
-      CHECK(settings->heartbeatInterval == defaults.heartbeatInterval);
       CHECK(settings->bounds.drain == defaults.bounds.drain);
       CHECK(settings->bounds.newWeights == defaults.bounds.newWeights);
       CHECK(settings->readTokensPerMs == defaults.readTokensPerMs);
--- a/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
+++ b/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
@@ -53,11 +53,6 @@
       "type": "string", "format": "address",
       "description": "Address of the key-value service that holds configuration and registrations."
     },
-    "heartbeatInterval": {
-      "type": "string", "format": "duration",
-      "x-minimum": "10ms", "x-maximum": "10m", "default": "1200ms",
-      "description": "Time between two registrations of a runner."
-    },
     "bounds": {
       "type": "object",
       "additionalProperties": false,
--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -285,9 +285,6 @@
       return;
     }
     followed.nextEvent = aBatch.next;
-    if (runner != nullptr) {
-      runner->heardAt = aNow;
-    }
   }
 
   void NoteFailure(const UpstreamId& aHolder,
--- a/wigeonwalk/entry/entry_request.h
+++ b/wigeonwalk/entry/entry_request.h
@@ -60,8 +60,6 @@
   bool refusedUnrun = false;
   // The status promises that the request has not run and never will.
   bool promisesUnrun = false;
-  // Another runner has the address now.
-  bool wrongRunner = false;
   // The runner's weights are not those that the attempt named.
   bool wrongWeights = false;
   // The answer bears the runner's signature.
--- a/wigeonwalk/entry/entry_settings.h
+++ b/wigeonwalk/entry/entry_settings.h
@@ -45,8 +45,6 @@
   EntryListeners listen;
   // Address of the registry.
   std::string registryAddress;
-  // Time between two registrations of a runner.
-  Duration heartbeatInterval = std::chrono::milliseconds(1'200);
   EntryBounds bounds;
   // Prompt tokens that a runner reads in a millisecond; from the deployment's
   // sheet.
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -17,7 +17,7 @@
 EntryState::Apply(RegistryItem aItem, TimePoint aNow)
 {
   if (auto* entry = std::get_if<RunnerEntry>(&aItem)) {
-    const FleetChange change = this->fleet.Register(*entry, aNow);
+    const FleetChange change = this->fleet.Register(*entry);
     if (change == FleetChange::Restarted) {
       this->ForgetHolder(entry->id);
     }
--- a/wigeonwalk/entry/forward_run_test.cc
+++ b/wigeonwalk/entry/forward_run_test.cc
@@ -64,7 +64,6 @@
       case Script::Misdirected:
         head.status = 421;
         head.refusedUnrun = true;
-        head.wrongRunner = true;
         break;
       case Script::PromiseUnrun:
         head.status = 503;
--- a/wigeonwalk/fleet/fleet.cc
+++ b/wigeonwalk/fleet/fleet.cc
@@ -6,7 +6,7 @@
 namespace wigeonwalk {
 
 FleetChange
-Fleet::Register(const RunnerEntry& aEntry, TimePoint aNow)
+Fleet::Register(const RunnerEntry& aEntry)
 {
   std::shared_ptr<Runner>& slot = this->runners[aEntry.id];
   const bool isNew = slot == nullptr;
@@ -16,12 +16,10 @@
   if (isNew || restarted) {
     slot = std::make_shared<Runner>();
     slot->entry = aEntry;
-    slot->heardAt = aNow;
     slot->leaving = aEntry.state == RunnerState::Leaving;
     return isNew ? FleetChange::Added : FleetChange::Restarted;
   }
   Runner& runner = *slot;
-  runner.heardAt = aNow;
   runner.missingUntil.reset();
   if (runner.entry == aEntry) {
     return FleetChange::None;
@@ -61,9 +59,6 @@
 Fleet::NoteRegistryReturned(TimePoint aNow)
 {
   this->registryReturnedAt = aNow;
-  for (auto& [id, runner] : this->runners) {
-    runner->heardAt = std::max(runner->heardAt, aNow);
-  }
 }
 
 std::vector<UpstreamId>
--- a/wigeonwalk/fleet/fleet.h
+++ b/wigeonwalk/fleet/fleet.h
@@ -1,6 +1,6 @@
 // All runners that are registered.
 //
-//   fleet.Register(entry, now);
+//   fleet.Register(entry);
 //   fleet.Unregister(id, now);
 //   for (const auto& runner : fleet.RunnersOf(service, now)) { ... }
 #pragma once
@@ -51,14 +51,13 @@
   // seconds of its return; one that is still missing after this is gone.
   static constexpr Duration kReturnGrace = std::chrono::milliseconds(2'300);
 
-  FleetChange Register(const RunnerEntry& aEntry, TimePoint aNow);
+  FleetChange Register(const RunnerEntry& aEntry);
 
   // The runner's registration is gone. Shortly after an outage of the registry
   // the runner is kept until kReturnGrace after the registry's return.
   FleetChange Unregister(const UpstreamId& aRunner, TimePoint aNow);
 
-  // The registry answers again after an outage. The silence of runners during
-  // it says nothing.
+  // The registry answers again after an outage.
   void NoteRegistryReturned(TimePoint aNow);
 
   // Removes runners whose grace has ended. Returns their ids.
--- a/wigeonwalk/fleet/fleet_test.cc
+++ b/wigeonwalk/fleet/fleet_test.cc
@@ -33,13 +33,13 @@
   Fleet fleet;
   const ServiceName service("engines");
   const RunnerEntry entry = MakeEntry("r-1");
-  REQUIRE(fleet.Register(entry, kStart) == FleetChange::Added);
+  REQUIRE(fleet.Register(entry) == FleetChange::Added);
 
   GIVEN("a runner that is ready")
   {
     THEN("it gets work, and a repeated registration changes nothing")
     {
-      CHECK(fleet.Register(entry, kStart + 1s) == FleetChange::None);
+      CHECK(fleet.Register(entry) == FleetChange::None);
       CHECK(fleet.RunnersOf(service).size() == 1);
       CHECK(fleet.RunnersOf(ServiceName("other")).empty());
     }
@@ -48,13 +48,12 @@
     {
       RunnerEntry leaving = entry;
       leaving.state = RunnerState::Leaving;
-      CHECK(fleet.Register(leaving, kStart + 1s) ==
-            FleetChange::StartedLeaving);
+      CHECK(fleet.Register(leaving) == FleetChange::StartedLeaving);
 
       THEN("it gets no work, even where an older state is reported again")
       {
         CHECK(fleet.RunnersOf(service).empty());
-        CHECK(fleet.Register(entry, kStart + 2s) == FleetChange::Updated);
+        CHECK(fleet.Register(entry) == FleetChange::Updated);
         CHECK(fleet.RunnersOf(service).empty());
       }
 
@@ -62,7 +61,7 @@
       {
         RunnerEntry next = entry;
         next.startedAt = 2'000;
-        CHECK(fleet.Register(next, kStart + 9s) == FleetChange::Restarted);
+        CHECK(fleet.Register(next) == FleetChange::Restarted);
         CHECK(fleet.RunnersOf(service).size() == 1);
       }
     }
@@ -86,7 +85,7 @@
 
       THEN("it stays where it registers again")
       {
-        fleet.Register(entry, kStart + 62s);
+        fleet.Register(entry);
         CHECK(fleet.Expire(kStart + 70s).empty());
         CHECK(fleet.RunnersOf(service).size() == 1);
       }
@@ -104,7 +103,7 @@
       fleet.Find(entry.id)->SetVersion(ModelName("m"), 3);
       RunnerEntry late = entry;
       late.slots = 5;
-      fleet.Register(late, kStart + 1s);
+      fleet.Register(late);
 
       THEN("the newer weights stay known")
       {
--- a/wigeonwalk/fleet/runner.h
+++ b/wigeonwalk/fleet/runner.h
@@ -68,8 +68,6 @@
 struct Runner
 {
   RunnerEntry entry;
-  // Last sign of life: a registration or an answer.
-  TimePoint heardAt;
   // Permanent for this start of the runner.
   bool leaving = false;
   // Set where the registration went missing right after an outage of the
