entry: a runner that leaves after an outage is not taken for a lapsed one

That was taken for a registration that lapsed in the outage, kept for 2.3 s, and dropped at the next answer only. Change: the first calls in an outage do not wait, so that the grace begins with the store's return; a runner whose grace has ended gets no request even before it is swept. Ruled out: the peers, which had told all changes before. The new test failed without the short calls.

--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -71,7 +71,7 @@
   std::erase_if(all, [&](const std::shared_ptr<Runner>& aRunner) {
     return std::find(aTried.begin(), aTried.end(), aRunner->entry.id) !=
              aTried.end() ||
-           aNow < aRunner->pausedUntil;
+           aNow < aRunner->pausedUntil || aRunner->IsGone(aNow);
   });
   std::vector<std::shared_ptr<Runner>> good;
   for (const auto& runner : all) {
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -29,6 +29,8 @@
   // Least time between two watch calls: each one is paid for, and half a
   // second is a quarter of the shortest bound on configuration.
   static constexpr Duration kWatchPace = std::chrono::milliseconds(500);
+  // Time of a call that finds out whether the registry is back.
+  static constexpr Duration kReturnCheck = std::chrono::milliseconds(500);
   // Time after which a read is given up.
   static constexpr Duration kReadTime = std::chrono::milliseconds(1'000);
   // Pause after a failed call.
@@ -84,8 +86,13 @@
   }
 
 private:
+  // The first call after an outage does not wait for changes: its answer tells
+  // when the registry was back, from which on missing registrations count.
   Duration WatchTime() const
   {
+    if (this->state.registryAway) {
+      return kReturnCheck;
+    }
     const EntryBounds& bounds = this->state.Settings().bounds;
     const Duration shortest =
       std::min(bounds.drain, bounds.configurationPropagation);
--- a/wigeonwalk/entry/registry_watch_test.cc
+++ b/wigeonwalk/entry/registry_watch_test.cc
@@ -316,6 +316,29 @@
   }
 }
 
+// Guards against a runner that leaves after an outage and is taken for one
+// whose registration lapsed in it.
+SCENARIO("a runner leaves once the registry is back")
+{
+  Setting setting;
+  Daemon& daemon = *setting.one;
+  setting.CutFromRegistry(daemon, KeyValueFault::Down, 5s);
+  setting.RunFor(5s);
+  // Rules with a time bound hold again this long after the outage.
+  setting.RunFor(3s);
+  setting.time.Spawn([](FakeKeyValue aService, VirtualTime& aTime) -> Task<> {
+    LastReason why;
+    const std::string key = "runners/r-1";
+    const TimePoint deadline = aTime.Now() + 1s;
+    co_await aService.Delete(key, std::nullopt, deadline, why);
+  }(setting.service.Connect(), setting.time));
+  // The pace of the watch, and no grace for a lapsed registration.
+  setting.RunFor(Daemon::Watch::kWatchPace + 250ms);
+  CHECK(
+    daemon.state.Candidates(ServiceName("s"), {}, setting.time.Now()).size() ==
+    1);
+}
+
 // Guards against a call that hangs and hides a change for longer than the
 // deployment allows.
 SCENARIO("a call to the registry goes silent")
--- a/wigeonwalk/fleet/fleet_test.cc
+++ b/wigeonwalk/fleet/fleet_test.cc
@@ -92,6 +92,8 @@
 
       THEN("it is gone where it does not")
       {
+        // Between two looks at the table as well.
+        CHECK(fleet.Find(entry.id)->IsGone(kStart + 62s + 300ms));
         CHECK(fleet.Expire(kStart + 62s).empty());
         CHECK(fleet.Expire(kStart + 62s + 300ms).size() == 1);
         CHECK(fleet.RunnersOf(service).empty());
--- a/wigeonwalk/fleet/runner.h
+++ b/wigeonwalk/fleet/runner.h
@@ -89,6 +89,12 @@
   // When the runner will have read the long prompts of other daemons.
   TimePoint othersReadBy;
 
+  // True where the runner did not register again in time.
+  bool IsGone(TimePoint aNow) const
+  {
+    return this->missingUntil && *this->missingUntil <= aNow;
+  }
+
   // Another daemon has sent a prompt that takes this long to read, after what
   // is known to be read before.
   void NoteOthersWork(Duration aReading, TimePoint aNow);
