entry: an answer that is no stream never follows events, plain services need no engine

Cause: two faults found by reading. A resumed stream whose second runner answered with a success of one piece was written to the caller behind the events it already had. A request with a model's fields that streamed from a service without engines read the traits of an engine that was not there.

Ruled out: the guard for failing statuses covers neither, as both answers are successes.

Change: the relay of answers is a class of its own (answer_relay.h), which judges an answer before any of it is passed on; the state of a request is forward_progress.h. Parts are noted only for services with engines. Debug builds check the standard library's preconditions.

--- a/cmake/wigeonwalk.cmake
+++ b/cmake/wigeonwalk.cmake
@@ -11,6 +11,9 @@
   -Wno-array-bounds -Wno-missing-field-initializers)
 target_compile_definitions(ww_flags INTERFACE BOOST_ASIO_NO_DEPRECATED
   SPDLOG_FMT_EXTERNAL)
+# The standard library checks its preconditions, such as those of optional.
+target_compile_definitions(ww_flags INTERFACE
+  $<$<CONFIG:Debug>:_GLIBCXX_ASSERTIONS>)
 target_link_libraries(ww_flags INTERFACE Threads::Threads)
 if(WIGEONWALK_SANITIZE STREQUAL "address")
   target_compile_options(ww_flags INTERFACE -fsanitize=address,undefined
--- /dev/null
+++ b/wigeonwalk/entry/answer_relay.h
@@ -0,0 +1,262 @@
+// Passes the answer of one attempt on to the caller.
+//
+//   AnswerRelay<Attempt, M, T> relay(state, measures, timer);
+//   end = co_await relay.PassOn(facts, attempt, order, progress, exchange,
+//                               reason);
+#pragma once
+
+#include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/forward_progress.h"
+#include "wigeonwalk/entry/runner_pick.h"
+#include "wigeonwalk/ports/attempts.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/measures.h"
+#include "wigeonwalk/retry/verdict_rules.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace wigeonwalk {
+
+// One attempt as the relay needs it.
+struct SentAttempt
+{
+  const RunnerPick& pick;
+  RunnerLoad& load;
+  TimePoint sentAt;
+};
+
+// An answer of one piece is read whole before any of it is passed on, so that a
+// broken one can be replaced. A stream is passed on event by event. Stateless
+// between requests; the state must outlive it.
+template<RunnerExchange Attempt, RequestMeasures M, Timer T>
+class AnswerRelay
+{
+public:
+  using Progress = ForwardProgress<Attempt>;
+
+  AnswerRelay(EntryState& aState, M& aMeasures, T& aTimer)
+    : state(aState)
+    , measures(aMeasures)
+    , timer(aTimer)
+  {
+  }
+
+  // Returns how the attempt ended, with the reason of a failure.
+  template<CallerExchange<Attempt> X>
+  Task<AttemptEnd> PassOn(const EntryRequest& aFacts,
+                          Attempt& aAttempt,
+                          const SentAttempt& aSent,
+                          Progress& aProgress,
+                          X& aExchange,
+                          LastReason& aReason)
+  {
+    const auto head =
+      co_await aAttempt.ReadHead(aProgress.admitted.deadline, aReason);
+    if (!head) {
+      co_return AttemptEnd::Failed;
+    }
+    aProgress.status = head->status;
+    if (!this->IsUsable(aFacts, *head, aSent.pick, aProgress, aReason)) {
+      co_return AttemptEnd::Failed;
+    }
+    if (head->IsSuccess() && head->isEventStream) {
+      co_return co_await this->PassStream(
+        aFacts, aAttempt, aSent, aProgress, aExchange, aReason);
+    }
+    co_return co_await this->PassAnswer(
+      aAttempt, *head, aSent, aProgress, aExchange, aReason);
+  }
+
+private:
+  // False with a reason where nothing of the answer may reach the caller.
+  bool IsUsable(const EntryRequest& aFacts,
+                const AnswerFacts& aHead,
+                const RunnerPick& aPick,
+                const Progress& aProgress,
+                LastReason& aReason)
+  {
+    const std::string status = "status " + std::to_string(aHead.status);
+    const std::string& runner = aPick.runner->entry.id.Text();
+    if (aHead.refusedUnrun) {
+      Fail(aReason,
+           ReasonCode::RefusedBeforeRun,
+           "the runner refused with " + status,
+           runner);
+      this->NoteRefused(aFacts, aHead, aPick);
+      return false;
+    }
+    if (!aHead.isSigned && (aHead.IsSuccess() || aHead.promisesUnrun)) {
+      Fail(aReason,
+           ReasonCode::MalformedResponse,
+           status + " without the runner's signature",
+           runner);
+      return false;
+    }
+    if (!aProgress.streamBegun) {
+      return true;
+    }
+    // Only more events can follow the events that the caller has.
+    if (!aHead.IsSuccess()) {
+      aPick.runner->health.NoteFailedAnswer(this->timer.Now());
+      Fail(aReason,
+           ReasonCode::StatusServerError,
+           "the runner answered with " + status,
+           runner);
+      return false;
+    }
+    if (!aHead.isEventStream) {
+      Fail(aReason,
+           ReasonCode::MalformedResponse,
+           status + " without events where a stream goes on",
+           runner);
+      return false;
+    }
+    return true;
+  }
+
+  void NoteRefused(const EntryRequest& aFacts,
+                   const AnswerFacts& aHead,
+                   const RunnerPick& aPick)
+  {
+    if (!aHead.wrongWeights || !aFacts.prompt) {
+      return;
+    }
+    // The newest weights are there, or will be told by the next heartbeat.
+    const KnownWeights newest = this->state.WeightsOf(aFacts.prompt->model);
+    if (newest.version > aPick.order.version) {
+      aPick.runner->SetVersion(aFacts.prompt->model, newest.version);
+    }
+  }
+
+  template<CallerExchange<Attempt> X>
+  Task<AttemptEnd> PassAnswer(Attempt& aAttempt,
+                              const AnswerFacts& aHead,
+                              const SentAttempt& aSent,
+                              Progress& aProgress,
+                              X& aExchange,
+                              LastReason& aReason)
+  {
+    std::string body;
+    while (true) {
+      const auto bytes =
+        co_await aAttempt.ReadBody(aProgress.admitted.deadline, aReason);
+      if (!bytes) {
+        co_return AttemptEnd::Failed;
+      }
+      if (bytes->empty()) {
+        break;
+      }
+      body += *bytes;
+    }
+    const TimePoint now = this->timer.Now();
+    Runner& runner = *aSent.pick.runner;
+    const ReasonCode code = ReasonOfStatus(aHead.status, false);
+    if (code == ReasonCode::StatusServerError) {
+      runner.health.NoteFailedAnswer(now);
+      Fail(aReason,
+           code,
+           "the runner answered with status " + std::to_string(aHead.status),
+           runner.entry.id.Text());
+      aProgress.failedAnswer = std::make_unique<Attempt>(std::move(aAttempt));
+      aProgress.failedBody = std::move(body);
+      co_return AttemptEnd::Failed;
+    }
+    runner.health.NoteSuccess(now - aSent.sentAt, now);
+    aProgress.firstByteAt = now;
+    const bool written = co_await aExchange.Answer(aAttempt, std::move(body));
+    aAttempt.Finish();
+    co_return written ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
+  }
+
+  template<CallerExchange<Attempt> X>
+  Task<AttemptEnd> PassStream(const EntryRequest& aFacts,
+                              Attempt& aAttempt,
+                              const SentAttempt& aSent,
+                              Progress& aProgress,
+                              X& aExchange,
+                              LastReason& aReason)
+  {
+    const TimePoint openedAt = this->timer.Now();
+    while (true) {
+      auto events =
+        co_await aAttempt.ReadEvents(aProgress.admitted.deadline, aReason);
+      if (!events) {
+        co_return AttemptEnd::Failed;
+      }
+      if (events->empty()) {
+        break;
+      }
+      aSent.load.NoteRead();
+      bool written = false;
+      if (aProgress.streamBegun) {
+        written = co_await aExchange.WriteEvents(std::move(*events));
+      } else {
+        this->NoteFirstEvents(aFacts, aSent.pick, aProgress);
+        written = co_await aExchange.BeginStream(aAttempt, std::move(*events));
+      }
+      if (!written) {
+        co_return AttemptEnd::CallerGone;
+      }
+      if (aAttempt.LastEventId()) {
+        aProgress.lastEventId = aAttempt.LastEventId();
+      }
+    }
+    if (!aProgress.streamBegun) {
+      aProgress.streamBegun = true;
+      co_await aExchange.BeginStream(aAttempt, std::string());
+    }
+    const TimePoint now = this->timer.Now();
+    aSent.pick.runner->health.NoteSuccess(now - openedAt, now);
+    const bool ended = co_await aExchange.EndStream();
+    aAttempt.Finish();
+    co_return ended ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
+  }
+
+  void NoteFirstEvents(const EntryRequest& aFacts,
+                       const RunnerPick& aPick,
+                       Progress& aProgress)
+  {
+    aProgress.firstByteAt = this->timer.Now();
+    aProgress.streamBegun = true;
+    const MeasureScope scope = aProgress.admitted.Scope();
+    this->measures.FirstToken(scope,
+                              aProgress.firstByteAt - aProgress.arrivedAt);
+    const auto& engine = aProgress.admitted.service->engine;
+    if (!aFacts.prompt || !engine) {
+      return;
+    }
+    this->measures.Prompt(
+      scope, aFacts.prompt->inputTokens, aPick.rereadTokens);
+    this->NoteParts(*aFacts.prompt, aPick.order, engine->cacheTokens);
+  }
+
+  // A runner that has made its first token holds all parts of the prompt. Its
+  // events tell so later.
+  void NoteParts(const Prompt& aPrompt,
+                 const AttemptOrder& aOrder,
+                 std::uint64_t aMemoryTokens)
+  {
+    for (const PromptPart& part : aPrompt.parts) {
+      this->state.parts.Set(
+        aOrder.runner, KeyOfPart(aOrder.cacheSalt, part.id), part.tokens);
+    }
+    if (aMemoryTokens == 0) {
+      return;
+    }
+    // Of a runner whose events are not followed, only this daemon's part of the
+    // memory is known.
+    const bool followed = this->state.holders.contains(aOrder.runner);
+    this->state.parts.Trim(aOrder.runner,
+                           followed ? aMemoryTokens
+                                    : aMemoryTokens / this->state.Daemons());
+  }
+
+  EntryState& state;
+  M& measures;
+  T& timer;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/test_entry.h
@@ -0,0 +1,131 @@
+// One daemon's request path before scripted runners.
+//
+//   TestEntry entry;
+//   entry.runners.scripts = { Script::LoseAnswer, Script::Answer };
+//   const FakeCaller caller = entry.Send("booking");
+#pragma once
+
+#include "wigeonwalk/entry/forward_run.h"
+#include "wigeonwalk/entry/test_runners.h"
+#include "wigeonwalk/testing/null_log.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace wigeonwalk {
+
+struct NoPeers
+{
+  void TellWork(const RunnerWork&) {}
+  void TellPoison() {}
+};
+
+// Counts how requests ended.
+struct CountMeasures
+{
+  void FirstToken(const MeasureScope&, Duration) {}
+  void QueueTime(const MeasureScope&, Duration) {}
+  void TokenGap(const MeasureScope&, Duration) {}
+  void Prompt(const MeasureScope&, std::uint64_t, std::uint64_t) {}
+  void Ended(const MeasureScope&, Verdict aVerdict) { ++this->ended[aVerdict]; }
+  void Retried(const MeasureScope&) { ++this->retried; }
+  void Dropped(const MeasureScope&) {}
+
+  std::map<Verdict, int> ended;
+  int retried = 0;
+};
+
+// The request path of the daemon under test.
+using TestRun =
+  ForwardRun<FakeRunners, NoPeers, CountMeasures, VirtualTime, NullLog>;
+
+// A daemon with one plain service of three runners.
+struct TestEntry
+{
+  TestEntry()
+    : state(Settings())
+  {
+    this->runners.time = &this->time;
+    RoutingConfiguration configuration;
+    configuration.version = 1;
+    const auto add = [&](std::string aPrefix, RequestKind aKind) {
+      Route route;
+      route.name = aPrefix;
+      route.host = "a.example";
+      route.prefix = "/" + aPrefix + "/";
+      route.kind = aKind;
+      route.timeout = std::chrono::seconds(2);
+      route.targetLatency = std::chrono::milliseconds(800);
+      route.maxAttempts = 2;
+      route.services = { { ServiceName("plain"), 1 } };
+      configuration.routes.push_back(route);
+    };
+    add("lookup", RequestKind::Idempotent);
+    add("booking", RequestKind::NonIdempotent);
+    add("stream", RequestKind::Streaming);
+    add("resumable", RequestKind::Streaming);
+    configuration.routes.back().resumable = true;
+    configuration.services = {
+      { ServiceName("plain"), "/health", 10, {}, {} }
+    };
+    configuration.organisations = {
+      { OrganisationId("tofu"), { "key" }, std::nullopt, false }
+    };
+    this->state.Apply(configuration, this->time.Now());
+    for (const char* id : { "r-1", "r-2", "r-3" }) {
+      RunnerEntry entry;
+      entry.id = UpstreamId(id);
+      entry.service = ServiceName("plain");
+      entry.address = id;
+      entry.zone = AvailabilityZone("north");
+      entry.slots = 4;
+      this->state.Apply(entry, this->time.Now());
+    }
+  }
+
+  static EntrySettings Settings()
+  {
+    EntrySettings settings;
+    settings.host = HostId("front-1");
+    settings.zone = AvailabilityZone("north");
+    settings.bounds.repeatSlack = 100;
+    return settings;
+  }
+
+  // Runs one request to its end.
+  FakeCaller Send(const std::string& aRoute, std::string aKey = "key")
+  {
+    FakeRunners::Request request;
+    request.facts.id = RequestId("q-1");
+    request.facts.host = "a.example";
+    request.facts.target = "/" + aRoute + "/7";
+    request.facts.content = HashBytes(request.facts.target, 0);
+    request.facts.apiKey = std::move(aKey);
+    request.facts.patience = this->patience;
+    request.facts.prompt = this->prompt;
+    this->runners.stream = aRoute == "stream" || aRoute == "resumable";
+    FakeCaller caller;
+    TestRun run(this->state,
+                this->runners,
+                this->peers,
+                this->measures,
+                this->time,
+                this->log);
+    this->time.Spawn(run.Forward(request, caller));
+    this->time.RunUntilIdle(this->time.Now() + std::chrono::minutes(1));
+    return caller;
+  }
+
+  VirtualTime time;
+  EntryState state;
+  FakeRunners runners;
+  NoPeers peers;
+  CountMeasures measures;
+  NullLog log;
+  Duration patience = std::chrono::seconds(10);
+  // Of each request that is sent.
+  std::optional<Prompt> prompt;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/test_runners.h
@@ -0,0 +1,226 @@
+// Runners that follow scripts, and the caller of their answers.
+//
+//   FakeRunners runners;
+//   runners.scripts = { Script::LoseAnswer, Script::Answer };
+#pragma once
+
+#include "wigeonwalk/entry/entry_request.h"
+#include "wigeonwalk/ports/front_end.h"
+#include "wigeonwalk/ports/task.h"
+#include "wigeonwalk/testing/virtual_time.h"
+
+#include <boost/system/system_error.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// What a runner does with one attempt.
+enum class Script
+{
+  Answer,
+  RefuseConnection,
+  BreakWhileSending,
+  RefuseUnrun,
+  Misdirected,
+  FailOnce,
+  LoseAnswer,
+  CutAnswer,
+  Unsigned,
+  BreakStreamAfterTwo,
+  // An answer of one piece where a stream is expected.
+  AnswerWhole,
+  // A status that promises too much, without the runner's word for it.
+  PromiseUnrun,
+  Hang,
+};
+
+inline constexpr std::uint64_t kEvents = 4;
+
+// One scripted attempt. Streams have the events 1 to kEvents.
+struct FakeAttempt
+{
+  VirtualTime* time = nullptr;
+  Script script = Script::Answer;
+  bool isStream = false;
+  std::uint64_t last = 0;
+  std::uint64_t stopAt = kEvents;
+  bool bodySent = false;
+  std::shared_ptr<int> open = nullptr;
+  int* finished = nullptr;
+
+  Task<std::optional<AnswerFacts>> ReadHead(TimePoint aDeadline,
+                                            LastReason& aReason)
+  {
+    co_await this->time->WaitUntil(this->time->Now() +
+                                   std::chrono::milliseconds(10));
+    AnswerFacts head;
+    head.status = 200;
+    head.isSigned = this->script != Script::Unsigned;
+    head.isEventStream = this->isStream;
+    switch (this->script) {
+      case Script::RefuseUnrun:
+        head.status = 503;
+        head.refusedUnrun = true;
+        break;
+      case Script::Misdirected:
+        head.status = 421;
+        head.refusedUnrun = true;
+        break;
+      case Script::PromiseUnrun:
+        head.status = 503;
+        head.promisesUnrun = true;
+        head.isSigned = false;
+        head.isEventStream = false;
+        break;
+      case Script::FailOnce:
+        head.status = 500;
+        head.isEventStream = false;
+        break;
+      case Script::AnswerWhole:
+        head.isEventStream = false;
+        break;
+      case Script::LoseAnswer:
+        co_return Fail(aReason, ReasonCode::ConnectionLostAfterWrite, "lost");
+      case Script::Hang:
+        // A cancelled read of a connection ends like a lost one.
+        try {
+          co_await this->time->WaitUntil(aDeadline);
+        } catch (const boost::system::system_error& cancelled) {
+          co_return Fail(
+            aReason, ReasonCode::ConnectionLostAfterWrite, cancelled.what());
+        }
+        co_return Fail(aReason, ReasonCode::ResponseTimeout, "silent");
+      default:
+        break;
+    }
+    co_return head;
+  }
+
+  Task<std::optional<std::string>> ReadBody(TimePoint, LastReason& aReason)
+  {
+    if (this->bodySent) {
+      if (this->script == Script::CutAnswer) {
+        co_return Fail(aReason, ReasonCode::ConnectionLostAfterWrite, "cut");
+      }
+      co_return std::string();
+    }
+    this->bodySent = true;
+    co_return std::string("body");
+  }
+
+  Task<std::optional<std::string>> ReadEvents(TimePoint, LastReason& aReason)
+  {
+    co_await this->time->WaitUntil(this->time->Now() +
+                                   std::chrono::milliseconds(5));
+    if (this->last == this->stopAt) {
+      if (this->stopAt < kEvents) {
+        co_return Fail(aReason, ReasonCode::ConnectionLostAfterWrite, "lost");
+      }
+      co_return std::string();
+    }
+    ++this->last;
+    co_return std::to_string(this->last) + ";";
+  }
+
+  std::optional<std::uint64_t> LastEventId() const
+  {
+    return this->last == 0 ? std::nullopt : std::optional(this->last);
+  }
+
+  void Finish() { ++*this->finished; }
+};
+
+// Opens attempts that follow the scripts in order, the last one for ever.
+struct FakeRunners
+{
+  struct Request
+  {
+    EntryRequest facts;
+  };
+  using Attempt = FakeAttempt;
+
+  Task<std::optional<FakeAttempt>> Open(const Request&,
+                                        const AttemptOrder& aOrder,
+                                        TimePoint,
+                                        TimePoint,
+                                        LastReason& aReason)
+  {
+    const Script script = this->scripts.front();
+    if (this->scripts.size() > 1) {
+      this->scripts.pop_front();
+    }
+    if (script == Script::RefuseConnection) {
+      co_return Fail(aReason, ReasonCode::ConnectRefused, "refused");
+    }
+    this->orders.push_back(aOrder);
+    if (script == Script::BreakWhileSending) {
+      co_return Fail(aReason, ReasonCode::WriteFailedPartWay, "broken");
+    }
+    FakeAttempt attempt;
+    attempt.time = this->time;
+    attempt.script = script;
+    attempt.isStream = this->stream;
+    attempt.last = aOrder.resumeAfter.value_or(0);
+    attempt.stopAt = script == Script::BreakStreamAfterTwo ? 2 : kEvents;
+    attempt.open = this->open;
+    attempt.finished = &this->finished;
+    co_return attempt;
+  }
+
+  VirtualTime* time = nullptr;
+  std::deque<Script> scripts{ Script::Answer };
+  bool stream = false;
+  std::vector<AttemptOrder> orders;
+  int finished = 0;
+  // Shared by all open attempts: its use count tells how many there are.
+  std::shared_ptr<int> open = std::make_shared<int>(0);
+};
+
+// What the caller gets.
+struct FakeCaller
+{
+  Task<bool> Answer(const FakeAttempt& aAttempt, std::string aBody)
+  {
+    this->status = aAttempt.script == Script::FailOnce ? 500 : 200;
+    this->body += aBody;
+    this->complete = true;
+    co_return true;
+  }
+  Task<bool> BeginStream(const FakeAttempt&, std::string aEvents)
+  {
+    this->status = 200;
+    this->body += aEvents;
+    co_return true;
+  }
+  Task<bool> WriteEvents(std::string aEvents)
+  {
+    this->body += aEvents;
+    co_return true;
+  }
+  Task<bool> EndStream()
+  {
+    this->complete = true;
+    co_return true;
+  }
+  Task<bool> Refuse(const Refusal& aRefusal)
+  {
+    this->refusal = aRefusal;
+    this->complete = true;
+    co_return true;
+  }
+  void Abort() { this->aborted = true; }
+
+  unsigned status = 0;
+  std::string body;
+  bool complete = false;
+  bool aborted = false;
+  std::optional<Refusal> refusal;
+};
+
+} // namespace wigeonwalk
