claims, limits: no booking or prompt is refused while its service is free

Cause, three faults of the own interface, all found in the logs of refused requests. (1) The daemon never told its key-value client how many members share the budget, so that each made do with the default of 10 calls/s and claims waited beyond their 300 ms. (2) A claim whose write lost against another daemon's counted the service as silent, and was given up 300 ms after it came although it was answered. (3) The shedder took the completion rate with one long request at work for the capacity, and shed before idle engines.

Change: the budget follows the members; a conflict is an answer; nothing is shed while a usable upstream has no work, and such a window shows no capacity. The log says how long a claim waited that was given up, and its cutoff.

--- a/experiments/limits_benchmark.cc
+++ b/experiments/limits_benchmark.cc
@@ -314,7 +314,7 @@
     }
     const auto requestClass = static_cast<RequestClass>(classOf(random));
     const ShedAnswer answer =
-      shedder.Offer(requestClass, shareUse(random), 1, now);
+      shedder.Offer({ requestClass, shareUse(random), 1 }, now);
     if (aSheds && !answer.admitted) {
       continue;
     }
--- a/wigeonwalk/claims/claim_log.h
+++ b/wigeonwalk/claims/claim_log.h
@@ -56,6 +56,8 @@
     this->ShardFor(aTicket.key).Finish({ aTicket.claim, aVerdict, aStatus });
   }
 
+  const ClaimLogSettings& Settings() const { return this->settings; }
+
   // Returns the sum of all shards' counts.
   ClaimLogCounts Counts() const
   {
--- a/wigeonwalk/claims/claim_service.h
+++ b/wigeonwalk/claims/claim_service.h
@@ -55,6 +55,10 @@
   std::optional<FirstAnswer> first;
   // Set on Granted.
   GrantedClaim ticket;
+  // How long the claim waited for the log, and after how long without an answer
+  // of the key-value service it is given up.
+  Duration waited{ 0 };
+  Duration limit{ 0 };
 };
 
 // Bytes of first answers that a daemon keeps.
@@ -119,9 +123,13 @@
     known.verdict = Verdict::Ran;
     co_return this->ResultOf(known, key, body);
   }
+  const TimePoint start = this->timer.Now();
   const ClaimDecision decision =
     co_await this->log.Claim({ key, body, createdAt });
-  co_return this->ResultOf(decision, key, body);
+  ClaimResult result = this->ResultOf(decision, key, body);
+  result.waited = this->timer.Now() - start;
+  result.limit = this->log.Settings().claimTimeout;
+  co_return result;
 }
 
 template<KeyValueService Kv, Timer Time, ClaimCodec Codec>
--- a/wigeonwalk/claims/claim_service_test.cc
+++ b/wigeonwalk/claims/claim_service_test.cc
@@ -283,6 +283,8 @@
       CHECK(result.answer == ClaimAnswer::Unavailable);
       CHECK(result.verdict == Verdict::NotRun);
       CHECK(world.took <= 300ms);
+      CHECK(result.waited == world.took);
+      CHECK(result.limit == 300ms);
     }
     THEN("a duplicate of an earlier one still gets its verdict")
     {
@@ -366,3 +368,45 @@
     CHECK(RuleOf(rule.answer).answer == rule.answer);
   }
 }
+
+// Guards against refusals while the key-value service is up: a write that loses
+// against another daemon's was answered too.
+SCENARIO("two daemons claim keys of one shard", "[claims]")
+{
+  World world;
+  // Keys of one shard.
+  std::vector<std::string> keys;
+  for (int i = 0; keys.size() < 6; ++i) {
+    const std::string key = "key-" + std::to_string(i);
+    const ClaimKey claimed =
+      ClaimKeyOf(OrganisationId("tofu-lenga"), ServiceName("order"), key);
+    if (ShardOf(claimed) == 7) {
+      keys.push_back(key);
+    }
+  }
+  // Both daemons have written there.
+  CHECK(world.Claim(world.first, world.Call(keys[0].c_str())).answer ==
+        ClaimAnswer::Granted);
+  CHECK(world.Claim(world.second, world.Call(keys[1].c_str())).answer ==
+        ClaimAnswer::Granted);
+
+  WHEN("claims reach both just after their last writes")
+  {
+    std::vector<std::optional<ClaimResult>> results(4);
+    for (std::size_t i = 0; i < results.size(); ++i) {
+      Daemon& daemon = i % 2 == 0 ? world.first : world.second;
+      world.time.Spawn(
+        World::Store(daemon, world.Call(keys[i + 2].c_str()), results[i]));
+      world.Wait(1ms);
+    }
+    world.Wait(2s);
+
+    THEN("all are granted")
+    {
+      for (const auto& result : results) {
+        REQUIRE(result);
+        CHECK(result->answer == ClaimAnswer::Granted);
+      }
+    }
+  }
+}
--- a/wigeonwalk/claims/internal/claim_shard_impl.h
+++ b/wigeonwalk/claims/internal/claim_shard_impl.h
@@ -180,7 +180,10 @@
     this->mustCatchUp = true;
     co_return;
   }
-  this->counts.conflicts += result.outcome == WriteOutcome::Conflict ? 1 : 0;
+  if (result.outcome == WriteOutcome::Conflict) {
+    ++this->counts.conflicts;
+    this->view.MarkAnswered();
+  }
   if (result.outcome == WriteOutcome::Unknown) {
     ++this->counts.unknownWrites;
     this->inDoubt.push_back(std::move(attempt));
--- a/wigeonwalk/daemon/cluster.cc
+++ b/wigeonwalk/daemon/cluster.cc
@@ -2,8 +2,10 @@
 
 #include "wigeonwalk/adapters/documents/stored_document_json.h"
 #include "wigeonwalk/adapters/notices/notice_codec.h"
+#include "wigeonwalk/claims/claim.h"
 #include "wigeonwalk/documents/document_propagation.h"
 #include "wigeonwalk/membership/failure_detector.h"
+#include "wigeonwalk/membership/rendezvous.h"
 
 #include <fstream>
 #include <iterator>
@@ -127,6 +129,7 @@
                           aUpdate.host.Text(),
                           std::nullopt,
                           {} });
+    this->onMembers();
   }
 
   static EventKind EventOf(MemberState aState)
@@ -147,6 +150,8 @@
   // Where digests and contacts go; set before the first datagram.
   std::function<void(const PeerDatagram&)> onProbe;
   std::function<void(const PeerDatagram&, TimePoint)> onContact;
+  // Called after the state of a member has changed.
+  std::function<void()> onMembers;
   // Called for new evidence against a request.
   std::function<void()> onEvidence;
   // Notices of the push that is under way.
@@ -208,6 +213,7 @@
     this->rider.onProbe = [this](const PeerDatagram& aDatagram) {
       this->propagation.OnProbe(aDatagram);
     };
+    this->rider.onMembers = [this] { this->ShareCallBudget(); };
     this->rider.onEvidence = [this] { this->PushEvidence(); };
     aParts.view.onEvidence = [this] { this->PushEvidence(); };
     this->rider.onContact = [this](const PeerDatagram& aAnswer,
@@ -216,6 +222,20 @@
     };
   }
 
+  // Takes this daemon's part of the calls that the key-value service bears. A
+  // lost member keeps its part: all of them may be alive beyond a cut link.
+  void ShareCallBudget()
+  {
+    const std::size_t members =
+      this->table.LiveCount() + this->table.LostCount();
+    const std::uint32_t shards = CountOwned("claims",
+                                            kClaimShards,
+                                            this->parts.settings.host,
+                                            this->table.LiveHosts());
+    this->parts.keyValue.SetBudget(
+      BudgetFor(static_cast<std::uint32_t>(members), shards));
+  }
+
   // Tells some daemons of new evidence at once: a caller repeats its request
   // within milliseconds, and each daemon that does not know loses an upstream.
   void PushEvidence()
@@ -333,6 +353,7 @@
     cluster.detector.Start(SeedsOf(settings));
   }
   if (!settings.keyValueAddresses.empty()) {
+    cluster.ShareCallBudget();
     cluster.propagation.Start();
   }
   return true;
--- a/wigeonwalk/daemon/event_recorder.h
+++ b/wigeonwalk/daemon/event_recorder.h
@@ -43,6 +43,15 @@
                         { LogKey::Upstream, subject },
                         { LogKey::Verdict, *aEvent.verdict },
                         { LogKey::Reason, reason } });
+    } else if (aEvent.elapsed && aEvent.limit) {
+      this->log.Write(this->timer.Now(),
+                      LogLevel::Info,
+                      "step",
+                      aEvent.request,
+                      { { LogKey::Step, aEvent.kind },
+                        { LogKey::Upstream, subject },
+                        { LogKey::Elapsed, *aEvent.elapsed },
+                        { LogKey::Limit, *aEvent.limit } });
     } else {
       this->log.Write(
         this->timer.Now(),
--- a/wigeonwalk/limits/limits_test.cc
+++ b/wigeonwalk/limits/limits_test.cc
@@ -255,7 +255,7 @@
           shedder.Complete(1, running.front());
           running.pop_front();
         }
-        const ShedAnswer answer = shedder.Offer(row.value, 1, 1, now);
+        const ShedAnswer answer = shedder.Offer({ row.value, 1, 1 }, now);
         if (answer.admitted) {
           ++admitted[static_cast<std::size_t>(row.value)];
           free = std::max(free, now) + 10ms;
@@ -268,6 +268,31 @@
     }
     return admitted;
   };
+  GIVEN("long requests before many upstreams, of which some are free")
+  {
+    // One request each 400 ms at first, then ten at once; each takes 600 ms.
+    std::deque<TimePoint> running;
+    int refused = 0;
+    const auto offer = [&](TimePoint aNow) {
+      while (!running.empty() && running.front() <= aNow) {
+        shedder.Complete(8'000, running.front());
+        running.pop_front();
+      }
+      const ShedOffer one{ RequestClass::Standard, 1, 8'000, true };
+      refused += shedder.Offer(one, aNow).admitted ? 0 : 1;
+      running.push_back(aNow + 600ms);
+    };
+    for (TimePoint now = kStart; now < kStart + 4s; now += 400ms) {
+      offer(now);
+    }
+    for (int i = 0; i < 10; ++i) {
+      offer(kStart + 4s + i * 50ms);
+    }
+    THEN("none is refused")
+    {
+      CHECK(refused == 0);
+    }
+  }
   GIVEN("90% of the capacity")
   {
     const auto admitted = run(0.45);
--- a/wigeonwalk/limits/overload.cc
+++ b/wigeonwalk/limits/overload.cc
@@ -49,8 +49,8 @@
 OverloadShedder::CloseWindow()
 {
   const double seconds = ToSeconds(kWindow);
-  // Only a window that never ran out of work shows the capacity.
-  if (this->lowestBacklog > 0 && this->completed > 0) {
+  // Only a window that kept every upstream at work shows the capacity.
+  if (this->lowestBacklog > 0 && !this->placeWasFree && this->completed > 0) {
     const double rate = this->completed / seconds;
     this->capacity = this->capacity == 0
                        ? rate
@@ -58,6 +58,7 @@
   }
   this->completed = 0;
   this->lowestBacklog = this->backlog;
+  this->placeWasFree = false;
   this->filled = std::min(this->filled + 1, kWindows);
 
   Histogram sums{};
@@ -102,22 +103,21 @@
 }
 
 ShedAnswer
-OverloadShedder::Offer(RequestClass aClass,
-                       double aShareUse,
-                       double aWork,
-                       TimePoint aNow)
+OverloadShedder::Offer(const ShedOffer& aOffer, TimePoint aNow)
 {
   this->Advance(aNow);
-  const std::size_t score = ScoreOf(aClass, aShareUse, kScores);
-  this->offered[this->current][score] += aWork;
+  const std::size_t score =
+    ScoreOf(aOffer.requestClass, aOffer.shareUse, kScores);
+  this->offered[this->current][score] += aOffer.work;
+  this->placeWasFree = this->placeWasFree || aOffer.placeFree;
   std::uniform_real_distribution<double> chance(0, 1);
   const bool shed =
     score < this->cutoff ||
     (score == this->cutoff && chance(this->random) < this->shedAtCutoff);
-  if (shed) {
+  if (shed && !aOffer.placeFree) {
     return { false, this->RetryAfter() };
   }
-  this->backlog += aWork;
+  this->backlog += aOffer.work;
   return {};
 }
 
--- a/wigeonwalk/limits/overload.h
+++ b/wigeonwalk/limits/overload.h
@@ -1,8 +1,8 @@
 // Sheds requests early when more arrive than can be completed.
 //
-//   ShedAnswer answer = shedder.Offer(RequestClass::Standard, share, 1, now);
-//   if (!answer.admitted) { ... NotRun, Retry-After: answer.retryAfter ... }
-//   shedder.Complete(1, now);
+//   ShedAnswer answer = shedder.Offer({ RequestClass::Standard, share, 1 },
+//   now); if (!answer.admitted) { ... NotRun, Retry-After: answer.retryAfter
+//   ... } shedder.Complete(1, now);
 #pragma once
 
 #include "wigeonwalk/base/time.h"
@@ -15,6 +15,17 @@
 
 namespace wigeonwalk {
 
+// A request as the shedder sees it.
+struct ShedOffer
+{
+  RequestClass requestClass = RequestClass::Standard;
+  // What its organisation uses now, relative to its fair share: 1 is all of it.
+  double shareUse = 0;
+  double work = 1;
+  // An upstream is known that has nothing to do.
+  bool placeFree = false;
+};
+
 // What a shedder says to a request.
 struct ShedAnswer
 {
@@ -30,8 +41,8 @@
 // request comes from its class and from how much its organisation uses of its
 // share. Each tenth of a second the cutoff is computed from the work offered in
 // the last second by score, the measured rate of completion and the backlog.
-// Without backlog nothing is shed. Work is in any one unit, such as requests or
-// tokens. One thread.
+// Without backlog, or while an upstream has nothing to do, nothing is shed.
+// Work is in any one unit, such as requests or tokens. One thread.
 class OverloadShedder
 {
 public:
@@ -42,12 +53,7 @@
 
   OverloadShedder(std::uint64_t aSeed, TimePoint aNow);
 
-  // Offers a request. `aShareUse` is what its organisation uses now, relative
-  // to its fair share: 1 is all of it.
-  ShedAnswer Offer(RequestClass aClass,
-                   double aShareUse,
-                   double aWork,
-                   TimePoint aNow);
+  ShedAnswer Offer(const ShedOffer& aOffer, TimePoint aNow);
 
   // Records that admitted work ended, whether useful or not.
   void Complete(double aWork, TimePoint aNow);
@@ -73,6 +79,8 @@
   double completed = 0;
   double backlog = 0;
   double lowestBacklog = 0;
+  // An upstream had nothing to do in the current window.
+  bool placeWasFree = false;
   // Work a second that is completed while there is a backlog; zero if unknown.
   double capacity = 0;
   double offeredRate = 0;
--- a/wigeonwalk/membership/rendezvous.cc
+++ b/wigeonwalk/membership/rendezvous.cc
@@ -3,6 +3,7 @@
 #include "wigeonwalk/base/hash128.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace wigeonwalk {
@@ -63,4 +64,18 @@
   return std::find(owners.begin(), owners.end(), aHost) != owners.end();
 }
 
+std::uint32_t
+CountOwned(std::string_view aGroup,
+           std::uint32_t aShards,
+           const HostId& aHost,
+           const std::vector<HostId>& aHosts)
+{
+  std::uint32_t owned = 0;
+  for (std::uint32_t shard = 0; shard < aShards; ++shard) {
+    const std::string name = std::string(aGroup) + '/' + std::to_string(shard);
+    owned += IsOwner(name, aHost, aHosts, 1) ? 1 : 0;
+  }
+  return owned;
+}
+
 } // namespace wigeonwalk
--- a/wigeonwalk/membership/rendezvous.h
+++ b/wigeonwalk/membership/rendezvous.h
@@ -31,4 +31,12 @@
         const std::vector<HostId>& aHosts,
         std::size_t aCount);
 
+// Returns how many of the shards "aGroup/0" to "aGroup/(aShards - 1)" a host
+// owns as the first of its owners.
+std::uint32_t
+CountOwned(std::string_view aGroup,
+           std::uint32_t aShards,
+           const HostId& aHost,
+           const std::vector<HostId>& aHosts);
+
 } // namespace wigeonwalk
--- a/wigeonwalk/membership/rendezvous_test.cc
+++ b/wigeonwalk/membership/rendezvous_test.cc
@@ -63,3 +63,19 @@
     }
   }
 }
+
+// Guards against a fleet whose parts of a shared budget add up to more than it.
+SCENARIO("each shard counts for one member", "[rendezvous]")
+{
+  std::vector<HostId> hosts{ HostId("a"), HostId("b"), HostId("c") };
+  std::uint32_t sum = 0;
+  for (const HostId& host : hosts) {
+    sum += CountOwned("claims", 48, host, hosts);
+  }
+  CHECK(sum == 48);
+
+  WHEN("a member is alone")
+  {
+    CHECK(CountOwned("claims", 48, hosts[0], { hosts[0] }) == 48);
+  }
+}
--- a/wigeonwalk/ports/event_sink.h
+++ b/wigeonwalk/ports/event_sink.h
@@ -22,6 +22,7 @@
   RequestRefused,
   RequestQueued,
   RequestClaimed,
+  ClaimGivenUp,
   DirectoryLookedUp,
   RequestPlaced,
   RestoreStarted,
@@ -60,11 +61,12 @@
 template<>
 struct EnumNames<EventKind>
 {
-  static constexpr std::array<EnumName<EventKind>, 37> kTable{ {
+  static constexpr std::array<EnumName<EventKind>, 38> kTable{ {
     { EventKind::RequestReceived, "request-received" },
     { EventKind::RequestRefused, "request-refused" },
     { EventKind::RequestQueued, "request-queued" },
     { EventKind::RequestClaimed, "request-claimed" },
+    { EventKind::ClaimGivenUp, "claim-given-up" },
     { EventKind::DirectoryLookedUp, "directory-looked-up" },
     { EventKind::RequestPlaced, "request-placed" },
     { EventKind::RestoreStarted, "restore-started" },
@@ -113,6 +115,9 @@
   std::optional<Verdict> verdict;
   // A short text for people, such as a count or a reason code.
   std::string detail;
+  // How long the step waited, and the cutoff that ended the wait.
+  std::optional<Duration> elapsed;
+  std::optional<Duration> limit;
 };
 
 // Takes events. Recording never blocks and never fails.
--- a/wigeonwalk/ports/log_field.h
+++ b/wigeonwalk/ports/log_field.h
@@ -73,6 +73,7 @@
   Bytes,
   Count,
   Elapsed,
+  Limit,
   Route,
   Address,
   Age,
@@ -87,7 +88,7 @@
 template<>
 struct EnumNames<LogKey>
 {
-  static constexpr std::array<EnumName<LogKey>, 29> kTable{ {
+  static constexpr std::array<EnumName<LogKey>, 30> kTable{ {
     { LogKey::Organisation, "organisation" },
     { LogKey::Service, "service" },
     { LogKey::Model, "model" },
@@ -108,6 +109,7 @@
     { LogKey::Bytes, "bytes" },
     { LogKey::Count, "count" },
     { LogKey::Elapsed, "elapsed_us" },
+    { LogKey::Limit, "limit_us" },
     { LogKey::Route, "route" },
     { LogKey::Address, "address" },
     { LogKey::Age, "age_us" },
--- a/wigeonwalk/serving/daemon_view.h
+++ b/wigeonwalk/serving/daemon_view.h
@@ -14,6 +14,7 @@
 #include "wigeonwalk/serving/shed_gate.h"
 #include "wigeonwalk/serving/upstream_table.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -72,6 +73,18 @@
     return this->queues.try_emplace(aDocument.name, capacity).first->second;
   }
 
+  // True where a runner of the service may get work and has none, as far as
+  // this daemon knows.
+  bool HasFreePlace(const ServiceDocument& aDocument, TimePoint aNow) const
+  {
+    return std::any_of(aDocument.runners.begin(),
+                       aDocument.runners.end(),
+                       [&](const RunnerSpec& aRunner) {
+                         return this->upstreams.Usable(aRunner.id, aNow) &&
+                                this->upstreams.HasNoWork(aRunner.id, aNow);
+                       });
+  }
+
   // The overload shedder of a service, made at first use.
   ShedGate& ShedderOf(const ServiceName& aService, TimePoint aNow)
   {
--- a/wigeonwalk/serving/plain_run.h
+++ b/wigeonwalk/serving/plain_run.h
@@ -134,6 +134,14 @@
       return first;
     }
     aRefusal.verdict = aClaim.verdict;
+    if (aClaim.answer == ClaimAnswer::Unavailable) {
+      Event event{ EventKind::ClaimGivenUp,
+                   this->parts.time.Now(),
+                   this->call.caller.request };
+      event.elapsed = aClaim.waited;
+      event.limit = aClaim.limit;
+      this->parts.events.Record(std::move(event));
+    }
     return Fail(aRefusal.reason,
                 aClaim.code,
                 "claim of the idempotency key: " +
--- a/wigeonwalk/serving/request_path.h
+++ b/wigeonwalk/serving/request_path.h
@@ -138,6 +138,8 @@
                   .Offer(
                     organisation,
                     std::max(aTokens, 1.0),
+                    this->parts.view.HasFreePlace(aCaller.accepted->document,
+                                                  this->parts.time.Now()),
                     [this] { return this->parts.time.Now(); },
                     aRefusal.retryAfter);
     if (!work) {
--- a/wigeonwalk/serving/shed_gate.h
+++ b/wigeonwalk/serving/shed_gate.h
@@ -1,7 +1,7 @@
 // Sheds a service's requests early under overload, by class and by what each
 // organisation uses of its share.
 //
-//   auto work = gate.Offer(organisation, tokens, now, retryAfter);
+//   auto work = gate.Offer(organisation, tokens, placeFree, now, retryAfter);
 //   if (!work) { ... NotRun, Retry-After ... }
 #pragma once
 
@@ -62,15 +62,18 @@
   };
 
   // Returns the work, or nothing with the time after which to come again.
+  // `aPlaceFree` tells whether an upstream has nothing to do.
   std::optional<Work> Offer(const OrganisationSpec& aOrganisation,
                             double aTokens,
+                            bool aPlaceFree,
                             std::function<TimePoint()> aNow,
                             Duration& aRetryAfter)
   {
-    const ShedAnswer answer = this->shedder.Offer(aOrganisation.requestClass,
-                                                  this->ShareUse(aOrganisation),
-                                                  aTokens,
-                                                  aNow());
+    const ShedOffer offer{ aOrganisation.requestClass,
+                           this->ShareUse(aOrganisation),
+                           aTokens,
+                           aPlaceFree };
+    const ShedAnswer answer = this->shedder.Offer(offer, aNow());
     if (!answer.admitted) {
       aRetryAfter = answer.retryAfter;
       return std::nullopt;
