entry, documents: long notices arrive, parts and loads are told within bounds

Cause: (1) the decoder of datagrams took notices of 256 bytes at most and dropped the whole datagram of a longer one, so that loads of more than about eleven runners and parts of more than ten were sent and never heard. (2) Loads were told to the first twelve members in order of host: in a larger zone the others heard nobody's. (3) Each change of a holder's parts was told at once in a datagram of its own: 56 KB/s by the old calculation at 350 daemons.

Change: a notice may fill its datagram; loads go to the next eight in order; parts are gathered for 450 ms and told for many holders in one datagram, by one follower for each listener; a bundle of documents carries its sender's confirmation; an engine that would begin within 0.5 s counts as free.

Before: the new cases of peer_codec_test and document_propagation_test failed.

--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -1,7 +1,15 @@
 #include "wigeonwalk/adapters/entry_notices/entry_msgpack.h"
+#include "wigeonwalk/adapters/peer/peer_codec.h"
+#include "wigeonwalk/adapters/peer/peer_frame.h"
+#include "wigeonwalk/entry/message_bounds.h"
+#include "wigeonwalk/entry/part_relay.h"
+#include "wigeonwalk/membership/rendezvous.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+
 using namespace wigeonwalk;
 using namespace std::chrono_literals;
 
@@ -57,3 +65,92 @@
     CHECK_FALSE(codec.DecodeChanges(broken).has_value());
   }
 }
+
+namespace {
+
+// Bytes on the wire of one datagram, with the headers of UDP and IP.
+std::size_t
+WireBytes(std::vector<PeerNotice> aNotices)
+{
+  constexpr std::size_t kHeaders = 28;
+  constexpr std::size_t kFrameBytes = kFrameHeaderBytes + kFrameTagBytes;
+  PeerDatagram datagram;
+  datagram.kind = DatagramKind::Notice;
+  datagram.sender.host = HostId("front-123");
+  datagram.notices = std::move(aNotices);
+  const std::size_t room = kMaxDatagramBytes - kFrameBytes;
+  const std::string payload = EncodeDatagram(datagram, room);
+  // Nothing was cut.
+  CHECK(DecodeDatagram(payload)->notices.size() == datagram.notices.size());
+  return payload.size() + kFrameBytes + kHeaders;
+}
+
+UpstreamId
+RunnerName(std::size_t aNumber)
+{
+  return UpstreamId("i-" + std::to_string(1'000'000'000 + aNumber));
+}
+
+} // namespace
+
+// Guards against control traffic that grows beyond its bound of 22 KB/s for
+// each daemon: 350 daemons and 890 runners in nine zones, 17.7 requests a
+// second for each daemon, one in ten of them with a long prompt.
+TEST_CASE("control traffic at the target's size")
+{
+  constexpr std::size_t kDaemons = 39;
+  constexpr std::size_t kRunners = 99;
+  constexpr double kLongPerDaemon = 1.77;
+  const EntryMsgpack codec;
+  std::vector<HostId> hosts;
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    hosts.emplace_back("front-" + std::to_string(i));
+  }
+
+  // A runner reads 0.7 long prompts a second, keeps what is new of each and
+  // gives up as much: about one change in each message.
+  std::map<HostId, std::map<HostId, std::vector<HeldParts>>> told;
+  for (std::size_t i = 0; i < kRunners; ++i) {
+    const HolderFollowers followers{
+      RankOwners(RunnerName(i).Text(), hosts, hosts.size()), 10
+    };
+    for (const HostId& host : hosts) {
+      if (followers.IsFollower(host)) {
+        for (const HostId& other : followers.ToldBy(host)) {
+          told[host][other].push_back(
+            { RunnerName(i), 1'790'000'000'000, { { { i, ~i }, 4'260 } } });
+        }
+      }
+    }
+  }
+  double mostParts = 0;
+  for (const auto& [host, letters] : told) {
+    double bytes = 0;
+    for (const auto& [other, parts] : letters) {
+      for (const auto& message : PartRelay::Divide(parts)) {
+        std::vector<PeerNotice> notices;
+        for (const HeldParts& one : message) {
+          notices.push_back({ NoticeKind::HeldParts, codec.EncodeParts(one) });
+        }
+        bytes += static_cast<double>(WireBytes(std::move(notices)));
+      }
+    }
+    mostParts = std::max(mostParts, bytes / ToSeconds(kTellPartsPace));
+  }
+
+  RunnerLoads loads;
+  for (std::size_t i = 0; i < kMostLoadRows; ++i) {
+    loads.rows.push_back({ RunnerName(i), 2, 34'000 });
+  }
+  const double loadBytes =
+    static_cast<double>(
+      WireBytes({ { NoticeKind::RunnerLoads, codec.EncodeLoads(loads) } })) *
+    kMostLoadPeers / ToSeconds(kLoadPace);
+  const double workBytes =
+    static_cast<double>(
+      WireBytes({ { NoticeKind::RunnerWork,
+                    codec.EncodeWork({ RunnerName(1), 17'060 }) } })) *
+    kMostWorkPeers * kLongPerDaemon;
+  CAPTURE(mostParts, loadBytes, workBytes);
+  CHECK(mostParts + loadBytes + workBytes <= 22'000);
+}
--- a/wigeonwalk/adapters/peer/peer_codec.cc
+++ b/wigeonwalk/adapters/peer/peer_codec.cc
@@ -1,6 +1,7 @@
 #include "wigeonwalk/adapters/peer/peer_codec.h"
 
 #include "wigeonwalk/adapters/peer/internal/message_fields.h"
+#include "wigeonwalk/adapters/peer/peer_frame.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,7 +18,8 @@
 
 // Bounds on what a message may hold, far above what daemons send.
 constexpr std::size_t kMaxNameBytes = 256;
-constexpr std::size_t kMaxNoticeBytes = 256;
+// A notice may fill its datagram.
+constexpr std::size_t kMaxNoticeBytes = kMaxDatagramBytes;
 constexpr std::size_t kMaxTextBytes = 2 * 1024 * 1024;
 constexpr std::size_t kMaxPiggybacked = 64;
 constexpr std::size_t kMaxListed = 10'000;
@@ -172,6 +174,14 @@
   return PeerNotice{ *kind, std::move(payload) };
 }
 
+Json
+EncodeDigest(const DocumentDigest& aDigest)
+{
+  return { { "s", aDigest.revisionSum },
+           { "h", aDigest.hash },
+           { "a", Microseconds(aDigest.confirmedAge) } };
+}
+
 Json
 DatagramMap(const PeerDatagram& aDatagram)
 {
@@ -179,10 +189,7 @@
     { "k", EnumNumber(aDatagram.kind) },
     { "f", EncodeUpdate(aDatagram.sender) },
     { "q", aDatagram.sequence },
-    { "d",
-      { { "s", aDatagram.documents.revisionSum },
-        { "h", aDatagram.documents.hash },
-        { "a", Microseconds(aDatagram.documents.confirmedAge) } } },
+    { "d", EncodeDigest(aDatagram.documents) },
     { "u", EncodeList(aDatagram.updates, EncodeUpdate) },
     { "n", EncodeList(aDatagram.notices, EncodeNotice) },
   };
@@ -244,7 +251,8 @@
     return { { "l", EncodeList(list->members, EncodeUpdate) } };
   }
   if (const auto* bundle = std::get_if<DocumentBundle>(&aAnswer.body)) {
-    return { { "l", EncodeList(bundle->documents, EncodeCopy) } };
+    return { { "l", EncodeList(bundle->documents, EncodeCopy) },
+             { "d", EncodeDigest(bundle->digest) } };
   }
   if (const auto* push = std::get_if<DocumentPushAnswer>(&aAnswer.body)) {
     return { { "w", push->wasNew } };
@@ -299,6 +307,8 @@
     }
     case 1: {
       auto& bundle = aAnswer.body.emplace<DocumentBundle>();
+      // Earlier releases send none.
+      bundle.digest = DecodeDigest(aFields.Map("d")).value_or(DocumentDigest());
       return DecodeList(
         aFields.Array("l", kMaxListed), bundle.documents, DecodeCopy);
     }
--- a/wigeonwalk/adapters/peer/peer_codec_test.cc
+++ b/wigeonwalk/adapters/peer/peer_codec_test.cc
@@ -68,7 +68,7 @@
   const HybridTime at{ TimePoint(100h), 3 };
   const DocumentCopy copy{ ServiceName("orders"), 4, "e4", "text" };
   return { { from, at, MemberList{ { Update(1), Update(2) } } },
-           { from, at, DocumentBundle{ { copy } } },
+           { from, at, DocumentBundle{ { copy }, { 4, 99, 2s } } },
            { from, at, DocumentPushAnswer{ true } },
            { from, at, ForwardedAnswer{ ForwardedKind::ClaimAppend, "y" } } };
 }
@@ -113,6 +113,20 @@
   CHECK(decoded->sequence == datagram.sequence);
 }
 
+// Guards against long notices that are sent and never taken.
+SCENARIO("a notice may fill its datagram", "[peer]")
+{
+  PeerDatagram datagram;
+  datagram.kind = DatagramKind::Notice;
+  datagram.sender.host = HostId("entry-1");
+  datagram.notices = { { NoticeKind::RunnerLoads, std::string(1'000, 'x') } };
+  const std::string payload = EncodeDatagram(datagram, 1'176);
+  const auto decoded = DecodeDatagram(payload);
+  REQUIRE(decoded);
+  REQUIRE(decoded->notices.size() == 1);
+  CHECK(decoded->notices == datagram.notices);
+}
+
 // Guards against two releases that do not understand each other.
 SCENARIO("a decoder ignores what a later release has added", "[peer]")
 {
--- a/wigeonwalk/documents/document_propagation.h
+++ b/wigeonwalk/documents/document_propagation.h
@@ -152,6 +152,7 @@
   bool Learn(const DocumentCopy& aCopy, LearnedFrom aFrom);
   void LearnEntry(const KeyValueEntry& aEntry);
   void NoteKeyValue(bool aReached);
+  void ConfirmBy(const DocumentDigest& aTheirs, const HybridTime& aSentAt);
   void NoteContact(TimePoint aTime);
   bool IsWatcher();
   bool PeersQuiet() const;
--- a/wigeonwalk/documents/document_propagation_test.cc
+++ b/wigeonwalk/documents/document_propagation_test.cc
@@ -195,6 +195,13 @@
     fleet.Run(30s);
     auto next = fleet.Make(4, 200);
     next->Start(Fleet::Seeds());
+    THEN("it serves as soon as it has the documents")
+    {
+      for (int i = 0; i < 10'000 && next->Revision("orders") != 1; ++i) {
+        fleet.Run(1ms);
+      }
+      CHECK(next->propagation.CurrentFreshness() == Freshness::Serve);
+    }
     fleet.Run(10s);
     THEN("it has the documents of its peers, with their confirmation")
     {
--- a/wigeonwalk/documents/internal/document_propagation_impl.h
+++ b/wigeonwalk/documents/internal/document_propagation_impl.h
@@ -189,6 +189,7 @@
     this->Learn(copy, LearnedFrom::Fetch);
   }
   this->NoteContact(now);
+  this->ConfirmBy(bundle->digest, answer->sentAt);
   // A peer that has nothing itself is no source for a start.
   co_return !this->store.Versions().empty();
 }
@@ -246,12 +247,7 @@
   const DocumentDigest& theirs = aDatagram.documents;
   const DocumentDigest ours = this->store.Digest(now);
   if (theirs.hash == ours.hash) {
-    // A datagram may have waited while this process was paused, so that its
-    // age counts from its sending, and never from the future.
-    const TimePoint sent = std::min(now, aDatagram.sentAt.physical);
-    if (theirs.confirmedAge < kRefuseStaleAfter) {
-      this->store.Confirm(sent - theirs.confirmedAge);
-    }
+    this->ConfirmBy(theirs, aDatagram.sentAt);
     return;
   }
   const bool theyHaveMore = theirs.revisionSum >= ours.revisionSum;
@@ -277,7 +273,8 @@
 DocumentBundle
 DocumentPropagation<Ports, P>::OnFetch(const DocumentFetch& aFetch) const
 {
-  return { this->store.NewerThan(aFetch.known, this->settings.bundleBytes) };
+  return { this->store.NewerThan(aFetch.known, this->settings.bundleBytes),
+           this->store.Digest(this->ports.timer.Now()) };
 }
 
 template<typename Ports, PushTargets P>
@@ -370,6 +367,22 @@
   }
 }
 
+// Takes over the confirmation of a daemon that has the same documents.
+template<typename Ports, PushTargets P>
+void
+DocumentPropagation<Ports, P>::ConfirmBy(const DocumentDigest& aTheirs,
+                                         const HybridTime& aSentAt)
+{
+  const TimePoint now = this->ports.timer.Now();
+  if (aTheirs.hash != this->store.Digest(now).hash ||
+      aTheirs.confirmedAge >= kRefuseStaleAfter) {
+    return;
+  }
+  // A message may have waited while this process was paused, so that its age
+  // counts from its sending, and never from the future.
+  this->store.Confirm(std::min(now, aSentAt.physical) - aTheirs.confirmedAge);
+}
+
 template<typename Ports, PushTargets P>
 void
 DocumentPropagation<Ports, P>::NoteContact(TimePoint aTime)
--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -4,10 +4,13 @@
 //   for (const UpstreamId& holder : follower.Reconcile()) {
 //     spawn(follower.Follow(holder));
 //   }
+//   spawn(follower.TellOthers());
 #pragma once
 
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/held_parts.h"
+#include "wigeonwalk/entry/message_bounds.h"
+#include "wigeonwalk/entry/part_relay.h"
 #include "wigeonwalk/membership/rendezvous.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/decision_log.h"
@@ -21,11 +24,11 @@
 
 namespace wigeonwalk {
 
-// Tells one daemon of a holder's parts.
+// Tells one daemon of the parts of some holders.
 template<typename T>
 concept PartTeller = requires(T& aTeller,
                               const HostId& aHost,
-                              const HeldParts& aParts)
+                              const std::vector<HeldParts>& aParts)
 {
   aTeller.TellParts(aHost, aParts);
 };
@@ -51,8 +54,6 @@
   // Calls at each holder that are left free for daemons whose view of the
   // members differs.
   static constexpr std::uint32_t kSpareCalls = 2;
-  // Changes that fit into one datagram.
-  static constexpr std::size_t kMostChanges = 32;
 
   CacheFollower(EntryState& aState, C& aControl, P& aPeers, T& aTimer, L& aLog)
     : state(aState)
@@ -60,6 +61,7 @@
     , peers(aPeers)
     , timer(aTimer)
     , log(aLog)
+    , relay(aState)
   {
   }
 
@@ -120,18 +122,21 @@
     this->tasks.erase(aHolder);
   }
 
-private:
-  // A holder, and the daemons that follow it, or all that use it where it takes
-  // enough calls. Those after the followers are told by them.
-  struct Followers
+  // Tells the daemons that do not follow a holder what it reported since.
+  Task<void> TellOthers()
   {
-    std::vector<HostId> ranked;
-    std::size_t following = 0;
-  };
+    while (true) {
+      this->TellNow();
+      const TimePoint next = this->timer.Now() + kTellPartsPace;
+      co_await this->timer.WaitUntil(next);
+    }
+  }
+
+private:
   struct Wanted
   {
     CacheHolder holder;
-    Followers followers;
+    HolderFollowers followers;
   };
 
   std::map<UpstreamId, Wanted> WantedHolders() const
@@ -186,63 +191,29 @@
     return wanted;
   }
 
-  static Followers Rank(const CacheHolder& aHolder,
-                        std::uint32_t aCalls,
-                        const std::vector<HostId>& aHosts)
+  static HolderFollowers Rank(const CacheHolder& aHolder,
+                              std::uint32_t aCalls,
+                              const std::vector<HostId>& aHosts)
   {
     const std::size_t following =
       aCalls > kSpareCalls ? aCalls - kSpareCalls : aCalls;
     return { RankOwners(aHolder.id.Text(), aHosts, aHosts.size()), following };
   }
 
-  // A daemon that is not listed yet follows, since none would tell it anything.
   bool IsFollower(const UpstreamId& aHolder) const
   {
     const auto found = this->followers.find(aHolder);
-    if (found == this->followers.end()) {
-      return false;
-    }
-    const std::vector<HostId>& ranked = found->second.ranked;
-    const auto self =
-      std::find(ranked.begin(), ranked.end(), this->state.Settings().host);
-    return self == ranked.end() ||
-           self - ranked.begin() <
-             static_cast<std::ptrdiff_t>(found->second.following);
+    return found != this->followers.end() &&
+           found->second.IsFollower(this->state.Settings().host);
   }
 
-  // Passes on to the daemons that do not follow the holder, each of which is
-  // told by one follower.
-  void PassOn(const HeldParts& aParts)
+  void TellNow()
   {
-    const Followers& all = this->followers.at(aParts.holder);
-    if (all.ranked.size() <= all.following) {
-      return;
-    }
-    const auto self = std::find(
-      all.ranked.begin(), all.ranked.end(), this->state.Settings().host);
-    const auto rank = static_cast<std::size_t>(self - all.ranked.begin());
-    for (std::size_t i = all.following + rank; i < all.ranked.size();
-         i += all.following) {
-      this->Tell(all.ranked[i], aParts);
+    for (const auto& [host, parts] : this->relay.Take(this->followers)) {
+      this->peers.TellParts(host, parts);
     }
   }
 
-  void Tell(const HostId& aHost, const HeldParts& aParts)
-  {
-    HeldParts some{ aParts.holder, aParts.epoch, {} };
-    std::size_t told = 0;
-    // A message without changes says that the holder still answers.
-    do {
-      const std::size_t count =
-        std::min(kMostChanges, aParts.changes.size() - told);
-      const auto first =
-        aParts.changes.begin() + static_cast<std::ptrdiff_t>(told);
-      some.changes.assign(first, first + static_cast<std::ptrdiff_t>(count));
-      this->peers.TellParts(aHost, some);
-      told += count;
-    } while (told < aParts.changes.size());
-  }
-
   void Take(const UpstreamId& aHolder,
             const std::string& aAddress,
             const PartEventBatch& aBatch,
@@ -277,9 +248,10 @@
                       {},
                       { { LogKey::Upstream, aHolder } });
     }
+    this->relay.Keep(parts, this->followers.at(aHolder));
     TakeHeldParts(this->state, parts, aNow);
-    this->PassOn(parts);
     if (restarted) {
+      this->TellNow();
       followed.nextEvent = 0;
       followed.answeredAt = TimePoint();
       return;
@@ -312,9 +284,10 @@
   P& peers;
   T& timer;
   L& log;
-  std::map<UpstreamId, Followers> followers;
+  std::map<UpstreamId, HolderFollowers> followers;
   // Holders with a running task.
   std::set<UpstreamId> tasks;
+  PartRelay relay;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/cache_follower_test.cc
+++ b/wigeonwalk/entry/cache_follower_test.cc
@@ -12,13 +12,14 @@
 // Remembers which daemons were told.
 struct ToldParts
 {
-  void TellParts(const HostId& aHost, const HeldParts& aParts)
+  void TellParts(const HostId& aHost, const std::vector<HeldParts>& aParts)
   {
     ++this->told[aHost];
-    this->changes += aParts.changes.size();
+    this->parts[aHost].insert(
+      this->parts[aHost].end(), aParts.begin(), aParts.end());
   }
   std::map<HostId, int> told;
-  std::size_t changes = 0;
+  std::map<HostId, std::vector<HeldParts>> parts;
 };
 
 // A daemon that follows one runner and one store.
@@ -44,6 +45,7 @@
     this->AddRunner("r-near", "north");
     this->AddRunner("r-far", "south");
     this->time.Spawn(this->Drive());
+    this->time.Spawn(this->follower.TellOthers());
   }
 
   static EntrySettings Settings()
--- a/wigeonwalk/entry/load_board.cc
+++ b/wigeonwalk/entry/load_board.cc
@@ -1,5 +1,6 @@
 #include "wigeonwalk/entry/load_board.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wigeonwalk {
@@ -43,4 +44,18 @@
   return loads;
 }
 
+std::vector<EntryMember>
+NextMembers(const HostId& aSelf,
+            std::vector<EntryMember> aMembers,
+            std::size_t aCount)
+{
+  const auto next = std::find_if(
+    aMembers.begin(), aMembers.end(), [&aSelf](const EntryMember& aMember) {
+      return aSelf < aMember.host;
+    });
+  std::rotate(aMembers.begin(), next, aMembers.end());
+  aMembers.resize(std::min(aMembers.size(), aCount));
+  return aMembers;
+}
+
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/load_board.h
+++ b/wigeonwalk/entry/load_board.h
@@ -6,8 +6,11 @@
 
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/fleet/fleet.h"
+#include "wigeonwalk/ports/registry_items.h"
 
+#include <cstddef>
 #include <map>
+#include <vector>
 
 namespace wigeonwalk {
 
@@ -37,4 +40,12 @@
 RunnerLoads
 LoadsOf(const Fleet& aFleet);
 
+// Returns up to a number of members after this daemon, in order of host and
+// from the start again, so that each member is told by equally many. `aMembers`
+// are in order of host, without this daemon.
+std::vector<EntryMember>
+NextMembers(const HostId& aSelf,
+            std::vector<EntryMember> aMembers,
+            std::size_t aCount);
+
 } // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/load_board_test.cc
@@ -0,0 +1,44 @@
+#include "wigeonwalk/entry/load_board.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <string>
+
+using namespace wigeonwalk;
+
+// Guards against daemons of a large zone that hear of nobody's loads.
+SCENARIO("loads are told to the next members in order")
+{
+  std::vector<EntryMember> members;
+  for (int i = 10; i < 27; ++i) {
+    members.push_back({ HostId("front-" + std::to_string(i)),
+                        AvailabilityZone("north"),
+                        "address" });
+  }
+
+  THEN("each hears of as many others")
+  {
+    std::map<HostId, int> heard;
+    for (const EntryMember& self : members) {
+      std::vector<EntryMember> others = members;
+      std::erase_if(others, [&self](const EntryMember& aMember) {
+        return aMember.host == self.host;
+      });
+      for (const auto& told : NextMembers(self.host, others, 8)) {
+        ++heard[told.host];
+      }
+    }
+    CHECK(heard.size() == members.size());
+    for (const auto& [host, count] : heard) {
+      CHECK(count == 8);
+    }
+  }
+
+  THEN("in a small zone all are told")
+  {
+    members.resize(3);
+    CHECK(NextMembers(HostId("front-99"), members, 8).size() == 3);
+    CHECK(NextMembers(HostId("front-99"), {}, 8).empty());
+  }
+}
--- /dev/null
+++ b/wigeonwalk/entry/part_relay_test.cc
@@ -0,0 +1,171 @@
+#include "wigeonwalk/entry/part_relay.h"
+#include "wigeonwalk/membership/rendezvous.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+#include <string>
+
+using namespace wigeonwalk;
+
+namespace {
+
+const UpstreamId kHolder("r-1");
+
+HeldPart
+Part(std::uint64_t aNumber, std::uint32_t aTokens)
+{
+  return { { aNumber, aNumber }, aTokens };
+}
+
+// A daemon that follows one holder which three others use too.
+struct Setting
+{
+  Setting()
+  {
+    this->followers[kHolder] = {
+      { HostId("front-1"), HostId("front-2"), HostId("front-3"), HostId("x") },
+      1
+    };
+  }
+
+  static EntrySettings Settings()
+  {
+    EntrySettings settings;
+    settings.host = HostId("front-1");
+    return settings;
+  }
+
+  void Report(std::int64_t aEpoch, std::vector<HeldPart> aChanges)
+  {
+    const HeldParts parts{ kHolder, aEpoch, std::move(aChanges) };
+    this->relay.Keep(parts, this->followers[kHolder]);
+    for (const HeldPart& change : parts.changes) {
+      this->state.parts.Set(kHolder, change.part, change.tokens);
+    }
+  }
+
+  EntryState state{ Settings() };
+  PartRelay relay{ state };
+  std::map<UpstreamId, HolderFollowers> followers;
+};
+
+} // namespace
+
+// Guards against daemons that learn nothing of a holder, or too late that it
+// restarted, and against traffic for parts that are not worth it.
+SCENARIO("daemons that do not follow a holder are told what it reported")
+{
+  Setting setting;
+  setting.Report(1, { Part(1, 12'800), Part(2, 300) });
+  setting.Report(1, { Part(1, 0), Part(3, 4'000) });
+
+  THEN("each is told once, with the last word on each long part")
+  {
+    const auto told = setting.relay.Take(setting.followers);
+    REQUIRE(told.size() == 3);
+    REQUIRE(told.at(HostId("x")).size() == 1);
+    const HeldParts& parts = told.at(HostId("x"))[0];
+    CHECK(parts.changes == std::vector<HeldPart>{ Part(1, 0), Part(3, 4'000) });
+    CHECK(setting.relay.Take(setting.followers).empty());
+  }
+
+  THEN("an answer without changes is told too: the holder lives")
+  {
+    setting.relay.Take(setting.followers);
+    setting.Report(1, {});
+    CHECK(setting.relay.Take(setting.followers).size() == 3);
+  }
+
+  THEN("the loss of a long part is told")
+  {
+    setting.relay.Take(setting.followers);
+    setting.state.parts.Set(kHolder, Part(9, 1).part, 5'000);
+    setting.Report(1, { Part(9, 0), Part(10, 0) });
+    const auto told = setting.relay.Take(setting.followers);
+    CHECK(told.at(HostId("x"))[0].changes ==
+          std::vector<HeldPart>{ Part(9, 0) });
+  }
+
+  WHEN("the holder restarts")
+  {
+    setting.Report(2, {});
+
+    THEN("nothing of before is told")
+    {
+      const auto told = setting.relay.Take(setting.followers);
+      CHECK(told.at(HostId("x"))[0].epoch == 2);
+      CHECK(told.at(HostId("x"))[0].changes.empty());
+    }
+  }
+
+  WHEN("all daemons may follow the holder")
+  {
+    setting.followers[kHolder].following = 4;
+    setting.relay.Take(setting.followers);
+    setting.Report(1, { Part(1, 12'800) });
+    CHECK(setting.relay.Take(setting.followers).empty());
+  }
+}
+
+// Guards against daemons that nobody tells, or that several tell.
+SCENARIO("each daemon hears of a holder from one follower")
+{
+  std::vector<HostId> hosts;
+  for (int i = 0; i < 39; ++i) {
+    hosts.emplace_back("front-" + std::to_string(i));
+  }
+  std::map<HostId, int> heard;
+  std::set<HostId> toldByFirst;
+  for (int i = 0; i < 99; ++i) {
+    const HolderFollowers followers{
+      RankOwners("r-" + std::to_string(i), hosts, hosts.size()), 10
+    };
+    for (const HostId& host : hosts) {
+      const auto told = followers.ToldBy(host);
+      if (!followers.IsFollower(host)) {
+        continue;
+      }
+      for (const HostId& other : told) {
+        ++heard[other];
+      }
+      if (host == hosts[0]) {
+        toldByFirst.insert(told.begin(), told.end());
+      }
+    }
+  }
+  int sum = 0;
+  for (const auto& [host, count] : heard) {
+    sum += count;
+  }
+  CHECK(sum == 99 * 29);
+  // A daemon tells few others of many holders.
+  CHECK(toldByFirst.size() < 39);
+}
+
+// Guards against messages that are cut because they do not fit.
+SCENARIO("what is told is divided into datagrams")
+{
+  const std::size_t changes = GENERATE(0, 1, 36, 37, 38, 100);
+  std::vector<HeldParts> all;
+  for (int i = 0; i < 3; ++i) {
+    HeldParts parts{ kHolder, 1, {} };
+    for (std::size_t j = 0; j < changes; ++j) {
+      parts.changes.push_back(Part(j, 1'000));
+    }
+    all.push_back(std::move(parts));
+  }
+  std::size_t told = 0;
+  std::size_t holders = 0;
+  for (const auto& message : PartRelay::Divide(all)) {
+    std::size_t rows = 0;
+    for (const HeldParts& parts : message) {
+      rows += parts.changes.size() + PartRelay::kHolderRows;
+      told += parts.changes.size();
+      ++holders;
+    }
+    CHECK(rows <= PartRelay::kMostRows);
+  }
+  CHECK(told == 3 * changes);
+  CHECK(holders >= 3);
+}
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -10,6 +10,8 @@
 #include "wigeonwalk/entry/held_parts.h"
 #include "wigeonwalk/entry/item_mirror.h"
 #include "wigeonwalk/entry/load_board.h"
+#include "wigeonwalk/entry/message_bounds.h"
+#include "wigeonwalk/entry/part_relay.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/decision_log.h"
 #include "wigeonwalk/ports/peer_channel.h"
@@ -44,20 +46,11 @@
 class PeerExchange
 {
 public:
-  // How often loads are told: a third of the time after which they lapse.
-  static constexpr Duration kLoadPace = std::chrono::milliseconds(300);
   static constexpr Duration kPace = std::chrono::milliseconds(100);
   // How often a daemon without the registry asks another one.
   static constexpr Duration kQueryPace = std::chrono::milliseconds(300);
   static constexpr Duration kCallTime = std::chrono::milliseconds(400);
-  // Daemons of a zone that loads are told to. With full datagrams of about 250
-  // bytes that is 10 KB/s, within the bound on control traffic.
-  static constexpr std::size_t kMostLoadPeers = 12;
-  // Daemons that one long prompt is told to.
-  static constexpr std::size_t kMostWorkPeers = 24;
   static constexpr std::size_t kMostPoisonNotices = 8;
-  // Rows that fit into one datagram.
-  static constexpr std::size_t kMostRows = 24;
 
   PeerExchange(EntryState& aState,
                W& aWatch,
@@ -122,15 +115,21 @@
     }
   }
 
-  // Tells one daemon what a holder has that it does not follow.
-  void TellParts(const HostId& aHost, const HeldParts& aParts)
+  // Tells one daemon what some holders have that it does not follow.
+  void TellParts(const HostId& aHost, const std::vector<HeldParts>& aParts)
   {
     const auto member = this->state.members.find(aHost);
     if (member == this->state.members.end()) {
       return;
     }
-    this->Tell(member->second,
-               { NoticeKind::HeldParts, this->codec.EncodeParts(aParts) });
+    for (const auto& message : PartRelay::Divide(aParts)) {
+      PeerDatagram datagram = this->Datagram();
+      for (const HeldParts& parts : message) {
+        datagram.notices.push_back(
+          { NoticeKind::HeldParts, this->codec.EncodeParts(parts) });
+      }
+      this->channel.Send(member->second.peerAddress, datagram);
+    }
   }
 
   // Tells new evidence against requests that crash runners: their callers send
@@ -267,22 +266,24 @@
       return;
     }
     this->toldNothing = loads.rows.empty();
-    if (loads.rows.size() > kMostRows) {
+    if (loads.rows.size() > kMostLoadRows) {
       std::sort(loads.rows.begin(),
                 loads.rows.end(),
                 [](const RunnerLoadRow& aLeft, const RunnerLoadRow& aRight) {
                   return aLeft.tokensInFlight > aRight.tokensInFlight;
                 });
-      loads.rows.resize(kMostRows);
+      loads.rows.resize(kMostLoadRows);
     }
     const PeerNotice notice{ NoticeKind::RunnerLoads,
                              this->codec.EncodeLoads(loads) };
-    std::size_t told = 0;
-    for (const EntryMember& member : this->Others()) {
-      if (member.zone == this->state.Settings().zone &&
-          told++ < kMostLoadPeers) {
-        this->Tell(member, notice);
-      }
+    const EntrySettings& settings = this->state.Settings();
+    std::vector<EntryMember> members = this->Others();
+    std::erase_if(members, [&settings](const EntryMember& aMember) {
+      return aMember.zone != settings.zone;
+    });
+    for (const EntryMember& member :
+         NextMembers(settings.host, std::move(members), kMostLoadPeers)) {
+      this->Tell(member, notice);
     }
   }
 
--- a/wigeonwalk/ports/peer_messages.h
+++ b/wigeonwalk/ports/peer_messages.h
@@ -191,6 +191,8 @@
 struct DocumentBundle
 {
   std::vector<DocumentCopy> documents;
+  // Of all documents that the answering daemon has.
+  DocumentDigest digest;
 
   bool operator==(const DocumentBundle&) const = default;
 };
--- a/wigeonwalk/serving/daemon_view.h
+++ b/wigeonwalk/serving/daemon_view.h
@@ -53,6 +53,10 @@
   // all its runners. Longer queues belong here, where they are fair.
   static constexpr double kQueueSeconds = 2;
 
+  // Wait at an engine that is no reason to shed: half of the 0.99 s within
+  // which the first token is due.
+  static constexpr Duration kSoon = std::chrono::milliseconds(500);
+
   DaemonView(HostId aDaemon,
              AvailabilityZone aZone,
              std::uint64_t aIncarnation,
@@ -73,16 +77,21 @@
     return this->queues.try_emplace(aDocument.name, capacity).first->second;
   }
 
-  // True where a runner of the service may get work and has none, as far as
-  // this daemon knows.
+  // True where a runner of the service would begin a request soon: an engine
+  // that has little to read, or a plain upstream without a call of this daemon.
   bool HasFreePlace(const ServiceDocument& aDocument, TimePoint aNow) const
   {
-    return std::any_of(aDocument.runners.begin(),
-                       aDocument.runners.end(),
-                       [&](const RunnerSpec& aRunner) {
-                         return this->upstreams.Usable(aRunner.id, aNow) &&
-                                this->upstreams.HasNoWork(aRunner.id, aNow);
-                       });
+    const auto isFree = [&](const RunnerSpec& aRunner) {
+      if (!this->upstreams.Usable(aRunner.id, aNow)) {
+        return false;
+      }
+      return aDocument.kind == ServiceKind::Engine
+               ? this->upstreams.WaitSeconds(aRunner.id, aNow) <=
+                   ToSeconds(kSoon)
+               : this->upstreams.InFlight(aRunner.id) == 0;
+    };
+    return std::any_of(
+      aDocument.runners.begin(), aDocument.runners.end(), isFree);
   }
 
   // The overload shedder of a service, made at first use.
--- a/wigeonwalk/serving/upstream_table.cc
+++ b/wigeonwalk/serving/upstream_table.cc
@@ -98,14 +98,6 @@
          status->load.Waiting(aNow) <= 0;
 }
 
-bool
-UpstreamTable::HasNoWork(const UpstreamId& aUpstream, TimePoint aNow) const
-{
-  const Status* status = this->Find(aUpstream);
-  return status == nullptr || (status->inFlight == 0 && status->reported == 0 &&
-                               status->load.Waiting(aNow) <= 0);
-}
-
 double
 UpstreamTable::WaitSeconds(const UpstreamId& aUpstream, TimePoint aNow) const
 {
--- a/wigeonwalk/serving/upstream_table.h
+++ b/wigeonwalk/serving/upstream_table.h
@@ -57,10 +57,6 @@
   // True where the last load report showed no work.
   bool IsIdle(const UpstreamId& aUpstream, TimePoint aNow) const;
 
-  // True where neither this daemon's requests nor the last report tell of work.
-  // So it is for an upstream of which nothing is known.
-  bool HasNoWork(const UpstreamId& aUpstream, TimePoint aNow) const;
-
   double WaitSeconds(const UpstreamId& aUpstream, TimePoint aNow) const;
   std::uint32_t InFlight(const UpstreamId& aUpstream) const;
   std::uint64_t Incarnation(const UpstreamId& aUpstream) const;
