entry: a daemon that starts before a slow registry serves in time

Where each call takes 0.5 s or a large registry has several pages, the read was given up and begun again for ever, and the daemon knew no configuration.

Ruled out: asking peers instead, as their addresses come from the same read.

Change: the time grows threefold with each failure, from 1 s to 8 s.

Before: the new scenario failed at delays of 0.9, 1.5 and 3 s for each call (nothing read after 12 s, the users' time for a recovery). After: it passes.

--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -31,8 +31,12 @@
   static constexpr Duration kWatchPace = std::chrono::milliseconds(500);
   // Time of a call that finds out whether the registry is back.
   static constexpr Duration kReturnCheck = std::chrono::milliseconds(500);
-  // Time after which a read is given up.
+  // Time after which a read of everything is given up, and by what it grows
+  // with each failure up to the longest: a large registry has several pages,
+  // and a slow one still has to be read before this daemon can serve.
   static constexpr Duration kReadTime = std::chrono::milliseconds(1'000);
+  static constexpr int kReadTimeGrowth = 3;
+  static constexpr Duration kLongestReadTime = std::chrono::seconds(8);
   // Pause after a failed call.
   static constexpr Duration kFailurePause = std::chrono::milliseconds(200);
   // The registry counts as away after this time without an answer.
@@ -65,6 +69,9 @@
         ok = co_await this->WatchOnce(reason);
       } else {
         ok = co_await this->ReadAll(reason);
+        this->readTime =
+          ok ? kReadTime
+             : std::min(kReadTimeGrowth * this->readTime, kLongestReadTime);
       }
       const TimePoint now = this->timer.Now();
       if (ok) {
@@ -101,7 +108,7 @@
 
   Task<bool> ReadAll(LastReason& aReason)
   {
-    const TimePoint deadline = this->timer.Now() + kReadTime;
+    const TimePoint deadline = this->timer.Now() + this->readTime;
     // The listing's pages are no snapshot: the watch goes on from the revision
     // before the first of them.
     const std::string anyKey = "wigeonwalk/revision";
@@ -260,6 +267,7 @@
   T& timer;
   L& log;
   bool complete = false;
+  Duration readTime = kReadTime;
   TimePoint answeredAt;
 };
 
--- a/wigeonwalk/entry/registry_watch_test.cc
+++ b/wigeonwalk/entry/registry_watch_test.cc
@@ -429,3 +429,21 @@
     }
   }
 }
+
+// Guards against a daemon that never begins to serve because reading all items
+// of a large or slow registry takes longer than one call.
+SCENARIO("a daemon starts while the registry is slow")
+{
+  Setting setting;
+  const Duration delay = GENERATE(900ms, 1'500ms, 3s);
+  CAPTURE(delay.count());
+  setting.service.AddFault({ .fault = KeyValueFault::Slow,
+                             .from = setting.time.Now(),
+                             .delay = delay });
+  Daemon late(setting.time, setting.service, setting.network, "front-9");
+  // It knows no peers before it has read them. The bound is the users' time for
+  // a recovery.
+  setting.RunFor(12s);
+  CHECK(late.Version() == 1);
+  CHECK(late.Runners() == 2);
+}
