--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -58,7 +58,8 @@
   // How often a request without a candidate looks for one.
   static constexpr Duration kCandidatePause = std::chrono::milliseconds(20);
   // Time after the start of the process for which a request waits for the first
-  // configuration. Several tries of a read of the registry.
+  // configuration: many times what the first read of a prompt registry takes,
+  // and short beside a caller's patience.
   static constexpr Duration kStartTime = std::chrono::milliseconds(600);
   // Part of the route's target latency for which a request waits for a
   // candidate.
@@ -109,7 +110,7 @@
   }
 
 private:
-  // A process that has just started reads the configuration in some 70 ms.
+  // Waits a moment in a process that has just started.
   Task<void> AwaitConfiguration()
   {
     const TimePoint until = this->state.startedAt + kStartTime;
