--- a/daemons/wigeonwalk-entry.cc
+++ b/daemons/wigeonwalk-entry.cc
@@ -4,6 +4,7 @@
 
 #include "platform/entry_daemon.h"
 #include "wigeonwalk/adapters/settings/entry_settings_json.h"
+#include "wigeonwalk/adapters/settings/settings_file.h"
 
 #include <CLI/CLI.hpp>
 
@@ -11,9 +12,7 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 using namespace wigeonwalk;
 
@@ -23,19 +22,6 @@
 constexpr int kFailedStart = 1;
 constexpr int kBadSettings = 2;
 
-std::optional<EntrySettings>
-ReadSettings(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  const std::string text(std::istreambuf_iterator<char>(file), {});
-  std::vector<LastReason> reasons;
-  auto settings = ParseEntrySettings(text, reasons);
-  for (const LastReason& reason : reasons) {
-    std::cerr << aPath << ": " << reason.ToString() << '\n';
-  }
-  return settings;
-}
-
 // Handles signals one after the other until the process ends.
 void
 WaitForSignal(boost::asio::signal_set& aSignals,
@@ -48,7 +34,7 @@
     }
     if (aSignal != SIGHUP) {
       aDaemon.RequestStop();
-    } else if (ReadSettings(aPath)) {
+    } else if (ReadSettingsFile(aPath, ParseEntrySettings)) {
       aDaemon.NoteReload();
     }
     WaitForSignal(aSignals, aDaemon, aPath);
@@ -89,7 +75,7 @@
   app.add_flag("--check-config", check, "Check the settings and exit");
   app.set_version_flag("--version", "wigeonwalk-entry 0.1.0");
   CLI11_PARSE(app, argc, argv);
-  auto settings = ReadSettings(settingsFile);
+  auto settings = ReadSettingsFile(settingsFile, ParseEntrySettings);
   if (!settings) {
     return kBadSettings;
   }
--- a/daemons/wigeonwalkd.cc
+++ b/daemons/wigeonwalkd.cc
@@ -3,6 +3,7 @@
 //   wigeonwalkd --settings daemon.json
 
 #include "wigeonwalk/adapters/settings/daemon_settings_json.h"
+#include "wigeonwalk/adapters/settings/settings_file.h"
 #include "wigeonwalk/daemon/daemon.h"
 
 #include <CLI/CLI.hpp>
@@ -11,9 +12,7 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 using namespace wigeonwalk;
 
@@ -69,15 +68,8 @@
   app.add_flag("--check-config", check, "Check the settings and exit");
   app.set_version_flag("--version", "wigeonwalkd 0.1.0");
   CLI11_PARSE(app, argc, argv);
-
-  std::ifstream file(settingsFile);
-  const std::string text(std::istreambuf_iterator<char>(file), {});
-  std::vector<LastReason> reasons;
-  auto settings = ParseDaemonSettings(text, reasons);
+  auto settings = ReadSettingsFile(settingsFile, ParseDaemonSettings);
   if (!settings) {
-    for (const LastReason& reason : reasons) {
-      std::cerr << settingsFile << ": " << reason.ToString() << '\n';
-    }
     return kBadSettings;
   }
   return check ? 0 : RunDaemon(std::move(*settings));
--- /dev/null
+++ b/wigeonwalk/adapters/settings/settings_file.h
@@ -0,0 +1,32 @@
+// Reads the settings file that a program was given.
+//
+//   auto settings = ReadSettingsFile("/etc/entry.json", ParseEntrySettings);
+#pragma once
+
+#include "wigeonwalk/base/last_reason.h"
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Returns the parsed settings. Otherwise prints a line for each fault on the
+// error output and returns nothing.
+template<typename Parse>
+auto
+ReadSettingsFile(const std::string& aPath, Parse aParse)
+{
+  std::ifstream file(aPath);
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  std::vector<LastReason> reasons;
+  auto settings = aParse(text, reasons);
+  for (const LastReason& reason : reasons) {
+    std::cerr << aPath << ": " << reason.ToString() << '\n';
+  }
+  return settings;
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/daemon/cluster.cc
+++ b/wigeonwalk/daemon/cluster.cc
@@ -1,8 +1,8 @@
 #include "wigeonwalk/daemon/cluster.h"
 
 #include "wigeonwalk/adapters/documents/stored_document_json.h"
-#include "wigeonwalk/adapters/notices/notice_codec.h"
 #include "wigeonwalk/claims/claim.h"
+#include "wigeonwalk/daemon/cluster_rider.h"
 #include "wigeonwalk/documents/document_propagation.h"
 #include "wigeonwalk/membership/failure_detector.h"
 #include "wigeonwalk/membership/rendezvous.h"
@@ -16,9 +16,6 @@
 
 namespace {
 
-// Notices on one datagram; about 90 bytes each beside ten member updates.
-constexpr std::size_t kNoticesPerDatagram = 3;
-
 MemberUpdate
 SelfOf(const Cluster::Parts& aParts)
 {
@@ -69,102 +66,6 @@
   return *ClusterKey::FromText(own, reason);
 }
 
-// What is piggybacked on probes: the digest of documents, and notices of poison
-// requests and leaving upstreams. Satisfies ProbeRider.
-class ClusterRider
-{
-public:
-  ClusterRider(DocumentStore& aStore, DaemonView& aView, EventRecorder& aEvents)
-    : store(aStore)
-    , view(aView)
-    , events(aEvents)
-  {
-  }
-
-  DocumentDigest CurrentDigest(TimePoint aNow)
-  {
-    return this->store.Digest(aNow);
-  }
-
-  // Evidence that has to be pushed rides on each datagram until the push ends.
-  std::vector<PeerNotice> TakeNotices(TimePoint)
-  {
-    std::vector<PeerNotice> notices = this->urgent;
-    for (const auto& notice :
-         this->view.poison.TakeNotices(kNoticesPerDatagram)) {
-      notices.push_back(EncodeNotice(notice));
-    }
-    for (const auto& notice :
-         this->view.upstreams.Marks().TakeNotices(kNoticesPerDatagram)) {
-      notices.push_back(EncodeNotice(notice));
-    }
-    return notices;
-  }
-
-  void OnRidden(const PeerDatagram& aDatagram, TimePoint aNow)
-  {
-    this->onProbe(aDatagram);
-    for (const PeerNotice& notice : aDatagram.notices) {
-      if (const auto poison = DecodePoisonNotice(notice)) {
-        if (this->view.poison.MergeNotice(*poison, aNow)) {
-          this->onEvidence();
-        }
-      }
-      if (const auto leaving = DecodeLeavingNotice(notice)) {
-        this->view.upstreams.Marks().MergeNotice(*leaving);
-      }
-    }
-  }
-
-  void OnContact(const PeerDatagram& aAnswer, TimePoint aProbedAt)
-  {
-    this->onContact(aAnswer, aProbedAt);
-  }
-
-  void OnMemberChange(const MemberUpdate& aUpdate, TimePoint aNow)
-  {
-    this->events.Record({ EventOf(aUpdate.state),
-                          aNow,
-                          RequestId(),
-                          aUpdate.host.Text(),
-                          std::nullopt,
-                          {} });
-    this->onMembers();
-  }
-
-  static EventKind EventOf(MemberState aState)
-  {
-    switch (aState) {
-      case MemberState::Alive:
-        return EventKind::MemberJoined;
-      case MemberState::Suspect:
-        return EventKind::MemberSuspected;
-      case MemberState::Lost:
-        return EventKind::MemberLost;
-      case MemberState::Left:
-        break;
-    }
-    return EventKind::MemberLeft;
-  }
-
-  // Where digests and contacts go; set before the first datagram.
-  std::function<void(const PeerDatagram&)> onProbe;
-  std::function<void(const PeerDatagram&, TimePoint)> onContact;
-  // Called after the state of a member has changed.
-  std::function<void()> onMembers;
-  // Called for new evidence against a request.
-  std::function<void()> onEvidence;
-  // Notices of the push that is under way.
-  std::vector<PeerNotice> urgent;
-
-private:
-  DocumentStore& store;
-  DaemonView& view;
-  EventRecorder& events;
-};
-
-static_assert(ProbeRider<ClusterRider>);
-
 } // namespace
 
 struct Cluster::State
