entry, queueing: book engine memory before a run is sent, and see all runners of a small fleet

Nothing refused by load. Each daemon also knew loads and parts of its own zone only, though the placement uses runners of all zones.

Change: a library `queueing` orders waiting prompts by rank and fairly among organisations and forecasts their wait from the memory that this daemon's runs release. Large prompts wait for a runner with room (88% of its memory) for at most half of the target latency, and are refused at once, as not run, if the forecast is longer; small prompts use the rest and are never refused for it. Runners of all zones are followed if they accept a call from every daemon, and loads go to the nearest eight daemons, not only to those of the zone.

Ruled out: prefill rate (40% used), connections, plain services.

The tests fail on the former placement.

--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -172,10 +172,15 @@
     }
     for (const auto& runner : this->state.fleet.All()) {
       const auto* service = routes->FindService(runner->entry.service);
-      // Following runners of other zones would cost more than it saves: prompts
-      // with long bodies stay in the zone, and long parts are in the stores.
-      if (runner->leaving || service == nullptr || !service->engine ||
-          runner->entry.zone != zone) {
+      if (runner->leaving || service == nullptr || !service->engine) {
+        continue;
+      }
+      // If a runner accepts calls from every daemon, each daemon follows all
+      // runners and can use parts in any zone. In a larger cluster, forwarding
+      // events between zones would cost more than it saves.
+      const std::uint32_t calls = service->engine->eventCalls;
+      const bool followedByAll = all.size() <= FollowersOf(calls);
+      if (!followedByAll && runner->entry.zone != zone) {
         continue;
       }
       const CacheHolder holder{ runner->entry.id,
@@ -188,18 +193,24 @@
       wanted.emplace(
         holder.id,
         WantedHolder{
-          holder, RankFollowers(holder, service->engine->eventCalls, ofZone) });
+          holder, RankFollowers(holder, calls, followedByAll ? all : ofZone) });
     }
     return wanted;
   }
 
+  // Returns how many daemons may follow a holder that accepts `aCalls`
+  // concurrent calls.
+  static std::size_t FollowersOf(std::uint32_t aCalls)
+  {
+    return aCalls > kReservedCalls ? aCalls - kReservedCalls : aCalls;
+  }
+
   static HolderFollowers RankFollowers(const CacheHolder& aHolder,
                                        std::uint32_t aCalls,
                                        const std::vector<HostId>& aHosts)
   {
-    const std::size_t following =
-      aCalls > kReservedCalls ? aCalls - kReservedCalls : aCalls;
-    return { RankOwners(aHolder.id.Text(), aHosts, aHosts.size()), following };
+    return { RankOwners(aHolder.id.Text(), aHosts, aHosts.size()),
+             FollowersOf(aCalls) };
   }
 
   bool IsFollower(const UpstreamId& aHolder) const
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -101,6 +101,16 @@
   return found == this->weights.end() ? KnownWeights{} : found->second;
 }
 
+std::shared_ptr<ServiceQueue>
+EntryState::QueueOf(const ServiceName& aService)
+{
+  std::shared_ptr<ServiceQueue>& queue = this->queues[aService];
+  if (queue == nullptr) {
+    queue = std::make_shared<ServiceQueue>();
+  }
+  return queue;
+}
+
 std::size_t
 EntryState::DaemonCount() const
 {
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -10,6 +10,7 @@
 #include "wigeonwalk/fleet/part_index.h"
 #include "wigeonwalk/fleet/runner_choice.h"
 #include "wigeonwalk/ports/registry_items.h"
+#include "wigeonwalk/queueing/service_queue.h"
 #include "wigeonwalk/retry/poison_tracker.h"
 #include "wigeonwalk/retry/sliding_window_budget.h"
 #include "wigeonwalk/routing/route_table.h"
@@ -73,6 +74,10 @@
 
   KnownWeights WeightsOf(const ModelName& aModel) const;
 
+  // Returns the queue of requests that wait for a runner of the service.
+  // Waiting requests share it, because a cancelled one may end after the state.
+  std::shared_ptr<ServiceQueue> QueueOf(const ServiceName& aService);
+
   // The number of daemons, this one included.
   std::size_t DaemonCount() const;
 
@@ -97,6 +102,7 @@
   EntrySettings settings;
   std::shared_ptr<const RouteTable> routes;
   std::map<ModelName, KnownWeights> weights;
+  std::map<ServiceName, std::shared_ptr<ServiceQueue>> queues;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/forward_progress.h
+++ b/wigeonwalk/entry/forward_progress.h
@@ -25,6 +25,8 @@
   int connectAttempts = 0;
   Verdict verdict = Verdict::NotRun;
   FailureReason failure;
+  // Delay until a retry if the request is refused; zero for the default.
+  Duration retryAfter{ 0 };
   AttemptEnd end = AttemptEnd::Failed;
   // The caller has got its final response or has left.
   bool done = false;
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -10,7 +10,7 @@
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/forward_progress.h"
 #include "wigeonwalk/entry/request_log.h"
-#include "wigeonwalk/entry/runner_pick.h"
+#include "wigeonwalk/entry/runner_wait.h"
 #include "wigeonwalk/ports/attempts.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/request_metrics.h"
@@ -56,16 +56,13 @@
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
   // Connection attempts for one request before it is refused.
   static constexpr int kMaxConnectAttempts = 4;
-  // How often a request without a usable runner looks for one again.
-  static constexpr Duration kCandidatePollInterval =
+  // How often a request that waits for the first configuration looks for it.
+  static constexpr Duration kConfigurationPollInterval =
     std::chrono::milliseconds(20);
   // How long after the start of the process requests wait for the first
   // configuration: many times what the first read takes if the registry is
   // fast, and short compared with callers' timeouts.
   static constexpr Duration kStartupWait = std::chrono::milliseconds(600);
-  // A request waits for a usable runner for at most the route's target latency
-  // divided by this.
-  static constexpr int kCandidateWaitDivisor = 8;
   // Delay after which a caller should retry a request that did not run.
   static constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
   // Prefills of at least this many tokens are announced to other daemons: the
@@ -84,6 +81,7 @@
     , measures(aMeasures)
     , timer(aTimer)
     , log(aLog)
+    , wait(aState, aTimer)
     , relay(aState, aMeasures, aTimer)
   {
   }
@@ -118,7 +116,7 @@
   {
     const TimePoint until = this->state.startedAt + kStartupWait;
     while (this->state.Routes() == nullptr && this->timer.Now() < until) {
-      const TimePoint next = this->timer.Now() + kCandidatePollInterval;
+      const TimePoint next = this->timer.Now() + kConfigurationPollInterval;
       co_await this->timer.WaitUntil(next);
     }
   }
@@ -141,6 +139,7 @@
       FailureReason reason;
       aProgress.end =
         co_await this->TryOnce(aRequest, aProgress, *choice, aExchange, reason);
+      this->NoteReleased(aRequest.facts, aProgress);
       const bool cancelled = co_await this->IsCancelled();
       if (cancelled) {
         aProgress.end = AttemptEnd::CallerGone;
@@ -157,32 +156,26 @@
     }
   }
 
-  // Picks a runner. Waits for a short time if none can be used now.
+  // Picks a runner; waits while none has room for the request.
   Task<std::optional<RunnerPick>> Choose(const EntryRequest& aRequest,
                                          Progress& aProgress)
   {
-    const TimePoint giveUpAt =
-      std::min(aProgress.admitted.deadline,
-               this->timer.Now() + aProgress.admitted.route->targetLatency /
-                                     kCandidateWaitDivisor);
-    while (true) {
-      const TimePoint now = this->timer.Now();
-      auto choice = PickRunner(
-        this->state, aRequest, aProgress.admitted, aProgress.tried, now);
-      if (choice) {
-        choice->spec.resumeAfter = aProgress.lastEventId;
-        co_return choice;
-      }
-      if (now >= giveUpAt) {
-        break;
+    const RunnerSearch search{ aRequest,
+                               aProgress.admitted,
+                               aProgress.tried,
+                               aProgress.arrivedAt,
+                               aProgress.streamStarted };
+    SearchFailure failure;
+    auto choice = co_await this->wait.Find(search, failure);
+    if (choice) {
+      choice->spec.resumeAfter = aProgress.lastEventId;
+    } else {
+      if (aProgress.failure.code == ReasonCode::None) {
+        aProgress.failure = failure.reason;
       }
-      const TimePoint next = std::min(now + kCandidatePollInterval, giveUpAt);
-      co_await this->timer.WaitUntil(next);
-    }
-    if (aProgress.failure.code == ReasonCode::None) {
-      Fail(aProgress.failure, ReasonCode::Unavailable, "no runner can be used");
+      aProgress.retryAfter = failure.retryAfter;
     }
-    co_return std::nullopt;
+    co_return choice;
   }
 
   // Sends the request to one runner and relays its response.
@@ -233,6 +226,14 @@
     co_return end;
   }
 
+  void NoteReleased(const EntryRequest& aRequest, const Progress& aProgress)
+  {
+    if (aRequest.prompt) {
+      this->state.QueueOf(aProgress.admitted.service->name)
+        ->NoteReleased(aRequest.prompt->MemoryTokens(), this->timer.Now());
+    }
+  }
+
   // Returns true if this task was cancelled because the caller has left.
   Task<bool> IsCancelled() const
   {
@@ -325,7 +326,8 @@
     refusal.verdict = aProgress.verdict;
     refusal.reason = aProgress.failure;
     if (aProgress.verdict == Verdict::NotRun) {
-      refusal.retryAfter = kRetryAfter;
+      refusal.retryAfter =
+        aProgress.retryAfter > Duration(0) ? aProgress.retryAfter : kRetryAfter;
     }
     co_await aExchange.Refuse(refusal);
   }
@@ -351,6 +353,7 @@
   M& measures;
   T& timer;
   L& log;
+  RunnerWait<T> wait;
   AnswerRelay<Attempt, M, T> relay;
 };
 
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -279,12 +279,8 @@
     const PeerNotice notice{ NoticeKind::RunnerLoads,
                              this->codec.EncodeLoads(loads) };
     const EntrySettings& settings = this->state.Settings();
-    std::vector<EntryMember> members = this->Others();
-    std::erase_if(members, [&settings](const EntryMember& aMember) {
-      return aMember.zone != settings.zone;
-    });
-    for (const EntryMember& member :
-         NextMembers(settings.host, std::move(members), kMaxLoadPeers)) {
+    for (const EntryMember& member : NearestMembers(
+           settings.host, settings.zone, this->Others(), kMaxLoadPeers)) {
       this->SendNotice(member, notice);
     }
   }
--- a/wigeonwalk/entry/peer_loads.cc
+++ b/wigeonwalk/entry/peer_loads.cc
@@ -45,15 +45,20 @@
 }
 
 std::vector<EntryMember>
-NextMembers(const HostId& aSelf,
-            std::vector<EntryMember> aMembers,
-            std::size_t aCount)
+NearestMembers(const HostId& aSelf,
+               const AvailabilityZone& aZone,
+               std::vector<EntryMember> aMembers,
+               std::size_t aCount)
 {
   const auto next = std::find_if(
     aMembers.begin(), aMembers.end(), [&aSelf](const EntryMember& aMember) {
       return aSelf < aMember.host;
     });
   std::rotate(aMembers.begin(), next, aMembers.end());
+  std::stable_partition(
+    aMembers.begin(), aMembers.end(), [&aZone](const EntryMember& aMember) {
+      return aMember.zone == aZone;
+    });
   aMembers.resize(std::min(aMembers.size(), aCount));
   return aMembers;
 }
--- a/wigeonwalk/entry/peer_loads.h
+++ b/wigeonwalk/entry/peer_loads.h
@@ -41,12 +41,14 @@
 RunnerLoads
 LoadsOf(const Fleet& aFleet);
 
-// Returns the up to `aCount` members that follow this daemon in host order,
-// wrapping around, so that each member gets reports from equally many daemons.
+// Returns up to `aCount` members, those of `aZone` first. Within and outside
+// the zone they are the ones that follow this daemon in host order, wrapping
+// around, so that each member gets reports from equally many daemons.
 // `aMembers` is sorted by host and does not contain this daemon.
 std::vector<EntryMember>
-NextMembers(const HostId& aSelf,
-            std::vector<EntryMember> aMembers,
-            std::size_t aCount);
+NearestMembers(const HostId& aSelf,
+               const AvailabilityZone& aZone,
+               std::vector<EntryMember> aMembers,
+               std::size_t aCount);
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -34,6 +34,7 @@
               const EntryRequest& aRequest,
               const AdmittedRequest& aAdmitted,
               const Candidates& aCandidates,
+              RoomRule aRoom,
               RunnerPick& aPick,
               TimePoint aNow)
 {
@@ -51,6 +52,7 @@
     .bytesPerToken = traits.bytesPerToken,
     .newest = newest.version,
     .onlyNewest = RequiresNewestWeights(aState, newest, aNow),
+    .room = aRoom,
     .costs = CostsFrom(aState),
   };
   const auto sources = aState.Sources(aNow);
@@ -80,6 +82,7 @@
            const EntryRequest& aRequest,
            const AdmittedRequest& aAdmitted,
            const std::vector<UpstreamId>& aTried,
+           RoomRule aRoom,
            TimePoint aNow)
 {
   const Candidates candidates =
@@ -89,7 +92,8 @@
   }
   RunnerPick pick;
   if (aRequest.prompt && aAdmitted.service->engine) {
-    if (!PickForPrompt(aState, aRequest, aAdmitted, candidates, pick, aNow)) {
+    if (!PickForPrompt(
+          aState, aRequest, aAdmitted, candidates, aRoom, pick, aNow)) {
       return std::nullopt;
     }
   } else {
--- a/wigeonwalk/entry/runner_pick.h
+++ b/wigeonwalk/entry/runner_pick.h
@@ -27,12 +27,13 @@
 };
 
 // Returns the runner with the lowest expected cost among those not in `aTried`,
-// or nothing if none can be used now.
+// or nothing if none can be used now. `aRoom` applies to prompts only.
 std::optional<RunnerPick>
 PickRunner(const EntryState& aState,
            const EntryRequest& aRequest,
            const AdmittedRequest& aAdmitted,
            const std::vector<UpstreamId>& aTried,
+           RoomRule aRoom,
            TimePoint aNow);
 
 } // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/runner_wait.h
@@ -0,0 +1,199 @@
+// Finds a runner for the next attempt of a request and waits while none has
+// room.
+//
+//   RunnerWait wait(state, timer);
+//   auto pick = co_await wait.Find(search, failure);
+//   if (!pick) { ... refuse with failure.reason and failure.retryAfter ... }
+#pragma once
+
+#include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/runner_pick.h"
+#include "wigeonwalk/ports/clock.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace wigeonwalk {
+
+// A request that needs a runner.
+struct RunnerSearch
+{
+  const EntryRequest& request;
+  const AdmittedRequest& admitted;
+  const std::vector<UpstreamId>& tried;
+  TimePoint arrivedAt;
+  // The caller has received events of a stream that goes on elsewhere.
+  bool resumes = false;
+};
+
+// Why no runner was found; the request has not been sent.
+struct SearchFailure
+{
+  FailureReason reason;
+  // Delay until a retry; zero for the default.
+  Duration retryAfter{ 0 };
+};
+
+// A large prompt waits for a runner with memory for it, and is refused if the
+// wait would make its first token late. A small prompt waits for a short time
+// only and is then sent to the best runner: it costs an engine little to
+// preempt for it. Requests without a prompt wait only if no runner can be used.
+template<Timer T>
+class RunnerWait
+{
+public:
+  // How often a waiting request looks for a runner.
+  static constexpr Duration kPollInterval = std::chrono::milliseconds(20);
+  // Small prompts, and requests without a usable runner, wait for at most the
+  // route's target latency divided by this.
+  static constexpr int kShortWaitDivisor = 8;
+  // Large prompts wait for at most the target latency divided by this, counted
+  // from their arrival; the rest is left for the prefill.
+  static constexpr int kLongWaitDivisor = 2;
+
+  RunnerWait(EntryState& aState, T& aTimer)
+    : state(aState)
+    , timer(aTimer)
+  {
+  }
+
+  Task<std::optional<RunnerPick>> Find(const RunnerSearch& aSearch,
+                                       SearchFailure& aFailure)
+  {
+    const auto queue = this->state.QueueOf(aSearch.admitted.service->name);
+    const std::uint32_t rank = this->QueueRank(aSearch);
+    if (aSearch.resumes || !queue->requests.HasWaiting(rank)) {
+      const RoomRule rule =
+        aSearch.resumes ? RoomRule::Ignored : RoomRule::Required;
+      auto pick = this->Pick(aSearch, rule);
+      if (pick) {
+        co_return pick;
+      }
+    }
+    const QueuePlace place(
+      queue, { rank, OrganisationOf(aSearch), TokensOf(aSearch.request) });
+    const TimePoint giveUpAt = this->GiveUpAt(aSearch);
+    if (this->WaitsForRoom(aSearch)) {
+      const Admission admission = queue->Admit(place.ticket,
+                                               giveUpAt - this->timer.Now(),
+                                               SpreadOf(aSearch.request),
+                                               this->timer.Now());
+      if (!admission.admitted && this->Pick(aSearch, RoomRule::Ignored)) {
+        Refuse(aFailure, admission.retryAfter);
+        co_return std::nullopt;
+      }
+    }
+    while (this->timer.Now() < giveUpAt) {
+      const TimePoint next =
+        std::min(this->timer.Now() + kPollInterval, giveUpAt);
+      co_await this->timer.WaitUntil(next);
+      if (queue->requests.IsFirst(place.ticket)) {
+        const RoomRule rule =
+          aSearch.resumes ? RoomRule::Ignored : RoomRule::Required;
+        auto pick = this->Pick(aSearch, rule);
+        if (pick) {
+          co_return pick;
+        }
+      }
+    }
+    auto pick = this->Pick(aSearch, RoomRule::Ignored);
+    if (!pick) {
+      Fail(aFailure.reason, ReasonCode::Unavailable, "no runner can be used");
+    } else if (this->WaitsForRoom(aSearch)) {
+      Refuse(aFailure,
+             ServiceQueue::RetryAfter(std::nullopt, SpreadOf(aSearch.request)));
+      pick.reset();
+    }
+    co_return pick;
+  }
+
+private:
+  // A request's place in the queue; the destructor gives it up, also if the
+  // caller leaves.
+  struct QueuePlace
+  {
+    QueuePlace(std::shared_ptr<ServiceQueue> aQueue, const QueuedWork& aWork)
+      : queue(std::move(aQueue))
+      , ticket(this->queue->requests.Enter(aWork))
+    {
+    }
+    ~QueuePlace() { this->queue->requests.Leave(this->ticket); }
+    QueuePlace(const QueuePlace&) = delete;
+    QueuePlace& operator=(const QueuePlace&) = delete;
+
+    std::shared_ptr<ServiceQueue> queue;
+    WaitQueue::Ticket ticket;
+  };
+
+  static std::uint64_t TokensOf(const EntryRequest& aRequest)
+  {
+    return aRequest.prompt ? aRequest.prompt->MemoryTokens() : 0;
+  }
+
+  static OrganisationId OrganisationOf(const RunnerSearch& aSearch)
+  {
+    const auto* organisation = aSearch.admitted.organisation;
+    return organisation ? organisation->name : OrganisationId();
+  }
+
+  // A number in [0, 1) that differs between requests.
+  static double SpreadOf(const EntryRequest& aRequest)
+  {
+    constexpr std::uint64_t kSteps = 1'024;
+    return static_cast<double>(HashBytes(aRequest.id.Text(), 0).low % kSteps) /
+           kSteps;
+  }
+
+  static void Refuse(SearchFailure& aFailure, Duration aRetryAfter)
+  {
+    Fail(aFailure.reason,
+         ReasonCode::Overloaded,
+         "no runner has memory for the prompt in time");
+    aFailure.retryAfter = aRetryAfter;
+  }
+
+  // Returns true if the request is refused rather than sent to a full runner.
+  bool WaitsForRoom(const RunnerSearch& aSearch) const
+  {
+    const auto& engine = aSearch.admitted.service->engine;
+    return !aSearch.resumes && engine &&
+           IsLargeRequest(TokensOf(aSearch.request), engine->cacheTokens);
+  }
+
+  // Within a priority, small prompts precede large ones: they use memory that
+  // large ones leave free.
+  std::uint32_t QueueRank(const RunnerSearch& aSearch) const
+  {
+    return 2 * aSearch.admitted.Priority() +
+           (this->WaitsForRoom(aSearch) ? 1 : 0);
+  }
+
+  TimePoint GiveUpAt(const RunnerSearch& aSearch) const
+  {
+    const Duration target = aSearch.admitted.route->targetLatency;
+    const TimePoint until = this->WaitsForRoom(aSearch)
+                              ? aSearch.arrivedAt + target / kLongWaitDivisor
+                              : this->timer.Now() + target / kShortWaitDivisor;
+    return std::min(aSearch.admitted.deadline, until);
+  }
+
+  std::optional<RunnerPick> Pick(const RunnerSearch& aSearch,
+                                 RoomRule aRoom) const
+  {
+    return PickRunner(this->state,
+                      aSearch.request,
+                      aSearch.admitted,
+                      aSearch.tried,
+                      aRoom,
+                      this->timer.Now());
+  }
+
+  EntryState& state;
+  T& timer;
+};
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/entry/runner_wait_test.cc
@@ -0,0 +1,185 @@
+#include "wigeonwalk/entry/runner_wait.h"
+#include "wigeonwalk/entry/test_entry.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t kRunnerTokens = 40'000;
+
+// A daemon before two model runners with memory for three large prompts each.
+struct Setting : TestEntry
+{
+  Setting()
+  {
+    RoutingConfiguration configuration = this->state.Routes()->Configuration();
+    ++configuration.version;
+    EngineTraits engine;
+    engine.slots = 64;
+    engine.cacheTokens = kRunnerTokens;
+    engine.models = { ModelName("m") };
+    configuration.services[0].engine = engine;
+    this->state.Apply(configuration, this->time.Now());
+    this->state.ApplyRemoved(UpstreamId("r-3"), this->time.Now());
+  }
+
+  // Starts a search and records how it ended.
+  struct Search
+  {
+    EntryRequest request;
+    AdmittedRequest admitted;
+    std::vector<UpstreamId> tried;
+    std::optional<RunnerPick> pick;
+    std::unique_ptr<RunnerLoad> load;
+    SearchFailure failure;
+    TimePoint startedAt;
+    std::optional<TimePoint> endedAt;
+  };
+
+  std::shared_ptr<Search> Start(std::uint32_t aTokens)
+  {
+    auto search = std::make_shared<Search>();
+    search->request.id = RequestId("q-" + std::to_string(++this->started));
+    search->request.host = "a.example";
+    search->request.target = "/stream/" + std::to_string(this->started);
+    search->request.apiKey = "key";
+    search->request.callerTimeout = 10s;
+    search->request.prompt =
+      Prompt{ ModelName("m"), aTokens, 0, { { "own", aTokens } } };
+    FailureReason reason;
+    search->startedAt = this->time.Now();
+    REQUIRE(AdmitRequest(this->state,
+                         search->request,
+                         this->time.Now(),
+                         search->admitted,
+                         reason));
+    this->time.Spawn(this->Run(search));
+    this->time.RunUntil(this->time.Now());
+    return search;
+  }
+
+  Task<void> Run(std::shared_ptr<Search> aSearch)
+  {
+    RunnerWait<VirtualTime> wait(this->state, this->time);
+    const RunnerSearch search{
+      aSearch->request, aSearch->admitted, aSearch->tried, aSearch->startedAt
+    };
+    aSearch->pick = co_await wait.Find(search, aSearch->failure);
+    aSearch->endedAt = this->time.Now();
+    if (aSearch->pick) {
+      aSearch->load = std::make_unique<RunnerLoad>(
+        aSearch->pick->runner, aSearch->request.prompt->MemoryTokens(), 0);
+    }
+  }
+
+  int started = 0;
+};
+
+} // namespace
+
+// Guards against large prompts that are sent to full runners, where they are
+// preempted, and against refusals while a runner has room.
+SCENARIO("a large prompt waits for memory and is refused if it would be late")
+{
+  Setting setting;
+  std::vector<std::shared_ptr<Setting::Search>> running;
+  for (int i = 0; i < 4; ++i) {
+    running.push_back(setting.Start(12'000));
+    REQUIRE(running.back()->pick);
+    CHECK(running.back()->endedAt == running.back()->startedAt);
+  }
+
+  GIVEN("runners that are full")
+  {
+    const auto waiting = setting.Start(12'000);
+    CHECK_FALSE(waiting->endedAt);
+
+    WHEN("a run ends in time")
+    {
+      setting.time.RunUntil(setting.time.Now() + 200ms);
+      const UpstreamId released = running[1]->pick->runner->entry.id;
+      running[1]->load.reset();
+      setting.time.RunUntil(setting.time.Now() + 50ms);
+
+      THEN("the prompt is sent there")
+      {
+        REQUIRE(waiting->pick);
+        CHECK(waiting->pick->runner->entry.id == released);
+      }
+    }
+
+    WHEN("none ends in half of the route's target latency of 800 ms")
+    {
+      setting.time.RunUntil(setting.time.Now() + 400ms);
+
+      THEN("the prompt is refused with a time to return")
+      {
+        REQUIRE(waiting->endedAt);
+        CHECK_FALSE(waiting->pick);
+        CHECK(waiting->failure.reason.code == ReasonCode::Overloaded);
+        CHECK(waiting->failure.retryAfter > 0ms);
+      }
+    }
+
+    THEN("a small prompt is sent at once")
+    {
+      CHECK(setting.Start(300)->pick);
+    }
+
+    THEN("small prompts are sent to a full runner after a short wait")
+    {
+      for (const auto& runner : setting.state.fleet.All()) {
+        runner->othersTokensInFlight = kRunnerTokens;
+      }
+      const auto small = setting.Start(300);
+      CHECK_FALSE(small->endedAt);
+      setting.time.RunUntil(setting.time.Now() + 100ms);
+      CHECK(small->pick);
+    }
+  }
+
+  GIVEN("runs that end slowly, and a backlog")
+  {
+    const auto queue = setting.state.QueueOf(ServiceName("plain"));
+    for (int i = 0; i < 4; ++i) {
+      queue->NoteReleased(12'000, setting.time.Now());
+    }
+    std::vector<std::shared_ptr<Setting::Search>> waiting;
+    for (int i = 0; i < 3; ++i) {
+      waiting.push_back(setting.Start(12'000));
+    }
+
+    THEN("a prompt that can't be placed in time is refused at once")
+    {
+      CHECK_FALSE(waiting.back()->pick);
+      CHECK(waiting.back()->endedAt == waiting.back()->startedAt);
+      CHECK(waiting.back()->failure.reason.code == ReasonCode::Overloaded);
+    }
+
+    THEN("the next prompt is sent as soon as a runner has room")
+    {
+      running[0]->load.reset();
+      setting.time.RunUntil(setting.time.Now() + 1s);
+      CHECK(setting.Start(12'000)->pick);
+    }
+  }
+
+  GIVEN("no runner that can be used")
+  {
+    for (const auto& runner : setting.state.fleet.All()) {
+      runner->pausedUntil = setting.time.Now() + 10s;
+    }
+    const auto waiting = setting.Start(12'000);
+    setting.time.RunUntil(setting.time.Now() + 1s);
+    THEN("the reason is not overload")
+    {
+      CHECK_FALSE(waiting->pick);
+      CHECK(waiting->failure.reason.code == ReasonCode::Unavailable);
+    }
+  }
+}
--- a/wigeonwalk/fleet/prompt.h
+++ b/wigeonwalk/fleet/prompt.h
@@ -29,6 +29,12 @@
   std::uint32_t maxOutputTokens = 0;
   std::vector<PromptPart> parts;
 
+  // Engine memory that the request takes at most, in tokens.
+  std::uint64_t MemoryTokens() const
+  {
+    return std::uint64_t(this->inputTokens) + this->maxOutputTokens;
+  }
+
   bool operator==(const Prompt&) const = default;
 };
 
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -153,9 +153,9 @@
   const Duration others =
     std::max(aRunner.othersPrefillUntil - aNow, Duration(0));
   double wait = own / costs.readTokensPerMs + ToSeconds(others) * 1'000;
-  const std::uint64_t needed =
-    aRunner.tokensInFlight + aRunner.othersTokensInFlight +
-    aQuery.prompt.inputTokens + aQuery.prompt.maxOutputTokens;
+  const std::uint64_t needed = aRunner.tokensInFlight +
+                               aRunner.othersTokensInFlight +
+                               aQuery.prompt.MemoryTokens();
   if (aQuery.runnerTokens > 0) {
     const double fill =
       static_cast<double>(needed) /
@@ -272,6 +272,37 @@
   return 2 * aRank + (aPrefillTokens > kPrefillChunkTokens ? 1 : 0);
 }
 
+bool
+IsLargeRequest(std::uint64_t aTokens, std::uint64_t aRunnerTokens)
+{
+  return static_cast<double>(aTokens) >
+           kLargeRequestFraction * static_cast<double>(aRunnerTokens) &&
+         aRunnerTokens > 0;
+}
+
+bool
+HasRoom(const EngineQuery& aQuery, const Runner& aRunner)
+{
+  const std::uint32_t running = aRunner.inFlight + aRunner.othersInFlight;
+  if (running == 0) {
+    return true;
+  }
+  if (aRunner.entry.slots > 0 && running >= aRunner.entry.slots) {
+    return false;
+  }
+  if (aQuery.runnerTokens == 0) {
+    return true;
+  }
+  const std::uint64_t needed = aQuery.prompt.MemoryTokens();
+  const double share = IsLargeRequest(needed, aQuery.runnerTokens)
+                         ? kLargeMemoryShare
+                         : kMemoryShare;
+  const std::uint64_t inFlight =
+    aRunner.tokensInFlight + aRunner.othersTokensInFlight;
+  return static_cast<double>(inFlight + needed) <=
+         share * static_cast<double>(aQuery.runnerTokens);
+}
+
 std::optional<EngineChoice>
 ChooseEngine(const EngineQuery& aQuery,
              std::span<const std::shared_ptr<Runner>> aCandidates,
@@ -296,6 +327,9 @@
     if (old && aQuery.onlyNewest) {
       continue;
     }
+    if (aQuery.room == RoomRule::Required && !HasRoom(aQuery, *runner)) {
+      continue;
+    }
     EngineChoice choice;
     choice.runner = runner;
     choice.version = version;
--- a/wigeonwalk/fleet/runner_choice.h
+++ b/wigeonwalk/fleet/runner_choice.h
@@ -88,6 +88,30 @@
 // Fraction of a runner's memory that requests may fill before new ones wait.
 inline constexpr double kMemoryShare = 0.95;
 
+// Fraction that large requests may fill; the rest is left to small ones, which
+// would otherwise wait for the end of a long run or preempt it.
+inline constexpr double kLargeMemoryShare = 0.88;
+
+// Requests that need more than this fraction of a runner's memory are large.
+inline constexpr double kLargeRequestFraction = 1.0 / 32;
+
+// Whether a runner must have memory and a slot for the request.
+enum class RoomRule
+{
+  Required,
+  Ignored,
+};
+
+template<>
+struct EnumNames<RoomRule>
+{
+  static constexpr std::array<EnumName<RoomRule>, 2> kTable{ {
+    { RoomRule::Required, "required" },
+    { RoomRule::Ignored, "ignored" },
+  } };
+};
+static_assert(HasCompleteTable<RoomRule>());
+
 // A request with a prompt for which a runner is to be chosen.
 struct EngineQuery
 {
@@ -104,6 +128,7 @@
   WeightNumber newest = 0;
   // Excludes runners with older weights.
   bool onlyNewest = false;
+  RoomRule room = RoomRule::Ignored;
   PlacementCosts costs;
 };
 
@@ -133,6 +158,16 @@
 std::uint32_t
 EnginePriority(std::uint32_t aRank, std::uint32_t aPrefillTokens);
 
+// Returns true if a request that needs this much memory, in tokens, is large
+// for a runner with `aRunnerTokens`. Nothing is large if that is unknown.
+bool
+IsLargeRequest(std::uint64_t aTokens, std::uint64_t aRunnerTokens);
+
+// Returns true if the runner has a slot and memory for the query's request, by
+// the requests in flight there. An empty runner has room for any request.
+bool
+HasRoom(const EngineQuery& aQuery, const Runner& aRunner);
+
 // Returns the candidate with the lowest expected cost, or nothing if none may
 // be used. `aHolders` contains only holders that currently answer.
 std::optional<EngineChoice>
--- a/wigeonwalk/fleet/runner_choice_test.cc
+++ b/wigeonwalk/fleet/runner_choice_test.cc
@@ -50,6 +50,7 @@
   WeightNumber newest = 1;
   bool onlyNewest = false;
   std::size_t bodyBytes = 34'000;
+  RoomRule room = RoomRule::Ignored;
 
   std::optional<EngineChoice> Choose() const
   {
@@ -61,6 +62,7 @@
                              .bytesPerToken = 18'432,
                              .newest = this->newest,
                              .onlyNewest = this->onlyNewest,
+                             .room = this->room,
                              .costs = {} };
     return ChooseEngine(query, this->runners, this->index, this->holders, kNow);
   }
@@ -344,3 +346,73 @@
   CHECK(EnginePriority(0, 100) < EnginePriority(0, 10'000));
   CHECK(EnginePriority(0, 10'000) < EnginePriority(1, 100));
 }
+
+// Guards against runs that an engine preempts because its memory is overbooked,
+// and against large prompts that leave no memory for small ones.
+SCENARIO("a runner is chosen only if it has room, where that is required")
+{
+  Setting setting;
+  setting.room = RoomRule::Required;
+  setting.runners = { MakeRunner("r-1", "north"), MakeRunner("r-2", "north") };
+  Runner& first = *setting.runners[0];
+  Runner& second = *setting.runners[1];
+  const auto fill =
+    [](Runner& aRunner, std::uint64_t aOwn, std::uint64_t aOthers) {
+      aRunner.inFlight = 2;
+      aRunner.tokensInFlight = aOwn;
+      aRunner.othersTokensInFlight = aOthers;
+    };
+
+  GIVEN("one runner with memory for the prompt")
+  {
+    fill(first, 30'000, 15'000);
+    fill(second, 10'000, 15'000);
+    THEN("it is chosen")
+    {
+      CHECK(setting.Choose()->runner->entry.id == UpstreamId("r-2"));
+    }
+  }
+
+  GIVEN("runners that are full with the requests of all daemons")
+  {
+    fill(first, 30'000, 15'000);
+    fill(second, 0, 45'000);
+    THEN("none is chosen")
+    {
+      CHECK_FALSE(setting.Choose());
+    }
+    THEN("one is chosen if room is not required")
+    {
+      setting.room = RoomRule::Ignored;
+      CHECK(setting.Choose());
+    }
+    THEN("a small prompt still has room")
+    {
+      setting.prompt = { kModel, 300, 100, { { "own", 300 } } };
+      fill(first, 30'000, 28'000);
+      fill(second, 30'000, 28'000);
+      CHECK(setting.Choose());
+    }
+  }
+
+  GIVEN("runners without a free slot")
+  {
+    fill(first, 100, 0);
+    fill(second, 100, 0);
+    first.othersInFlight = 62;
+    second.othersInFlight = 62;
+    THEN("none is chosen")
+    {
+      CHECK_FALSE(setting.Choose());
+    }
+  }
+
+  GIVEN("a prompt that is larger than a runner's memory")
+  {
+    setting.prompt.inputTokens = 80'000;
+    THEN("an empty runner has room for it")
+    {
+      CHECK(setting.Choose());
+    }
+  }
+}
