entry: forward large parts' events between zones of a small fleet

Change: a runner's events are followed in its zone only; the followers forward changes of parts of 512 tokens or more to the daemons of other zones, as they do within a zone, in clusters of up to twelve daemons.

--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -18,8 +18,10 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace wigeonwalk {
@@ -54,6 +56,8 @@
   // Calls per holder kept in reserve, because daemons whose views of the
   // membership differ choose different followers.
   static constexpr std::uint32_t kReservedCalls = 2;
+  // Events are forwarded between zones in clusters of up to this many daemons.
+  static constexpr std::size_t kMaxDaemonsAcrossZones = 12;
 
   CacheFollower(EntryState& aState, C& aControl, P& aPeers, T& aTimer, L& aLog)
     : state(aState)
@@ -148,12 +152,10 @@
     }
     const AvailabilityZone& zone = this->state.Settings().zone;
     std::vector<HostId> all;
-    std::vector<HostId> ofZone;
+    std::map<AvailabilityZone, std::vector<HostId>> byZone;
     for (const auto& [host, member] : this->state.members) {
       all.push_back(host);
-      if (member.zone == zone) {
-        ofZone.push_back(host);
-      }
+      byZone[member.zone].push_back(host);
     }
     for (const auto& service : routes->Configuration().services) {
       if (service.cacheStore) {
@@ -175,12 +177,11 @@
       if (runner->leaving || service == nullptr || !service->engine) {
         continue;
       }
-      // If a runner accepts calls from every daemon, each daemon follows all
-      // runners and can use parts in any zone. In a larger cluster, forwarding
+      // A small cluster uses parts in any zone. In a larger one, forwarding
       // events between zones would cost more than it saves.
-      const std::uint32_t calls = service->engine->eventCalls;
-      const bool followedByAll = all.size() <= FollowersOf(calls);
-      if (!followedByAll && runner->entry.zone != zone) {
+      const AvailabilityZone& runnerZone = runner->entry.zone;
+      const bool forwardsBetweenZones = all.size() <= kMaxDaemonsAcrossZones;
+      if (!forwardsBetweenZones && runnerZone != zone) {
         continue;
       }
       const CacheHolder holder{ runner->entry.id,
@@ -190,27 +191,41 @@
                                 service->engine->linkMegabits,
                                 Duration(0),
                                 service->engine->cacheTokens };
-      wanted.emplace(
-        holder.id,
-        WantedHolder{
-          holder, RankFollowers(holder, calls, followedByAll ? all : ofZone) });
+      HolderFollowers ranked =
+        RankFollowers(holder, service->engine->eventCalls, byZone[runnerZone]);
+      if (forwardsBetweenZones) {
+        AddReceivers(ranked, all);
+      }
+      wanted.emplace(holder.id, WantedHolder{ holder, std::move(ranked) });
     }
     return wanted;
   }
 
-  // Returns how many daemons may follow a holder that accepts `aCalls`
-  // concurrent calls.
-  static std::size_t FollowersOf(std::uint32_t aCalls)
-  {
-    return aCalls > kReservedCalls ? aCalls - kReservedCalls : aCalls;
-  }
-
   static HolderFollowers RankFollowers(const CacheHolder& aHolder,
                                        std::uint32_t aCalls,
                                        const std::vector<HostId>& aHosts)
   {
-    return { RankOwners(aHolder.id.Text(), aHosts, aHosts.size()),
-             FollowersOf(aCalls) };
+    const std::size_t following =
+      aCalls > kReservedCalls ? aCalls - kReservedCalls : aCalls;
+    return { RankOwners(aHolder.id.Text(), aHosts, aHosts.size()), following };
+  }
+
+  // Appends the hosts that are not ranked yet. They get the events from the
+  // followers, unless there is none.
+  static void AddReceivers(HolderFollowers& aFollowers,
+                           const std::vector<HostId>& aHosts)
+  {
+    if (!aFollowers.ranked.empty()) {
+      aFollowers.following =
+        std::min(aFollowers.following, aFollowers.ranked.size());
+    }
+    const std::set<HostId> known(aFollowers.ranked.begin(),
+                                 aFollowers.ranked.end());
+    std::copy_if(
+      aHosts.begin(),
+      aHosts.end(),
+      std::back_inserter(aFollowers.ranked),
+      [&known](const HostId& aHost) { return !known.contains(aHost); });
   }
 
   bool IsFollower(const UpstreamId& aHolder) const
--- a/wigeonwalk/entry/cache_follower_test.cc
+++ b/wigeonwalk/entry/cache_follower_test.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace wigeonwalk;
 using namespace std::chrono_literals;
 
@@ -146,9 +148,37 @@
     CHECK(setting.state.holders.contains(UpstreamId("r-far")));
   }
 
-  WHEN("there are more daemons than a runner accepts calls")
+  WHEN("there is a daemon in another zone")
+  {
+    setting.state.Apply(
+      EntryMember{ HostId("front-1"), AvailabilityZone("north"), "" },
+      setting.time.Now());
+    setting.state.Apply(
+      EntryMember{ HostId("front-2"), AvailabilityZone("south"), "" },
+      setting.time.Now());
+    setting.RunFor(1s);
+    setting.AddEvent("r-near", 1, "large", 800);
+    setting.AddEvent("r-far", 1, "unknown", 800);
+    setting.RunFor(2s);
+
+    THEN("it gets the events of this zone's runners, and forwards those of its "
+         "own")
+    {
+      const HostId other("front-2");
+      const auto& sent = setting.peers.parts[other];
+      CHECK(std::any_of(sent.begin(), sent.end(), [](const HeldParts& aParts) {
+        return aParts.holder == UpstreamId("r-near") && !aParts.changes.empty();
+      }));
+      CHECK(std::none_of(sent.begin(), sent.end(), [](const HeldParts& aParts) {
+        return aParts.holder == UpstreamId("r-far");
+      }));
+      CHECK(setting.TokensAt("r-far", "unknown") == 0);
+    }
+  }
+
+  WHEN("the cluster is too large for events between zones")
   {
-    setting.AddDaemons(11);
+    setting.AddDaemons(13);
     setting.RunFor(1s);
 
     THEN("it follows the runners of its zone and all stores")
