entry: pace weight loads by their measured time

Cause: a rollout was planned with 1.4 s for a load.

Change: the number of concurrent loads follows from the average time of the loads so far, or the age of the oldest in progress, and never exceeds the third of the runners that may be out of service. A load may take 10 s before it counts as failed.

Measured: the new test (loads of 3 s, 15 s allowed, 9 to 160 runners) fails on the former pace.

--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -16,7 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -37,22 +37,6 @@
   WeightNumber version = 0;
 };
 
-// Returns how many runners may load at once so that all of them finish within
-// the deployment's time limit. More at once would load more slowly and take
-// more runners out of service.
-constexpr std::size_t
-MaxConcurrentLoads(std::size_t aRunners, Duration aAllowed)
-{
-  // Time from the order to the end of a load; the load starts after the running
-  // requests have ended.
-  constexpr double kLoadSeconds = 1.4;
-  // Fraction of the allowed time that a rollout is planned to take.
-  constexpr double kPlannedFraction = 0.8;
-  const double rounds = kPlannedFraction * ToSeconds(aAllowed) / kLoadSeconds;
-  const double atOnce = static_cast<double>(aRunners) / std::max(rounds, 1.0);
-  return static_cast<std::size_t>(atOnce) + 1;
-}
-
 // Returns how many runners may be out of service at once, including those that
 // are paused because they load next.
 constexpr std::size_t
@@ -61,6 +45,22 @@
   return aRunners / 3;
 }
 
+// Returns how many runners may load at once so that all of them finish within
+// the deployment's time limit, if one takes `aLoadTime`. More at once would
+// load more slowly and take more runners out of service.
+constexpr std::size_t
+MaxConcurrentLoads(std::size_t aRunners, Duration aAllowed, Duration aLoadTime)
+{
+  // Fraction of the allowed time that a rollout is planned to take.
+  constexpr double kPlannedFraction = 0.8;
+  const double rounds =
+    kPlannedFraction * ToSeconds(aAllowed) / ToSeconds(aLoadTime);
+  const double atOnce = static_cast<double>(aRunners) / std::max(rounds, 1.0);
+  return std::clamp(static_cast<std::size_t>(atOnce) + 1,
+                    std::size_t(1),
+                    std::max<std::size_t>(MaxOutOfService(aRunners), 1));
+}
+
 // Rolls out weights while the daemon holds the lease on orders. Each loading
 // runner has one task.
 template<OrderAuthority O,
@@ -77,8 +77,15 @@
   // requested after this time.
   static constexpr Duration kMinLoadTime = std::chrono::milliseconds(1'220);
   static constexpr Duration kReportInterval = std::chrono::milliseconds(120);
-  // A load that takes longer than this counts as failed and is tried again.
-  static constexpr Duration kLoadTimeout = std::chrono::seconds(6);
+  // Time from an order to the end of its load, before any was measured. The
+  // load starts after the runner's requests have ended, which takes some
+  // seconds where responses are long.
+  static constexpr Duration kInitialLoadTime = std::chrono::milliseconds(1'400);
+  // Weight of the latest load in the average load time.
+  static constexpr double kLoadTimeSmoothing = 0.3;
+  // A load that takes longer than this counts as failed and is tried again. The
+  // longest responses take several seconds, and the load starts after them.
+  static constexpr Duration kLoadTimeout = std::chrono::seconds(10);
   // How long a runner that loads next gets no new requests beforehand.
   static constexpr Duration kPreloadPause = std::chrono::milliseconds(1'800);
   // Delay before a runner that failed gets another order.
@@ -121,10 +128,14 @@
   Task<void> Load(LoadStep aStep)
   {
     const UpstreamId id = aStep.runner->entry.id;
+    const TimePoint startedAt = this->timer.Now();
     const bool done = co_await this->LoadOnce(aStep);
     this->loading.erase(id);
     if (done) {
       this->failed.erase(id);
+      const Duration elapsed = this->timer.Now() - startedAt;
+      this->loadTime +=
+        FromSeconds(kLoadTimeSmoothing * ToSeconds(elapsed - this->loadTime));
     } else {
       FailedLoad& failure = this->failed[id];
       ++failure.count;
@@ -166,8 +177,10 @@
     for (const auto& runner : runners) {
       busy += this->loading.contains(runner->entry.id) ? 1 : 0;
     }
-    const std::size_t maxLoading = MaxConcurrentLoads(
-      runners.size(), this->state.Settings().bounds.newWeights);
+    const std::size_t maxLoading =
+      MaxConcurrentLoads(runners.size(),
+                         this->state.Settings().bounds.newWeights,
+                         this->ExpectedLoadTime());
     for (const auto& runner : runners) {
       auto step = this->StepFor(runner);
       if (!step) {
@@ -175,7 +188,7 @@
       }
       if (busy < maxLoading) {
         aSteps.push_back(std::move(*step));
-        this->loading.insert(runner->entry.id);
+        this->loading.emplace(runner->entry.id, this->timer.Now());
         ++busy;
       } else if (busy < MaxOutOfService(runners.size())) {
         // Its running requests end while the others load.
@@ -185,6 +198,18 @@
     }
   }
 
+  // The average time of a load, or the age of the oldest one in progress if
+  // that is longer, so that the pace rises before the first slow load has
+  // ended.
+  Duration ExpectedLoadTime() const
+  {
+    Duration expected = this->loadTime;
+    for (const auto& [runner, startedAt] : this->loading) {
+      expected = std::max(expected, this->timer.Now() - startedAt);
+    }
+    return expected;
+  }
+
   std::optional<LoadStep> StepFor(const std::shared_ptr<Runner>& aRunner) const
   {
     const auto failure = this->failed.find(aRunner->entry.id);
@@ -361,7 +386,9 @@
   C& control;
   T& timer;
   L& log;
-  std::set<UpstreamId> loading;
+  // Runners with a Load task, and when it started.
+  std::map<UpstreamId, TimePoint> loading;
+  Duration loadTime = kInitialLoadTime;
   std::map<UpstreamId, FailedLoad> failed;
 };
 
--- a/wigeonwalk/entry/weight_rollout_test.cc
+++ b/wigeonwalk/entry/weight_rollout_test.cc
@@ -31,9 +31,9 @@
 // One daemon that rolls out weights.
 struct Setting
 {
-  explicit Setting(int aRunners)
+  explicit Setting(int aRunners, Duration aNewWeights = 12s)
     : control(time)
-    , state(MakeSettings("front-1"))
+    , state(MakeTimedSettings(aNewWeights))
     , rollout(state, leader, pauses, control, time, log)
   {
     this->state.Apply(MakeConfiguration(), this->time.Now());
@@ -41,6 +41,13 @@
     this->time.Spawn(this->Drive());
   }
 
+  static EntrySettings MakeTimedSettings(Duration aNewWeights)
+  {
+    EntrySettings settings = MakeSettings("front-1");
+    settings.bounds.newWeights = aNewWeights;
+    return settings;
+  }
+
   Task<void> Drive()
   {
     while (true) {
@@ -110,13 +117,33 @@
   CHECK(setting.AllHave(2));
   CHECK(setting.Loads() == static_cast<std::uint64_t>(runners));
   CHECK(setting.pauses.paused.empty());
-  CHECK(setting.maxLoading <=
-        MaxConcurrentLoads(static_cast<std::size_t>(runners), allowed) + 1);
+  CHECK(
+    setting.maxLoading <=
+    MaxConcurrentLoads(static_cast<std::size_t>(runners), allowed, 1'400ms) +
+      1);
   if (runners >= 4) {
     CHECK(setting.pauses.most <= static_cast<std::size_t>(runners) / 3 + 1);
   }
 }
 
+// Guards against a rollout that misses its time limit because each runner first
+// finishes responses that take seconds.
+SCENARIO("loads that wait for long responses still finish in time")
+{
+  const int runners = GENERATE(9, 18, 71, 160);
+  Setting setting(runners, 15s);
+  for (auto& [address, runner] : setting.control.runners) {
+    runner.loadTime = 3s;
+  }
+  setting.Publish(2);
+  setting.time.RunUntil(setting.time.Now() +
+                        setting.state.Settings().bounds.newWeights);
+  INFO(runners << " runners");
+
+  CHECK(setting.AllHave(2));
+  CHECK(setting.pauses.most <= static_cast<std::size_t>(runners) / 3 + 1);
+}
+
 // Guards against an order that takes effect twice, or a delayed order that
 // returns a runner to older weights.
 SCENARIO("orders without a response")
--- a/wigeonwalk/testing/fake_runner_control.h
+++ b/wigeonwalk/testing/fake_runner_control.h
@@ -50,6 +50,8 @@
     // Whether the fault clears after one order.
     bool faultOnce = true;
     std::uint64_t loads = 0;
+    // Time from an order to the end of its load.
+    Duration loadTime = kLoadTime;
   };
 
   explicit FakeRunnerControl(VirtualTime& aTime)
@@ -189,7 +191,7 @@
     ++aRunner.acceptedOrders;
     ++aRunner.loads;
     aRunner.loadingVersion = aOrder.version;
-    aRunner.busyUntil = this->time.Now() + kLoadTime;
+    aRunner.busyUntil = this->time.Now() + aRunner.loadTime;
     return OrderOutcome::Accepted;
   }
 
