--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -152,8 +152,10 @@
                                  change.entry.createRevision,
                                  change.entry.modRevision }));
   }
-  return PackMessage(
-    Json::array({ aChanges.revision, aChanges.full, std::move(rows) }));
+  return PackMessage(Json::array({ aChanges.revision,
+                                   aChanges.full,
+                                   std::move(rows),
+                                   aChanges.age.count() }));
 }
 
 std::optional<RegistryChanges>
@@ -163,6 +165,7 @@
     RegistryChanges changes;
     changes.revision = aJson.at(0).get<std::int64_t>();
     changes.full = aJson.at(1).get<bool>();
+    changes.age = Duration(aJson.at(3).get<std::int64_t>());
     for (const Json& row : aJson.at(2)) {
       WatchEvent change;
       change.deleted = row.at(0).get<bool>();
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -42,13 +42,14 @@
 
   SECTION("for the registry, with values of arbitrary bytes")
   {
-    RegistryChanges changes{ 12, true, {} };
+    RegistryChanges changes{ 12, std::chrono::milliseconds(700), true, {} };
     WatchEvent put{ false, { "a/b", std::string("\0\xFF{", 3), 4, 9, 0 } };
     WatchEvent removal{ true, { "a/c", "", 0, 11, 0 } };
     changes.changes = { put, removal };
     const auto decoded = codec.DecodeChanges(codec.EncodeChanges(changes));
     REQUIRE(decoded.has_value());
     CHECK(decoded->revision == 12);
+    CHECK(decoded->age == changes.age);
     CHECK(decoded->full);
     REQUIRE(decoded->changes.size() == 2);
     CHECK(decoded->changes[0].entry == put.entry);
--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -15,6 +15,7 @@
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/runner_control.h"
 #include "wigeonwalk/ports/structured_log.h"
+#include "wigeonwalk/retry/backoff.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -49,15 +50,18 @@
   static constexpr Duration kMinCallInterval = std::chrono::milliseconds(150);
   // Time allowed for the response after the long-poll timeout.
   static constexpr Duration kResponseGrace = std::chrono::milliseconds(350);
-  // Delay after a failed call.
-  static constexpr Duration kRetryDelay = std::chrono::milliseconds(100);
+  // Delay after a failed call; it doubles with each further failure. A holder
+  // that has crashed, or that accepts no more calls, is asked by many daemons,
+  // and each call has a cost.
+  static constexpr BackoffSettings kRetryDelays{
+    .initialDelay = std::chrono::milliseconds(100),
+    .maxDelay = std::chrono::milliseconds(1'600),
+  };
   // How often the list of holders is reconciled.
   static constexpr Duration kReconcileInterval = std::chrono::milliseconds(200);
   // Calls per holder kept in reserve, because daemons whose views of the
   // membership differ choose different followers.
   static constexpr std::uint32_t kReservedCalls = 2;
-  // Events are forwarded between zones in clusters of up to this many daemons.
-  static constexpr std::size_t kMaxDaemonsAcrossZones = 12;
 
   CacheFollower(EntryState& aState, C& aControl, P& aPeers, T& aTimer, L& aLog)
     : state(aState)
@@ -102,6 +106,7 @@
   // Follows one holder until this daemon is no longer one of its followers.
   Task<void> Follow(UpstreamId aHolder)
   {
+    std::uint32_t failures = 0;
     while (this->IsFollower(aHolder)) {
       const auto found = this->state.holders.find(aHolder);
       if (found == this->state.holders.end()) {
@@ -116,11 +121,14 @@
         address, since, kLongPollTimeout, deadline, reason);
       const TimePoint now = this->timer.Now();
       if (batch) {
+        failures = 0;
         this->HandleBatch(aHolder, address, *batch, now);
         co_await this->timer.WaitUntil(startedAt + kMinCallInterval);
       } else {
         this->NoteFailure(aHolder, reason, now);
-        co_await this->timer.WaitUntil(now + kRetryDelay);
+        ++failures;
+        const TimePoint next = now + BackoffDelay(kRetryDelays, failures);
+        co_await this->timer.WaitUntil(next);
       }
     }
     this->tasks.erase(aHolder);
@@ -177,10 +185,8 @@
       if (runner->leaving || service == nullptr || !service->engine) {
         continue;
       }
-      // A small cluster uses parts in any zone. In a larger one, forwarding
-      // events between zones would cost more than it saves.
       const AvailabilityZone& runnerZone = runner->entry.zone;
-      const bool forwardsBetweenZones = all.size() <= kMaxDaemonsAcrossZones;
+      const bool forwardsBetweenZones = this->state.KnowsAllZones();
       if (!forwardsBetweenZones && runnerZone != zone) {
         continue;
       }
--- a/wigeonwalk/entry/cache_follower_test.cc
+++ b/wigeonwalk/entry/cache_follower_test.cc
@@ -194,6 +194,15 @@
     setting.control.unreachableAddresses.insert("store");
     setting.RunFor(700ms);
 
+    THEN("it is asked less and less often")
+    {
+      // The two runners are asked up to five times a second each.
+      setting.RunFor(3s);
+      const auto before = setting.control.eventCalls;
+      setting.RunFor(4s);
+      CHECK(setting.control.eventCalls - before <= 2 * 5 * 4 + 3);
+    }
+
     THEN("nothing is fetched from it")
     {
       const auto sources = setting.state.Sources(setting.time.Now());
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -88,6 +88,8 @@
 {
   // The sender knows all changes up to this revision.
   std::int64_t revision = 0;
+  // How long ago the registry was at this revision, as far as the sender knows.
+  Duration age{ 0 };
   // `changes` lists all current items; it may lack removals.
   bool full = false;
   std::vector<WatchEvent> changes;
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -31,7 +31,7 @@
   } else if (auto* named = std::get_if<DesiredWeights>(&aItem)) {
     KnownWeights& known = this->weights[named->model];
     if (known.version < named->version) {
-      known = { named->version, aNow };
+      known = { named->version, aNow, named->revision };
     }
   } else if (auto* member = std::get_if<EntryMember>(&aItem)) {
     this->members[member->host] = *member;
@@ -94,6 +94,16 @@
   return sources;
 }
 
+Duration
+EntryState::RelayLifetime() const
+{
+  constexpr Duration kMaxLifetime = std::chrono::milliseconds(1'500);
+  const EntryBounds& bounds = this->settings.bounds;
+  const Duration shortest =
+    std::min(bounds.drain, bounds.configurationPropagation);
+  return std::min(shortest / 2, kMaxLifetime);
+}
+
 KnownWeights
 EntryState::WeightsOf(const ModelName& aModel) const
 {
@@ -101,6 +111,17 @@
   return found == this->weights.end() ? KnownWeights{} : found->second;
 }
 
+Duration
+EntryState::AgeOf(const KnownWeights& aWeights, TimePoint aNow) const
+{
+  const Duration known = aNow - aWeights.since;
+  if (aWeights.revision == 0) {
+    return known;
+  }
+  const auto before = this->revisionClock.AgeAtStart(aWeights.revision);
+  return known + before.value_or(Duration(0));
+}
+
 std::shared_ptr<ServiceQueue>
 EntryState::QueueOf(const ServiceName& aService)
 {
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "wigeonwalk/entry/entry_settings.h"
+#include "wigeonwalk/entry/revision_clock.h"
 #include "wigeonwalk/fleet/fleet.h"
 #include "wigeonwalk/fleet/part_index.h"
 #include "wigeonwalk/fleet/runner_choice.h"
@@ -28,6 +29,8 @@
 {
   WeightNumber version = 0;
   TimePoint since;
+  // Revision of the registry at which they were published; zero if unknown.
+  std::int64_t revision = 0;
 };
 
 // Position in a holder's stream of cache events.
@@ -49,6 +52,9 @@
   // the source may have restarted, and its parts may be only partially written.
   static constexpr Duration kSourceMaxAge = std::chrono::milliseconds(900);
 
+  // Cached parts are told between zones in clusters of up to this many daemons.
+  static constexpr std::size_t kMaxDaemonsAcrossZones = 12;
+
   explicit EntryState(EntrySettings aSettings);
 
   // Applies a decoded registry item or its removal. Returns how the runner
@@ -72,12 +78,32 @@
   // Returns the holders from which parts may be fetched now.
   std::vector<CacheHolder> Sources(TimePoint aNow) const;
 
+  // How long after a reader's last contact with the registry this daemon relies
+  // on it: within half of the shortest time in which a change must be applied,
+  // so that the daemon can still watch the registry itself.
+  Duration RelayLifetime() const;
+
+  // Returns true if a reader keeps this daemon up to date, so that it need not
+  // watch the registry.
+  bool FollowsReader(TimePoint aNow) const { return aNow < this->relayedUntil; }
+
   KnownWeights WeightsOf(const ModelName& aModel) const;
 
+  // Returns how long ago the newest weights were published, as far as this
+  // daemon can tell. It may have started since.
+  Duration AgeOf(const KnownWeights& aWeights, TimePoint aNow) const;
+
   // Returns the queue of requests that wait for a runner of the service.
   // Waiting requests share it, because a cancelled one may end after the state.
   std::shared_ptr<ServiceQueue> QueueOf(const ServiceName& aService);
 
+  // Returns true if changes of cached parts are forwarded between zones. In a
+  // larger cluster that would cost more than it saves.
+  bool KnowsAllZones() const
+  {
+    return this->members.size() <= kMaxDaemonsAcrossZones;
+  }
+
   // The number of daemons, this one included.
   std::size_t DaemonCount() const;
 
@@ -89,8 +115,15 @@
   std::map<HostId, EntryMember> members;
   SlidingWindowBudget retryBudget;
   PoisonTracker poison;
+  RevisionClock revisionClock;
   // The registry has not answered for some time.
   bool registryUnreachable = true;
+  // When the registry was last known to be at the mirror's revision.
+  TimePoint registryKnownAt;
+  // A reader's knowledge is recent until this time.
+  TimePoint relayedUntil;
+  // Other daemons of the zone rely on this one for registry changes.
+  bool isAskedForChanges = false;
   // Start of the process; the epoch if it is irrelevant.
   TimePoint startedAt;
   // The process is shutting down.
--- a/wigeonwalk/entry/item_mirror.cc
+++ b/wigeonwalk/entry/item_mirror.cc
@@ -8,15 +8,23 @@
 bool
 ItemMirror::Apply(const WatchEvent& aChange)
 {
+  const std::int64_t changedAt = aChange.entry.modRevision;
   const auto known = this->items.find(aChange.entry.key);
   if (known == this->items.end()) {
-    this->items.emplace(aChange.entry.key, aChange);
+    this->items.emplace(aChange.entry.key,
+                        Item{ aChange, changedAt, changedAt });
   } else {
-    if (known->second.entry.modRevision >= aChange.entry.modRevision) {
+    Item& item = known->second;
+    if (item.event.entry.modRevision >= changedAt) {
       return false;
     }
-    this->tombstones -= known->second.deleted ? 1 : 0;
-    known->second = aChange;
+    this->tombstones -= item.event.deleted ? 1 : 0;
+    // The return of a removed item is always of consequence.
+    const bool bothPresent = !item.event.deleted && !aChange.deleted;
+    item.previousContentRevision =
+      bothPresent ? item.contentRevision : changedAt;
+    item.contentRevision = changedAt;
+    item.event = aChange;
   }
   this->tombstones += aChange.deleted ? 1 : 0;
   if (this->tombstones > kMaxTombstones) {
@@ -25,13 +33,22 @@
   return true;
 }
 
+void
+ItemMirror::NoteSameContent(const std::string& aKey)
+{
+  const auto found = this->items.find(aKey);
+  if (found != this->items.end()) {
+    found->second.contentRevision = found->second.previousContentRevision;
+  }
+}
+
 void
 ItemMirror::DropTombstones()
 {
   std::vector<std::int64_t> revisions;
   for (const auto& [key, item] : this->items) {
-    if (item.deleted) {
-      revisions.push_back(item.entry.modRevision);
+    if (item.event.deleted) {
+      revisions.push_back(item.event.entry.modRevision);
     }
   }
   const auto middle =
@@ -39,8 +56,8 @@
   std::nth_element(revisions.begin(), middle, revisions.end());
   this->droppedUpTo = std::max(this->droppedUpTo, *middle);
   this->tombstones -= std::erase_if(this->items, [this](const auto& aItem) {
-    return aItem.second.deleted &&
-           aItem.second.entry.modRevision <= this->droppedUpTo;
+    const WatchEvent& event = aItem.second.event;
+    return event.deleted && event.entry.modRevision <= this->droppedUpTo;
   });
 }
 
@@ -59,8 +76,8 @@
   }
   std::vector<WatchEvent> removals;
   for (const auto& [key, item] : this->items) {
-    if (!item.deleted && !listed.contains(key) &&
-        item.entry.modRevision <= aRevision) {
+    if (!item.event.deleted && !listed.contains(key) &&
+        item.event.entry.modRevision <= aRevision) {
       WatchEvent removal{ true, {} };
       removal.entry.key = key;
       removal.entry.modRevision = aRevision;
@@ -71,7 +88,7 @@
     // The exact revision of the removal is unknown, but not above the
     // listing's.
     removal.entry.modRevision = std::max(
-      aRevision, this->items.at(removal.entry.key).entry.modRevision + 1);
+      aRevision, this->items.at(removal.entry.key).event.entry.modRevision + 1);
     if (this->Apply(removal)) {
       changes.push_back(std::move(removal));
     }
@@ -94,8 +111,8 @@
   }
   std::vector<WatchEvent> changes;
   for (const auto& [key, item] : this->items) {
-    if (item.entry.modRevision > aRevision) {
-      changes.push_back(item);
+    if (item.contentRevision > aRevision) {
+      changes.push_back(item.event);
     }
   }
   std::sort(changes.begin(),
@@ -110,8 +127,9 @@
 ItemMirror::Find(const std::string& aKey) const
 {
   const auto found = this->items.find(aKey);
-  const bool present = found != this->items.end() && !found->second.deleted;
-  return present ? &found->second.entry : nullptr;
+  const bool present =
+    found != this->items.end() && !found->second.event.deleted;
+  return present ? &found->second.event.entry : nullptr;
 }
 
 std::vector<KeyValueEntry>
@@ -119,8 +137,8 @@
 {
   std::vector<KeyValueEntry> present;
   for (const auto& [key, item] : this->items) {
-    if (!item.deleted) {
-      present.push_back(item.entry);
+    if (!item.event.deleted) {
+      present.push_back(item.event.entry);
     }
   }
   return present;
--- a/wigeonwalk/entry/item_mirror.h
+++ b/wigeonwalk/entry/item_mirror.h
@@ -29,6 +29,11 @@
   // Applies one change. Returns true if it is newer than the key's known state.
   bool Apply(const WatchEvent& aChange);
 
+  // Records that the last change of a key was of no consequence, such as a
+  // heartbeat: ChangesSince returns the item only for revisions before its last
+  // change of consequence.
+  void NoteSameContent(const std::string& aKey);
+
   // Applies a full listing that was read at `aRevision`. Returns the resulting
   // changes, including removals of older keys that are not listed.
   std::vector<WatchEvent> Replace(const std::vector<KeyValueEntry>& aListing,
@@ -50,9 +55,17 @@
   std::vector<KeyValueEntry> Items() const;
 
 private:
+  struct Item
+  {
+    WatchEvent event;
+    // Revisions of the last change of consequence, and of the one before it.
+    std::int64_t contentRevision = 0;
+    std::int64_t previousContentRevision = 0;
+  };
+
   void DropTombstones();
 
-  std::map<std::string, WatchEvent> items;
+  std::map<std::string, Item> items;
   std::size_t tombstones = 0;
   std::int64_t revision = 0;
   // Tombstones up to this revision may have been dropped.
--- a/wigeonwalk/entry/item_mirror_test.cc
+++ b/wigeonwalk/entry/item_mirror_test.cc
@@ -104,3 +104,41 @@
     CHECK(ahead.Items().size() == 1);
   }
 }
+
+// Guards against heartbeats that every daemon sends on to the others, and
+// against a removed runner whose return is taken for a heartbeat.
+SCENARIO("changes of no consequence are not passed on")
+{
+  ItemMirror mirror;
+  mirror.Apply(Put("a", 2));
+  mirror.Apply(Put("a", 5));
+  mirror.NoteSameContent("a");
+  mirror.NoteRevision(6);
+
+  THEN("a daemon that knows the content gets nothing")
+  {
+    CHECK(mirror.ChangesSince(2)->empty());
+    CHECK(mirror.Find("a")->modRevision == 5);
+  }
+
+  THEN("a daemon that does not know it gets the newest state")
+  {
+    const auto changes = mirror.ChangesSince(1);
+    REQUIRE(changes->size() == 1);
+    CHECK(changes->front().entry.modRevision == 5);
+  }
+
+  THEN("a later change of consequence is passed on")
+  {
+    mirror.Apply(Put("a", 8));
+    CHECK(mirror.ChangesSince(5)->size() == 1);
+  }
+
+  THEN("the return of a removed item is passed on")
+  {
+    mirror.Apply(Removal("a", 7));
+    mirror.Apply(Put("a", 8));
+    mirror.NoteSameContent("a");
+    CHECK(mirror.ChangesSince(7)->size() == 1);
+  }
+}
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -1,6 +1,6 @@
-// Exchanges notices and registry changes with the other entry daemons.
+// Exchanges notices with the other entry daemons, and answers their calls.
 //
-//   PeerExchange peers(state, watch, mirror, channel, codec, timer, log);
+//   PeerExchange peers(state, relay, channel, codec, timer, log);
 //   peers.AnnouncePause(pause);
 //   spawn(peers.Run());
 #pragma once
@@ -8,7 +8,6 @@
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/held_parts.h"
-#include "wigeonwalk/entry/item_mirror.h"
 #include "wigeonwalk/entry/notice_limits.h"
 #include "wigeonwalk/entry/part_relay.h"
 #include "wigeonwalk/entry/peer_loads.h"
@@ -19,27 +18,25 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace wigeonwalk {
 
-// Applies registry changes that another daemon reported.
+// Answers other daemons' queries for registry changes. The payloads are
+// encoded.
 template<typename T>
-concept ChangeSink = requires(T& aSink,
-                              const std::vector<WatchEvent>& aChanges,
-                              std::int64_t aRevision)
+concept ChangeSource = requires(const T& aSource, const std::string& aQuery)
 {
-  aSink.ApplyReported(aChanges, aRevision);
+  {
+    aSource.Answer(aQuery)
+    } -> std::same_as<std::optional<std::string>>;
 };
 
 // Sends loads to daemons of the same zone, which use the same runners, and
-// pauses to all daemons. Fetches registry changes from other daemons while this
-// one can't reach the registry. One task, and one for each call of another
-// daemon.
-template<ChangeSink W,
+// pauses to all daemons. One task, and one for each call of another daemon.
+template<ChangeSource R,
          PeerChannel P,
          EntryNoticeCodec C,
          Timer T,
@@ -48,26 +45,20 @@
 {
 public:
   static constexpr Duration kLoopInterval = std::chrono::milliseconds(100);
-  // How often a daemon that can't reach the registry asks another daemon.
-  static constexpr Duration kQueryInterval = std::chrono::milliseconds(300);
-  static constexpr Duration kCallTimeout = std::chrono::milliseconds(400);
   static constexpr std::size_t kMaxPoisonNotices = 8;
 
   PeerExchange(EntryState& aState,
-               W& aWatch,
-               const ItemMirror& aMirror,
+               const R& aRelay,
                P& aChannel,
                const C& aCodec,
                T& aTimer,
                L& aLog)
     : state(aState)
-    , watch(aWatch)
-    , mirror(aMirror)
+    , relay(aRelay)
     , channel(aChannel)
     , codec(aCodec)
     , timer(aTimer)
     , log(aLog)
-    , random(std::hash<HostId>()(aState.Settings().host))
   {
   }
 
@@ -80,10 +71,6 @@
         this->SendLoads();
         this->peerLoads.ApplyTo(this->state.fleet, now);
       }
-      if (this->state.registryUnreachable && now >= this->queryAt) {
-        this->queryAt = now + kQueryInterval;
-        co_await this->AskForChanges();
-      }
       co_await this->timer.WaitUntil(now + kLoopInterval);
     }
   }
@@ -177,23 +164,14 @@
         forwarded->kind != ForwardedKind::RegistryChanges) {
       co_return std::nullopt;
     }
-    const auto query = this->codec.DecodeQuery(forwarded->payload);
-    if (!query) {
+    auto payload = this->relay.Answer(forwarded->payload);
+    if (!payload) {
       co_return std::nullopt;
     }
-    RegistryChanges changes{ this->mirror.Revision(), false, {} };
-    if (auto since = this->mirror.ChangesSince(query->revision)) {
-      changes.changes = std::move(*since);
-    } else {
-      changes.full = true;
-      for (KeyValueEntry& entry : this->mirror.Items()) {
-        changes.changes.push_back({ false, std::move(entry) });
-      }
-    }
     PeerAnswer answer;
     answer.from = this->state.Settings().host;
-    answer.body = ForwardedAnswer{ ForwardedKind::RegistryChanges,
-                                   this->codec.EncodeChanges(changes) };
+    answer.body =
+      ForwardedAnswer{ ForwardedKind::RegistryChanges, std::move(*payload) };
     co_return answer;
   }
 
@@ -305,55 +283,14 @@
                       { LogKey::Age, aPause.pause } });
   }
 
-  // Asks a randomly chosen daemon for registry changes.
-  Task<void> AskForChanges()
-  {
-    const std::vector<EntryMember> others = this->Others();
-    if (others.empty()) {
-      co_return;
-    }
-    const EntryMember& peer = others[this->random() % others.size()];
-    PeerCall call;
-    call.from = this->state.Settings().host;
-    call.body =
-      ForwardedCall{ ForwardedKind::RegistryChanges,
-                     this->codec.EncodeQuery({ this->mirror.Revision() }) };
-    FailureReason reason;
-    const TimePoint deadline = this->timer.Now() + kCallTimeout;
-    const auto answer =
-      co_await this->channel.Call(peer.peerAddress, call, deadline, reason);
-    if (!answer) {
-      co_return;
-    }
-    const auto* body = std::get_if<ForwardedAnswer>(&answer->body);
-    if (body == nullptr) {
-      co_return;
-    }
-    const auto changes = this->codec.DecodeChanges(body->payload);
-    if (!changes || changes->revision <= this->mirror.Revision()) {
-      co_return;
-    }
-    this->log.Write(this->timer.Now(),
-                    LogLevel::Info,
-                    "registry changes from a peer",
-                    {},
-                    { { LogKey::Peer, peer.host },
-                      { LogKey::Count, changes->changes.size() },
-                      { LogKey::Revision, changes->revision } });
-    this->watch.ApplyReported(changes->changes, changes->revision);
-  }
-
   EntryState& state;
-  W& watch;
-  const ItemMirror& mirror;
+  const R& relay;
   P& channel;
   const C& codec;
   T& timer;
   L& log;
   PeerLoads peerLoads;
-  std::mt19937_64 random;
   TimePoint loadsAt;
-  TimePoint queryAt;
   bool sentEmptyLoads = false;
 };
 
--- /dev/null
+++ b/wigeonwalk/entry/registry_relay.h
@@ -0,0 +1,199 @@
+// Exchanges registry changes with other daemons.
+//
+//   RegistryRelay relay(state, watch, mirror, channel, codec, timer, log);
+//   spawn(relay.Run());
+//   auto payload = relay.Answer(query);   // a call of another daemon
+#pragma once
+
+#include "wigeonwalk/entry/entry_notices.h"
+#include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/item_mirror.h"
+#include "wigeonwalk/entry/registry_readers.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/peer_channel.h"
+#include "wigeonwalk/ports/structured_log.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Applies registry changes that another daemon reported, and records that a
+// reader knew the registry to be at the mirror's revision at `aKnownAt`.
+template<typename T>
+concept ChangeSink = requires(T& aSink,
+                              const std::vector<WatchEvent>& aChanges,
+                              std::int64_t aRevision,
+                              TimePoint aKnownAt)
+{
+  aSink.ApplyReported(aChanges, aRevision);
+  aSink.NoteReader(aKnownAt);
+};
+
+// A daemon that does not read the registry itself asks a reader of its zone. If
+// the readers fail or their knowledge is old, it watches the registry until
+// they are back. A daemon that can't reach the registry asks any other one. One
+// task, and one for each call of another daemon.
+template<ChangeSink W,
+         PeerChannel P,
+         EntryNoticeCodec C,
+         Timer T,
+         StructuredLog L>
+class RegistryRelay
+{
+public:
+  // How often a daemon that can't reach the registry asks another daemon.
+  static constexpr Duration kQueryInterval = std::chrono::milliseconds(300);
+  static constexpr Duration kCallTimeout = std::chrono::milliseconds(400);
+  // A reader is asked three times within the lifetime of its knowledge.
+  static constexpr int kCallsPerLifetime = 3;
+
+  RegistryRelay(EntryState& aState,
+                W& aWatch,
+                const ItemMirror& aMirror,
+                P& aChannel,
+                const C& aCodec,
+                T& aTimer,
+                L& aLog)
+    : state(aState)
+    , watch(aWatch)
+    , mirror(aMirror)
+    , channel(aChannel)
+    , codec(aCodec)
+    , timer(aTimer)
+    , log(aLog)
+    , random(std::hash<HostId>()(aState.Settings().host))
+  {
+  }
+
+  Task<void> Run()
+  {
+    while (true) {
+      const TimePoint startedAt = this->timer.Now();
+      const EntrySettings& settings = this->state.Settings();
+      const ReaderRoles roles =
+        AssignReaders(settings.host, settings.zone, this->state.members);
+      this->state.isAskedForChanges = roles.isAsked;
+      if (!roles.reads && this->mirror.Revision() > 0) {
+        co_await this->AskReaders(roles.readers);
+      }
+      if (this->state.registryUnreachable) {
+        co_await this->AskAnyone();
+      }
+      co_await this->timer.WaitUntil(startedAt + this->Interval());
+    }
+  }
+
+  // Returns the encoded answer to another daemon's query, or nothing if the
+  // query is malformed.
+  std::optional<std::string> Answer(const std::string& aQuery) const
+  {
+    const auto query = this->codec.DecodeQuery(aQuery);
+    if (!query) {
+      return std::nullopt;
+    }
+    RegistryChanges changes;
+    changes.revision = this->mirror.Revision();
+    changes.age = this->timer.Now() - this->state.registryKnownAt;
+    if (auto since = this->mirror.ChangesSince(query->revision)) {
+      changes.changes = std::move(*since);
+    } else {
+      changes.full = true;
+      for (KeyValueEntry& entry : this->mirror.Items()) {
+        changes.changes.push_back({ false, std::move(entry) });
+      }
+    }
+    return this->codec.EncodeChanges(changes);
+  }
+
+private:
+  Duration Interval() const
+  {
+    return this->state.registryUnreachable
+             ? kQueryInterval
+             : this->state.RelayLifetime() / kCallsPerLifetime;
+  }
+
+  // Asks one reader after the other until one has recent knowledge.
+  Task<void> AskReaders(std::vector<EntryMember> aReaders)
+  {
+    for (const EntryMember& reader : aReaders) {
+      const TimePoint askedAt = this->timer.Now();
+      const auto changes = co_await this->Ask(reader);
+      if (!changes || changes->revision < this->mirror.Revision()) {
+        continue;
+      }
+      // A removal that was reported after an outage of the registry counts from
+      // the registry's return, so that is recorded first.
+      this->watch.NoteReader(askedAt - changes->age);
+      this->watch.ApplyReported(changes->changes, changes->revision);
+      if (this->state.FollowsReader(this->timer.Now())) {
+        break;
+      }
+    }
+  }
+
+  // Asks a randomly chosen daemon.
+  Task<void> AskAnyone()
+  {
+    std::vector<EntryMember> others;
+    for (const auto& [host, member] : this->state.members) {
+      if (host != this->state.Settings().host && !member.peerAddress.empty()) {
+        others.push_back(member);
+      }
+    }
+    if (others.empty()) {
+      co_return;
+    }
+    const EntryMember peer = others[this->random() % others.size()];
+    const auto changes = co_await this->Ask(peer);
+    if (!changes || changes->revision <= this->mirror.Revision()) {
+      co_return;
+    }
+    this->log.Write(this->timer.Now(),
+                    LogLevel::Info,
+                    "registry changes from a peer",
+                    {},
+                    { { LogKey::Peer, peer.host },
+                      { LogKey::Count, changes->changes.size() },
+                      { LogKey::Revision, changes->revision } });
+    this->watch.ApplyReported(changes->changes, changes->revision);
+  }
+
+  Task<std::optional<RegistryChanges>> Ask(EntryMember aPeer)
+  {
+    PeerCall call;
+    call.from = this->state.Settings().host;
+    call.body =
+      ForwardedCall{ ForwardedKind::RegistryChanges,
+                     this->codec.EncodeQuery({ this->mirror.Revision() }) };
+    FailureReason reason;
+    const TimePoint deadline = this->timer.Now() + kCallTimeout;
+    const auto answer =
+      co_await this->channel.Call(aPeer.peerAddress, call, deadline, reason);
+    if (!answer) {
+      co_return std::nullopt;
+    }
+    const auto* body = std::get_if<ForwardedAnswer>(&answer->body);
+    if (body == nullptr) {
+      co_return std::nullopt;
+    }
+    co_return this->codec.DecodeChanges(body->payload);
+  }
+
+  EntryState& state;
+  W& watch;
+  const ItemMirror& mirror;
+  P& channel;
+  const C& codec;
+  T& timer;
+  L& log;
+  std::mt19937_64 random;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -18,7 +18,8 @@
 namespace wigeonwalk {
 
 // Lists all keys once and then watches them with one call at a time, as each
-// call has a cost. One task.
+// call has a cost. While a reader of the zone keeps this daemon up to date, it
+// makes no calls. One task.
 template<KeyValueService S, RegistryDecoder D, Timer T, StructuredLog L>
 class RegistryWatch
 {
@@ -27,10 +28,17 @@
   // change must be applied: if a call hangs, the change is still applied in
   // time after its timeout.
   static constexpr double kWatchTimeoutFraction = 0.75;
-  // Minimum interval between the starts of two watch calls: each call has a
-  // cost, and half a second is a quarter of the shortest bound on the
-  // propagation of configurations.
+  // Minimum interval between the starts of two watch calls, as a fraction of
+  // the shortest time within which a change must be applied, and its least
+  // value: each call has a cost.
+  static constexpr int kWatchesPerBound = 5;
   static constexpr Duration kMinWatchInterval = std::chrono::milliseconds(500);
+  // Longest watch call of a daemon on which others rely: its answer shows them
+  // that the registry has not changed.
+  static constexpr Duration kMaxReaderWatch = std::chrono::milliseconds(800);
+  // How often a daemon that relies on a reader checks that it still may.
+  static constexpr Duration kRelayCheckInterval =
+    std::chrono::milliseconds(100);
   // Timeout of a call that probes whether the registry answers again.
   static constexpr Duration kRecoveryProbeTimeout =
     std::chrono::milliseconds(500);
@@ -67,6 +75,10 @@
     this->answeredAt = this->timer.Now();
     while (true) {
       const TimePoint startedAt = this->timer.Now();
+      if (this->hasListing && this->state.FollowsReader(startedAt)) {
+        co_await this->timer.WaitUntil(startedAt + kRelayCheckInterval);
+        continue;
+      }
       FailureReason reason;
       bool ok = false;
       if (this->hasListing) {
@@ -80,7 +92,7 @@
       }
       const TimePoint now = this->timer.Now();
       if (ok) {
-        co_await this->timer.WaitUntil(startedAt + kMinWatchInterval);
+        co_await this->timer.WaitUntil(startedAt + this->MinWatchInterval());
       } else {
         this->NoteFailure(reason, now);
         co_await this->timer.WaitUntil(now + kRetryDelay);
@@ -96,6 +108,22 @@
       this->Apply(change);
     }
     this->mirror.NoteRevision(aRevision);
+    if (this->hasListing) {
+      this->state.revisionClock.Note(aRevision, this->timer.Now());
+    }
+  }
+
+  // Records that a reader of this zone knew the registry to be at the mirror's
+  // revision at `aKnownAt`. While that is recent, this daemon makes no calls.
+  void NoteReader(TimePoint aKnownAt)
+  {
+    const TimePoint until = aKnownAt + this->state.RelayLifetime();
+    if (until <= this->timer.Now()) {
+      return;
+    }
+    this->state.relayedUntil = std::max(this->state.relayedUntil, until);
+    this->NoteAnswer(aKnownAt);
+    this->ExpireRunners();
   }
 
 private:
@@ -107,10 +135,22 @@
     if (this->state.registryUnreachable) {
       return kRecoveryProbeTimeout;
     }
+    const Duration timeout =
+      FromSeconds(kWatchTimeoutFraction * ToSeconds(this->ShortestBound()));
+    return this->state.isAskedForChanges ? std::min(timeout, kMaxReaderWatch)
+                                         : timeout;
+  }
+
+  Duration MinWatchInterval() const
+  {
+    return std::max(kMinWatchInterval,
+                    this->ShortestBound() / kWatchesPerBound);
+  }
+
+  Duration ShortestBound() const
+  {
     const EntryBounds& bounds = this->state.Settings().bounds;
-    const Duration shortest =
-      std::min(bounds.drain, bounds.configurationPropagation);
-    return FromSeconds(kWatchTimeoutFraction * ToSeconds(shortest));
+    return std::min(bounds.drain, bounds.configurationPropagation);
   }
 
   Task<bool> ReadAll(FailureReason& aReason)
@@ -128,11 +168,12 @@
     if (!listing) {
       co_return false;
     }
-    this->NoteAnswer();
+    this->NoteAnswer(this->timer.Now());
     for (const WatchEvent& change :
          this->mirror.Replace(*listing, before->revision)) {
       this->ApplyToState(change);
     }
+    this->state.revisionClock.Note(before->revision, this->timer.Now());
     this->hasListing = true;
     this->log.Write(this->timer.Now(),
                     LogLevel::Info,
@@ -155,19 +196,23 @@
       }
       co_return false;
     }
-    this->NoteAnswer();
+    this->NoteAnswer(this->timer.Now());
     for (const WatchEvent& change : batch->events) {
       this->Apply(change);
     }
     this->mirror.NoteRevision(batch->nextRevision - 1);
+    this->state.revisionClock.Note(this->mirror.Revision(), this->timer.Now());
     this->ExpireRunners();
     co_return true;
   }
 
-  void NoteAnswer()
+  // Records that the registry answered this daemon or its reader.
+  void NoteAnswer(TimePoint aKnownAt)
   {
     const TimePoint now = this->timer.Now();
     this->answeredAt = now;
+    this->state.registryKnownAt =
+      std::max(this->state.registryKnownAt, aKnownAt);
     if (!this->state.registryUnreachable) {
       return;
     }
@@ -231,8 +276,15 @@
                           { LogKey::Revision, aChange.entry.modRevision } });
         return;
       }
+      if (auto* named = std::get_if<DesiredWeights>(&item)) {
+        named->revision = aChange.entry.modRevision;
+      }
+      const bool isRunner = std::holds_alternative<RunnerEntry>(item);
       this->LogItem(item, aChange.entry.modRevision);
       change = this->state.Apply(std::move(item), now);
+      if (isRunner && change == FleetChange::None) {
+        this->mirror.NoteSameContent(key);
+      }
     }
     if (change != FleetChange::None && change != FleetChange::Updated) {
       this->log.Write(now,
--- a/wigeonwalk/entry/registry_watch_test.cc
+++ b/wigeonwalk/entry/registry_watch_test.cc
@@ -1,8 +1,4 @@
-#include "wigeonwalk/entry/peer_exchange.h"
-#include "wigeonwalk/entry/registry_watch.h"
-#include "wigeonwalk/testing/fake_key_value.h"
-#include "wigeonwalk/testing/null_log.h"
-#include "wigeonwalk/testing/peer_network.h"
+#include "wigeonwalk/entry/test_registry.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,197 +10,6 @@
 
 namespace {
 
-// Decodes the items of this test: "config" holds a version, "runners/ID" a
-// state, "members/HOST" an address.
-struct TestDecoder
-{
-  RegistryItem Decode(const KeyValueEntry& aEntry, FailureReason& aReason) const
-  {
-    if (aEntry.value == "unreadable") {
-      Fail(aReason, ReasonCode::Corrupt, "unreadable");
-      return UnreadableItem{};
-    }
-    if (aEntry.key == "config") {
-      RoutingConfiguration configuration;
-      configuration.version = std::stoul(aEntry.value);
-      return configuration;
-    }
-    if (aEntry.key.starts_with("members/")) {
-      return EntryMember{ HostId(aEntry.key.substr(8)),
-                          AvailabilityZone("north"),
-                          aEntry.value };
-    }
-    if (!aEntry.key.starts_with("runners/")) {
-      return ForeignItem{};
-    }
-    RunnerEntry entry;
-    entry.id = UpstreamId(aEntry.key.substr(8));
-    entry.service = ServiceName("s");
-    entry.address = "10.0.0.1:1";
-    entry.state =
-      ParseName<RunnerState>(aEntry.value).value_or(RunnerState::Ready);
-    return entry;
-  }
-
-  RemovedItem DecodeRemoved(const std::string& aKey) const
-  {
-    if (aKey.starts_with("runners/")) {
-      return UpstreamId(aKey.substr(8));
-    }
-    return ForeignItem{};
-  }
-};
-
-static_assert(RegistryDecoder<TestDecoder>);
-
-// Encodes only the fields that this test needs, as text. Some decoders return
-// constants.
-struct PlainCodec
-{
-  std::string EncodePause(const RunnerPause& aPause) const
-  {
-    return aPause.runner.Text();
-  }
-  std::optional<RunnerPause> DecodePause(const std::string& aPayload) const
-  {
-    return RunnerPause{ UpstreamId(aPayload), ModelName("m"), 2, 1s };
-  }
-  std::string EncodeLoads(const RunnerLoads& aLoads) const
-  {
-    return std::to_string(aLoads.rows.size());
-  }
-  std::optional<RunnerLoads> DecodeLoads(const std::string&) const
-  {
-    return RunnerLoads{ { { UpstreamId("r-1"), 3, 5'000 } } };
-  }
-  std::string EncodeWork(const RunnerWork& aWork) const
-  {
-    return aWork.runner.Text();
-  }
-  std::optional<RunnerWork> DecodeWork(const std::string& aPayload) const
-  {
-    return RunnerWork{ UpstreamId(aPayload), 38'000 };
-  }
-  std::string EncodeParts(const HeldParts& aParts) const
-  {
-    return aParts.holder.Text();
-  }
-  std::optional<HeldParts> DecodeParts(const std::string& aPayload) const
-  {
-    return HeldParts{ UpstreamId(aPayload), 1, { { { 1, 2 }, 500 } } };
-  }
-  PeerNotice EncodePoison(const PoisonNotice&) const
-  {
-    return { NoticeKind::Poison, "" };
-  }
-  std::optional<PoisonNotice> DecodePoison(const PeerNotice&) const
-  {
-    PoisonNotice notice;
-    notice.fingerprint = { 1, 2 };
-    notice.crashId = 3;
-    return notice;
-  }
-  std::string EncodeQuery(const RegistryQuery& aQuery) const
-  {
-    return std::to_string(aQuery.revision);
-  }
-  std::optional<RegistryQuery> DecodeQuery(const std::string& aPayload) const
-  {
-    return RegistryQuery{ std::stol(aPayload) };
-  }
-  std::string EncodeChanges(const RegistryChanges& aChanges) const
-  {
-    std::string text = std::to_string(aChanges.revision);
-    for (const WatchEvent& change : aChanges.changes) {
-      text += "\n" + std::to_string(change.entry.modRevision) + " " +
-              (change.deleted ? "-" : "+") + change.entry.key + "=" +
-              change.entry.value;
-    }
-    return text;
-  }
-  std::optional<RegistryChanges> DecodeChanges(const std::string& aText) const
-  {
-    RegistryChanges changes;
-    std::istringstream lines(aText);
-    std::string line;
-    std::getline(lines, line);
-    changes.revision = std::stol(line);
-    while (std::getline(lines, line)) {
-      WatchEvent change;
-      const std::size_t space = line.find(' ');
-      const std::size_t equals = line.find('=');
-      change.entry.modRevision = std::stol(line.substr(0, space));
-      change.deleted = line[space + 1] == '-';
-      change.entry.key = line.substr(space + 2, equals - space - 2);
-      change.entry.value = line.substr(equals + 1);
-      changes.changes.push_back(change);
-    }
-    return changes;
-  }
-};
-
-static_assert(EntryNoticeCodec<PlainCodec>);
-
-EntrySettings
-MakeSettings(const std::string& aHost)
-{
-  EntrySettings settings;
-  settings.host = HostId(aHost);
-  settings.zone = AvailabilityZone("north");
-  return settings;
-}
-
-// One daemon that watches the registry and exchanges messages with its peers.
-struct Daemon
-{
-  using Watch = RegistryWatch<FakeKeyValue, TestDecoder, VirtualTime, NullLog>;
-  using Peers =
-    PeerExchange<Watch, FakePeerChannel, PlainCodec, VirtualTime, NullLog>;
-
-  Daemon(VirtualTime& aTime,
-         FakeKeyValue& aService,
-         PeerNetwork& aNetwork,
-         const std::string& aHost)
-    : service(aService.Connect())
-    , state(MakeSettings(aHost))
-    , watch(state, mirror, service, decoder, aTime, log)
-    , endpoint(aNetwork.Add("peer-" + aHost, "north"))
-    , channel(aNetwork, endpoint)
-    , peers(state, watch, mirror, channel, codec, aTime, log)
-  {
-    this->endpoint.onDatagram = [this](const PeerDatagram& aDatagram) {
-      this->peers.OnDatagram(aDatagram);
-    };
-    this->endpoint.onCall = [this](PeerCall aCall) {
-      return this->peers.OnCall(std::move(aCall));
-    };
-    aTime.Spawn(this->watch.Run());
-    aTime.Spawn(this->peers.Run());
-  }
-
-  std::uint64_t Version() const
-  {
-    return this->state.Routes() ? this->state.Routes()->Configuration().version
-                                : 0;
-  }
-
-  std::size_t Runners() const
-  {
-    return this->state.fleet.RunnersOf(ServiceName("s")).size();
-  }
-
-  FakeKeyValue service;
-  NullLog log;
-  EntryState state;
-  ItemMirror mirror;
-  TestDecoder decoder;
-  Watch watch;
-  PeerNetwork::Endpoint& endpoint;
-  FakePeerChannel channel;
-  PlainCodec codec;
-  Peers peers;
-};
-
 struct Setting
 {
   Setting()
@@ -216,16 +21,18 @@
     this->service.Store("runners/r-2", "ready");
     this->service.Store("members/front-1", "peer-front-1");
     this->service.Store("members/front-2", "peer-front-2");
-    this->one = std::make_unique<Daemon>(
+    this->one = std::make_unique<RegistryDaemon>(
       this->time, this->service, this->network, "front-1");
-    this->two = std::make_unique<Daemon>(
+    this->two = std::make_unique<RegistryDaemon>(
       this->time, this->service, this->network, "front-2");
     this->RunFor(3s);
   }
 
   void RunFor(Duration aSpan) { this->time.RunUntil(this->time.Now() + aSpan); }
 
-  void CutFromRegistry(Daemon& aDaemon, KeyValueFault aFault, Duration aSpan)
+  void CutFromRegistry(RegistryDaemon& aDaemon,
+                       KeyValueFault aFault,
+                       Duration aSpan)
   {
     aDaemon.service.AddLinkFault({ .fault = aFault,
                                    .from = this->time.Now(),
@@ -235,8 +42,8 @@
   VirtualTime time;
   FakeKeyValue service;
   PeerNetwork network;
-  std::unique_ptr<Daemon> one;
-  std::unique_ptr<Daemon> two;
+  std::unique_ptr<RegistryDaemon> one;
+  std::unique_ptr<RegistryDaemon> two;
 };
 
 } // namespace
@@ -245,7 +52,7 @@
 SCENARIO("a daemon applies changes of the registry")
 {
   Setting setting;
-  Daemon& daemon = *setting.one;
+  RegistryDaemon& daemon = *setting.one;
   REQUIRE(daemon.Version() == 1);
   REQUIRE(daemon.Runners() == 2);
   const Duration bound =
@@ -292,7 +99,7 @@
 SCENARIO("the registry does not answer one daemon")
 {
   Setting setting;
-  Daemon& daemon = *setting.one;
+  RegistryDaemon& daemon = *setting.one;
   const auto fault = GENERATE(
     KeyValueFault::Down, KeyValueFault::Silent, KeyValueFault::AnswerLost);
   setting.CutFromRegistry(daemon, fault, 9s);
@@ -322,7 +129,7 @@
 SCENARIO("a runner leaves after an outage of the registry")
 {
   Setting setting;
-  Daemon& daemon = *setting.one;
+  RegistryDaemon& daemon = *setting.one;
   setting.CutFromRegistry(daemon, KeyValueFault::Down, 5s);
   setting.RunFor(5s);
   // The deployment's time limits apply again this long after the outage.
@@ -334,7 +141,7 @@
     co_await aService.Delete(key, std::nullopt, deadline, why);
   }(setting.service.Connect(), setting.time));
   // One watch interval, without a grace period for an expired registration.
-  setting.RunFor(Daemon::Watch::kMinWatchInterval + 250ms);
+  setting.RunFor(RegistryDaemon::Watch::kMinWatchInterval + 250ms);
   CHECK(
     daemon.state.Candidates(ServiceName("s"), {}, setting.time.Now()).size() ==
     1);
@@ -345,7 +152,7 @@
 SCENARIO("a call to the registry hangs")
 {
   Setting setting;
-  Daemon& daemon = *setting.one;
+  RegistryDaemon& daemon = *setting.one;
   const auto silence =
     std::chrono::milliseconds(GENERATE(range(0, 3'000, 100)));
   setting.CutFromRegistry(daemon, KeyValueFault::Silent, silence);
@@ -364,7 +171,7 @@
 SCENARIO("the registry is down for all daemons and registrations expire")
 {
   Setting setting;
-  Daemon& daemon = *setting.one;
+  RegistryDaemon& daemon = *setting.one;
   setting.service.AddFault({ .fault = KeyValueFault::Down,
                              .from = setting.time.Now(),
                              .until = setting.time.Now() + 6s });
@@ -443,7 +250,8 @@
   setting.service.AddFault({ .fault = KeyValueFault::Slow,
                              .from = setting.time.Now(),
                              .delay = delay });
-  Daemon late(setting.time, setting.service, setting.network, "front-9");
+  RegistryDaemon late(
+    setting.time, setting.service, setting.network, "front-9");
   // It knows no peers before it has read the registry. The bound is the users'
   // recovery time.
   setting.RunFor(12s);
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -26,7 +26,7 @@
   constexpr double kUsableFraction = 0.8;
   const Duration allowed = FromSeconds(
     kUsableFraction * ToSeconds(aState.Settings().bounds.newWeights));
-  return aNewest.version > 1 && aNow - aNewest.since > allowed;
+  return aNewest.version > 1 && aState.AgeOf(aNewest, aNow) > allowed;
 }
 
 bool
@@ -52,6 +52,7 @@
     .bytesPerToken = traits.bytesPerToken,
     .newest = newest.version,
     .onlyNewest = RequiresNewestWeights(aState, newest, aNow),
+    .knowsAllZones = aState.KnowsAllZones(),
     .room = aRoom,
     .costs = CostsFrom(aState),
   };
--- /dev/null
+++ b/wigeonwalk/entry/test_registry.h
@@ -0,0 +1,220 @@
+// Daemons that watch a fake registry and exchange its changes.
+//
+//   RegistryDaemon daemon(time, service, network, "front-1");
+#pragma once
+
+#include "wigeonwalk/entry/peer_exchange.h"
+#include "wigeonwalk/entry/registry_relay.h"
+#include "wigeonwalk/entry/registry_watch.h"
+#include "wigeonwalk/testing/fake_key_value.h"
+#include "wigeonwalk/testing/null_log.h"
+#include "wigeonwalk/testing/peer_network.h"
+
+#include <optional>
+#include <sstream>
+#include <string>
+
+namespace wigeonwalk {
+
+// Decodes items: "config" holds a version, "runners/ID" a
+// state, "members/HOST" an address.
+struct TestDecoder
+{
+  RegistryItem Decode(const KeyValueEntry& aEntry, FailureReason& aReason) const
+  {
+    if (aEntry.value == "unreadable") {
+      Fail(aReason, ReasonCode::Corrupt, "unreadable");
+      return UnreadableItem{};
+    }
+    if (aEntry.key == "config") {
+      RoutingConfiguration configuration;
+      configuration.version = std::stoul(aEntry.value);
+      return configuration;
+    }
+    if (aEntry.key.starts_with("members/")) {
+      return EntryMember{ HostId(aEntry.key.substr(8)),
+                          AvailabilityZone("north"),
+                          aEntry.value };
+    }
+    if (!aEntry.key.starts_with("runners/")) {
+      return ForeignItem{};
+    }
+    RunnerEntry entry;
+    entry.id = UpstreamId(aEntry.key.substr(8));
+    entry.service = ServiceName("s");
+    entry.address = "10.0.0.1:1";
+    entry.state =
+      ParseName<RunnerState>(aEntry.value).value_or(RunnerState::Ready);
+    return entry;
+  }
+
+  RemovedItem DecodeRemoved(const std::string& aKey) const
+  {
+    if (aKey.starts_with("runners/")) {
+      return UpstreamId(aKey.substr(8));
+    }
+    return ForeignItem{};
+  }
+};
+
+static_assert(RegistryDecoder<TestDecoder>);
+
+// Encodes only the fields that the tests need, as text. Some decoders return
+// constants.
+struct PlainCodec
+{
+  std::string EncodePause(const RunnerPause& aPause) const
+  {
+    return aPause.runner.Text();
+  }
+  std::optional<RunnerPause> DecodePause(const std::string& aPayload) const
+  {
+    return RunnerPause{
+      UpstreamId(aPayload), ModelName("m"), 2, std::chrono::seconds(1)
+    };
+  }
+  std::string EncodeLoads(const RunnerLoads& aLoads) const
+  {
+    return std::to_string(aLoads.rows.size());
+  }
+  std::optional<RunnerLoads> DecodeLoads(const std::string&) const
+  {
+    return RunnerLoads{ { { UpstreamId("r-1"), 3, 5'000 } } };
+  }
+  std::string EncodeWork(const RunnerWork& aWork) const
+  {
+    return aWork.runner.Text();
+  }
+  std::optional<RunnerWork> DecodeWork(const std::string& aPayload) const
+  {
+    return RunnerWork{ UpstreamId(aPayload), 38'000 };
+  }
+  std::string EncodeParts(const HeldParts& aParts) const
+  {
+    return aParts.holder.Text();
+  }
+  std::optional<HeldParts> DecodeParts(const std::string& aPayload) const
+  {
+    return HeldParts{ UpstreamId(aPayload), 1, { { { 1, 2 }, 500 } } };
+  }
+  PeerNotice EncodePoison(const PoisonNotice&) const
+  {
+    return { NoticeKind::Poison, "" };
+  }
+  std::optional<PoisonNotice> DecodePoison(const PeerNotice&) const
+  {
+    PoisonNotice notice;
+    notice.fingerprint = { 1, 2 };
+    notice.crashId = 3;
+    return notice;
+  }
+  std::string EncodeQuery(const RegistryQuery& aQuery) const
+  {
+    return std::to_string(aQuery.revision);
+  }
+  std::optional<RegistryQuery> DecodeQuery(const std::string& aPayload) const
+  {
+    return RegistryQuery{ std::stol(aPayload) };
+  }
+  std::string EncodeChanges(const RegistryChanges& aChanges) const
+  {
+    std::string text = std::to_string(aChanges.revision) + " " +
+                       std::to_string(aChanges.age.count());
+    for (const WatchEvent& change : aChanges.changes) {
+      text += "\n" + std::to_string(change.entry.modRevision) + " " +
+              (change.deleted ? "-" : "+") + change.entry.key + "=" +
+              change.entry.value;
+    }
+    return text;
+  }
+  std::optional<RegistryChanges> DecodeChanges(const std::string& aText) const
+  {
+    RegistryChanges changes;
+    std::istringstream lines(aText);
+    std::string line;
+    std::getline(lines, line);
+    std::size_t end = 0;
+    changes.revision = std::stol(line, &end);
+    changes.age = Duration(std::stol(line.substr(end)));
+    while (std::getline(lines, line)) {
+      WatchEvent change;
+      const std::size_t space = line.find(' ');
+      const std::size_t equals = line.find('=');
+      change.entry.modRevision = std::stol(line.substr(0, space));
+      change.deleted = line[space + 1] == '-';
+      change.entry.key = line.substr(space + 2, equals - space - 2);
+      change.entry.value = line.substr(equals + 1);
+      changes.changes.push_back(change);
+    }
+    return changes;
+  }
+};
+
+static_assert(EntryNoticeCodec<PlainCodec>);
+
+inline EntrySettings
+MakeRegistrySettings(const std::string& aHost)
+{
+  EntrySettings settings;
+  settings.host = HostId(aHost);
+  settings.zone = AvailabilityZone("north");
+  return settings;
+}
+
+// One daemon that watches the registry and exchanges messages with its peers.
+struct RegistryDaemon
+{
+  using Watch = RegistryWatch<FakeKeyValue, TestDecoder, VirtualTime, NullLog>;
+  using Relay =
+    RegistryRelay<Watch, FakePeerChannel, PlainCodec, VirtualTime, NullLog>;
+  using Peers =
+    PeerExchange<Relay, FakePeerChannel, PlainCodec, VirtualTime, NullLog>;
+
+  RegistryDaemon(VirtualTime& aTime,
+                 FakeKeyValue& aService,
+                 PeerNetwork& aNetwork,
+                 const std::string& aHost)
+    : service(aService.Connect())
+    , state(MakeRegistrySettings(aHost))
+    , watch(state, mirror, service, decoder, aTime, log)
+    , endpoint(aNetwork.Add("peer-" + aHost, "north"))
+    , channel(aNetwork, endpoint)
+    , relay(state, watch, mirror, channel, codec, aTime, log)
+    , peers(state, relay, channel, codec, aTime, log)
+  {
+    this->endpoint.onDatagram = [this](const PeerDatagram& aDatagram) {
+      this->peers.OnDatagram(aDatagram);
+    };
+    this->endpoint.onCall = [this](PeerCall aCall) {
+      return this->peers.OnCall(std::move(aCall));
+    };
+    aTime.Spawn(this->watch.Run());
+    aTime.Spawn(this->relay.Run());
+    aTime.Spawn(this->peers.Run());
+  }
+
+  std::uint64_t Version() const
+  {
+    return this->state.Routes() ? this->state.Routes()->Configuration().version
+                                : 0;
+  }
+
+  std::size_t Runners() const
+  {
+    return this->state.fleet.RunnersOf(ServiceName("s")).size();
+  }
+
+  FakeKeyValue service;
+  NullLog log;
+  EntryState state;
+  ItemMirror mirror;
+  TestDecoder decoder;
+  Watch watch;
+  PeerNetwork::Endpoint& endpoint;
+  FakePeerChannel channel;
+  PlainCodec codec;
+  Relay relay;
+  Peers peers;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -1,6 +1,7 @@
 #include "wigeonwalk/fleet/runner_choice.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 
 namespace wigeonwalk {
@@ -199,19 +200,58 @@
   return HashBytes(aRunner.entry.id.Text(), aSeed).low;
 }
 
-std::uint64_t
-AffinitySeed(const Prompt& aPrompt)
+// Returns the index of the largest part that other requests may share, or
+// nothing. The last part is specific to the request, unless it is the only one.
+std::optional<std::size_t>
+LargestSharedPart(const Prompt& aPrompt)
 {
-  // The last part is specific to the request, unless it is the only one.
-  const PromptPart* largest = nullptr;
+  std::optional<std::size_t> largest;
   for (std::size_t i = 0; i < aPrompt.parts.size(); ++i) {
-    const PromptPart& part = aPrompt.parts[i];
     const bool own = i + 1 == aPrompt.parts.size() && i > 0;
-    if (!own && (largest == nullptr || part.tokens > largest->tokens)) {
-      largest = &part;
+    if (!own && (!largest ||
+                 aPrompt.parts[i].tokens > aPrompt.parts[*largest].tokens)) {
+      largest = i;
     }
   }
-  return largest == nullptr ? 0 : HashBytes(largest->id, 0).low;
+  return largest;
+}
+
+std::uint64_t
+AffinitySeed(const Prompt& aPrompt)
+{
+  const auto largest = LargestSharedPart(aPrompt);
+  return largest ? HashBytes(aPrompt.parts[*largest].id, 0).low : 0;
+}
+
+// Returns the penalty for a runner that is not the rendezvous choice.
+double
+AffinityMs(const EngineQuery& aQuery,
+           const EngineChoice& aChoice,
+           const VersionKeys& aKeys,
+           const PartIndex& aIndex)
+{
+  const auto largest = LargestSharedPart(aQuery.prompt);
+  double penalty = aQuery.costs.affinityMs;
+  if (!largest || aQuery.knowsAllZones) {
+    return penalty;
+  }
+  const std::uint32_t tokens = aQuery.prompt.parts[*largest].tokens;
+  const bool computes =
+    !aChoice.fetchFrom[*largest] &&
+    aIndex.TokensAt(aChoice.runner->entry.id, aKeys.keys[*largest]) < tokens;
+  if (computes) {
+    penalty += aQuery.costs.unknownPartMsPerToken * tokens;
+  }
+  return penalty;
+}
+
+// Returns true if the query's request may be sent to the runner.
+bool
+IsEligible(const EngineQuery& aQuery, const Runner& aRunner)
+{
+  const bool old = aRunner.VersionOf(aQuery.prompt.model) < aQuery.newest;
+  return !(old && aQuery.onlyNewest) &&
+         (aQuery.room == RoomRule::Ignored || HasRoom(aQuery, aRunner));
 }
 
 // Chooses a store for each shared part that no store holds yet.
@@ -310,9 +350,18 @@
              std::span<const CacheHolder> aHolders,
              TimePoint aNow)
 {
+  std::vector<std::shared_ptr<Runner>> eligible;
+  std::copy_if(aCandidates.begin(),
+               aCandidates.end(),
+               std::back_inserter(eligible),
+               [&aQuery](const std::shared_ptr<Runner>& aRunner) {
+                 return IsEligible(aQuery, *aRunner);
+               });
+  // Without the runners that are full, so that the next one in rendezvous order
+  // is the same for all daemons.
   const std::uint64_t seed = AffinitySeed(aQuery.prompt);
   AffinityScores scores;
-  for (const auto& runner : aCandidates) {
+  for (const auto& runner : eligible) {
     const std::uint64_t score = AffinityScore(*runner, seed);
     scores.all = std::max(scores.all, score);
     if (runner->entry.zone == aQuery.zone) {
@@ -321,15 +370,9 @@
   }
   KeysByVersion keys;
   std::optional<EngineChoice> best;
-  for (const auto& runner : aCandidates) {
+  for (const auto& runner : eligible) {
     const WeightNumber version = runner->VersionOf(aQuery.prompt.model);
     const bool old = version < aQuery.newest;
-    if (old && aQuery.onlyNewest) {
-      continue;
-    }
-    if (aQuery.room == RoomRule::Required && !HasRoom(aQuery, *runner)) {
-      continue;
-    }
     EngineChoice choice;
     choice.runner = runner;
     choice.version = version;
@@ -347,7 +390,8 @@
     if (score != scores.all) {
       const bool firstOfZone =
         score == scores.zone && runner->entry.zone == aQuery.zone;
-      choice.cost += firstOfZone ? costs.affinityMs / 2 : costs.affinityMs;
+      const double penalty = AffinityMs(aQuery, choice, versionKeys, aIndex);
+      choice.cost += firstOfZone ? penalty / 2 : penalty;
     }
     if (!best || choice.cost < best->cost) {
       best = std::move(choice);
--- a/wigeonwalk/fleet/runner_choice.h
+++ b/wigeonwalk/fleet/runner_choice.h
@@ -72,6 +72,10 @@
   // the prompt's largest shared part, so that few runners hold each part. Half
   // of it for the rendezvous choice within the zone.
   double affinityMs = 40;
+  // Added to affinityMs for each token of that part, if this daemon doesn't
+  // know what the runners of other zones have cached: the rendezvous choice
+  // probably has the part, which any other runner would compute again.
+  double unknownPartMsPerToken = 0.013;
   // Penalty for a failure rate of 1; proportionally less below.
   double failureMs = 1'000;
   // Expected wait for memory or a slot at a full runner.
@@ -128,6 +132,8 @@
   WeightNumber newest = 0;
   // Excludes runners with older weights.
   bool onlyNewest = false;
+  // The index covers the runners of all zones.
+  bool knowsAllZones = true;
   RoomRule room = RoomRule::Ignored;
   PlacementCosts costs;
 };
--- a/wigeonwalk/fleet/runner_choice_test.cc
+++ b/wigeonwalk/fleet/runner_choice_test.cc
@@ -51,17 +51,20 @@
   bool onlyNewest = false;
   std::size_t bodyBytes = 34'000;
   RoomRule room = RoomRule::Ignored;
+  std::string zone = "north";
+  bool knowsAllZones = true;
 
   std::optional<EngineChoice> Choose() const
   {
     const EngineQuery query{ .prompt = this->prompt,
                              .isolationDomain = this->isolationDomain,
-                             .zone = AvailabilityZone("north"),
+                             .zone = AvailabilityZone(this->zone),
                              .bodyBytes = this->bodyBytes,
                              .runnerTokens = 65'000,
                              .bytesPerToken = 18'432,
                              .newest = this->newest,
                              .onlyNewest = this->onlyNewest,
+                             .knowsAllZones = this->knowsAllZones,
                              .room = this->room,
                              .costs = {} };
     return ChooseEngine(query, this->runners, this->index, this->holders, kNow);
@@ -416,3 +419,60 @@
     }
   }
 }
+
+// Guards against a long part that is computed once in every zone of a large
+// fleet, because no daemon knows what the other zones have cached.
+SCENARIO("daemons of all zones choose the same runner for an unknown long part")
+{
+  Setting setting;
+  setting.bodyBytes = 17'000;
+  setting.knowsAllZones = false;
+  const std::vector<std::string> zones{ "north", "south", "east" };
+  for (int i = 0; i < 30; ++i) {
+    setting.runners.push_back(
+      MakeRunner("r-" + std::to_string(i), zones[i % zones.size()]));
+  }
+  const auto chosen = [&setting, &zones] {
+    std::set<std::string> ids;
+    for (const std::string& zone : zones) {
+      setting.zone = zone;
+      ids.insert(setting.Choose()->runner->entry.id.Text());
+    }
+    return ids;
+  };
+
+  THEN("it is the same in each zone")
+  {
+    CHECK(chosen().size() == 1);
+  }
+
+  THEN("if it is full, all agree on the next one")
+  {
+    setting.room = RoomRule::Required;
+    const std::string first = *chosen().begin();
+    for (const auto& runner : setting.runners) {
+      if (runner->entry.id.Text() == first) {
+        runner->inFlight = 3;
+        runner->othersTokensInFlight = 60'000;
+      }
+    }
+    const auto next = chosen();
+    CHECK(next.size() == 1);
+    CHECK_FALSE(next.contains(first));
+  }
+
+  THEN("a runner of the zone that has the part is preferred")
+  {
+    for (int i = 0; i < 3; ++i) {
+      setting.index.Set(
+        UpstreamId("r-" + std::to_string(i)), setting.SharedKey(1), 12'800);
+    }
+    CHECK(chosen().size() == 3);
+  }
+
+  THEN("a short part stays in the zone")
+  {
+    setting.prompt = { kModel, 400, 20, { { "s", 300 }, { "own", 100 } } };
+    CHECK(chosen().size() == 3);
+  }
+}
--- a/wigeonwalk/ports/registry_items.h
+++ b/wigeonwalk/ports/registry_items.h
@@ -9,6 +9,7 @@
 #include "wigeonwalk/routing/routing_configuration.h"
 
 #include <concepts>
+#include <cstdint>
 #include <string>
 #include <variant>
 
@@ -19,6 +20,8 @@
 {
   ModelName model;
   WeightNumber version = 0;
+  // Revision of the registry at which the item was written; zero if unknown.
+  std::int64_t revision = 0;
 
   bool operator==(const DesiredWeights&) const = default;
 };
