--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -25,6 +25,34 @@
   return { bytes.begin(), bytes.end() };
 }
 
+Json
+PackReports(const RunnerReports& aReports)
+{
+  Json rows = Json::array();
+  for (const RunnerReportRow& row : aReports.rows) {
+    rows.push_back(Json::array({ row.runner,
+                                 row.memoryTokens / kReportTokens,
+                                 row.waiting,
+                                 row.running,
+                                 row.age / kReportAge }));
+  }
+  return rows;
+}
+
+RunnerReports
+UnpackReports(const Json& aRows)
+{
+  RunnerReports reports;
+  for (const Json& row : aRows) {
+    reports.rows.push_back({ row.at(0).get<RunnerKey>(),
+                             row.at(1).get<std::uint64_t>() * kReportTokens,
+                             row.at(2).get<std::uint32_t>(),
+                             row.at(3).get<std::uint32_t>(),
+                             row.at(4).get<Duration::rep>() * kReportAge });
+  }
+  return reports;
+}
+
 } // namespace
 
 std::string
@@ -88,6 +116,18 @@
   });
 }
 
+std::string
+EntryMsgpack::EncodeReports(const RunnerReports& aReports) const
+{
+  return PackMessage(PackReports(aReports));
+}
+
+std::optional<RunnerReports>
+EntryMsgpack::DecodeReports(const std::string& aPayload) const
+{
+  return UnpackMessage(aPayload, UnpackReports);
+}
+
 std::string
 EntryMsgpack::EncodeParts(const HeldParts& aParts) const
 {
@@ -155,7 +195,8 @@
   return PackMessage(Json::array({ aChanges.revision,
                                    aChanges.full,
                                    std::move(rows),
-                                   aChanges.age.count() }));
+                                   aChanges.age.count(),
+                                   PackReports(aChanges.reports) }));
 }
 
 std::optional<RegistryChanges>
@@ -166,6 +207,7 @@
     changes.revision = aJson.at(0).get<std::int64_t>();
     changes.full = aJson.at(1).get<bool>();
     changes.age = Duration(aJson.at(3).get<std::int64_t>());
+    changes.reports = UnpackReports(aJson.at(4));
     for (const Json& row : aJson.at(2)) {
       WatchEvent change;
       change.deleted = row.at(0).get<bool>();
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -32,6 +32,14 @@
     CHECK(codec.DecodeWork(codec.EncodeWork(work)) == work);
   }
 
+  SECTION("for runners' loads")
+  {
+    const RunnerReports reports{ { { 0xFEDC'BA98, 128'000, 3, 12, 470ms },
+                                   { 7, 64, 0, 1, 0ms } } };
+    CHECK(codec.DecodeReports(codec.EncodeReports(reports)) == reports);
+    CHECK_FALSE(codec.DecodeReports("\xFF").has_value());
+  }
+
   SECTION("for the parts that a holder has")
   {
     const HeldParts parts{ UpstreamId("172.20.0.2:8006"),
@@ -42,7 +50,8 @@
 
   SECTION("for the registry, with values of arbitrary bytes")
   {
-    RegistryChanges changes{ 12, std::chrono::milliseconds(700), true, {} };
+    RegistryChanges changes{ 12, 700ms, true, {}, {} };
+    changes.reports.rows = { { 9, 640, 1, 2, 30ms } };
     WatchEvent put{ false, { "a/b", std::string("\0\xFF{", 3), 4, 9, 0 } };
     WatchEvent removal{ true, { "a/c", "", 0, 11, 0 } };
     changes.changes = { put, removal };
@@ -50,6 +59,7 @@
     REQUIRE(decoded.has_value());
     CHECK(decoded->revision == 12);
     CHECK(decoded->age == changes.age);
+    CHECK(decoded->reports == changes.reports);
     CHECK(decoded->full);
     REQUIRE(decoded->changes.size() == 2);
     CHECK(decoded->changes[0].entry == put.entry);
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -69,7 +69,7 @@
       if (now >= this->loadsAt) {
         this->loadsAt = now + kLoadReportInterval;
         this->SendLoads();
-        this->peerLoads.ApplyTo(this->state.fleet, now);
+        this->ApplyLoads(now);
       }
       co_await this->timer.WaitUntil(now + kLoopInterval);
     }
@@ -138,6 +138,16 @@
     }
   }
 
+  // Sends one daemon the loads that runners reported.
+  void SendReports(const EntryMember& aMember,
+                   const std::vector<ReportedLoad>& aLoads)
+  {
+    const RunnerReports reports = ReportsOf(aLoads, this->timer.Now());
+    this->SendNotice(
+      aMember,
+      { NoticeKind::RunnerReports, this->codec.EncodeReports(reports) });
+  }
+
   void OnDatagram(const PeerDatagram& aDatagram)
   {
     for (const PeerNotice& notice : aDatagram.notices) {
@@ -204,7 +214,14 @@
       case NoticeKind::RunnerLoads:
         if (auto loads = this->codec.DecodeLoads(aNotice.payload)) {
           this->peerLoads.Record(aSender, std::move(*loads), now);
-          this->peerLoads.ApplyTo(this->state.fleet, now);
+          this->ApplyLoads(now);
+        }
+        break;
+      case NoticeKind::RunnerReports:
+        if (const auto reports = this->codec.DecodeReports(aNotice.payload)) {
+          for (const ReportedLoad& load : LoadsOf(*reports, now)) {
+            this->state.reportedLoads.Record(load);
+          }
         }
         break;
       case NoticeKind::HeldParts:
@@ -223,6 +240,12 @@
     }
   }
 
+  void ApplyLoads(TimePoint aNow)
+  {
+    this->peerLoads.ApplyTo(this->state.fleet, aNow);
+    this->state.reportedLoads.ApplyTo(this->state.fleet, aNow);
+  }
+
   PeerDatagram Datagram() const
   {
     PeerDatagram datagram;
--- a/wigeonwalk/entry/registry_readers.cc
+++ b/wigeonwalk/entry/registry_readers.cc
@@ -3,13 +3,15 @@
 #include "wigeonwalk/membership/rendezvous.h"
 
 #include <algorithm>
+#include <set>
 
 namespace wigeonwalk {
 
-ReaderRoles
-AssignReaders(const HostId& aSelf,
-              const AvailabilityZone& aZone,
-              const std::map<HostId, EntryMember>& aMembers)
+namespace {
+
+std::vector<HostId>
+HostsOf(const AvailabilityZone& aZone,
+        const std::map<HostId, EntryMember>& aMembers)
 {
   std::vector<HostId> hosts;
   for (const auto& [host, member] : aMembers) {
@@ -17,24 +19,69 @@
       hosts.push_back(host);
     }
   }
+  return hosts;
+}
+
+std::vector<EntryMember>
+MembersAt(const std::vector<HostId>& aHosts,
+          const std::map<HostId, EntryMember>& aMembers)
+{
+  std::vector<EntryMember> found;
+  for (const HostId& host : aHosts) {
+    found.push_back(aMembers.at(host));
+  }
+  return found;
+}
+
+} // namespace
+
+std::vector<EntryMember>
+ReadersOf(const AvailabilityZone& aZone,
+          const std::map<HostId, EntryMember>& aMembers)
+{
+  const std::vector<HostId> hosts = HostsOf(aZone, aMembers);
+  if (hosts.size() <= kMaxDaemonsWithoutReaders) {
+    return {};
+  }
   const std::size_t count = std::max(
     kMinReaders, (hosts.size() + kDaemonsPerReader - 1) / kDaemonsPerReader);
+  return MembersAt(RankOwners("registry readers", hosts, count), aMembers);
+}
+
+std::vector<EntryMember>
+AllReaders(const std::map<HostId, EntryMember>& aMembers)
+{
+  std::set<AvailabilityZone> zones;
+  for (const auto& [host, member] : aMembers) {
+    zones.insert(member.zone);
+  }
+  std::vector<EntryMember> all;
+  for (const AvailabilityZone& zone : zones) {
+    const std::vector<EntryMember> readers = ReadersOf(zone, aMembers);
+    all.insert(all.end(), readers.begin(), readers.end());
+  }
+  return all;
+}
+
+ReaderRoles
+AssignReaders(const HostId& aSelf,
+              const AvailabilityZone& aZone,
+              const std::map<HostId, EntryMember>& aMembers)
+{
   ReaderRoles roles;
-  if (hosts.size() <= count) {
-    return roles;
+  std::vector<HostId> readers;
+  for (const EntryMember& reader : ReadersOf(aZone, aMembers)) {
+    readers.push_back(reader.host);
   }
-  const std::vector<HostId> readers =
-    RankOwners("registry readers", hosts, count);
-  const bool listed =
-    std::find(hosts.begin(), hosts.end(), aSelf) != hosts.end();
-  roles.reads = !listed || std::find(readers.begin(), readers.end(), aSelf) !=
-                             readers.end();
-  roles.isAsked = roles.reads;
+  const bool isReader =
+    std::find(readers.begin(), readers.end(), aSelf) != readers.end();
+  const auto self = aMembers.find(aSelf);
+  const bool listed = self != aMembers.end() && self->second.zone == aZone;
+  roles.reads = readers.empty() || isReader || !listed;
+  roles.isAsked = isReader;
   if (!roles.reads) {
-    for (const HostId& reader :
-         RankOwners(aSelf.Text(), readers, readers.size())) {
-      roles.readers.push_back(aMembers.at(reader));
-    }
+    roles.readers =
+      MembersAt(RankOwners(aSelf.Text(), readers, readers.size()), aMembers);
   }
   return roles;
 }
--- a/wigeonwalk/entry/registry_readers.h
+++ b/wigeonwalk/entry/registry_readers.h
@@ -21,6 +21,9 @@
 // Readers of a zone, so that one can fail without the others having to watch.
 inline constexpr std::size_t kMinReaders = 2;
 
+// In zones of up to this many daemons all read.
+inline constexpr std::size_t kMaxDaemonsWithoutReaders = 4;
+
 // A daemon's part in the distribution of registry changes.
 struct ReaderRoles
 {
@@ -32,11 +35,20 @@
   std::vector<EntryMember> readers;
 };
 
+// Returns the readers of a zone that has daemons that don't read, chosen by
+// rendezvous hashing; nothing for a small zone.
+std::vector<EntryMember>
+ReadersOf(const AvailabilityZone& aZone,
+          const std::map<HostId, EntryMember>& aMembers);
+
+// Returns the readers of all zones.
+std::vector<EntryMember>
+AllReaders(const std::map<HostId, EntryMember>& aMembers);
+
 // The number of calls to the registry and the cost of reading its changes would
-// grow with the fleet if every daemon watched it. In a zone of more than
-// kMinReaders daemons a few watch it, chosen by rendezvous hashing, and each of
-// the others asks one of them. A daemon that is not listed as a member yet
-// reads.
+// grow with the fleet if every daemon watched it. In a larger zone only its
+// readers do, and each of the others asks one of them. A daemon that is not
+// listed as a member yet reads.
 ReaderRoles
 AssignReaders(const HostId& aSelf,
               const AvailabilityZone& aZone,
