--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -3,6 +3,7 @@
 #include "wigeonwalk/adapters/peer/peer_frame.h"
 #include "wigeonwalk/entry/notice_limits.h"
 #include "wigeonwalk/entry/part_relay.h"
+#include "wigeonwalk/entry/registry_readers.h"
 #include "wigeonwalk/membership/rendezvous.h"
 
 #include <catch2/catch.hpp>
@@ -34,10 +35,15 @@
 
   SECTION("for runners' loads")
   {
-    const RunnerReports reports{ { { 0xFEDC'BA98, 128'000, 3, 12, 470ms },
-                                   { 7, 64, 0, 1, 0ms } } };
+    const RunnerReports reports{ { { 0xFEDC'BA98, 128'000, 15, 470ms },
+                                   { 7, 64, 1, 0ms } } };
     CHECK(codec.DecodeReports(codec.EncodeReports(reports)) == reports);
     CHECK_FALSE(codec.DecodeReports("\xFF").has_value());
+    // A row that was cut off.
+    CHECK_FALSE(codec
+                  .DecodeReports("\xC4\x03"
+                                 "abc")
+                  .has_value());
   }
 
   SECTION("for the parts that a holder has")
@@ -51,7 +57,7 @@
   SECTION("for the registry, with values of arbitrary bytes")
   {
     RegistryChanges changes{ 12, 700ms, true, {}, {} };
-    changes.reports.rows = { { 9, 640, 1, 2, 30ms } };
+    changes.reports.rows = { { 9, 640, 3, 30ms } };
     WatchEvent put{ false, { "a/b", std::string("\0\xFF{", 3), 4, 9, 0 } };
     WatchEvent removal{ true, { "a/c", "", 0, 11, 0 } };
     changes.changes = { put, removal };
@@ -149,19 +155,47 @@
     mostParts = std::max(mostParts, bytes / ToSeconds(kPartReportInterval));
   }
 
-  RunnerLoads loads;
-  for (std::size_t i = 0; i < kMaxLoadRows; ++i) {
-    loads.rows.push_back({ RunnerName(i), 2, 34'000 });
+  // A reader answers the calls of the daemons that rely on it, and sends the
+  // loads that it polled to the other readers.
+  constexpr std::size_t kTcpIpHeaderBytes = 52;
+  constexpr std::size_t kZones = 9;
+  std::map<HostId, EntryMember> members;
+  for (std::size_t i = 0; i < kZones * kDaemons; ++i) {
+    const HostId host("front-" + std::to_string(i));
+    members[host] = { host,
+                      AvailabilityZone("z-" + std::to_string(i % kZones)),
+                      "10.0.0.1:7700" };
   }
-  const double loadBytes =
+  const AvailabilityZone zone("z-0");
+  const std::size_t readers = ReadersOf(zone, members).size();
+  const std::size_t told = ReadersToTell(zone, members).size() - 1;
+  constexpr double kCallsPerSecond = 2;
+  const auto rows = [](std::size_t aCount) {
+    RunnerReports reports;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      reports.rows.push_back({ KeyOfRunner(RunnerName(i)), 70'000, 10, 500ms });
+    }
+    return reports;
+  };
+  RegistryChanges changes;
+  changes.revision = 100'000'000;
+  changes.reports = rows(kMaxReportRows);
+  const std::size_t answer =
+    codec.EncodeChanges(changes).size() + kFrameHeaderBytes + kFrameTagBytes;
+  // The answer's segment and the acknowledgement of the query.
+  const double relayBytes =
+    static_cast<double>((answer + 2 * kTcpIpHeaderBytes) * kDaemonsPerReader) *
+    kCallsPerSecond;
+  const double reportBytes =
     static_cast<double>(
-      WireBytes({ { NoticeKind::RunnerLoads, codec.EncodeLoads(loads) } })) *
-    kMaxLoadPeers / ToSeconds(kLoadReportInterval);
+      WireBytes({ { NoticeKind::RunnerReports,
+                    codec.EncodeReports(rows(kRunners / readers)) } })) *
+    static_cast<double>(told) * kCallsPerSecond;
   const double workBytes =
     static_cast<double>(
       WireBytes({ { NoticeKind::RunnerWork,
                     codec.EncodeWork({ RunnerName(1), 17'060 }) } })) *
     kMaxWorkPeers * kLongPromptsPerSecond;
-  CAPTURE(mostParts, loadBytes, workBytes);
-  CHECK(mostParts + loadBytes + workBytes <= 22'000);
+  CAPTURE(mostParts, relayBytes, reportBytes, workBytes);
+  CHECK(mostParts + relayBytes + reportBytes + workBytes <= 22'000);
 }
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -77,21 +77,19 @@
   bool operator==(const HeldParts&) const = default;
 };
 
-// A runner's load as it reported it.
+// A runner's load as it reported it. The amounts are rounded to the units below
+// and limited to what fits into a row.
 struct RunnerReportRow
 {
   RunnerKey runner = 0;
-  // Memory of running requests, in tokens; rounded to kReportTokens.
-  std::uint64_t memoryTokens = 0;
-  std::uint32_t waiting = 0;
-  std::uint32_t running = 0;
-  // Time since the report, rounded to kReportAge.
+  std::uint64_t tokens = 0;
+  std::uint32_t requests = 0;
+  // Time since the report.
   Duration age{ 0 };
 
   bool operator==(const RunnerReportRow&) const = default;
 };
 
-// Units in which reports are encoded, so that a row takes about 14 bytes.
 inline constexpr std::uint64_t kReportTokens = 64;
 inline constexpr Duration kReportAge = std::chrono::milliseconds(10);
 
--- a/wigeonwalk/entry/load_poller.h
+++ b/wigeonwalk/entry/load_poller.h
@@ -28,9 +28,10 @@
 };
 
 // The readers of a zone share its model runners by rendezvous hashing, poll
-// them and send the loads to the readers of all zones; the other daemons get
-// the loads with the registry's changes. Idle in clusters that are small enough
-// for all daemons to tell each other their loads. One task for each poll.
+// them and tell each other the loads, in clusters that are not too large those
+// of all zones; the other daemons get the loads with the registry's changes.
+// Idle in clusters that are small enough for all daemons to tell each other
+// their loads. One task for each poll.
 template<RunnerControl C, ReportNotifier P, Timer T>
 class LoadPoller
 {
@@ -85,11 +86,11 @@
     if (!report) {
       co_return;
     }
-    const ReportedLoad load{ KeyOfRunner(aRunner),
-                             report->memoryTokens,
-                             report->waiting,
-                             report->running,
-                             this->timer.Now() };
+    const ReportedLoad load = MakeReportedLoad(KeyOfRunner(aRunner),
+                                               report->memoryTokens,
+                                               report->running,
+                                               report->waiting,
+                                               this->timer.Now());
     this->polled.insert_or_assign(load.runner, load);
     this->state.reportedLoads.Record(load);
   }
@@ -105,8 +106,10 @@
     if (loads.empty()) {
       return;
     }
-    for (const EntryMember& reader : AllReaders(this->state.members)) {
-      if (reader.host != this->state.Settings().host) {
+    const EntrySettings& settings = this->state.Settings();
+    for (const EntryMember& reader :
+         ReadersToTell(settings.zone, this->state.members)) {
+      if (reader.host != settings.host) {
         this->peers.SendReports(reader, loads);
       }
     }
--- a/wigeonwalk/entry/load_poller_test.cc
+++ b/wigeonwalk/entry/load_poller_test.cc
@@ -110,7 +110,7 @@
       }
     }
 
-    THEN("the loads go to the other readers of all zones only")
+    THEN("the loads go to the other readers only")
     {
       const auto readers = AllReaders(daemons[0]->state.members);
       for (const auto& daemon : daemons) {
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -11,6 +11,7 @@
 #include "wigeonwalk/entry/notice_limits.h"
 #include "wigeonwalk/entry/part_relay.h"
 #include "wigeonwalk/entry/peer_loads.h"
+#include "wigeonwalk/entry/registry_readers.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/peer_channel.h"
 #include "wigeonwalk/ports/structured_log.h"
@@ -263,6 +264,11 @@
 
   void SendLoads()
   {
+    const EntrySettings& settings = this->state.Settings();
+    if (!ReadersOf(settings.zone, this->state.members).empty()) {
+      // Runners' own reports are passed on instead, for all daemons' requests.
+      return;
+    }
     RunnerLoads loads = LoadsOf(this->state.fleet);
     // An empty report is sent only once.
     if (loads.rows.empty() && this->sentEmptyLoads) {
@@ -279,7 +285,6 @@
     }
     const PeerNotice notice{ NoticeKind::RunnerLoads,
                              this->codec.EncodeLoads(loads) };
-    const EntrySettings& settings = this->state.Settings();
     for (const EntryMember& member : NearestMembers(
            settings.host, settings.zone, this->Others(), kMaxLoadPeers)) {
       this->SendNotice(member, notice);
--- a/wigeonwalk/entry/peer_loads.cc
+++ b/wigeonwalk/entry/peer_loads.cc
@@ -36,11 +36,8 @@
 {
   RunnerReports reports;
   for (const ReportedLoad& load : aLoads) {
-    reports.rows.push_back({ load.runner,
-                             load.memoryTokens,
-                             load.waiting,
-                             load.running,
-                             aNow - load.measuredAt });
+    reports.rows.push_back(
+      { load.runner, load.tokens, load.requests, aNow - load.measuredAt });
   }
   return reports;
 }
@@ -50,11 +47,7 @@
 {
   std::vector<ReportedLoad> loads;
   for (const RunnerReportRow& row : aReports.rows) {
-    loads.push_back({ row.runner,
-                      row.memoryTokens,
-                      row.waiting,
-                      row.running,
-                      aNow - row.age });
+    loads.push_back({ row.runner, row.tokens, row.requests, aNow - row.age });
   }
   return loads;
 }
--- a/wigeonwalk/entry/registry_readers.cc
+++ b/wigeonwalk/entry/registry_readers.cc
@@ -63,6 +63,15 @@
   return all;
 }
 
+std::vector<EntryMember>
+ReadersToTell(const AvailabilityZone& aZone,
+              const std::map<HostId, EntryMember>& aMembers)
+{
+  std::vector<EntryMember> all = AllReaders(aMembers);
+  return all.size() <= kMaxReadersAcrossZones ? all
+                                              : ReadersOf(aZone, aMembers);
+}
+
 ReaderRoles
 AssignReaders(const HostId& aSelf,
               const AvailabilityZone& aZone,
--- a/wigeonwalk/entry/registry_readers_test.cc
+++ b/wigeonwalk/entry/registry_readers_test.cc
@@ -40,9 +40,9 @@
                                           { 9, 4, 9 },
                                           { 70, 4, 8 },
                                           { 90, 4, 8 },
-                                          { 295, 6, 24 },
-                                          { 350, 9, 27 },
-                                          { 1'000, 9, 63 } }));
+                                          { 295, 6, 30 },
+                                          { 350, 9, 36 },
+                                          { 1'000, 9, 90 } }));
   INFO(row.daemons << " daemons in " << row.zones << " zones");
   const auto members = MakeMembers(row.daemons, row.zones);
   std::size_t readers = 0;
--- a/wigeonwalk/entry/registry_relay_test.cc
+++ b/wigeonwalk/entry/registry_relay_test.cc
@@ -91,7 +91,7 @@
 {
   Setting setting;
   const auto readers = setting.Readers();
-  REQUIRE(readers.size() == 2);
+  REQUIRE(readers.size() == 3);
   const Duration bound =
     setting.daemons[0]->state.Settings().bounds.configurationPropagation;
   const int others = kDaemons - static_cast<int>(readers.size());
--- a/wigeonwalk/entry/runner_wait.h
+++ b/wigeonwalk/entry/runner_wait.h
@@ -83,7 +83,13 @@
                                                SpreadOf(aSearch.request),
                                                this->timer.Now());
       if (!admission.admitted && this->Pick(aSearch, RoomRule::Ignored)) {
-        Refuse(aFailure, admission.retryAfter);
+        Refuse(aFailure,
+               "expected wait " + Milliseconds(*admission.expectedWait) +
+                 ", longest " + Milliseconds(giveUpAt - this->timer.Now()) +
+                 ", " +
+                 std::to_string(queue->requests.TokensUpTo(place.ticket)) +
+                 " tokens up to this request",
+               admission.retryAfter);
         co_return std::nullopt;
       }
     }
@@ -105,6 +111,8 @@
       Fail(aFailure.reason, ReasonCode::Unavailable, "no runner can be used");
     } else if (this->WaitsForRoom(aSearch)) {
       Refuse(aFailure,
+             "no place after " +
+               Milliseconds(this->timer.Now() - aSearch.arrivedAt),
              ServiceQueue::RetryAfter(std::nullopt, SpreadOf(aSearch.request)));
       pick.reset();
     }
@@ -148,11 +156,21 @@
            kSteps;
   }
 
-  static void Refuse(SearchFailure& aFailure, Duration aRetryAfter)
+  static std::string Milliseconds(Duration aDuration)
+  {
+    return std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+               .count()) +
+           " ms";
+  }
+
+  static void Refuse(SearchFailure& aFailure,
+                     const std::string& aNumbers,
+                     Duration aRetryAfter)
   {
     Fail(aFailure.reason,
          ReasonCode::Overloaded,
-         "no runner has memory for the prompt in time");
+         "no runner has memory for the prompt in time: " + aNumbers);
     aFailure.retryAfter = aRetryAfter;
   }
 
--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -96,7 +96,7 @@
   std::optional<RunnerReports> DecodeReports(const std::string&) const
   {
     return RunnerReports{
-      { { KeyOfRunner(UpstreamId("r-1")), 9'600, 0, 4, {} } }
+      { { KeyOfRunner(UpstreamId("r-1")), 9'600, 4, {} } }
     };
   }
   std::string EncodeParts(const HeldParts& aParts) const
--- a/wigeonwalk/fleet/reported_load.cc
+++ b/wigeonwalk/fleet/reported_load.cc
@@ -24,6 +24,20 @@
   return static_cast<RunnerKey>(HashBytes(aRunner.Text(), 0).low);
 }
 
+ReportedLoad
+MakeReportedLoad(RunnerKey aRunner,
+                 std::uint64_t aMemoryTokens,
+                 std::uint32_t aRunning,
+                 std::uint32_t aWaiting,
+                 TimePoint aMeasuredAt)
+{
+  const std::uint64_t average = aRunning > 0 ? aMemoryTokens / aRunning : 0;
+  return { aRunner,
+           aMemoryTokens + aWaiting * average,
+           aRunning + aWaiting,
+           aMeasuredAt };
+}
+
 void
 ReportedLoads::Record(const ReportedLoad& aLoad)
 {
@@ -54,7 +68,7 @@
   std::sort(busiest.begin(),
             busiest.end(),
             [](const ReportedLoad& aLeft, const ReportedLoad& aRight) {
-              return aLeft.memoryTokens > aRight.memoryTokens;
+              return aLeft.tokens > aRight.tokens;
             });
   busiest.resize(std::min(busiest.size(), aCount));
   return busiest;
@@ -70,14 +84,11 @@
       continue;
     }
     const ReportedLoad& load = found->second;
-    const std::uint64_t average =
-      load.running > 0 ? load.memoryTokens / load.running : 0;
-    const std::uint64_t tokens = load.memoryTokens + load.waiting * average;
-    runner->othersTokensInFlight = std::max(
-      runner->othersTokensInFlight, Excess(tokens, runner->tokensInFlight));
+    runner->othersTokensInFlight =
+      std::max(runner->othersTokensInFlight,
+               Excess(load.tokens, runner->tokensInFlight));
     runner->othersInFlight =
-      std::max(runner->othersInFlight,
-               Excess(load.running + load.waiting, runner->inFlight));
+      std::max(runner->othersInFlight, Excess(load.requests, runner->inFlight));
   }
 }
 
--- a/wigeonwalk/fleet/reported_load.h
+++ b/wigeonwalk/fleet/reported_load.h
@@ -1,6 +1,6 @@
 // Loads that runners report themselves.
 //
-//   loads.Record({ KeyOfRunner(id), tokens, waiting, running, measuredAt });
+//   loads.Record({ KeyOfRunner(id), tokens, requests, measuredAt });
 //   loads.ApplyTo(fleet, now);
 #pragma once
 
@@ -20,17 +20,27 @@
 RunnerKey
 KeyOfRunner(const UpstreamId& aRunner);
 
-// One runner's report.
+// One runner's load, by its own report.
 struct ReportedLoad
 {
   RunnerKey runner = 0;
-  // Memory of running requests, in tokens.
-  std::uint64_t memoryTokens = 0;
-  std::uint32_t waiting = 0;
-  std::uint32_t running = 0;
+  // Memory of running requests and the expected memory of waiting ones, in
+  // tokens.
+  std::uint64_t tokens = 0;
+  // Running and waiting requests.
+  std::uint32_t requests = 0;
   TimePoint measuredAt;
 };
 
+// Returns the load of a runner with the given memory in use; each waiting
+// request counts like the average running one.
+ReportedLoad
+MakeReportedLoad(RunnerKey aRunner,
+                 std::uint64_t aMemoryTokens,
+                 std::uint32_t aRunning,
+                 std::uint32_t aWaiting,
+                 TimePoint aMeasuredAt);
+
 // In a large cluster no daemon knows the requests of all others, so the sum of
 // the loads that daemons tell each other is far too low. A runner's own report
 // covers the requests of all daemons, but is some hundred milliseconds old. Not
@@ -47,12 +57,11 @@
   // Replaces all reports. Runners that are not listed have little load.
   void Replace(const std::vector<ReportedLoad>& aLoads);
 
-  // Returns the reports with the most memory in use that have not expired.
+  // Returns the reports with the most tokens that have not expired.
   std::vector<ReportedLoad> Busiest(std::size_t aCount, TimePoint aNow) const;
 
   // Raises the loads of other daemons at each runner to what its report says
-  // beyond the requests of this daemon. Waiting requests count like the average
-  // running one.
+  // beyond the requests of this daemon.
   void ApplyTo(const Fleet& aFleet, TimePoint aNow) const;
 
 private:
--- a/wigeonwalk/fleet/reported_load_test.cc
+++ b/wigeonwalk/fleet/reported_load_test.cc
@@ -27,7 +27,7 @@
 
   WHEN("the report shows more than the daemons told each other")
   {
-    loads.Record({ key, 80'000, 2, 8, now - 300ms });
+    loads.Record(MakeReportedLoad(key, 80'000, 8, 2, now - 300ms));
     loads.ApplyTo(fleet, now);
 
     THEN("the others' load is the rest, with waiting requests")
@@ -40,7 +40,7 @@
 
   WHEN("the report shows less")
   {
-    loads.Record({ key, 5'000, 0, 1, now - 300ms });
+    loads.Record({ key, 5'000, 1, now - 300ms });
     loads.ApplyTo(fleet, now);
     THEN("what daemons told each other counts")
     {
@@ -51,7 +51,7 @@
 
   WHEN("the report is old")
   {
-    loads.Record({ key, 80'000, 2, 8, now - 2s });
+    loads.Record({ key, 80'000, 8, now - 2s });
     loads.ApplyTo(fleet, now);
     THEN("it is ignored")
     {
@@ -62,30 +62,30 @@
 
   WHEN("reports arrive out of order")
   {
-    loads.Record({ key, 80'000, 0, 8, now - 100ms });
-    loads.Record({ key, 40'000, 0, 4, now - 400ms });
+    loads.Record({ key, 80'000, 8, now - 100ms });
+    loads.Record({ key, 40'000, 4, now - 400ms });
     THEN("the newest one counts")
     {
-      CHECK(loads.Busiest(9, now).front().memoryTokens == 80'000);
+      CHECK(loads.Busiest(9, now).front().tokens == 80'000);
     }
   }
 
   WHEN("only the busiest are passed on")
   {
     for (RunnerKey other = 1; other <= 5; ++other) {
-      loads.Record({ other, other * 1'000, 0, 1, now });
+      loads.Record({ other, other * 1'000, 1, now });
     }
     const auto busiest = loads.Busiest(2, now);
     THEN("they have the most memory in use")
     {
       REQUIRE(busiest.size() == 2);
-      CHECK(busiest[0].memoryTokens == 5'000);
-      CHECK(busiest[1].memoryTokens == 4'000);
+      CHECK(busiest[0].tokens == 5'000);
+      CHECK(busiest[1].tokens == 4'000);
     }
     THEN("a daemon that gets them forgets all others")
     {
       ReportedLoads replaced;
-      replaced.Record({ key, 80'000, 0, 8, now });
+      replaced.Record({ key, 80'000, 8, now });
       replaced.Replace(busiest);
       CHECK(replaced.Busiest(9, now).size() == 2);
     }
