entry: an estimated age of weights can't stop the service

Cause, by reading: a daemon that starts while the registry is slow sees few revisions and takes weights for much older than they are; with no runner on them yet it would refuse everything.

Change: the time before the start counts only if a third of the runners have the newest weights.

--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -112,14 +112,13 @@
 }
 
 Duration
-EntryState::AgeOf(const KnownWeights& aWeights, TimePoint aNow) const
+EntryState::AgeAtStart(const KnownWeights& aWeights) const
 {
-  const Duration known = aNow - aWeights.since;
   if (aWeights.revision == 0) {
-    return known;
+    return Duration(0);
   }
-  const auto before = this->revisionClock.AgeAtStart(aWeights.revision);
-  return known + before.value_or(Duration(0));
+  return this->revisionClock.AgeAtStart(aWeights.revision)
+    .value_or(Duration(0));
 }
 
 std::shared_ptr<ServiceQueue>
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -90,9 +90,10 @@
 
   KnownWeights WeightsOf(const ModelName& aModel) const;
 
-  // Returns how long ago the newest weights were published, as far as this
-  // daemon can tell. It may have started since.
-  Duration AgeOf(const KnownWeights& aWeights, TimePoint aNow) const;
+  // Returns how long before this daemon's start the newest weights were
+  // published, estimated from the registry's revisions; zero if it has learnt
+  // of them since, or can't tell.
+  Duration AgeAtStart(const KnownWeights& aWeights) const;
 
   // Returns the queue of requests that wait for a runner of the service.
   // Waiting requests share it, because a cancelled one may end after the state.
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -1,5 +1,6 @@
 #include "wigeonwalk/entry/runner_pick.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wigeonwalk {
@@ -17,16 +18,35 @@
 }
 
 // Older weights are no longer used once most of the time allowed for the
-// introduction of new ones has passed.
+// introduction of new ones has passed. The time before this daemon's start is
+// an estimate; it counts only if a good part of the runners have the new
+// weights, so that a wrong one can't stop the service.
 bool
 RequiresNewestWeights(const EntryState& aState,
+                      const ModelName& aModel,
                       const KnownWeights& aNewest,
+                      const Candidates& aCandidates,
                       TimePoint aNow)
 {
   constexpr double kUsableFraction = 0.8;
+  constexpr std::size_t kLeastShareWithNewest = 3;
   const Duration allowed = FromSeconds(
     kUsableFraction * ToSeconds(aState.Settings().bounds.newWeights));
-  return aNewest.version > 1 && aState.AgeOf(aNewest, aNow) > allowed;
+  if (aNewest.version <= 1) {
+    return false;
+  }
+  const Duration known = aNow - aNewest.since;
+  if (known > allowed) {
+    return true;
+  }
+  if (known + aState.AgeAtStart(aNewest) <= allowed) {
+    return false;
+  }
+  const auto withNewest = static_cast<std::size_t>(std::count_if(
+    aCandidates.begin(), aCandidates.end(), [&](const auto& aRunner) {
+      return aRunner->VersionOf(aModel) >= aNewest.version;
+    }));
+  return withNewest * kLeastShareWithNewest >= aCandidates.size();
 }
 
 bool
@@ -51,7 +71,8 @@
     .runnerTokens = traits.cacheTokens,
     .bytesPerToken = traits.bytesPerToken,
     .newest = newest.version,
-    .onlyNewest = RequiresNewestWeights(aState, newest, aNow),
+    .onlyNewest = RequiresNewestWeights(
+      aState, aRequest.prompt->model, newest, aCandidates, aNow),
     .knowsAllZones = aState.KnowsAllZones(),
     .room = aRoom,
     .costs = CostsFrom(aState),
