--- a/wigeonwalk/entry/load_poller.h
+++ b/wigeonwalk/entry/load_poller.h
@@ -38,6 +38,9 @@
 public:
   static constexpr Duration kPollInterval = std::chrono::milliseconds(500);
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(300);
+  // When the loads are sent on, after the start of the polls: most runners have
+  // answered by then.
+  static constexpr Duration kAnnounceDelay = std::chrono::milliseconds(100);
 
   LoadPoller(EntryState& aState, C& aControl, P& aPeers, T& aTimer)
     : state(aState)
--- a/wigeonwalk/fleet/reported_load.h
+++ b/wigeonwalk/fleet/reported_load.h
@@ -48,8 +48,9 @@
 class ReportedLoads
 {
 public:
-  // Reports expire after this time.
-  static constexpr Duration kLifetime = std::chrono::milliseconds(1'500);
+  // Reports expire after this time. One reaches the last daemon within about
+  // 0.7 s and is used until the next one, half a second later.
+  static constexpr Duration kLifetime = std::chrono::milliseconds(2'000);
 
   // Keeps the report if it is newer than the one that is known.
   void Record(const ReportedLoad& aLoad);
