--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -6,6 +6,7 @@
 #include "wigeonwalk/entry/peer_exchange.h"
 #include "wigeonwalk/entry/registry_relay.h"
 #include "wigeonwalk/entry/registry_watch.h"
+#include "wigeonwalk/entry/test_settings.h"
 #include "wigeonwalk/testing/fake_key_value.h"
 #include "wigeonwalk/testing/null_log.h"
 #include "wigeonwalk/testing/peer_network.h"
@@ -162,15 +163,6 @@
 
 static_assert(EntryNoticeCodec<PlainCodec>);
 
-inline EntrySettings
-MakeRegistrySettings(const std::string& aHost)
-{
-  EntrySettings settings;
-  settings.host = HostId(aHost);
-  settings.zone = AvailabilityZone("north");
-  return settings;
-}
-
 // One daemon that watches the registry and exchanges messages with its peers.
 struct RegistryDaemon
 {
@@ -185,7 +177,7 @@
                  PeerNetwork& aNetwork,
                  const std::string& aHost)
     : service(aService.Connect())
-    , state(MakeRegistrySettings(aHost))
+    , state(MakeSettings(aHost))
     , watch(state, mirror, service, decoder, aTime, log)
     , endpoint(aNetwork.Add("peer-" + aHost, "north"))
     , channel(aNetwork, endpoint)
--- a/wigeonwalk/entry/test_rollout.h
+++ b/wigeonwalk/entry/test_rollout.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/test_settings.h"
 #include "wigeonwalk/testing/fake_runner_control.h"
 
 #include <cstdint>
@@ -28,15 +29,6 @@
   bool fenced = false;
 };
 
-inline EntrySettings
-MakeSettings(const std::string& aHost)
-{
-  EntrySettings settings;
-  settings.host = HostId(aHost);
-  settings.zone = AvailabilityZone("north");
-  return settings;
-}
-
 inline RoutingConfiguration
 MakeConfiguration()
 {
