--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -3,7 +3,6 @@
 #include "wigeonwalk/adapters/msgpack/msgpack.h"
 #include "wigeonwalk/adapters/notices/notice_codec.h"
 
-#include <algorithm>
 #include <cstdint>
 
 namespace wigeonwalk {
@@ -26,61 +25,6 @@
   return { bytes.begin(), bytes.end() };
 }
 
-// Rows of reports are packed into 8 bytes each: a reader sends many of them.
-constexpr std::size_t kReportRowBytes = 8;
-
-// Appends the lowest bytes of a value, the least significant first; a larger
-// value is encoded as the largest one.
-void
-AppendBytes(std::string& aBytes, std::uint64_t aValue, std::size_t aCount)
-{
-  const std::uint64_t largest = (std::uint64_t(1) << (8 * aCount)) - 1;
-  const std::uint64_t value = std::min(aValue, largest);
-  for (std::size_t i = 0; i < aCount; ++i) {
-    aBytes += static_cast<char>((value >> (8 * i)) & 0xFF);
-  }
-}
-
-std::uint64_t
-ReadBytes(const std::string& aBytes, std::size_t aFirst, std::size_t aCount)
-{
-  std::uint64_t value = 0;
-  for (std::size_t i = 0; i < aCount; ++i) {
-    value |= std::uint64_t(static_cast<unsigned char>(aBytes.at(aFirst + i)))
-             << (8 * i);
-  }
-  return value;
-}
-
-Json
-PackReports(const RunnerReports& aReports)
-{
-  std::string bytes;
-  for (const RunnerReportRow& row : aReports.rows) {
-    AppendBytes(bytes, row.runner, 4);
-    AppendBytes(bytes, row.tokens / kReportTokens, 2);
-    AppendBytes(bytes, row.requests, 1);
-    AppendBytes(bytes, static_cast<std::uint64_t>(row.age / kReportAge), 1);
-  }
-  return Binary(bytes);
-}
-
-RunnerReports
-UnpackReports(const Json& aJson)
-{
-  const std::string bytes = BytesOf(aJson);
-  RunnerReports reports;
-  for (std::size_t at = 0; at < bytes.size(); at += kReportRowBytes) {
-    const auto age = static_cast<Duration::rep>(ReadBytes(bytes, at + 7, 1));
-    reports.rows.push_back(
-      { static_cast<RunnerKey>(ReadBytes(bytes, at, 4)),
-        ReadBytes(bytes, at + 4, 2) * kReportTokens,
-        static_cast<std::uint32_t>(ReadBytes(bytes, at + 6, 1)),
-        age * kReportAge });
-  }
-  return reports;
-}
-
 } // namespace
 
 std::string
@@ -144,18 +88,6 @@
   });
 }
 
-std::string
-EntryMsgpack::EncodeReports(const RunnerReports& aReports) const
-{
-  return PackMessage(PackReports(aReports));
-}
-
-std::optional<RunnerReports>
-EntryMsgpack::DecodeReports(const std::string& aPayload) const
-{
-  return UnpackMessage(aPayload, UnpackReports);
-}
-
 std::string
 EntryMsgpack::EncodeParts(const HeldParts& aParts) const
 {
@@ -223,8 +155,7 @@
   return PackMessage(Json::array({ aChanges.revision,
                                    aChanges.full,
                                    std::move(rows),
-                                   aChanges.age.count(),
-                                   PackReports(aChanges.reports) }));
+                                   aChanges.age.count() }));
 }
 
 std::optional<RegistryChanges>
@@ -235,7 +166,6 @@
     changes.revision = aJson.at(0).get<std::int64_t>();
     changes.full = aJson.at(1).get<bool>();
     changes.age = Duration(aJson.at(3).get<std::int64_t>());
-    changes.reports = UnpackReports(aJson.at(4));
     for (const Json& row : aJson.at(2)) {
       WatchEvent change;
       change.deleted = row.at(0).get<bool>();
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.h
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.h
@@ -20,8 +20,6 @@
   std::optional<RunnerLoads> DecodeLoads(const std::string& aPayload) const;
   std::string EncodeWork(const RunnerWork& aWork) const;
   std::optional<RunnerWork> DecodeWork(const std::string& aPayload) const;
-  std::string EncodeReports(const RunnerReports& aReports) const;
-  std::optional<RunnerReports> DecodeReports(const std::string& aPayload) const;
   std::string EncodeParts(const HeldParts& aParts) const;
   std::optional<HeldParts> DecodeParts(const std::string& aPayload) const;
   PeerNotice EncodePoison(const PoisonNotice& aNotice) const;
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -33,19 +33,6 @@
     CHECK(codec.DecodeWork(codec.EncodeWork(work)) == work);
   }
 
-  SECTION("for runners' loads")
-  {
-    const RunnerReports reports{ { { 0xFEDC'BA98, 128'000, 15, 470ms },
-                                   { 7, 64, 1, 0ms } } };
-    CHECK(codec.DecodeReports(codec.EncodeReports(reports)) == reports);
-    CHECK_FALSE(codec.DecodeReports("\xFF").has_value());
-    // A row that was cut off.
-    CHECK_FALSE(codec
-                  .DecodeReports("\xC4\x03"
-                                 "abc")
-                  .has_value());
-  }
-
   SECTION("for the parts that a holder has")
   {
     const HeldParts parts{ UpstreamId("172.20.0.2:8006"),
@@ -56,8 +43,7 @@
 
   SECTION("for the registry, with values of arbitrary bytes")
   {
-    RegistryChanges changes{ 12, 700ms, true, {}, {} };
-    changes.reports.rows = { { 9, 640, 3, 30ms } };
+    RegistryChanges changes{ 12, 700ms, true, {} };
     WatchEvent put{ false, { "a/b", std::string("\0\xFF{", 3), 4, 9, 0 } };
     WatchEvent removal{ true, { "a/c", "", 0, 11, 0 } };
     changes.changes = { put, removal };
@@ -65,7 +51,6 @@
     REQUIRE(decoded.has_value());
     CHECK(decoded->revision == 12);
     CHECK(decoded->age == changes.age);
-    CHECK(decoded->reports == changes.reports);
     CHECK(decoded->full);
     REQUIRE(decoded->changes.size() == 2);
     CHECK(decoded->changes[0].entry == put.entry);
@@ -155,47 +140,32 @@
     mostParts = std::max(mostParts, bytes / ToSeconds(kPartReportInterval));
   }
 
-  // A reader answers the calls of the daemons that rely on it, and sends the
-  // loads that it polled to the other readers.
-  constexpr std::size_t kTcpIpHeaderBytes = 52;
-  constexpr std::size_t kZones = 9;
-  std::map<HostId, EntryMember> members;
-  for (std::size_t i = 0; i < kZones * kDaemons; ++i) {
-    const HostId host("front-" + std::to_string(i));
-    members[host] = { host,
-                      AvailabilityZone("z-" + std::to_string(i % kZones)),
-                      "10.0.0.1:7700" };
+  RunnerLoads loads;
+  for (std::size_t i = 0; i < kMaxLoadRows; ++i) {
+    loads.rows.push_back({ RunnerName(i), 2, 34'000 });
   }
-  const AvailabilityZone zone("z-0");
-  const std::size_t readers = ReadersOf(zone, members).size();
-  const std::size_t told = ReadersToTell(zone, members).size() - 1;
+  const double loadBytes =
+    static_cast<double>(
+      WireBytes({ { NoticeKind::RunnerLoads, codec.EncodeLoads(loads) } })) *
+    kMaxLoadPeers / ToSeconds(kLoadReportInterval);
+
+  // A reader answers the calls of the daemons that rely on it; mostly nothing
+  // has changed.
+  constexpr std::size_t kTcpIpHeaderBytes = 52;
   constexpr double kCallsPerSecond = 2;
-  const auto rows = [](std::size_t aCount) {
-    RunnerReports reports;
-    for (std::size_t i = 0; i < aCount; ++i) {
-      reports.rows.push_back({ KeyOfRunner(RunnerName(i)), 70'000, 10, 500ms });
-    }
-    return reports;
-  };
   RegistryChanges changes;
   changes.revision = 100'000'000;
-  changes.reports = rows(kMaxReportRows);
   const std::size_t answer =
     codec.EncodeChanges(changes).size() + kFrameHeaderBytes + kFrameTagBytes;
   // The answer's segment and the acknowledgement of the query.
   const double relayBytes =
     static_cast<double>((answer + 2 * kTcpIpHeaderBytes) * kDaemonsPerReader) *
     kCallsPerSecond;
-  const double reportBytes =
-    static_cast<double>(
-      WireBytes({ { NoticeKind::RunnerReports,
-                    codec.EncodeReports(rows(kRunners / readers)) } })) *
-    static_cast<double>(told) * kCallsPerSecond;
   const double workBytes =
     static_cast<double>(
       WireBytes({ { NoticeKind::RunnerWork,
                     codec.EncodeWork({ RunnerName(1), 17'060 }) } })) *
     kMaxWorkPeers * kLongPromptsPerSecond;
-  CAPTURE(mostParts, relayBytes, reportBytes, workBytes);
-  CHECK(mostParts + relayBytes + reportBytes + workBytes <= 22'000);
+  CAPTURE(mostParts, loadBytes, relayBytes, workBytes);
+  CHECK(mostParts + loadBytes + relayBytes + workBytes <= 22'000);
 }
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "wigeonwalk/fleet/part_index.h"
-#include "wigeonwalk/fleet/reported_load.h"
 #include "wigeonwalk/fleet/runner.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/peer_messages.h"
@@ -77,29 +76,6 @@
   bool operator==(const HeldParts&) const = default;
 };
 
-// A runner's load as it reported it. The amounts are rounded to the units below
-// and limited to what fits into a row.
-struct RunnerReportRow
-{
-  RunnerKey runner = 0;
-  std::uint64_t tokens = 0;
-  std::uint32_t requests = 0;
-  // Time since the report.
-  Duration age{ 0 };
-
-  bool operator==(const RunnerReportRow&) const = default;
-};
-
-inline constexpr std::uint64_t kReportTokens = 64;
-inline constexpr Duration kReportAge = std::chrono::milliseconds(10);
-
-struct RunnerReports
-{
-  std::vector<RunnerReportRow> rows;
-
-  bool operator==(const RunnerReports&) const = default;
-};
-
 // Asks another daemon for the registry changes after a revision.
 struct RegistryQuery
 {
@@ -117,8 +93,6 @@
   // `changes` lists all current items; it may lack removals.
   bool full = false;
   std::vector<WatchEvent> changes;
-  // Loads of the busiest runners.
-  RunnerReports reports;
 };
 
 // Encodes and decodes the messages above. A decoder returns nothing if the
@@ -128,7 +102,6 @@
                                     const RunnerPause& aPause,
                                     const RunnerLoads& aLoads,
                                     const RunnerWork& aWork,
-                                    const RunnerReports& aReports,
                                     const HeldParts& aParts,
                                     const PoisonNotice& aPoison,
                                     const PeerNotice& aNotice,
@@ -154,12 +127,6 @@
   {
     aCodec.DecodeWork(aPayload)
     } -> std::same_as<std::optional<RunnerWork>>;
-  {
-    aCodec.EncodeReports(aReports)
-    } -> std::same_as<std::string>;
-  {
-    aCodec.DecodeReports(aPayload)
-    } -> std::same_as<std::optional<RunnerReports>>;
   {
     aCodec.EncodeParts(aParts)
     } -> std::same_as<std::string>;
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -9,7 +9,6 @@
 #include "wigeonwalk/entry/revision_clock.h"
 #include "wigeonwalk/fleet/fleet.h"
 #include "wigeonwalk/fleet/part_index.h"
-#include "wigeonwalk/fleet/reported_load.h"
 #include "wigeonwalk/fleet/runner_choice.h"
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/queueing/service_queue.h"
@@ -118,8 +117,6 @@
   SlidingWindowBudget retryBudget;
   PoisonTracker poison;
   RevisionClock revisionClock;
-  // Loads that runners reported; empty in a small cluster.
-  ReportedLoads reportedLoads;
   // The registry has not answered for some time.
   bool registryUnreachable = true;
   // When the registry was last known to be at the mirror's revision.
--- a/wigeonwalk/entry/notice_limits.h
+++ b/wigeonwalk/entry/notice_limits.h
@@ -18,9 +18,6 @@
 inline constexpr std::size_t kMaxLoadRows = 12;
 // Daemons that are notified of one long prompt.
 inline constexpr std::size_t kMaxWorkPeers = 24;
-// Runners whose loads a reader tells another daemon; those with the most tokens
-// are chosen. One that is left out counts as idle.
-inline constexpr std::size_t kMaxReportRows = 80;
 // How often changes of parts are sent: twice within the maximum age of a
 // source's last report.
 inline constexpr Duration kPartReportInterval = EntryState::kSourceMaxAge / 2;
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -11,7 +11,6 @@
 #include "wigeonwalk/entry/notice_limits.h"
 #include "wigeonwalk/entry/part_relay.h"
 #include "wigeonwalk/entry/peer_loads.h"
-#include "wigeonwalk/entry/registry_readers.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/peer_channel.h"
 #include "wigeonwalk/ports/structured_log.h"
@@ -70,7 +69,7 @@
       if (now >= this->loadsAt) {
         this->loadsAt = now + kLoadReportInterval;
         this->SendLoads();
-        this->ApplyLoads(now);
+        this->peerLoads.ApplyTo(this->state.fleet, now);
       }
       co_await this->timer.WaitUntil(now + kLoopInterval);
     }
@@ -139,16 +138,6 @@
     }
   }
 
-  // Sends one daemon the loads that runners reported.
-  void SendReports(const EntryMember& aMember,
-                   const std::vector<ReportedLoad>& aLoads)
-  {
-    const RunnerReports reports = ReportsOf(aLoads, this->timer.Now());
-    this->SendNotice(
-      aMember,
-      { NoticeKind::RunnerReports, this->codec.EncodeReports(reports) });
-  }
-
   void OnDatagram(const PeerDatagram& aDatagram)
   {
     for (const PeerNotice& notice : aDatagram.notices) {
@@ -215,14 +204,7 @@
       case NoticeKind::RunnerLoads:
         if (auto loads = this->codec.DecodeLoads(aNotice.payload)) {
           this->peerLoads.Record(aSender, std::move(*loads), now);
-          this->ApplyLoads(now);
-        }
-        break;
-      case NoticeKind::RunnerReports:
-        if (const auto reports = this->codec.DecodeReports(aNotice.payload)) {
-          for (const ReportedLoad& load : LoadsOf(*reports, now)) {
-            this->state.reportedLoads.Record(load);
-          }
+          this->peerLoads.ApplyTo(this->state.fleet, now);
         }
         break;
       case NoticeKind::HeldParts:
@@ -241,12 +223,6 @@
     }
   }
 
-  void ApplyLoads(TimePoint aNow)
-  {
-    this->peerLoads.ApplyTo(this->state.fleet, aNow);
-    this->state.reportedLoads.ApplyTo(this->state.fleet, aNow);
-  }
-
   PeerDatagram Datagram() const
   {
     PeerDatagram datagram;
@@ -264,11 +240,6 @@
 
   void SendLoads()
   {
-    const EntrySettings& settings = this->state.Settings();
-    if (!ReadersOf(settings.zone, this->state.members).empty()) {
-      // Runners' own reports are passed on instead, for all daemons' requests.
-      return;
-    }
     RunnerLoads loads = LoadsOf(this->state.fleet);
     // An empty report is sent only once.
     if (loads.rows.empty() && this->sentEmptyLoads) {
@@ -285,6 +256,7 @@
     }
     const PeerNotice notice{ NoticeKind::RunnerLoads,
                              this->codec.EncodeLoads(loads) };
+    const EntrySettings& settings = this->state.Settings();
     for (const EntryMember& member : NearestMembers(
            settings.host, settings.zone, this->Others(), kMaxLoadPeers)) {
       this->SendNotice(member, notice);
--- a/wigeonwalk/entry/peer_loads.cc
+++ b/wigeonwalk/entry/peer_loads.cc
@@ -31,27 +31,6 @@
   }
 }
 
-RunnerReports
-ReportsOf(const std::vector<ReportedLoad>& aLoads, TimePoint aNow)
-{
-  RunnerReports reports;
-  for (const ReportedLoad& load : aLoads) {
-    reports.rows.push_back(
-      { load.runner, load.tokens, load.requests, aNow - load.measuredAt });
-  }
-  return reports;
-}
-
-std::vector<ReportedLoad>
-LoadsOf(const RunnerReports& aReports, TimePoint aNow)
-{
-  std::vector<ReportedLoad> loads;
-  for (const RunnerReportRow& row : aReports.rows) {
-    loads.push_back({ row.runner, row.tokens, row.requests, aNow - row.age });
-  }
-  return loads;
-}
-
 RunnerLoads
 LoadsOf(const Fleet& aFleet)
 {
--- a/wigeonwalk/entry/peer_loads.h
+++ b/wigeonwalk/entry/peer_loads.h
@@ -37,12 +37,6 @@
   std::map<HostId, Report> reports;
 };
 
-// Convert reported loads to and from messages, in which times are ages.
-RunnerReports
-ReportsOf(const std::vector<ReportedLoad>& aLoads, TimePoint aNow);
-std::vector<ReportedLoad>
-LoadsOf(const RunnerReports& aReports, TimePoint aNow);
-
 // Returns what this daemon has in flight at each runner.
 RunnerLoads
 LoadsOf(const Fleet& aFleet);
--- a/wigeonwalk/entry/registry_readers.cc
+++ b/wigeonwalk/entry/registry_readers.cc
@@ -3,7 +3,6 @@
 #include "wigeonwalk/membership/rendezvous.h"
 
 #include <algorithm>
-#include <set>
 
 namespace wigeonwalk {
 
@@ -48,30 +47,6 @@
   return MembersAt(RankOwners("registry readers", hosts, count), aMembers);
 }
 
-std::vector<EntryMember>
-AllReaders(const std::map<HostId, EntryMember>& aMembers)
-{
-  std::set<AvailabilityZone> zones;
-  for (const auto& [host, member] : aMembers) {
-    zones.insert(member.zone);
-  }
-  std::vector<EntryMember> all;
-  for (const AvailabilityZone& zone : zones) {
-    const std::vector<EntryMember> readers = ReadersOf(zone, aMembers);
-    all.insert(all.end(), readers.begin(), readers.end());
-  }
-  return all;
-}
-
-std::vector<EntryMember>
-ReadersToTell(const AvailabilityZone& aZone,
-              const std::map<HostId, EntryMember>& aMembers)
-{
-  std::vector<EntryMember> all = AllReaders(aMembers);
-  return all.size() <= kMaxReadersAcrossZones ? all
-                                              : ReadersOf(aZone, aMembers);
-}
-
 ReaderRoles
 AssignReaders(const HostId& aSelf,
               const AvailabilityZone& aZone,
--- a/wigeonwalk/entry/registry_readers.h
+++ b/wigeonwalk/entry/registry_readers.h
@@ -14,8 +14,8 @@
 
 namespace wigeonwalk {
 
-// Daemons of a zone for each reader. A reader then spends about 20 KB/s on the
-// others: 12 x 2 calls a second of up to 850 bytes.
+// Daemons of a zone for each reader. A reader then spends about 6 KB/s on the
+// others: 12 x 2 calls a second of 250 bytes.
 inline constexpr std::size_t kDaemonsPerReader = 12;
 
 // Readers of a zone, so that one can fail without the others having to watch.
@@ -41,20 +41,6 @@
 ReadersOf(const AvailabilityZone& aZone,
           const std::map<HostId, EntryMember>& aMembers);
 
-// Returns the readers of all zones.
-std::vector<EntryMember>
-AllReaders(const std::map<HostId, EntryMember>& aMembers);
-
-// Loads of runners are told to the readers of other zones in clusters of up to
-// this many readers; beyond, that would take more than a daemon's share of
-// control traffic.
-inline constexpr std::size_t kMaxReadersAcrossZones = 12;
-
-// Returns the readers that a reader of this zone tells its runners' loads.
-std::vector<EntryMember>
-ReadersToTell(const AvailabilityZone& aZone,
-              const std::map<HostId, EntryMember>& aMembers);
-
 // The number of calls to the registry and the cost of reading its changes would
 // grow with the fleet if every daemon watched it. In a larger zone only its
 // readers do, and each of the others asks one of them. A daemon that is not
--- a/wigeonwalk/entry/registry_readers_test.cc
+++ b/wigeonwalk/entry/registry_readers_test.cc
@@ -65,18 +65,6 @@
     CHECK(readers <= row.mostReaders);
   }
 
-  THEN("each zone's readers are those of the whole cluster")
-  {
-    const std::vector<EntryMember> all = AllReaders(members);
-    for (const auto& [host, member] : members) {
-      const bool isReader =
-        std::find_if(all.begin(), all.end(), [&](const EntryMember& aReader) {
-          return aReader.host == host;
-        }) != all.end();
-      CHECK(AssignReaders(host, member.zone, members).isAsked == isReader);
-    }
-  }
-
   THEN("the others are spread over them")
   {
     for (const auto& [reader, count] : dependents) {
--- a/wigeonwalk/entry/registry_relay.h
+++ b/wigeonwalk/entry/registry_relay.h
@@ -8,8 +8,6 @@
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/item_mirror.h"
-#include "wigeonwalk/entry/notice_limits.h"
-#include "wigeonwalk/entry/peer_loads.h"
 #include "wigeonwalk/entry/registry_readers.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/peer_channel.h"
@@ -102,11 +100,6 @@
     RegistryChanges changes;
     changes.revision = this->mirror.Revision();
     changes.age = this->timer.Now() - this->state.registryKnownAt;
-    if (this->state.isAskedForChanges) {
-      const TimePoint now = this->timer.Now();
-      changes.reports =
-        ReportsOf(this->state.reportedLoads.Busiest(kMaxReportRows, now), now);
-    }
     if (auto since = this->mirror.ChangesSince(query->revision)) {
       changes.changes = std::move(*since);
     } else {
@@ -139,7 +132,6 @@
       // the registry's return, so that is recorded first.
       this->watch.NoteReader(askedAt - changes->age);
       this->watch.ApplyReported(changes->changes, changes->revision);
-      this->state.reportedLoads.Replace(LoadsOf(changes->reports, askedAt));
       if (this->state.FollowsReader(this->timer.Now())) {
         break;
       }
--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -90,16 +90,6 @@
   {
     return RunnerWork{ UpstreamId(aPayload), 38'000 };
   }
-  std::string EncodeReports(const RunnerReports& aReports) const
-  {
-    return std::to_string(aReports.rows.size());
-  }
-  std::optional<RunnerReports> DecodeReports(const std::string&) const
-  {
-    return RunnerReports{
-      { { KeyOfRunner(UpstreamId("r-1")), 9'600, 4, {} } }
-    };
-  }
   std::string EncodeParts(const HeldParts& aParts) const
   {
     return aParts.holder.Text();
--- a/wigeonwalk/ports/peer_messages.h
+++ b/wigeonwalk/ports/peer_messages.h
@@ -80,20 +80,18 @@
   RunnerLoads,
   RunnerWork,
   HeldParts,
-  RunnerReports,
 };
 
 template<>
 struct EnumNames<NoticeKind>
 {
-  static constexpr std::array<EnumName<NoticeKind>, 7> kTable{ {
+  static constexpr std::array<EnumName<NoticeKind>, 6> kTable{ {
     { NoticeKind::Poison, "poison" },
     { NoticeKind::Leaving, "leaving" },
     { NoticeKind::RunnerPause, "runner-pause" },
     { NoticeKind::RunnerLoads, "runner-loads" },
     { NoticeKind::RunnerWork, "runner-work" },
     { NoticeKind::HeldParts, "held-parts" },
-    { NoticeKind::RunnerReports, "runner-reports" },
   } };
 };
 static_assert(HasCompleteTable<NoticeKind>());
--- a/wigeonwalk/ports/runner_control.h
+++ b/wigeonwalk/ports/runner_control.h
@@ -68,11 +68,6 @@
   bool busy = false;
   // Number of orders accepted since the runner's start.
   std::uint64_t acceptedOrders = 0;
-  // Requests that run and that wait for memory or a slot.
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
-  // Memory of running requests, in tokens.
-  std::uint64_t memoryTokens = 0;
 };
 
 // Orders a runner to load other weights once its current runs have ended.
--- a/wigeonwalk/testing/fake_runner_control.h
+++ b/wigeonwalk/testing/fake_runner_control.h
@@ -52,8 +52,6 @@
     std::uint64_t loads = 0;
     // Time from an order to the end of its load.
     Duration loadTime = kLoadTime;
-    std::uint64_t memoryTokens = 0;
-    std::uint32_t running = 0;
   };
 
   explicit FakeRunnerControl(VirtualTime& aTime)
@@ -121,8 +119,6 @@
     report.models = { { ModelName("m"), runner.version } };
     report.busy = this->time.Now() < runner.busyUntil;
     report.acceptedOrders = runner.acceptedOrders;
-    report.memoryTokens = runner.memoryTokens;
-    report.running = runner.running;
     co_return report;
   }
 
