--- a/wigeonwalk/entry/registry_relay_test.cc
+++ b/wigeonwalk/entry/registry_relay_test.cc
@@ -161,6 +161,21 @@
     }
   }
 
+  WHEN("the registry refuses all calls for 20 s")
+  {
+    setting.service.AddFault({ .fault = KeyValueFault::Down,
+                               .from = setting.time.Now(),
+                               .until = setting.time.Now() + 20s });
+    const auto before = setting.service.Count(KeyValueCall::Watch);
+    setting.RunFor(20s);
+
+    THEN("each daemon probes it about once a second")
+    {
+      const auto calls = setting.service.Count(KeyValueCall::Watch) - before;
+      CHECK(calls <= (20 + 4) * kDaemons);
+    }
+  }
+
   WHEN("the registry is down for some time")
   {
     setting.service.AddFault({ .fault = KeyValueFault::Down,
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -10,6 +10,7 @@
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/ports/structured_log.h"
+#include "wigeonwalk/retry/backoff.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -48,8 +49,13 @@
   static constexpr Duration kReadTimeout = std::chrono::milliseconds(1'000);
   static constexpr int kReadTimeoutGrowth = 3;
   static constexpr Duration kMaxReadTimeout = std::chrono::seconds(8);
-  // Delay after a failed call.
-  static constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
+  // Delay after a failed call. After a failed watch it doubles with each
+  // further failure: in an outage every daemon probes the registry, and refused
+  // calls have a cost as well.
+  static constexpr BackoffSettings kRetryDelays{
+    .initialDelay = std::chrono::milliseconds(200),
+    .maxDelay = std::chrono::milliseconds(1'000),
+  };
   // The registry counts as unreachable after this time without a response.
   static constexpr Duration kUnreachableAfter =
     std::chrono::milliseconds(1'000);
@@ -92,10 +98,13 @@
       }
       const TimePoint now = this->timer.Now();
       if (ok) {
+        this->failedWatches = 0;
         co_await this->timer.WaitUntil(startedAt + this->MinWatchInterval());
       } else {
         this->NoteFailure(reason, now);
-        co_await this->timer.WaitUntil(now + kRetryDelay);
+        this->failedWatches += this->hasListing ? 1 : 0;
+        const Duration delay = BackoffDelay(kRetryDelays, this->failedWatches);
+        co_await this->timer.WaitUntil(now + delay);
       }
     }
   }
@@ -326,6 +335,7 @@
   T& timer;
   L& log;
   bool hasListing = false;
+  std::uint32_t failedWatches = 0;
   Duration readTimeout = kReadTimeout;
   TimePoint answeredAt;
 };
