entry: rank the followers of holders only after changes; split the wait for a runner

Change: EntryState counts its changes; the follower reconciles its holders after one, and every two seconds in any case. RunnerWait::Find is split into its steps, without a change of what it does.

--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -21,6 +21,7 @@
 #include <cstdint>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -57,8 +58,11 @@
     .initialDelay = std::chrono::milliseconds(100),
     .maxDelay = std::chrono::milliseconds(1'600),
   };
-  // How often the list of holders is reconciled.
+  // How often the list of holders is reconciled if the state has changed, and
+  // in any case: some changes of the fleet, such as runners that are given up
+  // after an outage, don't pass through the state.
   static constexpr Duration kReconcileInterval = std::chrono::milliseconds(200);
+  static constexpr Duration kMaxReconcileInterval = std::chrono::seconds(2);
   // Calls per holder kept in reserve, because daemons whose views of the
   // membership differ choose different followers.
   static constexpr std::uint32_t kReservedCalls = 2;
@@ -77,6 +81,14 @@
   // the holders for which the caller must start a Follow task.
   std::vector<UpstreamId> Reconcile()
   {
+    // Ranking hundreds of daemons for each holder takes half a millisecond.
+    const TimePoint now = this->timer.Now();
+    const std::uint64_t generation = this->state.Generation();
+    if (generation == this->reconciled && now < this->reconcileAt) {
+      return {};
+    }
+    this->reconciled = generation;
+    this->reconcileAt = now + kMaxReconcileInterval;
     const std::map<UpstreamId, WantedHolder> wanted = this->WantedHolders();
     for (auto it = this->state.holders.begin();
          it != this->state.holders.end();) {
@@ -321,6 +333,10 @@
   std::map<UpstreamId, HolderFollowers> followers;
   // Holders with a running task.
   std::set<UpstreamId> tasks;
+  // State's generation at the last reconciliation, and when the next one is due
+  // without a change.
+  std::optional<std::uint64_t> reconciled;
+  TimePoint reconcileAt;
   PartRelay relay;
 };
 
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -18,11 +18,13 @@
 {
   if (auto* entry = std::get_if<RunnerEntry>(&aItem)) {
     const FleetChange change = this->fleet.Register(*entry);
+    this->generation += change == FleetChange::None ? 0 : 1;
     if (change == FleetChange::Restarted) {
       this->ForgetHolder(entry->id);
     }
     return change;
   }
+  ++this->generation;
   if (auto* configuration = std::get_if<RoutingConfiguration>(&aItem)) {
     if (this->routes == nullptr ||
         this->routes->Configuration().version < configuration->version) {
@@ -42,6 +44,7 @@
 FleetChange
 EntryState::ApplyRemoved(const RemovedItem& aItem, TimePoint aNow)
 {
+  ++this->generation;
   if (const auto* runner = std::get_if<UpstreamId>(&aItem)) {
     const FleetChange change = this->fleet.Unregister(*runner, aNow);
     if (change == FleetChange::Removed) {
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -98,6 +98,10 @@
   // Waiting requests share it, because a cancelled one may end after the state.
   std::shared_ptr<ServiceQueue> QueueOf(const ServiceName& aService);
 
+  // Changes whenever the configuration, the members, or the set, state or
+  // registration of runners changes.
+  std::uint64_t Generation() const { return this->generation; }
+
   // Returns true if changes of cached parts are forwarded between zones. In a
   // larger cluster that would cost more than it saves.
   bool KnowsAllZones() const
@@ -134,6 +138,7 @@
   void ForgetHolder(const UpstreamId& aHolder);
 
   EntrySettings settings;
+  std::uint64_t generation = 0;
   std::shared_ptr<const RouteTable> routes;
   std::map<ModelName, KnownWeights> weights;
   std::map<ServiceName, std::shared_ptr<ServiceQueue>> queues;
--- a/wigeonwalk/entry/runner_wait.h
+++ b/wigeonwalk/entry/runner_wait.h
@@ -67,9 +67,7 @@
     const auto queue = this->state.QueueOf(aSearch.admitted.service->name);
     const std::uint32_t rank = this->QueueRank(aSearch);
     if (aSearch.resumes || !queue->requests.HasWaiting(rank)) {
-      const RoomRule rule =
-        aSearch.resumes ? RoomRule::Ignored : RoomRule::Required;
-      auto pick = this->Pick(aSearch, rule);
+      auto pick = this->PickNow(aSearch);
       if (pick) {
         co_return pick;
       }
@@ -77,46 +75,21 @@
     const QueuePlace place(
       queue, { rank, OrganisationOf(aSearch), TokensOf(aSearch.request) });
     const TimePoint giveUpAt = this->GiveUpAt(aSearch);
-    if (this->WaitsForRoom(aSearch)) {
-      const Admission admission = queue->Admit(place.ticket,
-                                               giveUpAt - this->timer.Now(),
-                                               SpreadOf(aSearch.request),
-                                               this->timer.Now());
-      if (!admission.admitted && this->Pick(aSearch, RoomRule::Ignored)) {
-        Refuse(aFailure,
-               "expected wait " + Milliseconds(*admission.expectedWait) +
-                 ", longest " + Milliseconds(giveUpAt - this->timer.Now()) +
-                 ", " +
-                 std::to_string(queue->requests.TokensUpTo(place.ticket)) +
-                 " tokens up to this request",
-               admission.retryAfter);
-        co_return std::nullopt;
-      }
+    if (this->IsRefusedByForecast(aSearch, place, giveUpAt, aFailure)) {
+      co_return std::nullopt;
     }
     while (this->timer.Now() < giveUpAt) {
       const TimePoint next =
         std::min(this->timer.Now() + kPollInterval, giveUpAt);
       co_await this->timer.WaitUntil(next);
       if (queue->requests.IsFirst(place.ticket)) {
-        const RoomRule rule =
-          aSearch.resumes ? RoomRule::Ignored : RoomRule::Required;
-        auto pick = this->Pick(aSearch, rule);
+        auto pick = this->PickNow(aSearch);
         if (pick) {
           co_return pick;
         }
       }
     }
-    auto pick = this->Pick(aSearch, RoomRule::Ignored);
-    if (!pick) {
-      Fail(aFailure.reason, ReasonCode::Unavailable, "no runner can be used");
-    } else if (this->WaitsForRoom(aSearch)) {
-      Refuse(aFailure,
-             "no place after " +
-               Milliseconds(this->timer.Now() - aSearch.arrivedAt),
-             ServiceQueue::RetryAfter(std::nullopt, SpreadOf(aSearch.request)));
-      pick.reset();
-    }
-    co_return pick;
+    co_return this->PickAtLast(aSearch, aFailure);
   }
 
 private:
@@ -199,6 +172,60 @@
     return std::min(aSearch.admitted.deadline, until);
   }
 
+  // Returns true with the reason if the requests before this one are expected
+  // to take longer than it may wait. If no runner can be used at all, it waits:
+  // load is not the reason.
+  bool IsRefusedByForecast(const RunnerSearch& aSearch,
+                           const QueuePlace& aPlace,
+                           TimePoint aGiveUpAt,
+                           SearchFailure& aFailure) const
+  {
+    if (!this->WaitsForRoom(aSearch)) {
+      return false;
+    }
+    const TimePoint now = this->timer.Now();
+    const Duration longest = aGiveUpAt - now;
+    const Admission admission = aPlace.queue->Admit(
+      aPlace.ticket, longest, SpreadOf(aSearch.request), now);
+    if (admission.admitted || !this->Pick(aSearch, RoomRule::Ignored)) {
+      return false;
+    }
+    const std::uint64_t tokens =
+      aPlace.queue->requests.TokensUpTo(aPlace.ticket);
+    Refuse(aFailure,
+           "expected wait " + Milliseconds(*admission.expectedWait) +
+             ", longest " + Milliseconds(longest) + ", " +
+             std::to_string(tokens) + " tokens up to this request",
+           admission.retryAfter);
+    return true;
+  }
+
+  std::optional<RunnerPick> PickNow(const RunnerSearch& aSearch) const
+  {
+    return this->Pick(aSearch,
+                      aSearch.resumes ? RoomRule::Ignored : RoomRule::Required);
+  }
+
+  // Picks a runner for a request that may not wait any longer, or gives the
+  // reason why it is refused.
+  std::optional<RunnerPick> PickAtLast(const RunnerSearch& aSearch,
+                                       SearchFailure& aFailure) const
+  {
+    auto pick = this->Pick(aSearch, RoomRule::Ignored);
+    if (!pick) {
+      Fail(aFailure.reason, ReasonCode::Unavailable, "no runner can be used");
+      return std::nullopt;
+    }
+    if (this->WaitsForRoom(aSearch)) {
+      Refuse(aFailure,
+             "no place after " +
+               Milliseconds(this->timer.Now() - aSearch.arrivedAt),
+             ServiceQueue::RetryAfter(std::nullopt, SpreadOf(aSearch.request)));
+      return std::nullopt;
+    }
+    return pick;
+  }
+
   std::optional<RunnerPick> Pick(const RunnerSearch& aSearch,
                                  RoomRule aRoom) const
   {
