--- a/wigeonwalk/entry/runner_pick_test.cc
+++ b/wigeonwalk/entry/runner_pick_test.cc
@@ -10,24 +10,20 @@
 
 const ModelName kModel("m");
 
-// A daemon that has just started and finds weights that were published 20 s
-// before, with 60 changes of the registry a second.
-struct Setting : TestEntry
+// A daemon with a service of three engines.
+struct EngineEntry : TestEntry
 {
-  Setting()
+  EngineEntry()
   {
     RoutingConfiguration configuration = this->state.Routes()->Configuration();
     ++configuration.version;
     EngineTraits engine;
     engine.models = { kModel };
     configuration.services[0].engine = engine;
+    for (Route& route : configuration.routes) {
+      route.timeout = 10s;
+    }
     this->state.Apply(configuration, this->time.Now());
-    this->state.Apply(DesiredWeights{ kModel, 2, 10'000 - 20 * 60 },
-                      this->time.Now());
-    this->state.revisionClock.Note(10'000, this->time.Now());
-    this->time.RunUntil(this->time.Now() + 3s);
-    this->state.revisionClock.Note(10'180, this->time.Now());
-    this->SetVersions({ 1, 1, 1 });
   }
 
   void SetVersions(const std::vector<WeightNumber>& aVersions)
@@ -38,7 +34,12 @@
     }
   }
 
-  std::optional<RunnerPick> Pick()
+  void Publish(WeightNumber aVersion)
+  {
+    this->state.Apply(DesiredWeights{ kModel, aVersion }, this->time.Now());
+  }
+
+  std::optional<RunnerPick> Pick(const std::vector<UpstreamId>& aTried = {})
   {
     EntryRequest request;
     request.id = RequestId("q");
@@ -50,8 +51,27 @@
     FailureReason reason;
     REQUIRE(
       AdmitRequest(this->state, request, this->time.Now(), admitted, reason));
-    return PickRunner(
-      this->state, request, admitted, {}, RoomRule::Ignored, this->time.Now());
+    return PickRunner(this->state,
+                      request,
+                      admitted,
+                      aTried,
+                      RoomRule::Ignored,
+                      this->time.Now());
+  }
+};
+
+// A daemon that has just started and finds weights that were published 20 s
+// before, with 60 changes of the registry a second.
+struct Setting : EngineEntry
+{
+  Setting()
+  {
+    this->state.Apply(DesiredWeights{ kModel, 2, 10'000 - 20 * 60 },
+                      this->time.Now());
+    this->state.revisionClock.Note(10'000, this->time.Now());
+    this->time.RunUntil(this->time.Now() + 3s);
+    this->state.revisionClock.Note(10'180, this->time.Now());
+    this->SetVersions({ 1, 1, 1 });
   }
 };
 
@@ -92,3 +112,75 @@
     }
   }
 }
+
+// Guards against requests on weights that were replaced twice: only the time of
+// the last replacement counted, so a second one extended their use.
+SCENARIO("publishing further weights does not extend the use of older ones")
+{
+  EngineEntry entry;
+  const TimePoint replacedAt = entry.time.Now();
+  entry.Publish(2);
+  entry.SetVersions({ 1, 1, 2 });
+  entry.time.RunUntil(replacedAt + 8s);
+  entry.Publish(3);
+  const UpstreamId second("r-3");
+
+  WHEN("the time allowed for the first replacement has passed")
+  {
+    entry.time.RunUntil(replacedAt + entry.state.Settings().bounds.newWeights);
+
+    THEN("only the runner with the second version is used")
+    {
+      REQUIRE(entry.Pick());
+      CHECK(entry.Pick()->runner->entry.id == second);
+      CHECK_FALSE(entry.Pick({ second }));
+    }
+
+    AND_WHEN("the time allowed for the second replacement has passed as well")
+    {
+      entry.time.RunUntil(replacedAt + 8s +
+                          entry.state.Settings().bounds.newWeights);
+      THEN("no runner is used until one has the third version")
+      {
+        CHECK_FALSE(entry.Pick());
+        entry.SetVersions({ 3 });
+        REQUIRE(entry.Pick());
+        CHECK(entry.Pick()->runner->entry.id == UpstreamId("r-1"));
+      }
+    }
+  }
+}
+
+// Guards against requests that are sent while old weights may be used, wait at
+// the runner and start to run after that time.
+SCENARIO("a request on old weights may not wait longer than they may be used")
+{
+  EngineEntry entry;
+  entry.SetVersions({ 1, 1, 1 });
+  const TimePoint replacedAt = entry.time.Now();
+  entry.Publish(2);
+  const TimePoint unusableAt =
+    replacedAt + entry.state.Settings().bounds.newWeights;
+
+  WHEN("it is sent shortly before the end of that time")
+  {
+    entry.time.RunUntil(replacedAt + 9s);
+    const auto pick = entry.Pick();
+    REQUIRE(pick);
+    THEN("the runner gets no more time than is left")
+    {
+      CHECK(pick->spec.timeLeft > Duration(0));
+      CHECK(entry.time.Now() + pick->spec.timeLeft <= unusableAt);
+    }
+  }
+
+  WHEN("the runner has the new weights")
+  {
+    entry.SetVersions({ 2, 2, 2 });
+    entry.time.RunUntil(replacedAt + 9s);
+    THEN("the request has all its time")
+    {
+      CHECK(entry.Pick()->spec.timeLeft == 10s);
+    }
+  }
+}
