--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -308,6 +308,9 @@
 
   void LogItem(const RegistryItem& aItem, std::int64_t aRevision)
   {
+    // Weights that are found in a listing may have been named long before.
+    constexpr StringLiteral kNamed("weights named");
+    constexpr StringLiteral kFound("weights found");
     const TimePoint now = this->timer.Now();
     if (const auto* routing = std::get_if<RoutingConfiguration>(&aItem)) {
       this->log.Write(now,
@@ -320,7 +323,7 @@
     } else if (const auto* named = std::get_if<DesiredWeights>(&aItem)) {
       this->log.Write(now,
                       LogLevel::Info,
-                      "weights named",
+                      this->hasListing ? kNamed : kFound,
                       {},
                       { { LogKey::Model, named->model },
                         { LogKey::Version, named->version },
