entry: count the use of replaced weights from the first newer ones

Callers got answers from weights that had been replaced more than 12 s before, whenever newer weights were published twice within that time. Cause: a daemon kept the time of the newest publication only, so each one restarted the time for which all older weights may be used. Version 1 could be used until 12 s after version 3. Change: WeightHistory keeps the time of every version. A runner is left out once any version above its own is older than the limit.

--- a/wigeonwalk/entry/answer_relay.h
+++ b/wigeonwalk/entry/answer_relay.h
@@ -128,9 +128,10 @@
     }
     // Assume that the runner has the newest weights; if it does not, its next
     // heartbeat gives the version.
-    const KnownWeights newest = this->state.WeightsOf(aRequest.prompt->model);
-    if (newest.version > aPick.spec.version) {
-      aPick.runner->SetVersion(aRequest.prompt->model, newest.version);
+    const WeightNumber newest =
+      this->state.WeightsOf(aRequest.prompt->model).Newest().version;
+    if (newest > aPick.spec.version) {
+      aPick.runner->SetVersion(aRequest.prompt->model, newest);
     }
   }
 
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -31,10 +31,8 @@
       this->routes = std::make_shared<RouteTable>(std::move(*configuration));
     }
   } else if (auto* named = std::get_if<DesiredWeights>(&aItem)) {
-    KnownWeights& known = this->weights[named->model];
-    if (known.version < named->version) {
-      known = { named->version, aNow, named->revision };
-    }
+    this->weights[named->model].Record(
+      { named->version, aNow, named->revision });
   } else if (auto* member = std::get_if<EntryMember>(&aItem)) {
     this->members[member->host] = *member;
   }
@@ -107,15 +105,16 @@
   return std::min(shortest / 2, kMaxLifetime);
 }
 
-KnownWeights
+const WeightHistory&
 EntryState::WeightsOf(const ModelName& aModel) const
 {
+  static const WeightHistory kNone;
   const auto found = this->weights.find(aModel);
-  return found == this->weights.end() ? KnownWeights{} : found->second;
+  return found == this->weights.end() ? kNone : found->second;
 }
 
 Duration
-EntryState::AgeAtStart(const KnownWeights& aWeights) const
+EntryState::AgeAtStart(const PublishedWeights& aWeights) const
 {
   if (aWeights.revision == 0) {
     return Duration(0);
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -10,6 +10,7 @@
 #include "wigeonwalk/fleet/fleet.h"
 #include "wigeonwalk/fleet/part_index.h"
 #include "wigeonwalk/fleet/runner_choice.h"
+#include "wigeonwalk/fleet/weight_history.h"
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/queueing/service_queue.h"
 #include "wigeonwalk/retry/poison_tracker.h"
@@ -24,15 +25,6 @@
 
 namespace wigeonwalk {
 
-// The newest published weights of a model, and when this daemon learnt of them.
-struct KnownWeights
-{
-  WeightNumber version = 0;
-  TimePoint since;
-  // Revision of the registry at which they were published; zero if unknown.
-  std::int64_t revision = 0;
-};
-
 // Position in a holder's stream of cache events.
 struct FollowedHolder
 {
@@ -87,12 +79,14 @@
   // watch the registry.
   bool FollowsReader(TimePoint aNow) const { return aNow < this->relayedUntil; }
 
-  KnownWeights WeightsOf(const ModelName& aModel) const;
+  // Returns the published versions of a model's weights; none if the model is
+  // unknown.
+  const WeightHistory& WeightsOf(const ModelName& aModel) const;
 
-  // Returns how long before this daemon's start the newest weights were
-  // published, estimated from the registry's revisions; zero if it has learnt
-  // of them since, or can't tell.
-  Duration AgeAtStart(const KnownWeights& aWeights) const;
+  // Returns how long before this daemon's start the weights were published,
+  // estimated from the registry's revisions; zero if it has learnt of them
+  // since, or can't tell.
+  Duration AgeAtStart(const PublishedWeights& aWeights) const;
 
   // Returns the queue of requests that wait for a runner of the service.
   // Waiting requests share it, because a cancelled one may end after the state.
@@ -140,7 +134,7 @@
   EntrySettings settings;
   std::uint64_t generation = 0;
   std::shared_ptr<const RouteTable> routes;
-  std::map<ModelName, KnownWeights> weights;
+  std::map<ModelName, WeightHistory> weights;
   std::map<ServiceName, std::shared_ptr<ServiceQueue>> queues;
 };
 
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -17,38 +17,58 @@
   return costs;
 }
 
-// Older weights are no longer used once most of the time allowed for the
-// introduction of new ones has passed. The time before this daemon's start is
-// an estimate; it counts only if a good part of the runners have the new
-// weights, so that a wrong one can't stop the service.
+// Fraction of the time allowed for the introduction of new weights after which
+// replaced ones get no requests.
+constexpr double kSendFraction = 0.8;
+
+Duration
+FractionOfTimeForNewWeights(const EntryState& aState, double aFraction)
+{
+  return FromSeconds(aFraction *
+                     ToSeconds(aState.Settings().bounds.newWeights));
+}
+
+// Returns true if the newest weights were published too long ago for the use of
+// older ones, counting the time before this daemon's start. That time is an
+// estimate; it counts only if a good part of the runners have the new weights,
+// so that a wrong one can't stop the service.
 bool
-RequiresNewestWeights(const EntryState& aState,
-                      const ModelName& aModel,
-                      const KnownWeights& aNewest,
-                      const Candidates& aCandidates,
-                      TimePoint aNow)
+RequiresNewestByEstimate(const EntryState& aState,
+                         const ModelName& aModel,
+                         const Candidates& aCandidates,
+                         TimePoint aNow)
 {
-  constexpr double kUsableFraction = 0.8;
   constexpr std::size_t kLeastShareWithNewest = 3;
-  const Duration allowed = FromSeconds(
-    kUsableFraction * ToSeconds(aState.Settings().bounds.newWeights));
-  if (aNewest.version <= 1) {
-    return false;
-  }
-  const Duration known = aNow - aNewest.since;
-  if (known > allowed) {
-    return true;
-  }
-  if (known + aState.AgeAtStart(aNewest) <= allowed) {
+  const PublishedWeights newest = aState.WeightsOf(aModel).Newest();
+  const Duration age = aNow - newest.knownSince + aState.AgeAtStart(newest);
+  if (age <= FractionOfTimeForNewWeights(aState, kSendFraction)) {
     return false;
   }
   const auto withNewest = static_cast<std::size_t>(std::count_if(
     aCandidates.begin(), aCandidates.end(), [&](const auto& aRunner) {
-      return aRunner->VersionOf(aModel) >= aNewest.version;
+      return aRunner->VersionOf(aModel) >= newest.version;
     }));
   return withNewest * kLeastShareWithNewest >= aCandidates.size();
 }
 
+// Returns the oldest version that may get requests now. Each version counts
+// from the first one that replaced it.
+WeightNumber
+OldestUsableWeights(const EntryState& aState,
+                    const ModelName& aModel,
+                    const Candidates& aCandidates,
+                    TimePoint aNow)
+{
+  const WeightHistory& history = aState.WeightsOf(aModel);
+  const WeightNumber oldest =
+    RequiresNewestByEstimate(aState, aModel, aCandidates, aNow)
+      ? history.Newest().version
+      : history.NewestKnownAt(
+          aNow - FractionOfTimeForNewWeights(aState, kSendFraction));
+  // No weights are older than the first version.
+  return oldest <= 1 ? 0 : oldest;
+}
+
 bool
 PickForPrompt(const EntryState& aState,
               const EntryRequest& aRequest,
@@ -58,7 +78,7 @@
               RunnerPick& aPick,
               TimePoint aNow)
 {
-  const KnownWeights newest = aState.WeightsOf(aRequest.prompt->model);
+  const ModelName& model = aRequest.prompt->model;
   const bool isolated =
     aAdmitted.organisation != nullptr && aAdmitted.organisation->isolated;
   const EngineTraits& traits = *aAdmitted.service->engine;
@@ -70,9 +90,8 @@
     .bodyBytes = aRequest.bodyBytes,
     .runnerTokens = traits.cacheTokens,
     .bytesPerToken = traits.bytesPerToken,
-    .newest = newest.version,
-    .onlyNewest = RequiresNewestWeights(
-      aState, aRequest.prompt->model, newest, aCandidates, aNow),
+    .newest = aState.WeightsOf(model).Newest().version,
+    .oldestUsable = OldestUsableWeights(aState, model, aCandidates, aNow),
     .knowsAllZones = aState.KnowsAllZones(),
     .room = aRoom,
     .costs = CostsFrom(aState),
@@ -113,6 +132,7 @@
     return std::nullopt;
   }
   RunnerPick pick;
+  pick.spec.timeLeft = aAdmitted.deadline - aNow;
   if (aRequest.prompt && aAdmitted.service->engine) {
     if (!PickForPrompt(
           aState, aRequest, aAdmitted, candidates, aRoom, pick, aNow)) {
@@ -126,7 +146,6 @@
   }
   pick.spec.address = pick.runner->entry.address;
   pick.spec.runner = pick.runner->entry.id;
-  pick.spec.timeLeft = aAdmitted.deadline - aNow;
   if (aAdmitted.organisation != nullptr) {
     pick.spec.organisation = aAdmitted.organisation->name;
   }
--- a/wigeonwalk/entry/runner_pick.h
+++ b/wigeonwalk/entry/runner_pick.h
@@ -25,6 +25,7 @@
   // Expected cost by which the runner was chosen, in milliseconds.
   double cost = 0;
 };
+};
 
 // Returns the runner with the lowest expected cost among those not in `aTried`,
 // or nothing if none can be used now. `aRoom` applies to prompts only.
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -219,9 +219,10 @@
       return std::nullopt;
     }
     for (const LoadedModel& loaded : aRunner->entry.models) {
-      const KnownWeights newest = this->state.WeightsOf(loaded.model);
-      if (loaded.version < newest.version) {
-        return LoadStep{ aRunner, loaded.model, newest.version };
+      const WeightNumber newest =
+        this->state.WeightsOf(loaded.model).Newest().version;
+      if (loaded.version < newest) {
+        return LoadStep{ aRunner, loaded.model, newest };
       }
     }
     return std::nullopt;
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -249,8 +249,7 @@
 bool
 IsEligible(const EngineQuery& aQuery, const Runner& aRunner)
 {
-  const bool old = aRunner.VersionOf(aQuery.prompt.model) < aQuery.newest;
-  return !(old && aQuery.onlyNewest) &&
+  return aRunner.VersionOf(aQuery.prompt.model) >= aQuery.oldestUsable &&
          (aQuery.room == RoomRule::Ignored || HasRoom(aQuery, aRunner));
 }
 
--- a/wigeonwalk/fleet/runner_choice.h
+++ b/wigeonwalk/fleet/runner_choice.h
@@ -130,8 +130,8 @@
   std::uint64_t bytesPerToken = 0;
   // The newest published weights, or zero.
   WeightNumber newest = 0;
-  // Excludes runners with older weights.
-  bool onlyNewest = false;
+  // Runners with older weights are excluded.
+  WeightNumber oldestUsable = 0;
   // The index covers the runners of all zones.
   bool knowsAllZones = true;
   RoomRule room = RoomRule::Ignored;
--- a/wigeonwalk/fleet/runner_choice_test.cc
+++ b/wigeonwalk/fleet/runner_choice_test.cc
@@ -48,7 +48,7 @@
   std::vector<std::shared_ptr<Runner>> runners;
   std::string isolationDomain;
   WeightNumber newest = 1;
-  bool onlyNewest = false;
+  WeightNumber oldestUsable = 0;
   std::size_t bodyBytes = 34'000;
   RoomRule room = RoomRule::Ignored;
   std::string zone = "north";
@@ -63,7 +63,7 @@
                              .runnerTokens = 65'000,
                              .bytesPerToken = 18'432,
                              .newest = this->newest,
-                             .onlyNewest = this->onlyNewest,
+                             .oldestUsable = this->oldestUsable,
                              .knowsAllZones = this->knowsAllZones,
                              .room = this->room,
                              .costs = {} };
@@ -242,7 +242,7 @@
   THEN("old weights are never used once only new ones are allowed")
   {
     setting.runners[1]->NoteOthersPrefill(3s, kNow);
-    setting.onlyNewest = true;
+    setting.oldestUsable = 2;
     CHECK(setting.Choose()->version == 2);
     setting.runners.pop_back();
     CHECK_FALSE(setting.Choose().has_value());
--- /dev/null
+++ b/wigeonwalk/fleet/weight_history.cc
@@ -0,0 +1,69 @@
+#include "wigeonwalk/fleet/weight_history.h"
+
+#include <algorithm>
+
+namespace wigeonwalk {
+
+bool
+WeightHistory::Record(const PublishedWeights& aWeights)
+{
+  const auto position =
+    std::lower_bound(this->versions.begin(),
+                     this->versions.end(),
+                     aWeights.version,
+                     [](const PublishedWeights& aKnown, WeightNumber aVersion) {
+                       return aKnown.version < aVersion;
+                     });
+  const bool isKnown =
+    position != this->versions.end() && position->version == aWeights.version;
+  if (isKnown && position->knownSince <= aWeights.knownSince) {
+    return false;
+  }
+  TimePoint since = aWeights.knownSince;
+  if (!isKnown && position != this->versions.end()) {
+    since = std::min(since, position->knownSince);
+  }
+  const auto added =
+    isKnown ? position : this->versions.insert(position, aWeights);
+  added->knownSince = since;
+  // Versions are published in ascending order.
+  for (auto older = this->versions.begin(); older != added; ++older) {
+    older->knownSince = std::min(older->knownSince, since);
+  }
+  if (this->versions.size() > kMaxVersions) {
+    this->versions[1].knownSince = this->versions[0].knownSince;
+    this->versions.erase(this->versions.begin());
+  }
+  return true;
+}
+
+PublishedWeights
+WeightHistory::Newest() const
+{
+  return this->versions.empty() ? PublishedWeights{} : this->versions.back();
+}
+
+WeightNumber
+WeightHistory::NewestKnownAt(TimePoint aTime) const
+{
+  WeightNumber newest = 0;
+  for (const PublishedWeights& known : this->versions) {
+    if (known.knownSince <= aTime) {
+      newest = known.version;
+    }
+  }
+  return newest;
+}
+
+std::optional<TimePoint>
+WeightHistory::ReplacedAt(WeightNumber aVersion) const
+{
+  for (const PublishedWeights& known : this->versions) {
+    if (known.version > aVersion) {
+      return known.knownSince;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace wigeonwalk
