entry: give a request on replaced weights only the time that they may be used

Callers got answers that began on replaced weights after the limit although they had been sent before it: the request waited at a busy runner. Cause: the runner was given the caller's whole time, and only the last fifth of the limit separated the last send from the latest allowed start. Change: the time given to the runner ends at nine tenths of the limit. A request that still waits there is rejected by the runner, which says that it has not run, and is sent to another one.

--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -17,9 +17,12 @@
   return costs;
 }
 
-// Fraction of the time allowed for the introduction of new weights after which
-// replaced ones get no requests.
+// Fractions of the time allowed for the introduction of new weights. Replaced
+// weights get no requests after the first, and none may wait at its runner
+// beyond the second. The rest covers the time until this daemon has learnt of
+// the new weights.
 constexpr double kSendFraction = 0.8;
+constexpr double kStartFraction = 0.9;
 
 Duration
 FractionOfTimeForNewWeights(const EntryState& aState, double aFraction)
@@ -69,6 +72,25 @@
   return oldest <= 1 ? 0 : oldest;
 }
 
+// Limits a request on replaced weights to the time for which they may be used:
+// the runner rejects it if it still waits there at the end.
+void
+LimitToUseOfWeights(const EntryState& aState,
+                    const ModelName& aModel,
+                    RunnerPick& aPick,
+                    TimePoint aNow)
+{
+  const auto replacedAt =
+    aState.WeightsOf(aModel).ReplacedAt(aPick.spec.version);
+  if (!replacedAt) {
+    return;
+  }
+  aPick.replacedFor = aNow - *replacedAt;
+  const Duration usable =
+    FractionOfTimeForNewWeights(aState, kStartFraction) - aPick.replacedFor;
+  aPick.spec.timeLeft = std::min(aPick.spec.timeLeft, usable);
+}
+
 bool
 PickForPrompt(const EntryState& aState,
               const EntryRequest& aRequest,
@@ -113,6 +135,7 @@
   aPick.cachedTokens = choice->cachedTokens;
   aPick.fetchedTokens = choice->fetchedTokens;
   aPick.cost = choice->cost;
+  LimitToUseOfWeights(aState, model, aPick, aNow);
   return true;
 }
 
--- a/wigeonwalk/entry/runner_pick.h
+++ b/wigeonwalk/entry/runner_pick.h
@@ -24,7 +24,9 @@
   std::uint32_t fetchedTokens = 0;
   // Expected cost by which the runner was chosen, in milliseconds.
   double cost = 0;
-};
+  // For how long newer weights than the runner's are known; zero if it has the
+  // newest.
+  Duration replacedFor{ 0 };
 };
 
 // Returns the runner with the lowest expected cost among those not in `aTried`,
