entry: load first the runners whose weights run out first

After a further publication it reloaded runners that had got the version before a few seconds ago, while others, still on older weights, reached the end of the time for which those may be used and got no requests any more.

Cause: the order of loads knew failures and ids only.

Pending runners are now sorted by the time until which their weights may be used. The time that a runner's failed attempts have taken moves it back, so that one that fails repeatedly does not block the others. This replaces the count of failures, by which a single unanswered order put a runner behind all others, whatever time these had left. The order is decided in load_plan; the time until which weights may be used moves from runner_pick to replaced_weights, so that choice and rollout have one source for it.

Evidence: "runners whose weights run out first load first" (two publications, 4 s apart, 9 to 160 runners) failed before for all four sizes: runners loaded before the second publication were reloaded before those that were not.

--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -1,5 +1,7 @@
 #include "wigeonwalk/entry/runner_pick.h"
 
+#include "wigeonwalk/entry/replaced_weights.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -17,20 +19,6 @@
   return costs;
 }
 
-// Fractions of the time allowed for the introduction of new weights. Replaced
-// weights get no requests after the first, and none may wait at its runner
-// beyond the second. The rest covers the time until this daemon has learnt of
-// the new weights.
-constexpr double kSendFraction = 0.8;
-constexpr double kStartFraction = 0.9;
-
-Duration
-FractionOfTimeForNewWeights(const EntryState& aState, double aFraction)
-{
-  return FromSeconds(aFraction *
-                     ToSeconds(aState.Settings().bounds.newWeights));
-}
-
 // Returns true if the newest weights were published too long ago for the use of
 // older ones, counting the time before this daemon's start. That time is an
 // estimate; it counts only if a good part of the runners have the new weights,
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -6,7 +6,9 @@
 
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/load_plan.h"
 #include "wigeonwalk/entry/order_authority.h"
+#include "wigeonwalk/entry/replaced_weights.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/runner_control.h"
 #include "wigeonwalk/ports/structured_log.h"
@@ -17,7 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace wigeonwalk {
@@ -131,14 +133,14 @@
     const TimePoint startedAt = this->timer.Now();
     const bool done = co_await this->LoadOnce(aStep);
     this->loading.erase(id);
+    const Duration elapsed = this->timer.Now() - startedAt;
     if (done) {
       this->failed.erase(id);
-      const Duration elapsed = this->timer.Now() - startedAt;
       this->loadTime +=
         FromSeconds(kLoadTimeSmoothing * ToSeconds(elapsed - this->loadTime));
     } else {
       FailedLoad& failure = this->failed[id];
-      ++failure.count;
+      failure.spent += elapsed;
       failure.retryAt = this->timer.Now() + kRetryDelay;
     }
   }
@@ -148,31 +150,48 @@
   // order before `retryAt`.
   struct FailedLoad
   {
-    std::uint32_t count = 0;
+    // Time that failed attempts have taken since the runner's last load.
+    Duration spent{ 0 };
     TimePoint retryAt;
   };
 
-  std::uint32_t FailuresOf(const UpstreamId& aRunner) const
+  // A runner that can start to load now.
+  struct PendingStep
   {
-    const auto found = this->failed.find(aRunner);
-    return found == this->failed.end() ? 0 : found->second.count;
+    PendingLoad load;
+    LoadStep step;
+  };
+
+  // Returns the runners that can start to load now, the one that should load
+  // first at the front.
+  std::vector<PendingStep> PendingSteps(
+    const std::vector<std::shared_ptr<Runner>>& aRunners) const
+  {
+    std::vector<PendingStep> pending;
+    for (const auto& runner : aRunners) {
+      if (auto step = this->StepFor(runner)) {
+        const UpstreamId& id = runner->entry.id;
+        const auto failure = this->failed.find(id);
+        PendingLoad load{
+          id,
+          UsableUntil(this->state, step->model, runner->VersionOf(step->model)),
+          failure == this->failed.end() ? Duration(0) : failure->second.spent
+        };
+        pending.push_back({ std::move(load), std::move(*step) });
+      }
+    }
+    std::sort(pending.begin(),
+              pending.end(),
+              [](const PendingStep& aLeft, const PendingStep& aRight) {
+                return LoadsBefore(aLeft.load, aRight.load);
+              });
+    return pending;
   }
 
   void AddSteps(const ServiceConfiguration& aService,
                 std::vector<LoadStep>& aSteps)
   {
-    auto runners = this->state.fleet.RunnersOf(aService.name);
-    // Runners with fewer failures come first, so that one that fails repeatedly
-    // does not block the others.
-    std::sort(runners.begin(),
-              runners.end(),
-              [this](const auto& aLeft, const auto& aRight) {
-                const std::uint32_t ofLeft = this->FailuresOf(aLeft->entry.id);
-                const std::uint32_t ofRight =
-                  this->FailuresOf(aRight->entry.id);
-                return std::tie(ofLeft, aLeft->entry.id) <
-                       std::tie(ofRight, aRight->entry.id);
-              });
+    const auto runners = this->state.fleet.RunnersOf(aService.name);
     std::size_t busy = 0;
     for (const auto& runner : runners) {
       busy += this->loading.contains(runner->entry.id) ? 1 : 0;
@@ -181,18 +200,14 @@
       MaxConcurrentLoads(runners.size(),
                          this->state.Settings().bounds.newWeights,
                          this->ExpectedLoadTime());
-    for (const auto& runner : runners) {
-      auto step = this->StepFor(runner);
-      if (!step) {
-        continue;
-      }
+    for (PendingStep& pending : this->PendingSteps(runners)) {
       if (busy < maxLoading) {
-        aSteps.push_back(std::move(*step));
-        this->loading.emplace(runner->entry.id, this->timer.Now());
+        aSteps.push_back(std::move(pending.step));
+        this->loading.emplace(pending.load.runner, this->timer.Now());
         ++busy;
       } else if (busy < MaxOutOfService(runners.size())) {
         // Its running requests end while the others load.
-        this->PauseBeforeLoad(*step);
+        this->PauseBeforeLoad(pending.step);
         ++busy;
       }
     }
--- a/wigeonwalk/entry/weight_rollout_test.cc
+++ b/wigeonwalk/entry/weight_rollout_test.cc
@@ -144,6 +144,32 @@
   CHECK(setting.pauses.most <= static_cast<std::size_t>(runners) / 3 + 1);
 }
 
+// Guards against a rollout that reloads runners with recent weights while
+// others, on older ones, lose their requests.
+SCENARIO("runners whose weights run out first load first")
+{
+  const int runners = GENERATE(9, 18, 71, 160);
+  Setting setting(runners);
+  setting.Publish(2);
+  setting.time.RunUntil(setting.time.Now() + 4s);
+  std::set<UpstreamId> loadedBefore;
+  for (const auto& received : setting.control.orders) {
+    loadedBefore.insert(received.order.runner);
+  }
+  setting.control.orders.clear();
+  setting.Publish(3);
+  setting.time.RunUntil(setting.time.Now() + 16s);
+  INFO(runners << " runners, " << loadedBefore.size() << " loaded before");
+
+  CHECK(setting.AllHave(3));
+  CHECK(std::is_partitioned(setting.control.orders.begin(),
+                            setting.control.orders.end(),
+                            [&](const auto& aReceived) {
+                              return !loadedBefore.contains(
+                                aReceived.order.runner);
+                            }));
+}
+
 // Guards against an order that takes effect twice, or a delayed order that
 // returns a runner to older weights.
 SCENARIO("orders without a response")
