--- a/wigeonwalk/adapters/engine/http_engine.h
+++ b/wigeonwalk/adapters/engine/http_engine.h
@@ -6,7 +6,7 @@
 //   auto stream = co_await engine.Open(request, deadline, reason);
 #pragma once
 
-#include "wigeonwalk/adapters/http/http_client.h"
+#include "wigeonwalk/adapters/http/http_pool.h"
 #include "wigeonwalk/ports/model_engine.h"
 #include "wigeonwalk/ports/store_host.h"
 
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -1,7 +1,7 @@
-// HTTP/1.1 client: a connection, and a pool of idle connections.
+// HTTP/1.1 client: one connection.
 //
-//   auto connection = co_await pool.Acquire(address, Reuse::Allowed, deadline,
-//                                           reason);
+//   auto connection = co_await HttpClientConnection::Connect(
+//     timer, executor, address, deadline, reason);
 //   if (connection && co_await connection->Send(request, deadline, reason)) {
 //     auto response = co_await connection->ReadResponse(deadline, reason);
 //   }
@@ -9,41 +9,19 @@
 
 #include "wigeonwalk/adapters/clock/system_timer.h"
 #include "wigeonwalk/adapters/http/http_message.h"
-#include "wigeonwalk/base/enum_names.h"
 #include "wigeonwalk/base/failure_reason.h"
 #include "wigeonwalk/ports/task.h"
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace wigeonwalk {
 
 // Largest response body that ReadResponse accepts, in bytes.
 inline constexpr std::uint64_t kMaxResponseBytes = 16 * 1024 * 1024;
 
-// Whether a call may reuse a pooled connection. A call that must not be
-// repeated needs a fresh one, because the peer of a pooled one may have become
-// unresponsive.
-enum class Reuse
-{
-  Allowed,
-  FreshOnly,
-};
-
-template<>
-struct EnumNames<Reuse>
-{
-  static constexpr std::array<EnumName<Reuse>, 2> kTable{ {
-    { Reuse::Allowed, "allowed" },
-    { Reuse::FreshOnly, "fresh-only" },
-  } };
-};
-static_assert(HasCompleteTable<Reuse>());
-
 // One connection to an upstream. The reason of a failure tells how far the
 // exchange got: ConnectRefused, ConnectTimeout, WriteFailedPartWay,
 // ConnectionLostAfterWrite, ResponseTimeout or MalformedResponse.
@@ -105,53 +83,4 @@
   std::unique_ptr<State> state;
 };
 
-// A pool of idle connections by address. Not thread-safe.
-class HttpPool
-{
-public:
-  // Connections that have been idle for longer than aMaxIdle are closed instead
-  // of reused.
-  HttpPool(SystemTimer& aTimer,
-           boost::asio::any_io_executor aExecutor,
-           Duration aMaxIdle);
-  ~HttpPool();
-
-  // Returns an idle connection where aReuse allows it and one is usable, else a
-  // new one, or nothing with the reason.
-  Task<std::optional<HttpClientConnection>> Acquire(const std::string& aAddress,
-                                                    Reuse aReuse,
-                                                    TimePoint aDeadline,
-                                                    FailureReason& aReason);
-
-  // Returns a connection to the pool, or closes it if it is not reusable.
-  void Release(HttpClientConnection aConnection);
-
-  // Sends one request and reads the complete response.
-  Task<std::optional<HttpResponse>> Exchange(const std::string& aAddress,
-                                             const HttpRequest& aRequest,
-                                             Reuse aReuse,
-                                             TimePoint aDeadline,
-                                             FailureReason& aReason);
-
-  // Closes the idle connections to an address. Needed when another process now
-  // uses the address, or when a connection to it became unresponsive.
-  void CloseIdle(const std::string& aAddress);
-
-  SystemTimer& Clock() { return this->timer; }
-
-private:
-  struct Idle
-  {
-    HttpClientConnection connection;
-    TimePoint idleSince;
-    // The peer may close the connection after this time.
-    TimePoint reusableUntil;
-  };
-
-  SystemTimer& timer;
-  boost::asio::any_io_executor executor;
-  Duration maxIdle;
-  std::map<std::string, std::vector<Idle>> idle;
-};
-
 } // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/http/http_pool.cc
@@ -0,0 +1,85 @@
+#include "wigeonwalk/adapters/http/http_pool.h"
+
+#include <utility>
+
+namespace wigeonwalk {
+
+namespace asio = boost::asio;
+
+HttpPool::HttpPool(SystemTimer& aTimer,
+                   asio::any_io_executor aExecutor,
+                   Duration aMaxIdle)
+  : timer(aTimer)
+  , executor(std::move(aExecutor))
+  , maxIdle(aMaxIdle)
+{
+}
+
+HttpPool::~HttpPool() = default;
+
+Task<std::optional<HttpClientConnection>>
+HttpPool::Acquire(const std::string& aAddress,
+                  Reuse aReuse,
+                  TimePoint aDeadline,
+                  FailureReason& aReason)
+{
+  auto& connections = this->idle[aAddress];
+  const TimePoint oldest = this->timer.Now() - this->maxIdle;
+  std::erase_if(connections, [oldest](const Idle& aIdle) {
+    return aIdle.idleSince < oldest;
+  });
+  while (aReuse == Reuse::Allowed && !connections.empty()) {
+    Idle last = std::move(connections.back());
+    connections.pop_back();
+    if (this->timer.Now() < last.reusableUntil &&
+        last.connection.IsOpenAndIdle()) {
+      co_return std::move(last.connection);
+    }
+  }
+  co_return co_await HttpClientConnection::Connect(
+    this->timer, this->executor, aAddress, aDeadline, aReason);
+}
+
+void
+HttpPool::Release(HttpClientConnection aConnection)
+{
+  if (!aConnection.Reusable()) {
+    return;
+  }
+  auto& connections = this->idle[aConnection.Address()];
+  const TimePoint now = this->timer.Now();
+  const Duration keepAliveTimeout = aConnection.KeepAliveTimeout();
+  // Only 3/4 of the peer's timeout is used, because it started to run before
+  // the response arrived here.
+  const TimePoint reusableUntil = keepAliveTimeout == Duration::max()
+                                    ? TimePoint::max()
+                                    : now + keepAliveTimeout * 3 / 4;
+  connections.push_back({ std::move(aConnection), now, reusableUntil });
+}
+
+void
+HttpPool::CloseIdle(const std::string& aAddress)
+{
+  this->idle.erase(aAddress);
+}
+
+Task<std::optional<HttpResponse>>
+HttpPool::Exchange(const std::string& aAddress,
+                   const HttpRequest& aRequest,
+                   Reuse aReuse,
+                   TimePoint aDeadline,
+                   FailureReason& aReason)
+{
+  auto connection =
+    co_await this->Acquire(aAddress, aReuse, aDeadline, aReason);
+  if (!connection || !co_await connection->Send(aRequest, aDeadline, aReason)) {
+    co_return std::nullopt;
+  }
+  auto response = co_await connection->ReadResponse(aDeadline, aReason);
+  if (response) {
+    this->Release(std::move(*connection));
+  }
+  co_return response;
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/adapters/key_value/etcd_gateway.h
+++ b/wigeonwalk/adapters/key_value/etcd_gateway.h
@@ -5,7 +5,7 @@
 //   auto read = co_await service.Get("documents/orders", deadline, reason);
 #pragma once
 
-#include "wigeonwalk/adapters/http/http_client.h"
+#include "wigeonwalk/adapters/http/http_pool.h"
 #include "wigeonwalk/ports/key_value.h"
 
 #include <string>
--- a/wigeonwalk/adapters/store/http_store.h
+++ b/wigeonwalk/adapters/store/http_store.h
@@ -4,7 +4,7 @@
 //   auto lease = co_await store.Acquire(sealed, deadline, reason);
 #pragma once
 
-#include "wigeonwalk/adapters/http/http_client.h"
+#include "wigeonwalk/adapters/http/http_pool.h"
 #include "wigeonwalk/ports/store_host.h"
 
 #include <string>
--- a/wigeonwalk/adapters/upstreams/http_upstreams.h
+++ b/wigeonwalk/adapters/upstreams/http_upstreams.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "wigeonwalk/adapters/engine/http_engine.h"
-#include "wigeonwalk/adapters/http/http_client.h"
+#include "wigeonwalk/adapters/http/http_pool.h"
 #include "wigeonwalk/adapters/store/http_store.h"
 #include "wigeonwalk/documents/service_document.h"
 #include "wigeonwalk/ports/host_list.h"
--- a/wigeonwalk/load/caller.h
+++ b/wigeonwalk/load/caller.h
@@ -5,7 +5,7 @@
 //   CallResult result = co_await caller.Complete(call);
 #pragma once
 
-#include "wigeonwalk/adapters/http/http_client.h"
+#include "wigeonwalk/adapters/http/http_pool.h"
 #include "wigeonwalk/base/verdict.h"
 
 #include <cstdint>
--- a/wigeonwalk/standins/engine_standin.h
+++ b/wigeonwalk/standins/engine_standin.h
@@ -5,7 +5,7 @@
 //   co_await engine.Run(reason);
 #pragma once
 
-#include "wigeonwalk/adapters/http/http_client.h"
+#include "wigeonwalk/adapters/http/http_pool.h"
 #include "wigeonwalk/adapters/http/http_server.h"
 #include "wigeonwalk/standins/engine_model.h"
 
