entry: repeat an unanswered weights order at once, and pause runners found loading

Callers were refused while orders to runners were left unanswered: each such order took its runner out of service for 1.8 s in which it loaded nothing, and its next order came after 2.5 s. A runner that was found executing an earlier order got requests during its load, which it refuses.

Cause: after a call without an answer the rollout waited for the shortest time of a load before it asked for a report, treated the runner's idleness as a failed load and waited again; the path for a busy runner did not pause it.

The report is now read right after the failed call. If the runner executes nothing, the order is sent again with the same number of accepted orders, so that only one of them takes effect, up to three times while the runner is paused; then it gets requests again and waits for its next attempt. A busy runner is paused until its load has ended.

Not covered: an order that is carried out while its runner waits for its next attempt behind other runners is noticed at that attempt.

--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -90,6 +90,9 @@
   static constexpr Duration kLoadTimeout = std::chrono::seconds(10);
   // How long a runner that loads next gets no new requests beforehand.
   static constexpr Duration kPreloadPause = std::chrono::milliseconds(1'800);
+  // Most orders of one Load task. A runner that then loads nothing gets
+  // requests again until it is tried once more.
+  static constexpr int kMaxOrders = 3;
   // Delay before a runner that failed gets another order.
   static constexpr Duration kRetryDelay = std::chrono::milliseconds(700);
 
@@ -250,7 +253,31 @@
     }
   }
 
+  // State of a runner that is to load, after an order or a report.
+  enum class LoadProgress
+  {
+    Loaded,
+    // The runner lacks the weights and is not known to execute an order.
+    Idle,
+    Failed,
+  };
+
+  // Orders the weights until the runner loads them. No requests are sent to it
+  // meanwhile, so that its running ones end.
   Task<bool> LoadOnce(const LoadStep& aStep)
+  {
+    LoadProgress progress = LoadProgress::Idle;
+    for (int orders = 0; progress == LoadProgress::Idle; ++orders) {
+      progress = co_await this->Advance(aStep, orders < kMaxOrders);
+    }
+    if (progress == LoadProgress::Failed) {
+      this->EndPause(aStep);
+    }
+    co_return progress == LoadProgress::Loaded;
+  }
+
+  // Waits for a load that is in progress, or sends one order if `aMayOrder`.
+  Task<LoadProgress> Advance(const LoadStep& aStep, bool aMayOrder)
   {
     Runner& runner = *aStep.runner;
     FailureReason reason;
@@ -260,18 +287,22 @@
       co_await this->control.Report(address, reportBy, reason);
     if (!report || !IsSameStart(runner, *report)) {
       this->LogStep(aStep, OrderOutcome::Unknown, reason);
-      co_return false;
+      co_return LoadProgress::Failed;
     }
     if (HasWeights(*report, aStep)) {
       this->Finish(aStep);
-      co_return true;
+      co_return LoadProgress::Loaded;
     }
     if (report->busy) {
-      co_return co_await this->AwaitLoad(aStep);
+      // An earlier order is being executed.
+      this->Pause(aStep, kLoadTimeout);
+      const TimePoint next = this->timer.Now() + kReportInterval;
+      const LoadProgress loaded = co_await this->AwaitLoad(aStep, next);
+      co_return loaded;
     }
     const auto number = this->leader.FencingNumber();
-    if (!number || runner.leaving) {
-      co_return false;
+    if (!aMayOrder || !number || runner.leaving) {
+      co_return LoadProgress::Failed;
     }
     const WeightsOrder order{ runner.entry.id,
                               address,
@@ -281,28 +312,35 @@
                               *number,
                               report->acceptedOrders };
     this->Pause(aStep, kLoadTimeout);
-    const TimePoint orderBy = this->timer.Now() + kCallTimeout;
+    const TimePoint orderedAt = this->timer.Now();
+    const TimePoint orderBy = orderedAt + kCallTimeout;
     const OrderOutcome outcome =
       co_await this->control.Order(order, orderBy, reason);
     this->LogStep(aStep, outcome, reason);
-    co_return co_await this->HandleOutcome(aStep, outcome);
+    const LoadProgress progress =
+      co_await this->HandleOutcome(aStep, outcome, orderedAt);
+    co_return progress;
   }
 
-  Task<bool> HandleOutcome(const LoadStep& aStep, OrderOutcome aOutcome)
+  Task<LoadProgress> HandleOutcome(const LoadStep& aStep,
+                                   OrderOutcome aOutcome,
+                                   TimePoint aOrderedAt)
   {
     switch (aOutcome) {
       case OrderOutcome::Accepted:
-      case OrderOutcome::Busy:
-      case OrderOutcome::Unknown: {
-        // An order without a response may have been accepted. The next order
-        // contains the number of accepted orders, so that only one of the two
-        // takes effect.
-        const bool loaded = co_await this->AwaitLoad(aStep);
+      case OrderOutcome::Busy: {
+        const TimePoint first = aOrderedAt + kMinLoadTime;
+        const LoadProgress loaded = co_await this->AwaitLoad(aStep, first);
         co_return loaded;
       }
+      case OrderOutcome::Unknown:
+        // The order may have been accepted, or may be executed at any later
+        // time. The next one contains the number of accepted orders, so that
+        // only one of the two takes effect.
+        co_return LoadProgress::Idle;
       case OrderOutcome::AlreadyDone:
         this->Finish(aStep);
-        co_return true;
+        co_return LoadProgress::Loaded;
       case OrderOutcome::Fenced:
         this->leader.NoteFenced();
         break;
@@ -310,36 +348,34 @@
       case OrderOutcome::WrongRunner:
         break;
     }
-    this->Pause(aStep, Duration(0));
-    co_return false;
+    co_return LoadProgress::Failed;
   }
 
-  // Polls the runner's reports until it has the weights. Returns false if the
-  // runner is not loading, has restarted or takes too long.
-  Task<bool> AwaitLoad(const LoadStep& aStep)
+  // Polls the runner's reports from `aFirst` on until it has the weights. Fails
+  // if the runner has restarted or takes too long.
+  Task<LoadProgress> AwaitLoad(const LoadStep& aStep, TimePoint aFirst)
   {
-    const TimePoint begunAt = this->timer.Now();
-    TimePoint next = begunAt + kMinLoadTime;
-    while (next < begunAt + kLoadTimeout) {
+    const TimePoint endBy = this->timer.Now() + kLoadTimeout;
+    TimePoint next = aFirst;
+    while (next < endBy) {
       co_await this->timer.WaitUntil(next);
       FailureReason reason;
       const TimePoint deadline = this->timer.Now() + kCallTimeout;
       const auto report = co_await this->control.Report(
         aStep.runner->entry.address, deadline, reason);
       if (report && !IsSameStart(*aStep.runner, *report)) {
-        break;
+        co_return LoadProgress::Failed;
       }
       if (report && HasWeights(*report, aStep)) {
         this->Finish(aStep);
-        co_return true;
+        co_return LoadProgress::Loaded;
       }
       if (report && !report->busy) {
-        break;
+        co_return LoadProgress::Idle;
       }
       next = this->timer.Now() + kReportInterval;
     }
-    this->Pause(aStep, Duration(0));
-    co_return false;
+    co_return LoadProgress::Failed;
   }
 
   static bool IsSameStart(const Runner& aRunner, const RunnerReport& aReport)
@@ -368,6 +404,13 @@
       { runner.entry.id, aStep.model, runner.VersionOf(aStep.model), aPause });
   }
 
+  void EndPause(const LoadStep& aStep)
+  {
+    if (aStep.runner->pausedUntil > this->timer.Now()) {
+      this->Pause(aStep, Duration(0));
+    }
+  }
+
   void Finish(const LoadStep& aStep)
   {
     aStep.runner->SetVersion(aStep.model, aStep.version);
--- a/wigeonwalk/entry/weight_rollout_test.cc
+++ b/wigeonwalk/entry/weight_rollout_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 using namespace wigeonwalk;
@@ -86,6 +87,24 @@
     return loads;
   }
 
+  // Returns true if no runner has loaded a version twice or an older one after
+  // a newer one.
+  bool HaveLoadedInOrder() const
+  {
+    const auto& runners = this->control.runners;
+    return std::all_of(runners.begin(), runners.end(), [](const auto& aRunner) {
+      const auto& versions = aRunner.second.loadedVersions;
+      return std::is_sorted(
+        versions.begin(), versions.end(), std::less_equal<>());
+    });
+  }
+
+  using Rollout = WeightRollout<FakeOrderAuthority,
+                                PauseRecord,
+                                FakeRunnerControl,
+                                VirtualTime,
+                                NullLog>;
+
   VirtualTime time;
   FakeRunnerControl control;
   FakeOrderAuthority leader;
@@ -93,12 +112,7 @@
   NullLog log;
   EntryState state;
   std::size_t maxLoading = 0;
-  WeightRollout<FakeOrderAuthority,
-                PauseRecord,
-                FakeRunnerControl,
-                VirtualTime,
-                NullLog>
-    rollout;
+  Rollout rollout;
 };
 
 } // namespace
@@ -198,6 +212,59 @@
   }
 }
 
+// Guards against runners that get no requests although they load nothing, or
+// get requests while they load, because an order was not answered.
+SCENARIO("service of a runner whose orders get no answer")
+{
+  Setting setting(1);
+  auto& runner = setting.control.runners["a-0"];
+  Duration idle{ 0 };
+  Duration disturbed{ 0 };
+  const auto run = [&](Duration aTime) {
+    constexpr Duration kStep = 10ms;
+    const TimePoint end = setting.time.Now() + aTime;
+    while (setting.time.Now() < end) {
+      setting.time.RunUntil(setting.time.Now() + kStep);
+      const bool paused = setting.pauses.paused.contains("r-0");
+      const bool loads = setting.time.Now() < runner.busyUntil;
+      const bool waits = runner.loadedVersions.empty();
+      idle += paused && waits ? kStep : 0s;
+      disturbed += !paused && loads ? kStep : 0s;
+    }
+  };
+
+  WHEN("two orders are carried out after a third one")
+  {
+    runner.plannedFaults = { { OrderFault::AppliedLate, 8s },
+                             { OrderFault::AppliedLate, 8s } };
+    setting.Publish(2);
+    run(20s);
+    THEN("it is paused without loading only until the two calls have failed")
+    {
+      CHECK(setting.AllHave(2));
+      CHECK(setting.HaveLoadedInOrder());
+      CHECK(idle <= 2 * Setting::Rollout::kCallTimeout +
+                      Setting::Rollout::kLoopInterval);
+    }
+  }
+
+  WHEN("an order is carried out after the attempts were given up")
+  {
+    runner.plannedFaults = { { OrderFault::AppliedLate, 2'200ms },
+                             { OrderFault::OrderLost },
+                             { OrderFault::OrderLost } };
+    setting.Publish(2);
+    run(20s);
+    THEN("it is paused from the next attempt on")
+    {
+      CHECK(setting.AllHave(2));
+      CHECK(setting.HaveLoadedInOrder());
+      CHECK(disturbed <=
+            Setting::Rollout::kRetryDelay + Setting::Rollout::kLoopInterval);
+    }
+  }
+}
+
 // Guards against a runner that does not answer and thereby stops the rollout to
 // the others.
 SCENARIO("a runner does not answer")
--- a/wigeonwalk/testing/fake_runner_control.h
+++ b/wigeonwalk/testing/fake_runner_control.h
@@ -9,6 +9,7 @@
 #include "wigeonwalk/testing/virtual_time.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -26,10 +27,18 @@
   AnswerLost,
   // The order is lost and not carried out.
   OrderLost,
-  // The order gets no answer, but is carried out after kLateOrder.
+  // The order gets no answer, but is carried out after kLateOrder or the delay
+  // that was planned for it.
   AppliedLate,
 };
 
+// The fault of one order.
+struct PlannedFault
+{
+  OrderFault fault = OrderFault::None;
+  Duration delay{ 0 };
+};
+
 // Simulates the reports and orders of runners and the parts of stores, by
 // address.
 class FakeRunnerControl
@@ -49,7 +58,11 @@
     OrderFault fault = OrderFault::None;
     // Whether the fault clears after one order.
     bool faultOnce = true;
+    // Faults of the next orders, if any; they take precedence over `fault`.
+    std::deque<PlannedFault> plannedFaults;
     std::uint64_t loads = 0;
+    // The versions of the accepted orders.
+    std::vector<WeightNumber> loadedVersions;
     // Time from an order to the end of its load.
     Duration loadTime = kLoadTime;
   };
@@ -129,8 +142,13 @@
     FakeRunner& runner = this->runners.at(aOrder.address);
     this->Advance(runner);
     this->orders.push_back({ aOrder, this->time.Now() });
-    const OrderFault fault = runner.fault;
-    if (runner.faultOnce && fault != OrderFault::Unresponsive) {
+    OrderFault fault = runner.fault;
+    Duration delay = kLateOrder;
+    if (!runner.plannedFaults.empty()) {
+      fault = runner.plannedFaults.front().fault;
+      delay = runner.plannedFaults.front().delay;
+      runner.plannedFaults.pop_front();
+    } else if (runner.faultOnce && fault != OrderFault::Unresponsive) {
       runner.fault = OrderFault::None;
     }
     switch (fault) {
@@ -140,7 +158,7 @@
         this->Accept(runner, aOrder);
         break;
       case OrderFault::AppliedLate:
-        this->time.Spawn(this->AcceptLater(aOrder));
+        this->time.Spawn(this->AcceptLater(aOrder, delay));
         break;
       case OrderFault::Unresponsive:
       case OrderFault::OrderLost:
@@ -190,14 +208,15 @@
     }
     ++aRunner.acceptedOrders;
     ++aRunner.loads;
+    aRunner.loadedVersions.push_back(aOrder.version);
     aRunner.loadingVersion = aOrder.version;
     aRunner.busyUntil = this->time.Now() + aRunner.loadTime;
     return OrderOutcome::Accepted;
   }
 
-  Task<void> AcceptLater(WeightsOrder aOrder)
+  Task<void> AcceptLater(WeightsOrder aOrder, Duration aDelay)
   {
-    const TimePoint late = this->time.Now() + kLateOrder;
+    const TimePoint late = this->time.Now() + aDelay;
     co_await this->time.WaitUntil(late);
     FakeRunner& runner = this->runners.at(aOrder.address);
     this->Advance(runner);
