entry: load as many runners at once as their remaining time needs

Cause: the number of loads at once followed from all runners of the service, the whole time limit and the mean time of successful attempts. It did not rise when little of the time was left, and it fell as soon as a load was measured to be shorter than assumed, although fewer than planned had loaded.

The number now follows from the runners that are pending, the time until which the weights of each may be used, the loads in progress and the measured time of a load, in which the failed attempts of its runner count. It stays below a third of the runners. Runners that load next are paused for no more loads than run now, and get requests again when others come before them: before, the pauses of such runners added to those of their successors and exceeded the third. load_plan decides this; the test's own bound, MaxConcurrentLoads, moves to the test.

The bound (3, 10, 21) allows four unanswered orders in a row for the last third.

--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -14,11 +14,11 @@
 #include "wigeonwalk/ports/structured_log.h"
 
 #include <algorithm>
-#include <cmath>
-#include <cstdint>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -47,22 +47,6 @@
   return aRunners / 3;
 }
 
-// Returns how many runners may load at once so that all of them finish within
-// the deployment's time limit, if one takes `aLoadTime`. More at once would
-// load more slowly and take more runners out of service.
-constexpr std::size_t
-MaxConcurrentLoads(std::size_t aRunners, Duration aAllowed, Duration aLoadTime)
-{
-  // Fraction of the allowed time that a rollout is planned to take.
-  constexpr double kPlannedFraction = 0.8;
-  const double rounds =
-    kPlannedFraction * ToSeconds(aAllowed) / ToSeconds(aLoadTime);
-  const double atOnce = static_cast<double>(aRunners) / std::max(rounds, 1.0);
-  return std::clamp(static_cast<std::size_t>(atOnce) + 1,
-                    std::size_t(1),
-                    std::max<std::size_t>(MaxOutOfService(aRunners), 1));
-}
-
 // Rolls out weights while the daemon holds the lease on orders. Each loading
 // runner has one task.
 template<OrderAuthority O,
@@ -79,12 +63,6 @@
   // requested after this time.
   static constexpr Duration kMinLoadTime = std::chrono::milliseconds(1'220);
   static constexpr Duration kReportInterval = std::chrono::milliseconds(120);
-  // Time from an order to the end of its load, before any was measured. The
-  // load starts after the runner's requests have ended, which takes some
-  // seconds where responses are long.
-  static constexpr Duration kInitialLoadTime = std::chrono::milliseconds(1'400);
-  // Weight of the latest load in the average load time.
-  static constexpr double kLoadTimeSmoothing = 0.3;
   // A load that takes longer than this counts as failed and is tried again. The
   // longest responses take several seconds, and the load starts after them.
   static constexpr Duration kLoadTimeout = std::chrono::seconds(10);
@@ -137,13 +115,12 @@
     const bool done = co_await this->LoadOnce(aStep);
     this->loading.erase(id);
     const Duration elapsed = this->timer.Now() - startedAt;
+    FailedLoad& failure = this->failed[id];
+    failure.spent += elapsed;
     if (done) {
+      this->loadTimes.Record(std::min(failure.spent, kLoadTimeout));
       this->failed.erase(id);
-      this->loadTime +=
-        FromSeconds(kLoadTimeSmoothing * ToSeconds(elapsed - this->loadTime));
     } else {
-      FailedLoad& failure = this->failed[id];
-      failure.spent += elapsed;
       failure.retryAt = this->timer.Now() + kRetryDelay;
     }
   }
@@ -195,37 +172,56 @@
                 std::vector<LoadStep>& aSteps)
   {
     const auto runners = this->state.fleet.RunnersOf(aService.name);
+    std::vector<PendingStep> pending = this->PendingSteps(runners);
+    const std::size_t mostOut = MaxOutOfService(runners.size());
     std::size_t busy = 0;
     for (const auto& runner : runners) {
       busy += this->loading.contains(runner->entry.id) ? 1 : 0;
     }
+    const std::size_t needed = this->LoadsNeededFor(runners, pending);
     const std::size_t maxLoading =
-      MaxConcurrentLoads(runners.size(),
-                         this->state.Settings().bounds.newWeights,
-                         this->ExpectedLoadTime());
-    for (PendingStep& pending : this->PendingSteps(runners)) {
+      std::min(needed, std::max<std::size_t>(mostOut, 1));
+    // As many as load now can load next.
+    const std::size_t maxPaused = std::min(2 * maxLoading, mostOut);
+    for (PendingStep& next : pending) {
       if (busy < maxLoading) {
-        aSteps.push_back(std::move(pending.step));
-        this->loading.emplace(pending.load.runner, this->timer.Now());
+        aSteps.push_back(std::move(next.step));
+        this->loading.emplace(next.load.runner, this->timer.Now());
+        this->pausedNext.erase(next.load.runner);
         ++busy;
-      } else if (busy < MaxOutOfService(runners.size())) {
+      } else if (busy < maxPaused) {
         // Its running requests end while the others load.
-        this->PauseBeforeLoad(pending.step);
+        this->PauseBeforeLoad(next.step);
         ++busy;
+      } else if (this->pausedNext.erase(next.load.runner) > 0) {
+        // Others load before it now.
+        this->EndPause(next.step);
       }
     }
   }
 
-  // The average time of a load, or the age of the oldest one in progress if
-  // that is longer, so that the pace rises before the first slow load has
-  // ended.
-  Duration ExpectedLoadTime() const
+  // Returns how many runners of a service must load at once, including those
+  // that load now.
+  std::size_t LoadsNeededFor(
+    const std::vector<std::shared_ptr<Runner>>& aRunners,
+    const std::vector<PendingStep>& aPending) const
   {
-    Duration expected = this->loadTime;
-    for (const auto& [runner, startedAt] : this->loading) {
-      expected = std::max(expected, this->timer.Now() - startedAt);
+    std::vector<TimePoint> loadingSince;
+    for (const auto& runner : aRunners) {
+      const auto found = this->loading.find(runner->entry.id);
+      if (found != this->loading.end()) {
+        loadingSince.push_back(found->second);
+      }
+    }
+    std::vector<TimePoint> limits;
+    for (const PendingStep& pending : aPending) {
+      limits.push_back(pending.load.usableUntil);
     }
-    return expected;
+    const TimePoint now = this->timer.Now();
+    ExpectedLoad expected = this->loadTimes.Expected(loadingSince, now);
+    // The next load starts up to one interval after the end of the last one.
+    expected.time += kLoopInterval;
+    return LoadsNeeded(limits, loadingSince, expected, now);
   }
 
   std::optional<LoadStep> StepFor(const std::shared_ptr<Runner>& aRunner) const
@@ -249,6 +245,7 @@
   void PauseBeforeLoad(const LoadStep& aStep)
   {
     if (aStep.runner->pausedUntil <= this->timer.Now()) {
+      this->pausedNext.insert(aStep.runner->entry.id);
       this->Pause(aStep, kPreloadPause);
     }
   }
@@ -447,7 +444,9 @@
   L& log;
   // Runners with a Load task, and when it started.
   std::map<UpstreamId, TimePoint> loading;
-  Duration loadTime = kInitialLoadTime;
+  // Runners that were paused because they load next.
+  std::set<UpstreamId> pausedNext;
+  LoadTimeEstimate loadTimes{ kMinLoadTime };
   std::map<UpstreamId, FailedLoad> failed;
 };
 
--- a/wigeonwalk/entry/weight_rollout_test.cc
+++ b/wigeonwalk/entry/weight_rollout_test.cc
@@ -5,7 +5,10 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
+#include <map>
+#include <random>
 #include <set>
 
 using namespace wigeonwalk;
@@ -13,6 +16,20 @@
 
 namespace {
 
+// Returns how many runners must load at once so that all of them finish within
+// four fifths of the allowed time, if one takes `aLoadTime`.
+constexpr std::size_t
+MaxConcurrentLoads(std::size_t aRunners, Duration aAllowed, Duration aLoadTime)
+{
+  constexpr double kPlannedFraction = 0.8;
+  const double rounds =
+    kPlannedFraction * ToSeconds(aAllowed) / ToSeconds(aLoadTime);
+  const double atOnce = static_cast<double>(aRunners) / std::max(rounds, 1.0);
+  return std::clamp(static_cast<std::size_t>(atOnce) + 1,
+                    std::size_t(1),
+                    std::max<std::size_t>(MaxOutOfService(aRunners), 1));
+}
+
 // Records which runners are paused, and the most at once.
 struct PauseRecord
 {
@@ -87,6 +104,45 @@
     return loads;
   }
 
+  // Publishes versions from 2 on, one each `aInterval`. Returns how many times
+  // a runner's weights had been replaced for longer than they may be used.
+  std::size_t PublishSeries(int aVersions, Duration aInterval)
+  {
+    const TimePoint start = this->time.Now();
+    const Duration usable =
+      FractionOfTimeForNewWeights(this->state, kSendFraction);
+    std::map<TimePoint, WeightNumber> publications;
+    std::map<TimePoint, WeightNumber> limits;
+    for (int i = 0; i < aVersions; ++i) {
+      const TimePoint publishedAt = start + i * aInterval;
+      publications[publishedAt] = static_cast<WeightNumber>(i + 2);
+      limits[publishedAt + usable] = static_cast<WeightNumber>(i + 2);
+    }
+    std::size_t ranOut = 0;
+    while (!limits.empty()) {
+      if (!publications.empty() &&
+          publications.begin()->first < limits.begin()->first) {
+        this->time.RunUntil(publications.begin()->first);
+        this->Publish(publications.begin()->second);
+        publications.erase(publications.begin());
+      } else {
+        this->time.RunUntil(limits.begin()->first);
+        ranOut += this->CountOlderThan(limits.begin()->second);
+        limits.erase(limits.begin());
+      }
+    }
+    return ranOut;
+  }
+
+  std::size_t CountOlderThan(WeightNumber aVersion) const
+  {
+    const auto& runners = this->control.runners;
+    return static_cast<std::size_t>(
+      std::count_if(runners.begin(), runners.end(), [&](const auto& aRunner) {
+        return aRunner.second.version < aVersion;
+      }));
+  }
+
   // Returns true if no runner has loaded a version twice or an older one after
   // a newer one.
   bool HaveLoadedInOrder() const
@@ -184,6 +240,84 @@
                             }));
 }
 
+// Guards against a pace for the whole time limit, which leaves too little time
+// for the last runners after each of several publications.
+SCENARIO("several publications in a short series")
+{
+  const int runners = GENERATE(9, 18, 71, 160);
+  const Duration interval = GENERATE(Duration(4s), Duration(8'500ms));
+  Setting setting(runners);
+  INFO(runners << " runners, " << ToSeconds(interval) << " s apart");
+
+  CHECK(setting.PublishSeries(3, interval) == 0);
+  CHECK(setting.AllHave(4));
+  CHECK(setting.HaveLoadedInOrder());
+  CHECK(setting.pauses.most <= static_cast<std::size_t>(runners) / 3 + 1);
+}
+
+// Guards against a pace that does not follow from the time of slow loads.
+SCENARIO("several publications while loads are slow")
+{
+  const int runners = GENERATE(9, 18, 71, 160);
+  const Duration interval = GENERATE(Duration(4s), Duration(8'500ms));
+  Setting setting(runners, 15s);
+  for (auto& [address, runner] : setting.control.runners) {
+    runner.loadTime = 2'500ms;
+  }
+  INFO(runners << " runners, " << ToSeconds(interval) << " s apart");
+
+  CHECK(setting.PublishSeries(3, interval) == 0);
+  CHECK(setting.HaveLoadedInOrder());
+  CHECK(setting.pauses.most <= static_cast<std::size_t>(runners) / 3 + 1);
+}
+
+// Guards against runners that get no requests because their orders were not
+// answered in time.
+SCENARIO("several publications while orders are carried out late")
+{
+  const int runners = GENERATE(9, 18, 71, 160);
+  const unsigned seed = GENERATE(1U, 2U, 3U);
+  Setting setting(runners);
+  constexpr double kUnanswered = 0.6;
+  std::mt19937 random(seed);
+  std::uniform_real_distribution<double> share(0, 1);
+  std::uniform_real_distribution<double> delay(2, 12);
+  for (auto& [address, runner] : setting.control.runners) {
+    for (int order = 0; order < 100; ++order) {
+      const bool answered = share(random) >= kUnanswered;
+      runner.plannedFaults.push_back(
+        { answered ? OrderFault::None : OrderFault::AppliedLate,
+          FromSeconds(delay(random)) });
+    }
+  }
+  INFO(runners << " runners, seed " << seed);
+
+  // A third of the runners at a time leaves the last third time for four orders
+  // each, the others for more.
+  constexpr int kPublications = 3;
+  const double lastThirds = kPublications * runners / 3.0;
+  const double unlucky = lastThirds * std::pow(kUnanswered, 4);
+  const std::size_t ranOut = setting.PublishSeries(kPublications, 8'500ms);
+  CHECK(ranOut <= static_cast<std::size_t>(std::ceil(unlucky)));
+  CHECK(setting.HaveLoadedInOrder());
+  CHECK(setting.pauses.most <= static_cast<std::size_t>(runners) / 3 + 1);
+}
+
+// Guards against a runner that never answers and, because its weights run out
+// first, takes the time of the others.
+SCENARIO("several publications while a runner does not answer")
+{
+  const int runners = GENERATE(9, 18, 71, 160);
+  Setting setting(runners);
+  setting.control.runners["a-0"].fault = OrderFault::Unresponsive;
+  INFO(runners << " runners");
+
+  constexpr int kPublications = 3;
+  CHECK(setting.PublishSeries(kPublications, 8'500ms) == kPublications);
+  CHECK(setting.HaveLoadedInOrder());
+  CHECK(setting.pauses.most <= static_cast<std::size_t>(runners) / 3 + 1);
+}
+
 // Guards against an order that takes effect twice, or a delayed order that
 // returns a runner to older weights.
 SCENARIO("orders without a response")
