http: bound the memory that chunk extensions and trailers without end take

A runner, the store or any other peer that sent a chunk extension or trailers without end, as fast as the network allows, was read until the caller's deadline: the daemon kept all of it (64 MiB in the test, which stops there) and could go over its memory limit, which ends every request on that host. Cause: the parser needs these parts in one piece and has no limit for them; the buffer of a client connection had none either. Change: a connection reads at most 64 KiB ahead of its parser. What needs more is a malformed response: the connection is closed, and the request may have run. Evidence: the rows 'chunk extension' and 'trailers' of the new test failed before (response-timeout after 20 s instead of malformed-response). Header lines, one line, bytes that are not HTTP, and bodies without end were bounded already; their rows passed before.

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -24,6 +24,10 @@
 
 constexpr std::size_t kBodyBufferBytes = 16 * 1024;
 
+// Largest number of bytes that are read ahead of the parser. Bounds what the
+// parser needs in one piece: a chunk's size with its extensions, and trailers.
+constexpr std::size_t kReadAheadBytes = 64 * 1024;
+
 // TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays
 // unacknowledged for this long, which bounds the time to detect an unresponsive
 // peer.
@@ -61,7 +65,7 @@
 
   SystemTimer& timer;
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kReadAheadBytes };
   std::string address;
   std::optional<http::response_parser<http::buffer_body>> parser;
   bool failed = false;
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -19,7 +19,7 @@
 
 namespace wigeonwalk {
 
-// Largest response body that ReadResponse accepts, in bytes.
+// Largest response body that is accepted, in bytes.
 inline constexpr std::uint64_t kMaxResponseBytes = 16 * 1024 * 1024;
 
 // One connection to an upstream. The reason of a failure tells how far the
--- /dev/null
+++ b/wigeonwalk/adapters/http/http_client_test.cc
@@ -0,0 +1,115 @@
+#include "wigeonwalk/adapters/http/http_pool.h"
+#include "wigeonwalk/adapters/http/test_peer.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kOkHead = "HTTP/1.1 200 OK\r\n";
+constexpr const char* kChunkedHead =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+std::string
+Repeated(const std::string& aPart)
+{
+  constexpr int kTimes = 1'000;
+  std::string text;
+  for (int i = 0; i < kTimes; ++i) {
+    text += aPart;
+  }
+  return text;
+}
+
+// A pool and a peer on loopback.
+struct Fixture
+{
+  Fixture()
+    : timer(context.get_executor())
+    , pool(timer, context.get_executor(), 60s)
+    , peer(context.get_executor())
+  {
+  }
+
+  // Sends one request and reads its response. The deadline is reached only by
+  // a client that reads without a bound.
+  std::optional<HttpResponse> Call()
+  {
+    this->reason = FailureReason();
+    std::optional<HttpResponse> response;
+    bool ended = false;
+    const auto call = [&]() -> Task<void> {
+      const HttpRequest request{ .method = "GET", .target = "/" };
+      const std::string address = this->peer.Address();
+      const TimePoint deadline = this->timer.Now() + 20s;
+      response = co_await this->pool.Exchange(
+        address, request, Reuse::Allowed, deadline, this->reason);
+      ended = true;
+    };
+    boost::asio::co_spawn(this->context, call(), boost::asio::detached);
+    while (!ended) {
+      this->context.run_one();
+    }
+    return response;
+  }
+
+  boost::asio::io_context context{ 1 };
+  SystemTimer timer;
+  HttpPool pool;
+  TestPeer peer;
+  FailureReason reason;
+};
+
+} // namespace
+
+// Guards against peers whose bytes never end: the client reads until its
+// deadline and keeps all of it in memory.
+SCENARIO("a response that never ends is malformed as soon as it is too large")
+{
+  Fixture fixture;
+  struct EndlessRow
+  {
+    const char* name;
+    std::string bytes;
+    std::string repeated;
+    std::chrono::milliseconds pause{ 0 };
+  };
+  const std::vector<EndlessRow> rows{
+    { "header lines, many at once", kOkHead, Repeated("A: b\r\n") },
+    { "header lines, one at a time",
+      kOkHead,
+      "A: " + Repeated("b") + "\r\n",
+      1ms },
+    { "one header line", std::string(kOkHead) + "A: ", Repeated("b") },
+    { "status line", "HTTP/1.1 200 ", Repeated("OK") },
+    { "bytes that are not HTTP", "", Repeated("\x16\x03") },
+    { "chunk extension", std::string(kChunkedHead) + "2", Repeated(";a=b") },
+    { "trailers", std::string(kChunkedHead) + "0\r\n", Repeated("A: b\r\n") },
+    { "chunks", kChunkedHead, "4000\r\n" + std::string(0x4000, 'a') + "\r\n" },
+    { "body without a length",
+      std::string(kOkHead) + "\r\n",
+      std::string(0x4000, 'a') },
+    { "body with a length",
+      std::string(kOkHead) + "Content-Length: 99999999999\r\n\r\n",
+      std::string(0x4000, 'a') },
+  };
+  for (const EndlessRow& row : rows) {
+    INFO(row.name);
+    fixture.peer.repeatedBytes = 0;
+    fixture.peer.answers = {
+      { row.bytes, PeerEnd::Repeat, row.repeated, row.pause }, { kWhole }
+    };
+    CHECK_FALSE(fixture.Call().has_value());
+    CHECK(fixture.reason.code == ReasonCode::MalformedResponse);
+    const int connections = fixture.peer.connections;
+    const auto next = fixture.Call();
+    REQUIRE(next.has_value());
+    CHECK(next->body == "ok");
+    CHECK(fixture.peer.connections == connections + 1);
+  }
+}
