http: skip interim responses

A runner that sent 100 Continue or 103 Early Hints before its answer had that relayed as its answer: the caller got status 100 and waited for more, and the answer itself was cut off. The same with the store and with engines. Cause: the client took the first head on the connection, whatever its status. Change: heads with status 1xx are skipped, up to 16 KiB with the final head; beyond that, and for 101, which nobody asked for, the response is malformed. Evidence: the new scenario failed before (100 instead of 200, and success for interim responses without end).

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -28,6 +28,13 @@
 // parser needs in one piece: a chunk's size with its extensions, and trailers.
 constexpr std::size_t kReadAheadBytes = 64 * 1024;
 
+// Largest size of a response's head together with the interim responses (1xx)
+// before it, in bytes.
+constexpr std::size_t kMaxHeadBytes = 16 * 1024;
+
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+
 // TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays
 // unacknowledged for this long, which bounds the time to detect an unresponsive
 // peer.
@@ -174,21 +181,32 @@
 Task<std::optional<HttpResponse>>
 HttpClientConnection::ReadHead(TimePoint aDeadline, FailureReason& aReason)
 {
-  this->state->parser.emplace();
-  this->state->parser->body_limit(kMaxResponseBytes);
   this->state->ExpireAt(aDeadline);
+  std::size_t headBytes = 0;
+  unsigned status = 0;
   error_code error;
-  co_await http::async_read_header(
-    this->state->stream,
-    this->state->buffer,
-    *this->state->parser,
-    asio::redirect_error(asio::use_awaitable, error));
+  while (status < kFirstFinalStatus && !error) {
+    this->state->parser.emplace();
+    this->state->parser->body_limit(kMaxResponseBytes);
+    headBytes += co_await http::async_read_header(
+      this->state->stream,
+      this->state->buffer,
+      *this->state->parser,
+      asio::redirect_error(asio::use_awaitable, error));
+    status = this->state->parser->get().result_int();
+    if (!error && headBytes > kMaxHeadBytes) {
+      error = http::error::header_limit;
+    }
+    if (!error && status == kSwitchingProtocols) {
+      error = http::error::bad_status;
+    }
+  }
   if (error) {
     this->state->failed = true;
     co_return FailResponse(aReason, error, this->state->address);
   }
   HttpResponse response;
-  response.status = this->state->parser->get().result_int();
+  response.status = status;
   for (const auto& field : this->state->parser->get()) {
     response.headers.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -46,8 +46,8 @@
                   TimePoint aDeadline,
                   FailureReason& aReason);
 
-  // Reads the status and headers of the response. The body is not read yet;
-  // ReadSome reads it.
+  // Reads the status and headers of the response. Interim responses (1xx) are
+  // skipped. The body is not read yet; ReadSome reads it.
   Task<std::optional<HttpResponse>> ReadHead(TimePoint aDeadline,
                                              FailureReason& aReason);
 
--- a/wigeonwalk/adapters/http/http_client_test.cc
+++ b/wigeonwalk/adapters/http/http_client_test.cc
@@ -113,3 +113,37 @@
     CHECK(fixture.peer.connections == connections + 1);
   }
 }
+
+// Guards against interim responses (1xx) that are taken for the response, so
+// that the caller never gets it, and the next request gets it instead.
+SCENARIO("interim responses are skipped")
+{
+  Fixture fixture;
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+
+  WHEN("some precede the response")
+  {
+    fixture.peer.answers = { { "HTTP/1.1 100 Continue\r\n\r\n" + interim +
+                               kWhole } };
+    const auto response = fixture.Call();
+    REQUIRE(response.has_value());
+    CHECK(response->status == 200);
+    CHECK(response->body == "ok");
+    CHECK(FindHeader(response->headers, "Link").empty());
+  }
+
+  WHEN("they never end")
+  {
+    fixture.peer.answers = { { "", PeerEnd::Repeat, Repeated(interim) } };
+    CHECK_FALSE(fixture.Call().has_value());
+    CHECK(fixture.reason.code == ReasonCode::MalformedResponse);
+  }
+
+  WHEN("the peer switches to another protocol")
+  {
+    fixture.peer.answers = { { "HTTP/1.1 101 Switching Protocols\r\n\r\n" +
+                               std::string(kWhole) } };
+    CHECK_FALSE(fixture.Call().has_value());
+    CHECK(fixture.reason.code == ReasonCode::MalformedResponse);
+  }
+}
