http: keep no connection whose response ended with it

Callers saw nothing of this. A connection that a peer had closed to end a response without a length stayed in the pool, with its descriptor, until it had been idle too long or was tried for the next request. Cause: whether a connection can be kept was read from the head alone, which allows it for HTTP/1.1 without Connection: close; the framing was left out. Change: the parser's verdict is used, which includes the framing.

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -315,8 +315,8 @@
 {
   const State& connection = *this->state;
   return !connection.failed && connection.parser &&
-         connection.parser->is_done() &&
-         connection.parser->get().keep_alive() && connection.buffer.size() == 0;
+         connection.parser->is_done() && connection.parser->keep_alive() &&
+         connection.buffer.size() == 0;
 }
 
 const std::string&
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -64,7 +64,7 @@
                                                  FailureReason& aReason);
 
   // True if the last response was read to its end, no bytes follow it, and its
-  // headers allow keep-alive.
+  // headers and framing allow keep-alive.
   bool Reusable() const;
 
   // True if the peer has neither sent unread bytes nor closed the connection.
--- a/wigeonwalk/adapters/http/http_client_test.cc
+++ b/wigeonwalk/adapters/http/http_client_test.cc
@@ -147,3 +147,60 @@
     CHECK(fixture.reason.code == ReasonCode::MalformedResponse);
   }
 }
+
+// Guards against responses that look complete but are not, and against
+// connections that are kept although they can serve nothing more.
+SCENARIO("a response without a length ends with its connection")
+{
+  Fixture fixture;
+  const std::string version = GENERATE("HTTP/1.1", "HTTP/1.0");
+  CAPTURE(version);
+  const std::string head = version + " 200 OK\r\n";
+
+  WHEN("the peer closes the connection")
+  {
+    fixture.peer.answers = { { head + "\r\nwhole", PeerEnd::Close } };
+    const auto response = fixture.Call();
+    REQUIRE(response.has_value());
+    CHECK(response->body == "whole");
+    CHECK(fixture.pool.IdleCount() == 0);
+  }
+
+  WHEN("the body is empty")
+  {
+    fixture.peer.answers = { { head + "\r\n", PeerEnd::Close } };
+    const auto response = fixture.Call();
+    REQUIRE(response.has_value());
+    CHECK(response->body.empty());
+  }
+
+  WHEN("the connection is reset")
+  {
+    fixture.peer.answers = { { head + "\r\nwhole", PeerEnd::Reset } };
+    CHECK_FALSE(fixture.Call().has_value());
+    CHECK(fixture.reason.code == ReasonCode::ConnectionLostAfterWrite);
+  }
+}
+
+// Guards against truncated responses that are taken for complete ones.
+SCENARIO("a response that is cut off is not complete")
+{
+  Fixture fixture;
+  const auto end = GENERATE(PeerEnd::Close, PeerEnd::Reset);
+  CAPTURE(NameOf(end));
+  const std::string whole =
+    GENERATE(std::string(kWhole),
+             std::string(kChunkedHead) + "2\r\nok\r\n0\r\n\r\n",
+             std::string(kChunkedHead) + "2;a=b\r\nok\r\n0\r\nA: b\r\n\r\n",
+             std::string("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+  for (std::size_t bytes = 0; bytes < whole.size(); ++bytes) {
+    CAPTURE(whole.substr(0, bytes));
+    fixture.peer.answers = { { whole.substr(0, bytes), end } };
+    CHECK_FALSE(fixture.Call().has_value());
+    CHECK(fixture.reason.code == ReasonCode::ConnectionLostAfterWrite);
+  }
+  fixture.peer.answers = { { whole, PeerEnd::Close } };
+  const auto response = fixture.Call();
+  REQUIRE(response.has_value());
+  CHECK(response->body == "ok");
+}
--- a/wigeonwalk/adapters/http/http_pool.cc
+++ b/wigeonwalk/adapters/http/http_pool.cc
@@ -63,6 +63,16 @@
   this->idle.erase(aAddress);
 }
 
+std::size_t
+HttpPool::IdleCount() const
+{
+  std::size_t count = 0;
+  for (const auto& [address, connections] : this->idle) {
+    count += connections.size();
+  }
+  return count;
+}
+
 Task<std::optional<HttpResponse>>
 HttpPool::Exchange(const std::string& aAddress,
                    const HttpRequest& aRequest,
--- a/wigeonwalk/adapters/http/http_pool.h
+++ b/wigeonwalk/adapters/http/http_pool.h
@@ -10,6 +10,7 @@
 #include "wigeonwalk/adapters/http/http_client.h"
 #include "wigeonwalk/base/enum_names.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -68,6 +69,9 @@
   // uses the address, or when a connection to it became unresponsive.
   void CloseIdle(const std::string& aAddress);
 
+  // Number of idle connections to all addresses.
+  std::size_t IdleCount() const;
+
   SystemTimer& Clock() { return this->timer; }
 
 private:
--- a/wigeonwalk/adapters/http/test_peer.h
+++ b/wigeonwalk/adapters/http/test_peer.h
@@ -121,7 +121,9 @@
         co_await this->Repeat(aSocket, answer);
       }
       if (answer.end == PeerEnd::Reset) {
+        // Only an explicit close honours the option.
         aSocket.set_option(boost::asio::socket_base::linger(true, 0));
+        aSocket.close();
       }
       if (answer.end == PeerEnd::Close || answer.end == PeerEnd::Reset) {
         co_return;
