http: reuse no connection after a refusal

A faulty runner that wrote an earlier refusal once more on a kept connection could make callers believe that their request had not run, or have it run at a second runner, while it ran at the first. In wigeonwalkd this held for plain services and for engines: their refusals carry no id. In wigeonwalk-entry a request's refusal closes its connection already, but connections on which the runner had refused a call of the daemon (report, cache events, order) went back to the pool that requests use. Cause: HttpPool::Exchange kept a connection whatever the status. Change: after 408, 421, 429 and 503 the connection is closed, so that no refusal precedes a request on its connection. The cost is a new connection after each refused call. Evidence: the new scenario failed before (1 connection in the pool, 1 instead of 2 opened).

--- a/wigeonwalk/adapters/http/http_client_test.cc
+++ b/wigeonwalk/adapters/http/http_client_test.cc
@@ -204,3 +204,26 @@
   REQUIRE(response.has_value());
   CHECK(response->body == "ok");
 }
+
+// Guards against a peer that repeats a refusal on a connection that is in use
+// again: the later request would count as not run although it runs.
+SCENARIO("a connection is not reused after a refusal")
+{
+  Fixture fixture;
+  const std::string refusal =
+    GENERATE("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+  CAPTURE(refusal);
+  // On the refused connection, the copy would precede the next response.
+  fixture.peer.answers = { { refusal }, { kWhole } };
+  REQUIRE(fixture.Call().has_value());
+  CHECK(fixture.pool.IdleCount() == 0);
+  const auto next = fixture.Call();
+  REQUIRE(next.has_value());
+  CHECK(next->status == 200);
+  CHECK(fixture.peer.connections == 2);
+  REQUIRE(fixture.Call().has_value());
+  CHECK(fixture.peer.connections == 2);
+}
--- a/wigeonwalk/adapters/http/http_pool.cc
+++ b/wigeonwalk/adapters/http/http_pool.cc
@@ -1,11 +1,26 @@
 #include "wigeonwalk/adapters/http/http_pool.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace wigeonwalk {
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Returns true for the statuses that say that a request was not run.
+bool
+IsRefusal(unsigned aStatus)
+{
+  constexpr std::array<unsigned, 4> kRefusals{ 408, 421, 429, 503 };
+  return std::find(kRefusals.begin(), kRefusals.end(), aStatus) !=
+         kRefusals.end();
+}
+
+} // namespace
+
 HttpPool::HttpPool(SystemTimer& aTimer,
                    asio::any_io_executor aExecutor,
                    Duration aMaxIdle)
@@ -86,7 +101,7 @@
     co_return std::nullopt;
   }
   auto response = co_await connection->ReadResponse(aDeadline, aReason);
-  if (response) {
+  if (response && !IsRefusal(response->status)) {
     this->Release(std::move(*connection));
   }
   co_return response;
--- a/wigeonwalk/adapters/http/http_pool.h
+++ b/wigeonwalk/adapters/http/http_pool.h
@@ -58,7 +58,9 @@
   // Returns a connection to the pool, or closes it if it is not reusable.
   void Release(HttpClientConnection aConnection);
 
-  // Sends one request and reads the complete response.
+  // Sends one request and reads the complete response. The connection is not
+  // reused after a refusal: a repeated copy of it could be taken for the
+  // response to a later request, which would count as not run.
   Task<std::optional<HttpResponse>> Exchange(const std::string& aAddress,
                                              const HttpRequest& aRequest,
                                              Reuse aReuse,
