--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -75,6 +75,7 @@
   beast::flat_buffer buffer{ kReadAheadBytes };
   std::string address;
   std::optional<http::response_parser<http::buffer_body>> parser;
+  std::uint64_t requestsSent = 0;
   bool failed = false;
 };
 
@@ -136,6 +137,7 @@
   message.body() = aRequest.body;
   message.prepare_payload();
   this->state->parser.reset();
+  ++this->state->requestsSent;
   this->state->ExpireAt(aDeadline);
   error_code error;
   co_await http::async_write(this->state->stream,
@@ -319,6 +321,18 @@
          connection.buffer.size() == 0;
 }
 
+bool
+HttpClientConnection::IsReused() const
+{
+  return this->state->requestsSent > 1;
+}
+
+bool
+HttpClientConnection::EndsWithConnection() const
+{
+  return this->state->parser && this->state->parser->need_eof();
+}
+
 const std::string&
 HttpClientConnection::Address() const
 {
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -67,6 +67,13 @@
   // headers and framing allow keep-alive.
   bool Reusable() const;
 
+  // True if an earlier request was sent on this connection.
+  bool IsReused() const;
+
+  // True if the response has neither a length nor chunks, so that its body ends
+  // when the peer closes the connection.
+  bool EndsWithConnection() const;
+
   // True if the peer has neither sent unread bytes nor closed the connection.
   bool IsOpenAndIdle();
 
--- a/wigeonwalk/adapters/http/http_client_test.cc
+++ b/wigeonwalk/adapters/http/http_client_test.cc
@@ -100,7 +100,6 @@
   };
   for (const EndlessRow& row : rows) {
     INFO(row.name);
-    fixture.peer.repeatedBytes = 0;
     fixture.peer.answers = {
       { row.bytes, PeerEnd::Repeat, row.repeated, row.pause }, { kWhole }
     };
--- a/wigeonwalk/adapters/http/test_peer.h
+++ b/wigeonwalk/adapters/http/test_peer.h
@@ -57,14 +57,46 @@
   std::chrono::milliseconds pause{ 0 };
 };
 
+// Stops a test from using up the memory if the client reads without end.
+inline constexpr std::size_t kMaxRepeatedBytes = 64 * 1024 * 1024;
+
+// Writes an answer to a connection. Returns false if the connection has ended.
+inline Task<bool>
+WritePeerAnswer(boost::asio::ip::tcp::socket& aSocket,
+                const PeerAnswer& aAnswer)
+{
+  boost::system::error_code error;
+  co_await boost::asio::async_write(
+    aSocket,
+    boost::asio::buffer(aAnswer.bytes),
+    boost::asio::redirect_error(boost::asio::use_awaitable, error));
+  boost::asio::steady_timer timer(aSocket.get_executor());
+  std::size_t repeatedBytes = 0;
+  while (aAnswer.end == PeerEnd::Repeat && !error &&
+         repeatedBytes < kMaxRepeatedBytes) {
+    if (aAnswer.pause.count() > 0) {
+      timer.expires_after(aAnswer.pause);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    repeatedBytes += co_await boost::asio::async_write(
+      aSocket,
+      boost::asio::buffer(aAnswer.repeated),
+      boost::asio::redirect_error(boost::asio::use_awaitable, error));
+  }
+  if (aAnswer.end == PeerEnd::Reset) {
+    // Only an explicit close honours the option.
+    aSocket.set_option(boost::asio::socket_base::linger(true, 0));
+    aSocket.close();
+    co_return false;
+  }
+  co_return aAnswer.end != PeerEnd::Close && !error;
+}
+
 // Takes one answer for each request; requests have no body. The last answer is
 // used again.
 class TestPeer
 {
 public:
-  // Stops a test from using up the memory if the client reads without end.
-  static constexpr std::size_t kMaxRepeatedBytes = 64 * 1024 * 1024;
-
   explicit TestPeer(boost::asio::any_io_executor aExecutor)
     : acceptor(aExecutor, { boost::asio::ip::address_v4::loopback(), 0 })
   {
@@ -80,7 +112,6 @@
   std::deque<PeerAnswer> answers;
   int connections = 0;
   int requests = 0;
-  std::size_t repeatedBytes = 0;
 
 private:
   using Socket = boost::asio::ip::tcp::socket;
@@ -116,45 +147,13 @@
       if (this->answers.size() > 1) {
         this->answers.pop_front();
       }
-      co_await this->Write(aSocket, answer.bytes);
-      if (answer.end == PeerEnd::Repeat) {
-        co_await this->Repeat(aSocket, answer);
-      }
-      if (answer.end == PeerEnd::Reset) {
-        // Only an explicit close honours the option.
-        aSocket.set_option(boost::asio::socket_base::linger(true, 0));
-        aSocket.close();
-      }
-      if (answer.end == PeerEnd::Close || answer.end == PeerEnd::Reset) {
+      const bool keepOpen = co_await WritePeerAnswer(aSocket, answer);
+      if (!keepOpen) {
         co_return;
       }
     }
   }
 
-  Task<void> Repeat(Socket& aSocket, const PeerAnswer& aAnswer)
-  {
-    bool open = true;
-    boost::asio::steady_timer timer(aSocket.get_executor());
-    while (open && this->repeatedBytes < kMaxRepeatedBytes) {
-      if (aAnswer.pause.count() > 0) {
-        timer.expires_after(aAnswer.pause);
-        co_await timer.async_wait(boost::asio::use_awaitable);
-      }
-      open = co_await this->Write(aSocket, aAnswer.repeated);
-      this->repeatedBytes += aAnswer.repeated.size();
-    }
-  }
-
-  static Task<bool> Write(Socket& aSocket, std::string aBytes)
-  {
-    boost::system::error_code error;
-    co_await boost::asio::async_write(
-      aSocket,
-      boost::asio::buffer(aBytes),
-      boost::asio::redirect_error(boost::asio::use_awaitable, error));
-    co_return !error;
-  }
-
   boost::asio::ip::tcp::acceptor acceptor;
 };
 
