--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -24,6 +24,17 @@
 
 constexpr std::size_t kBodyBufferBytes = 16 * 1024;
 
+// Largest number of bytes that are read ahead of the parser. Bounds what the
+// parser needs in one piece: a chunk's size with its extensions, and trailers.
+constexpr std::size_t kReadAheadBytes = 64 * 1024;
+
+// Largest size of a response's head together with the interim responses (1xx)
+// before it, in bytes.
+constexpr std::size_t kMaxHeadBytes = 16 * 1024;
+
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+
 // TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays
 // unacknowledged for this long, which bounds the time to detect an unresponsive
 // peer.
@@ -61,9 +72,10 @@
 
   SystemTimer& timer;
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kReadAheadBytes };
   std::string address;
   std::optional<http::response_parser<http::buffer_body>> parser;
+  std::uint64_t requestsSent = 0;
   bool failed = false;
 };
 
@@ -125,6 +137,7 @@
   message.body() = aRequest.body;
   message.prepare_payload();
   this->state->parser.reset();
+  ++this->state->requestsSent;
   this->state->ExpireAt(aDeadline);
   error_code error;
   co_await http::async_write(this->state->stream,
@@ -170,21 +183,32 @@
 Task<std::optional<HttpResponse>>
 HttpClientConnection::ReadHead(TimePoint aDeadline, FailureReason& aReason)
 {
-  this->state->parser.emplace();
-  this->state->parser->body_limit(kMaxResponseBytes);
   this->state->ExpireAt(aDeadline);
+  std::size_t headBytes = 0;
+  unsigned status = 0;
   error_code error;
-  co_await http::async_read_header(
-    this->state->stream,
-    this->state->buffer,
-    *this->state->parser,
-    asio::redirect_error(asio::use_awaitable, error));
+  while (status < kFirstFinalStatus && !error) {
+    this->state->parser.emplace();
+    this->state->parser->body_limit(kMaxResponseBytes);
+    headBytes += co_await http::async_read_header(
+      this->state->stream,
+      this->state->buffer,
+      *this->state->parser,
+      asio::redirect_error(asio::use_awaitable, error));
+    status = this->state->parser->get().result_int();
+    if (!error && headBytes > kMaxHeadBytes) {
+      error = http::error::header_limit;
+    }
+    if (!error && status == kSwitchingProtocols) {
+      error = http::error::bad_status;
+    }
+  }
   if (error) {
     this->state->failed = true;
     co_return FailResponse(aReason, error, this->state->address);
   }
   HttpResponse response;
-  response.status = this->state->parser->get().result_int();
+  response.status = status;
   for (const auto& field : this->state->parser->get()) {
     response.headers.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
@@ -293,8 +317,20 @@
 {
   const State& connection = *this->state;
   return !connection.failed && connection.parser &&
-         connection.parser->is_done() &&
-         connection.parser->get().keep_alive() && connection.buffer.size() == 0;
+         connection.parser->is_done() && connection.parser->keep_alive() &&
+         connection.buffer.size() == 0;
+}
+
+bool
+HttpClientConnection::IsReused() const
+{
+  return this->state->requestsSent > 1;
+}
+
+bool
+HttpClientConnection::EndsWithConnection() const
+{
+  return this->state->parser && this->state->parser->need_eof();
 }
 
 const std::string&
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -19,7 +19,7 @@
 
 namespace wigeonwalk {
 
-// Largest response body that ReadResponse accepts, in bytes.
+// Largest response body that is accepted, in bytes.
 inline constexpr std::uint64_t kMaxResponseBytes = 16 * 1024 * 1024;
 
 // One connection to an upstream. The reason of a failure tells how far the
@@ -46,8 +46,8 @@
                   TimePoint aDeadline,
                   FailureReason& aReason);
 
-  // Reads the status and headers of the response. The body is not read yet;
-  // ReadSome reads it.
+  // Reads the status and headers of the response. Interim responses (1xx) are
+  // skipped. The body is not read yet; ReadSome reads it.
   Task<std::optional<HttpResponse>> ReadHead(TimePoint aDeadline,
                                              FailureReason& aReason);
 
@@ -64,9 +64,16 @@
                                                  FailureReason& aReason);
 
   // True if the last response was read to its end, no bytes follow it, and its
-  // headers allow keep-alive.
+  // headers and framing allow keep-alive.
   bool Reusable() const;
 
+  // True if an earlier request was sent on this connection.
+  bool IsReused() const;
+
+  // True if the response has neither a length nor chunks, so that its body ends
+  // when the peer closes the connection.
+  bool EndsWithConnection() const;
+
   // True if the peer has neither sent unread bytes nor closed the connection.
   bool IsOpenAndIdle();
 
--- /dev/null
+++ b/wigeonwalk/adapters/http/http_client_test.cc
@@ -0,0 +1,228 @@
+#include "wigeonwalk/adapters/http/http_pool.h"
+#include "wigeonwalk/adapters/http/test_peer.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kOkHead = "HTTP/1.1 200 OK\r\n";
+constexpr const char* kChunkedHead =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+std::string
+Repeated(const std::string& aPart)
+{
+  constexpr int kTimes = 1'000;
+  std::string text;
+  for (int i = 0; i < kTimes; ++i) {
+    text += aPart;
+  }
+  return text;
+}
+
+// A pool and a peer on loopback.
+struct Fixture
+{
+  Fixture()
+    : timer(context.get_executor())
+    , pool(timer, context.get_executor(), 60s)
+    , peer(context.get_executor())
+  {
+  }
+
+  // Sends one request and reads its response. The deadline is reached only by
+  // a client that reads without a bound.
+  std::optional<HttpResponse> Call()
+  {
+    this->reason = FailureReason();
+    std::optional<HttpResponse> response;
+    bool ended = false;
+    const auto call = [&]() -> Task<void> {
+      const HttpRequest request{ .method = "GET", .target = "/" };
+      const std::string address = this->peer.Address();
+      const TimePoint deadline = this->timer.Now() + 20s;
+      response = co_await this->pool.Exchange(
+        address, request, Reuse::Allowed, deadline, this->reason);
+      ended = true;
+    };
+    boost::asio::co_spawn(this->context, call(), boost::asio::detached);
+    while (!ended) {
+      this->context.run_one();
+    }
+    return response;
+  }
+
+  boost::asio::io_context context{ 1 };
+  SystemTimer timer;
+  HttpPool pool;
+  TestPeer peer;
+  FailureReason reason;
+};
+
+} // namespace
+
+// Guards against peers whose bytes never end: the client reads until its
+// deadline and keeps all of it in memory.
+SCENARIO("a response that never ends is malformed as soon as it is too large")
+{
+  Fixture fixture;
+  struct EndlessRow
+  {
+    const char* name;
+    std::string bytes;
+    std::string repeated;
+    std::chrono::milliseconds pause{ 0 };
+  };
+  const std::vector<EndlessRow> rows{
+    { "header lines, many at once", kOkHead, Repeated("A: b\r\n") },
+    { "header lines, one at a time",
+      kOkHead,
+      "A: " + Repeated("b") + "\r\n",
+      1ms },
+    { "one header line", std::string(kOkHead) + "A: ", Repeated("b") },
+    { "status line", "HTTP/1.1 200 ", Repeated("OK") },
+    { "bytes that are not HTTP", "", Repeated("\x16\x03") },
+    { "chunk extension", std::string(kChunkedHead) + "2", Repeated(";a=b") },
+    { "trailers", std::string(kChunkedHead) + "0\r\n", Repeated("A: b\r\n") },
+    { "chunks", kChunkedHead, "4000\r\n" + std::string(0x4000, 'a') + "\r\n" },
+    { "body without a length",
+      std::string(kOkHead) + "\r\n",
+      std::string(0x4000, 'a') },
+    { "body with a length",
+      std::string(kOkHead) + "Content-Length: 99999999999\r\n\r\n",
+      std::string(0x4000, 'a') },
+  };
+  for (const EndlessRow& row : rows) {
+    INFO(row.name);
+    fixture.peer.answers = {
+      { row.bytes, PeerEnd::Repeat, row.repeated, row.pause }, { kWhole }
+    };
+    CHECK_FALSE(fixture.Call().has_value());
+    CHECK(fixture.reason.code == ReasonCode::MalformedResponse);
+    const int connections = fixture.peer.connections;
+    const auto next = fixture.Call();
+    REQUIRE(next.has_value());
+    CHECK(next->body == "ok");
+    CHECK(fixture.peer.connections == connections + 1);
+  }
+}
+
+// Guards against interim responses (1xx) that are taken for the response, so
+// that the caller never gets it, and the next request gets it instead.
+SCENARIO("interim responses are skipped")
+{
+  Fixture fixture;
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+
+  WHEN("some precede the response")
+  {
+    fixture.peer.answers = { { "HTTP/1.1 100 Continue\r\n\r\n" + interim +
+                               kWhole } };
+    const auto response = fixture.Call();
+    REQUIRE(response.has_value());
+    CHECK(response->status == 200);
+    CHECK(response->body == "ok");
+    CHECK(FindHeader(response->headers, "Link").empty());
+  }
+
+  WHEN("they never end")
+  {
+    fixture.peer.answers = { { "", PeerEnd::Repeat, Repeated(interim) } };
+    CHECK_FALSE(fixture.Call().has_value());
+    CHECK(fixture.reason.code == ReasonCode::MalformedResponse);
+  }
+
+  WHEN("the peer switches to another protocol")
+  {
+    fixture.peer.answers = { { "HTTP/1.1 101 Switching Protocols\r\n\r\n" +
+                               std::string(kWhole) } };
+    CHECK_FALSE(fixture.Call().has_value());
+    CHECK(fixture.reason.code == ReasonCode::MalformedResponse);
+  }
+}
+
+// Guards against responses that look complete but are not, and against
+// connections that are kept although they can serve nothing more.
+SCENARIO("a response without a length ends with its connection")
+{
+  Fixture fixture;
+  const std::string version = GENERATE("HTTP/1.1", "HTTP/1.0");
+  CAPTURE(version);
+  const std::string head = version + " 200 OK\r\n";
+
+  WHEN("the peer closes the connection")
+  {
+    fixture.peer.answers = { { head + "\r\nwhole", PeerEnd::Close } };
+    const auto response = fixture.Call();
+    REQUIRE(response.has_value());
+    CHECK(response->body == "whole");
+    CHECK(fixture.pool.IdleCount() == 0);
+  }
+
+  WHEN("the body is empty")
+  {
+    fixture.peer.answers = { { head + "\r\n", PeerEnd::Close } };
+    const auto response = fixture.Call();
+    REQUIRE(response.has_value());
+    CHECK(response->body.empty());
+  }
+
+  WHEN("the connection is reset")
+  {
+    fixture.peer.answers = { { head + "\r\nwhole", PeerEnd::Reset } };
+    CHECK_FALSE(fixture.Call().has_value());
+    CHECK(fixture.reason.code == ReasonCode::ConnectionLostAfterWrite);
+  }
+}
+
+// Guards against truncated responses that are taken for complete ones.
+SCENARIO("a response that is cut off is not complete")
+{
+  Fixture fixture;
+  const auto end = GENERATE(PeerEnd::Close, PeerEnd::Reset);
+  CAPTURE(NameOf(end));
+  const std::string whole =
+    GENERATE(std::string(kWhole),
+             std::string(kChunkedHead) + "2\r\nok\r\n0\r\n\r\n",
+             std::string(kChunkedHead) + "2;a=b\r\nok\r\n0\r\nA: b\r\n\r\n",
+             std::string("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+  for (std::size_t bytes = 0; bytes < whole.size(); ++bytes) {
+    CAPTURE(whole.substr(0, bytes));
+    fixture.peer.answers = { { whole.substr(0, bytes), end } };
+    CHECK_FALSE(fixture.Call().has_value());
+    CHECK(fixture.reason.code == ReasonCode::ConnectionLostAfterWrite);
+  }
+  fixture.peer.answers = { { whole, PeerEnd::Close } };
+  const auto response = fixture.Call();
+  REQUIRE(response.has_value());
+  CHECK(response->body == "ok");
+}
+
+// Guards against a peer that repeats a refusal on a connection that is in use
+// again: the later request would count as not run although it runs.
+SCENARIO("a connection is not reused after a refusal")
+{
+  Fixture fixture;
+  const std::string refusal =
+    GENERATE("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+  CAPTURE(refusal);
+  // On the refused connection, the copy would precede the next response.
+  fixture.peer.answers = { { refusal }, { kWhole } };
+  REQUIRE(fixture.Call().has_value());
+  CHECK(fixture.pool.IdleCount() == 0);
+  const auto next = fixture.Call();
+  REQUIRE(next.has_value());
+  CHECK(next->status == 200);
+  CHECK(fixture.peer.connections == 2);
+  REQUIRE(fixture.Call().has_value());
+  CHECK(fixture.peer.connections == 2);
+}
--- a/wigeonwalk/adapters/http/http_pool.h
+++ b/wigeonwalk/adapters/http/http_pool.h
@@ -10,6 +10,7 @@
 #include "wigeonwalk/adapters/http/http_client.h"
 #include "wigeonwalk/base/enum_names.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -57,7 +58,9 @@
   // Returns a connection to the pool, or closes it if it is not reusable.
   void Release(HttpClientConnection aConnection);
 
-  // Sends one request and reads the complete response.
+  // Sends one request and reads the complete response. The connection is not
+  // reused after a refusal: a repeated copy of it could be taken for the
+  // response to a later request, which would count as not run.
   Task<std::optional<HttpResponse>> Exchange(const std::string& aAddress,
                                              const HttpRequest& aRequest,
                                              Reuse aReuse,
@@ -68,6 +71,9 @@
   // uses the address, or when a connection to it became unresponsive.
   void CloseIdle(const std::string& aAddress);
 
+  // Number of idle connections to all addresses.
+  std::size_t IdleCount() const;
+
   SystemTimer& Clock() { return this->timer; }
 
 private:
