entry: stop sending to a runner once it says that it leaves

Callers would see requests cut off or refused by a runner that was about to exit: a runner says so in every answer, but the daemon learnt of it from the registry only, which may be silent, late or out of reach.

From the moment at which the head has been read, that start of the runner is treated as one that leaves by the registry, in choice, retries, resumed streams, the queue and orders. RunnerClient asks again between connecting and sending, and a request that is not sent is chosen anew. The marks are kept in LeavingUpstreams, which the other front end uses too, by id and start; they outlive a registration that lapses, and end ten minutes after it. Late answers to earlier requests, answers of another start and a 421 of whoever has the address now mark nothing. A leaving runner's parts stay a source while it answers, also one that leaves by the registry.

--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -127,6 +127,18 @@
   return DecodePoisonNotice(aNotice);
 }
 
+PeerNotice
+EntryMsgpack::EncodeLeaving(const LeavingNotice& aNotice) const
+{
+  return EncodeNotice(aNotice);
+}
+
+std::optional<LeavingNotice>
+EntryMsgpack::DecodeLeaving(const PeerNotice& aNotice) const
+{
+  return DecodeLeavingNotice(aNotice);
+}
+
 std::string
 EntryMsgpack::EncodeQuery(const RegistryQuery& aQuery) const
 {
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.h
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.h
@@ -24,6 +24,8 @@
   std::optional<HeldParts> DecodeParts(const std::string& aPayload) const;
   PeerNotice EncodePoison(const PoisonNotice& aNotice) const;
   std::optional<PoisonNotice> DecodePoison(const PeerNotice& aNotice) const;
+  PeerNotice EncodeLeaving(const LeavingNotice& aNotice) const;
+  std::optional<LeavingNotice> DecodeLeaving(const PeerNotice& aNotice) const;
   std::string EncodeQuery(const RegistryQuery& aQuery) const;
   std::optional<RegistryQuery> DecodeQuery(const std::string& aPayload) const;
   std::string EncodeChanges(const RegistryChanges& aChanges) const;
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -24,6 +24,13 @@
     CHECK(codec.DecodePause(codec.EncodePause(pause)) == pause);
   }
 
+  SECTION("for a runner that leaves")
+  {
+    const LeavingNotice notice{ UpstreamId("r-1"), 1'790'000'000'000 };
+    CHECK(codec.DecodeLeaving(codec.EncodeLeaving(notice)) == notice);
+    CHECK_FALSE(codec.DecodeLeaving({ NoticeKind::Leaving, "soon" }));
+  }
+
   SECTION("for the load and the work of runners")
   {
     const RunnerLoads loads{ { { UpstreamId("r-1"), 2, 17'000 },
--- /dev/null
+++ b/wigeonwalk/entry/advice_handling.h
@@ -0,0 +1,70 @@
+// Applies what runners say of themselves in their answers, and logs it.
+//
+//   ApplyAdvice(state, log, runner, head.advice, now);
+#pragma once
+
+#include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/fleet/runner_advice.h"
+#include "wigeonwalk/ports/structured_log.h"
+
+#include <memory>
+
+namespace wigeonwalk {
+
+// Logs that a runner gets no new requests, and for how long it is expected to
+// serve its open ones.
+template<StructuredLog L>
+void
+LogLeaving(L& aLog,
+           const EntryState& aState,
+           const RunnerEntry& aRunner,
+           LeavingCause aCause,
+           TimePoint aNow)
+{
+  aLog.Write(aNow,
+             LogLevel::Info,
+             "runner leaves",
+             {},
+             { { LogKey::Upstream, aRunner.id },
+               { LogKey::Service, aRunner.service },
+               { LogKey::Start, aRunner.startedAt },
+               { LogKey::Cause, aCause },
+               { LogKey::Limit, aState.Settings().bounds.drain } });
+}
+
+// Applies the advice in an answer of a runner. `aRunner` is the start of the
+// runner to which the call was made; it may have ended since. Null stands for a
+// holder that is no runner.
+template<StructuredLog L>
+void
+ApplyAdvice(EntryState& aState,
+            L& aLog,
+            const std::shared_ptr<Runner>& aRunner,
+            const RunnerAdvice& aAdvice,
+            TimePoint aNow)
+{
+  if (aRunner == nullptr) {
+    return;
+  }
+  if (aAdvice.isLeaving && aState.MarkLeaving(*aRunner, LeavingCause::Answer)) {
+    LogLeaving(aLog, aState, aRunner->entry, LeavingCause::Answer, aNow);
+  }
+}
+
+// As above, for an answer that gives the start of its sender; zero if it does
+// not. An answer of another start says nothing of this one.
+template<StructuredLog L>
+void
+ApplyAdvice(EntryState& aState,
+            L& aLog,
+            const std::shared_ptr<Runner>& aRunner,
+            std::int64_t aStartedAt,
+            const RunnerAdvice& aAdvice,
+            TimePoint aNow)
+{
+  if (aRunner != nullptr && aRunner->IsSameStart(aStartedAt)) {
+    ApplyAdvice(aState, aLog, aRunner, aAdvice, aNow);
+  }
+}
+
+} // namespace wigeonwalk
--- a/wigeonwalk/entry/answer_relay.h
+++ b/wigeonwalk/entry/answer_relay.h
@@ -1,16 +1,18 @@
 // Relays the response of one attempt to the caller.
 //
-//   AnswerRelay<Attempt, M, T> relay(state, measures, timer);
+//   AnswerRelay<Attempt, M, T, L> relay(state, measures, timer, log);
 //   end = co_await relay.RelayResponse(request, attempt, sent, progress,
 //                                      exchange, reason);
 #pragma once
 
+#include "wigeonwalk/entry/advice_handling.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/forward_progress.h"
 #include "wigeonwalk/entry/runner_pick.h"
 #include "wigeonwalk/ports/attempts.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/request_metrics.h"
+#include "wigeonwalk/ports/structured_log.h"
 #include "wigeonwalk/retry/verdict_rules.h"
 
 #include <cstdint>
@@ -32,16 +34,17 @@
 // A non-streaming response is buffered completely before any of it is relayed,
 // so that a failed attempt can be retried. A stream is relayed event by event.
 // Keeps no state between requests; the EntryState must outlive it.
-template<RunnerExchange Attempt, RequestMetrics M, Timer T>
+template<RunnerExchange Attempt, RequestMetrics M, Timer T, StructuredLog L>
 class AnswerRelay
 {
 public:
   using Progress = ForwardProgress<Attempt>;
 
-  AnswerRelay(EntryState& aState, M& aMeasures, T& aTimer)
+  AnswerRelay(EntryState& aState, M& aMeasures, T& aTimer, L& aLog)
     : state(aState)
     , measures(aMeasures)
     , timer(aTimer)
+    , log(aLog)
   {
   }
 
@@ -60,6 +63,11 @@
       co_return AttemptEnd::Failed;
     }
     aProgress.status = head->status;
+    ApplyAdvice(this->state,
+                this->log,
+                aSent.pick.runner,
+                head->advice,
+                this->timer.Now());
     if (!this->IsUsable(aRequest, *head, aSent.pick, aProgress, aReason)) {
       co_return AttemptEnd::Failed;
     }
@@ -261,6 +269,7 @@
   EntryState& state;
   M& measures;
   T& timer;
+  L& log;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -7,6 +7,7 @@
 //   spawn(follower.ForwardEvents());
 #pragma once
 
+#include "wigeonwalk/entry/advice_handling.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/held_parts.h"
 #include "wigeonwalk/entry/notice_limits.h"
@@ -128,10 +129,18 @@
       const std::uint64_t since = found->second.nextEvent;
       const TimePoint startedAt = this->timer.Now();
       const TimePoint deadline = startedAt + kLongPollTimeout + kResponseGrace;
+      const auto runner = this->state.fleet.Find(aHolder);
+      RunnerAdvice advice;
       FailureReason reason;
       const auto batch = co_await this->control.CacheEvents(
-        address, since, kLongPollTimeout, deadline, reason);
+        address, since, kLongPollTimeout, deadline, advice, reason);
       const TimePoint now = this->timer.Now();
+      ApplyAdvice(this->state,
+                  this->log,
+                  runner,
+                  batch ? batch->startedAt : 0,
+                  advice,
+                  now);
       if (batch) {
         failures = 0;
         this->HandleBatch(aHolder, address, *batch, now);
@@ -192,9 +201,10 @@
           WantedHolder{ holder, RankFollowers(holder, store.eventCalls, all) });
       }
     }
+    // A leaving runner's parts stay a source for as long as it answers.
     for (const auto& runner : this->state.fleet.All()) {
       const auto* service = routes->FindService(runner->entry.service);
-      if (runner->leaving || service == nullptr || !service->engine) {
+      if (service == nullptr || !service->engine) {
         continue;
       }
       const AvailabilityZone& runnerZone = runner->entry.zone;
@@ -272,9 +282,7 @@
     }
     FollowedHolder& followed = found->second;
     const auto runner = this->state.fleet.Find(aHolder);
-    if (runner != nullptr && aBatch.startedAt != 0 &&
-        runner->entry.startedAt != 0 &&
-        runner->entry.startedAt != aBatch.startedAt) {
+    if (runner != nullptr && !runner->IsSameStart(aBatch.startedAt)) {
       // The runner has restarted, or another runner has its address.
       return;
     }
--- a/wigeonwalk/entry/cache_follower_test.cc
+++ b/wigeonwalk/entry/cache_follower_test.cc
@@ -290,3 +290,48 @@
     }
   }
 }
+
+// Guards against parts that are computed again because their holder leaves, and
+// against a mark from an answer of another start.
+SCENARIO("a leaving runner's parts stay a source while it answers")
+{
+  Setting setting;
+  setting.AddEvent("r-near", 7, "p", 500, 100);
+  setting.RunFor(300ms);
+  const auto runner = setting.state.fleet.Find(UpstreamId("r-near"));
+
+  WHEN("it says in its events that it leaves")
+  {
+    setting.control.advice["r-near"].isLeaving = true;
+    setting.RunFor(500ms);
+    REQUIRE(runner->leaving);
+    setting.RunFor(3s);
+
+    THEN("its parts can be fetched")
+    {
+      CHECK(setting.TokensAt("r-near", "p") == 500);
+      CHECK(setting.state.Sources(setting.time.Now()).size() == 3);
+    }
+    THEN("they can't once it does not answer")
+    {
+      setting.control.unreachableAddresses = { "r-near" };
+      setting.RunFor(2s);
+      CHECK(setting.state.Sources(setting.time.Now()).size() == 2);
+    }
+  }
+
+  WHEN("another start answers at its address")
+  {
+    setting.control.advice["r-near"].isLeaving = true;
+    setting.control.events["r-near"].resize(40);
+    for (PartEventBatch& batch : setting.control.events["r-near"]) {
+      batch.epoch = 7;
+      batch.startedAt = 200;
+    }
+    setting.RunFor(250ms);
+    THEN("the registered start is not marked")
+    {
+      CHECK_FALSE(runner->leaving);
+    }
+  }
+}
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -5,6 +5,7 @@
 #include "wigeonwalk/fleet/runner.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/peer_messages.h"
+#include "wigeonwalk/retry/leaving_upstreams.h"
 #include "wigeonwalk/retry/poison_tracker.h"
 
 #include <concepts>
@@ -104,6 +105,7 @@
                                     const RunnerWork& aWork,
                                     const HeldParts& aParts,
                                     const PoisonNotice& aPoison,
+                                    const LeavingNotice& aLeaving,
                                     const PeerNotice& aNotice,
                                     const RegistryQuery& aQuery,
                                     const RegistryChanges& aChanges,
@@ -139,6 +141,12 @@
   {
     aCodec.DecodePoison(aNotice)
     } -> std::same_as<std::optional<PoisonNotice>>;
+  {
+    aCodec.EncodeLeaving(aLeaving)
+    } -> std::same_as<PeerNotice>;
+  {
+    aCodec.DecodeLeaving(aNotice)
+    } -> std::same_as<std::optional<LeavingNotice>>;
   {
     aCodec.EncodeQuery(aQuery)
     } -> std::same_as<std::string>;
--- a/wigeonwalk/entry/entry_request.h
+++ b/wigeonwalk/entry/entry_request.h
@@ -7,9 +7,11 @@
 #include "wigeonwalk/base/time.h"
 #include "wigeonwalk/fleet/prompt.h"
 #include "wigeonwalk/fleet/runner.h"
+#include "wigeonwalk/fleet/runner_advice.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -55,6 +57,10 @@
   std::optional<std::uint64_t> resumeAfter;
 };
 
+// Asked once the connection is open, right before a request is sent: the runner
+// that was chosen may not want it any more. Nothing is sent after false.
+using SendCheck = std::function<bool()>;
+
 // Status and decoded header fields of a runner's response. The adapter keeps
 // the raw header fields that are relayed to the caller.
 struct AnswerHead
@@ -69,6 +75,7 @@
   // The response has the runner's signature header.
   bool isSigned = false;
   bool isEventStream = false;
+  RunnerAdvice advice;
 
   bool IsSuccess() const { return this->status >= 200 && this->status < 300; }
 };
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -22,6 +22,7 @@
     if (change == FleetChange::Restarted) {
       this->ForgetHolder(entry->id);
     }
+    this->NoteRegistered(entry->id, change);
     return change;
   }
   ++this->generation;
@@ -56,6 +57,91 @@
   return FleetChange::None;
 }
 
+void
+EntryState::NoteRegistered(const UpstreamId& aRunner, FleetChange aChange)
+{
+  const auto runner = this->fleet.Find(aRunner);
+  const bool isNew =
+    aChange == FleetChange::Added || aChange == FleetChange::Restarted;
+  if (aChange == FleetChange::StartedLeaving || (isNew && runner->leaving)) {
+    this->CountLeaving(LeavingCause::Registry);
+  }
+  if (isNew && this->IsMarked(*runner)) {
+    runner->leaving = true;
+  }
+}
+
+bool
+EntryState::IsMarked(const Runner& aRunner) const
+{
+  return aRunner.entry.startedAt != 0 &&
+         this->leaving.MarkOf(aRunner.entry.id) ==
+           static_cast<std::uint64_t>(aRunner.entry.startedAt);
+}
+
+void
+EntryState::CountLeaving(LeavingCause aCause)
+{
+  ++this->leavingCounts[static_cast<std::size_t>(aCause)];
+}
+
+bool
+EntryState::MarkLeaving(Runner& aRunner, LeavingCause aCause)
+{
+  const auto start = static_cast<std::uint64_t>(aRunner.entry.startedAt);
+  if (start != 0) {
+    this->leaving.Mark(aRunner.entry.id, start);
+  }
+  if (aRunner.leaving) {
+    return false;
+  }
+  aRunner.leaving = true;
+  ++this->generation;
+  this->CountLeaving(aCause);
+  return true;
+}
+
+std::shared_ptr<Runner>
+EntryState::MergeLeaving(const LeavingNotice& aNotice)
+{
+  if (aNotice.incarnation == 0) {
+    return nullptr;
+  }
+  this->leaving.MergeNotice(aNotice);
+  const auto runner = this->fleet.Find(aNotice.upstream);
+  const bool isNew = runner != nullptr && this->IsMarked(*runner) &&
+                     this->MarkLeaving(*runner, LeavingCause::Peer);
+  return isNew ? runner : nullptr;
+}
+
+std::vector<LeavingNotice>
+EntryState::RegisteredLeaving() const
+{
+  std::vector<LeavingNotice> marks = this->leaving.All();
+  std::erase_if(marks, [this](const LeavingNotice& aMark) {
+    const auto runner = this->fleet.Find(aMark.upstream);
+    return runner == nullptr || !this->IsMarked(*runner);
+  });
+  return marks;
+}
+
+void
+EntryState::ExpireLeaving(TimePoint aNow)
+{
+  for (const LeavingNotice& mark : this->leaving.All()) {
+    if (this->fleet.Find(mark.upstream) != nullptr) {
+      this->unregisteredLeaving.erase(mark.upstream);
+      continue;
+    }
+    const auto [since, isNew] =
+      this->unregisteredLeaving.try_emplace(mark.upstream, aNow);
+    if (aNow - since->second >= kLeavingRetention) {
+      this->leaving.Forget(mark.upstream);
+      this->unregisteredLeaving.erase(since);
+    }
+  }
+}
+
 void
 EntryState::ForgetHolder(const UpstreamId& aHolder)
 {
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -9,14 +9,17 @@
 #include "wigeonwalk/entry/revision_clock.h"
 #include "wigeonwalk/fleet/fleet.h"
 #include "wigeonwalk/fleet/part_index.h"
+#include "wigeonwalk/fleet/runner_advice.h"
 #include "wigeonwalk/fleet/runner_choice.h"
 #include "wigeonwalk/fleet/weight_history.h"
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/queueing/service_queue.h"
+#include "wigeonwalk/retry/leaving_upstreams.h"
 #include "wigeonwalk/retry/poison_tracker.h"
 #include "wigeonwalk/retry/sliding_window_budget.h"
 #include "wigeonwalk/routing/route_table.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -47,6 +50,10 @@
   // Cached parts are told between zones in clusters of up to this many daemons.
   static constexpr std::size_t kMaxDaemonsAcrossZones = 12;
 
+  // How long a mark of a leaving runner is kept after its registration is gone:
+  // a registration that lapsed in silence may return for the same start.
+  static constexpr Duration kLeavingRetention = std::chrono::minutes(10);
+
   explicit EntryState(EntrySettings aSettings);
 
   // Applies a decoded registry item or its removal. Returns how the runner
@@ -67,6 +74,24 @@
     const std::vector<UpstreamId>& aTried,
     TimePoint aNow) const;
 
+  // Stops new requests to this start of a runner. Returns true if it got some
+  // until now. The mark outlives the registration if the start is known, and is
+  // then queued for the other daemons; with an unknown start it ends when the
+  // registration is replaced or removed.
+  bool MarkLeaving(Runner& aRunner, LeavingCause aCause);
+
+  // Merges another daemon's mark. Returns the runner if it got requests until
+  // now, else null. A mark without a start names no start and is ignored.
+  std::shared_ptr<Runner> MergeLeaving(const LeavingNotice& aNotice);
+
+  // Returns the marks of runners that are still registered, for other daemons
+  // that may not know them.
+  std::vector<LeavingNotice> RegisteredLeaving() const;
+
+  // Removes the marks of runners whose registration has been gone for
+  // kLeavingRetention.
+  void ExpireLeaving(TimePoint aNow);
+
   // Returns the holders from which parts may be fetched now.
   std::vector<CacheHolder> Sources(TimePoint aNow) const;
 
@@ -112,6 +137,11 @@
   PartIndex parts;
   std::map<UpstreamId, FollowedHolder> holders;
   std::map<HostId, EntryMember> members;
+  // Starts of runners that said that they leave, here or at another daemon.
+  LeavingUpstreams leaving;
+  // Runners that leave, by the cause by which this daemon learnt of it first.
+  std::array<std::uint64_t, EnumNames<LeavingCause>::kTable.size()>
+    leavingCounts{};
   SlidingWindowBudget retryBudget;
   PoisonTracker poison;
   RevisionClock revisionClock;
@@ -130,12 +160,20 @@
 
 private:
   void ForgetHolder(const UpstreamId& aHolder);
+  void CountLeaving(LeavingCause aCause);
+  // Returns true if this start of the runner is marked. A start that an
+  // unsteady clock dated before a marked one is not.
+  bool IsMarked(const Runner& aRunner) const;
+  // Applies earlier marks to a new registration.
+  void NoteRegistered(const UpstreamId& aRunner, FleetChange aChange);
 
   EntrySettings settings;
   std::uint64_t generation = 0;
   std::shared_ptr<const RouteTable> routes;
   std::map<ModelName, WeightHistory> weights;
   std::map<ServiceName, std::shared_ptr<ServiceQueue>> queues;
+  // Since when marked runners are not registered.
+  std::map<UpstreamId, TimePoint> unregisteredLeaving;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -82,7 +82,7 @@
     , timer(aTimer)
     , log(aLog)
     , wait(aState, aTimer)
-    , relay(aState, aMeasures, aTimer)
+    , relay(aState, aMeasures, aTimer, aLog)
   {
   }
 
@@ -139,12 +139,17 @@
       FailureReason reason;
       aProgress.end =
         co_await this->TryOnce(aRequest, aProgress, *choice, aExchange, reason);
-      this->NoteReleased(aRequest.facts, aProgress);
       const bool cancelled = co_await this->IsCancelled();
       if (cancelled) {
         aProgress.end = AttemptEnd::CallerGone;
       }
-      if (aProgress.end != AttemptEnd::Failed) {
+      if (aProgress.end == AttemptEnd::NotSent &&
+          this->timer.Now() < aProgress.admitted.deadline) {
+        continue;
+      }
+      this->NoteReleased(aRequest.facts, aProgress);
+      if (aProgress.end == AttemptEnd::Delivered ||
+          aProgress.end == AttemptEnd::CallerGone) {
         aProgress.done = true;
         co_return;
       }
@@ -191,11 +196,23 @@
     RunnerLoad load(aChoice.runner,
                     prompt ? prompt->inputTokens + prompt->maxOutputTokens : 0,
                     aChoice.prefillTokens);
-    ++aProgress.connectAttempts;
     const TimePoint connectBy =
       std::min(aProgress.admitted.deadline, sentAt + kConnectTimeout);
-    auto attempt = co_await this->upstreams.Open(
-      aRequest, aChoice.spec, connectBy, aProgress.admitted.deadline, aReason);
+    bool isWanted = true;
+    const SendCheck maySend = [&isWanted, &aChoice] {
+      isWanted = !aChoice.runner->leaving;
+      return isWanted;
+    };
+    auto attempt = co_await this->upstreams.Open(aRequest,
+                                                 aChoice.spec,
+                                                 connectBy,
+                                                 aProgress.admitted.deadline,
+                                                 maySend,
+                                                 aReason);
+    if (!isWanted) {
+      co_return AttemptEnd::NotSent;
+    }
+    ++aProgress.connectAttempts;
     if (!attempt) {
       if (VerdictOf(aReason.code) != Verdict::NotRun) {
         ++aProgress.sentAttempts;
@@ -354,7 +371,7 @@
   T& timer;
   L& log;
   RunnerWait<T> wait;
-  AnswerRelay<Attempt, M, T> relay;
+  AnswerRelay<Attempt, M, T, L> relay;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/notice_limits.h
+++ b/wigeonwalk/entry/notice_limits.h
@@ -22,4 +22,12 @@
 // source's last report.
 inline constexpr Duration kPartReportInterval = EntryState::kSourceMaxAge / 2;
 
+// How often a daemon tells another one, each time the next, which runners
+// leave, for daemons that have restarted or missed it; and the marks in one
+// message.
+inline constexpr Duration kLeavingReportInterval = std::chrono::seconds(1);
+inline constexpr std::size_t kMaxLeavingMarks = 16;
+// Daemons that get each new mark in one round.
+inline constexpr int kLeavingFanout = 4;
+
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -5,6 +5,7 @@
 //   spawn(peers.Run());
 #pragma once
 
+#include "wigeonwalk/entry/advice_handling.h"
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/held_parts.h"
@@ -34,8 +35,9 @@
     } -> std::same_as<std::optional<std::string>>;
 };
 
-// Sends loads to daemons of the same zone, which use the same runners, and
-// pauses to all daemons. One task, and one for each call of another daemon.
+// Sends loads to daemons of the same zone, which use the same runners, pauses
+// to all daemons, and marks of leaving runners to a few that pass them on. One
+// task, and one for each call of another daemon.
 template<ChangeSource R,
          PeerChannel P,
          EntryNoticeCodec C,
@@ -71,6 +73,7 @@
         this->SendLoads();
         this->peerLoads.ApplyTo(this->state.fleet, now);
       }
+      this->SendLeaving(now);
       co_await this->timer.WaitUntil(now + kLoopInterval);
     }
   }
@@ -218,7 +221,9 @@
         }
         break;
       case NoticeKind::Leaving:
-        // Entry daemons learn from the registry which runners leave.
+        if (const auto leaving = this->codec.DecodeLeaving(aNotice)) {
+          this->ApplyLeaving(*leaving, now);
+        }
         break;
     }
   }
@@ -263,6 +268,65 @@
     }
   }
 
+  void ApplyLeaving(const LeavingNotice& aNotice, TimePoint aNow)
+  {
+    if (const auto runner = this->state.MergeLeaving(aNotice)) {
+      LogLeaving(
+        this->log, this->state, runner->entry, LeavingCause::Peer, aNow);
+    }
+  }
+
+  // Passes on new marks of leaving runners to a few daemons, which do the same,
+  // and all marks to one daemon at a time.
+  void SendLeaving(TimePoint aNow)
+  {
+    for (int i = 0; i < kLeavingFanout; ++i) {
+      this->SendMarks(this->state.leaving.TakeNotices(kMaxLeavingMarks));
+    }
+    if (aNow < this->leavingAt) {
+      return;
+    }
+    this->leavingAt = aNow + kLeavingReportInterval;
+    this->state.ExpireLeaving(aNow);
+    auto marks = this->state.RegisteredLeaving();
+    if (marks.size() > kMaxLeavingMarks) {
+      // The next report begins with other marks.
+      const std::size_t first = this->reportedMarks % marks.size();
+      std::rotate(marks.begin(),
+                  marks.begin() + static_cast<std::ptrdiff_t>(first),
+                  marks.end());
+      marks.resize(kMaxLeavingMarks);
+      this->reportedMarks += kMaxLeavingMarks;
+    }
+    this->SendMarks(marks);
+  }
+
+  void SendMarks(const std::vector<LeavingNotice>& aMarks)
+  {
+    const std::vector<EntryMember> others = this->Others();
+    if (aMarks.empty() || others.empty()) {
+      return;
+    }
+    PeerDatagram datagram = this->Datagram();
+    for (const LeavingNotice& mark : aMarks) {
+      datagram.notices.push_back(this->codec.EncodeLeaving(mark));
+    }
+    const std::size_t receiver = this->NextReceiver(others.size());
+    this->channel.Send(others[receiver].peerAddress, datagram);
+  }
+
+  // Returns the index of the next daemon to tell. In a small cluster each has
+  // its turn; in a large one the choice is random, so that the receivers of any
+  // two daemons differ.
+  std::size_t NextReceiver(std::size_t aCount)
+  {
+    const std::size_t round = this->receiverRound++;
+    if (aCount <= NoticeQueue<LeavingNotice>::kMaxSends) {
+      return round % aCount;
+    }
+    return HashBytes(this->state.Settings().host.Text(), round).low % aCount;
+  }
+
   void ApplyPause(const RunnerPause& aPause)
   {
     const auto runner = this->state.fleet.Find(aPause.runner);
@@ -291,6 +355,10 @@
   L& log;
   PeerLoads peerLoads;
   TimePoint loadsAt;
+  TimePoint leavingAt;
+  // Marks in earlier reports.
+  std::size_t reportedMarks = 0;
+  std::size_t receiverRound = 0;
   bool sentEmptyLoads = false;
 };
 
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -4,6 +4,7 @@
 //   spawn(watch.Run());
 #pragma once
 
+#include "wigeonwalk/entry/advice_handling.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/item_mirror.h"
 #include "wigeonwalk/ports/clock.h"
@@ -14,7 +15,9 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace wigeonwalk {
 
@@ -288,11 +291,17 @@
       if (auto* named = std::get_if<DesiredWeights>(&item)) {
         named->revision = aChange.entry.modRevision;
       }
-      const bool isRunner = std::holds_alternative<RunnerEntry>(item);
+      std::optional<RunnerEntry> runner;
+      if (const auto* entry = std::get_if<RunnerEntry>(&item)) {
+        runner = *entry;
+      }
       this->LogItem(item, aChange.entry.modRevision);
       change = this->state.Apply(std::move(item), now);
-      if (isRunner && change == FleetChange::None) {
-        this->mirror.NoteSameContent(key);
+      if (runner) {
+        this->LogIfLeaving(*runner, change);
+        if (change == FleetChange::None) {
+          this->mirror.NoteSameContent(key);
+        }
       }
     }
     if (change != FleetChange::None && change != FleetChange::Updated) {
@@ -306,6 +315,20 @@
     }
   }
 
+  void LogIfLeaving(const RunnerEntry& aEntry, FleetChange aChange)
+  {
+    const bool isNew =
+      aChange == FleetChange::Added || aChange == FleetChange::Restarted;
+    if (aChange == FleetChange::StartedLeaving ||
+        (isNew && aEntry.state == RunnerState::Leaving)) {
+      LogLeaving(this->log,
+                 this->state,
+                 aEntry,
+                 LeavingCause::Registry,
+                 this->timer.Now());
+    }
+  }
+
   void LogItem(const RegistryItem& aItem, std::int64_t aRevision)
   {
     // Weights that are found in a listing may have been named long before.
--- a/wigeonwalk/entry/request_log.h
+++ b/wigeonwalk/entry/request_log.h
@@ -21,15 +21,18 @@
   CallerGone,
   // The runner or the connection to it failed.
   Failed,
+  // Nothing was sent, because the runner takes no new requests any more.
+  NotSent,
 };
 
 template<>
 struct EnumNames<AttemptEnd>
 {
-  static constexpr std::array<EnumName<AttemptEnd>, 3> kTable{ {
+  static constexpr std::array<EnumName<AttemptEnd>, 4> kTable{ {
     { AttemptEnd::Delivered, "delivered" },
     { AttemptEnd::CallerGone, "caller-gone" },
     { AttemptEnd::Failed, "failed" },
+    { AttemptEnd::NotSent, "not-sent" },
   } };
 };
 static_assert(HasCompleteTable<AttemptEnd>());
--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -109,6 +109,18 @@
     notice.crashId = 3;
     return notice;
   }
+  PeerNotice EncodeLeaving(const LeavingNotice& aNotice) const
+  {
+    return { NoticeKind::Leaving,
+             aNotice.upstream.Text() + " " +
+               std::to_string(aNotice.incarnation) };
+  }
+  std::optional<LeavingNotice> DecodeLeaving(const PeerNotice& aNotice) const
+  {
+    const std::size_t space = aNotice.payload.find(' ');
+    return LeavingNotice{ UpstreamId(aNotice.payload.substr(0, space)),
+                          std::stoul(aNotice.payload.substr(space)) };
+  }
   std::string EncodeQuery(const RegistryQuery& aQuery) const
   {
     return std::to_string(aQuery.revision);
--- a/wigeonwalk/entry/test_runners.h
+++ b/wigeonwalk/entry/test_runners.h
@@ -15,6 +15,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,8 @@
   std::uint64_t last = 0;
   std::uint64_t stopAt = kEvents;
   bool bodySent = false;
+  // What the runner says of itself in the head.
+  RunnerAdvice advice;
   std::shared_ptr<int> open = nullptr;
   int* finished = nullptr;
 
@@ -61,6 +64,7 @@
                                    std::chrono::milliseconds(10));
     AnswerHead head;
     head.status = 200;
+    head.advice = this->advice;
     head.isSigned = this->script != Script::Unsigned;
     head.isEventStream = this->isStream;
     switch (this->script) {
@@ -149,8 +153,16 @@
                                         const AttemptSpec& aSpec,
                                         TimePoint,
                                         TimePoint,
+                                        const SendCheck& aMaySend,
                                         FailureReason& aReason)
   {
+    if (this->connectTime > Duration(0)) {
+      const TimePoint connectedAt = this->time->Now() + this->connectTime;
+      co_await this->time->WaitUntil(connectedAt);
+    }
+    if (!aMaySend()) {
+      co_return Fail(aReason, ReasonCode::Stale, "not wanted any more");
+    }
     const Script script = this->scripts.front();
     if (this->scripts.size() > 1) {
       this->scripts.pop_front();
@@ -165,6 +177,7 @@
     FakeAttempt attempt;
     attempt.time = this->time;
     attempt.script = script;
+    attempt.advice.isLeaving = this->leaving.contains(aSpec.runner);
     attempt.isStream = this->stream;
     attempt.last = aSpec.resumeAfter.value_or(0);
     attempt.stopAt = script == Script::BreakStreamAfterTwo ? 2 : kEvents;
@@ -176,6 +189,9 @@
   VirtualTime* time = nullptr;
   std::deque<Script> scripts{ Script::Answer };
   bool stream = false;
+  Duration connectTime{ 0 };
+  // Runners that say in their answers that they leave.
+  std::set<UpstreamId> leaving;
   std::vector<AttemptSpec> attempts;
   int finished = 0;
   // Shared by all open attempts: its use count minus one is their number.
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -4,6 +4,7 @@
 //   for (auto& step : rollout.NextSteps()) { spawn(rollout.Load(step)); }
 #pragma once
 
+#include "wigeonwalk/entry/advice_handling.h"
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/order_authority.h"
@@ -240,10 +241,8 @@
     Runner& runner = *aStep.runner;
     FailureReason reason;
     const std::string address = runner.entry.address;
-    const TimePoint reportBy = this->timer.Now() + kCallTimeout;
-    const auto report =
-      co_await this->control.Report(address, reportBy, reason);
-    if (!report || !IsSameStart(runner, *report)) {
+    const auto report = co_await this->ReadReport(aStep.runner, reason);
+    if (!report || !runner.IsSameStart(report->startedAt)) {
       this->LogStep(aStep, OrderOutcome::Unknown, reason);
       co_return false;
     }
@@ -267,12 +266,31 @@
                               report->acceptedOrders };
     this->Pause(aStep, kLoadTimeout);
     const TimePoint orderBy = this->timer.Now() + kCallTimeout;
+    RunnerAdvice advice;
     const OrderOutcome outcome =
-      co_await this->control.Order(order, orderBy, reason);
+      co_await this->control.Order(order, orderBy, advice, reason);
+    ApplyAdvice(
+      this->state, this->log, aStep.runner, advice, this->timer.Now());
     this->LogStep(aStep, outcome, reason);
     co_return co_await this->HandleOutcome(aStep, outcome);
   }
 
+  Task<std::optional<RunnerReport>> ReadReport(std::shared_ptr<Runner> aRunner,
+                                               FailureReason& aReason)
+  {
+    const TimePoint deadline = this->timer.Now() + kCallTimeout;
+    RunnerAdvice advice;
+    auto report = co_await this->control.Report(
+      aRunner->entry.address, deadline, advice, aReason);
+    ApplyAdvice(this->state,
+                this->log,
+                aRunner,
+                report ? report->startedAt : 0,
+                advice,
+                this->timer.Now());
+    co_return report;
+  }
+
   Task<bool> HandleOutcome(const LoadStep& aStep, OrderOutcome aOutcome)
   {
     switch (aOutcome) {
@@ -308,10 +326,8 @@
     while (next < begunAt + kLoadTimeout) {
       co_await this->timer.WaitUntil(next);
       FailureReason reason;
-      const TimePoint deadline = this->timer.Now() + kCallTimeout;
-      const auto report = co_await this->control.Report(
-        aStep.runner->entry.address, deadline, reason);
-      if (report && !IsSameStart(*aStep.runner, *report)) {
+      const auto report = co_await this->ReadReport(aStep.runner, reason);
+      if (report && !aStep.runner->IsSameStart(report->startedAt)) {
         break;
       }
       if (report && HasWeights(*report, aStep)) {
@@ -327,12 +343,6 @@
     co_return false;
   }
 
-  static bool IsSameStart(const Runner& aRunner, const RunnerReport& aReport)
-  {
-    return aReport.startedAt == 0 || aRunner.entry.startedAt == 0 ||
-           aReport.startedAt == aRunner.entry.startedAt;
-  }
-
   static bool HasWeights(const RunnerReport& aReport, const LoadStep& aStep)
   {
     return std::any_of(aReport.models.begin(),
--- a/wigeonwalk/entry/weight_rollout_test.cc
+++ b/wigeonwalk/entry/weight_rollout_test.cc
@@ -207,3 +207,16 @@
     CHECK(runner->pausedUntil <= setting.time.Now());
   }
 }
+
+// Guards against orders to a runner that has said that it leaves and is still
+// registered as ready.
+SCENARIO("a runner that says that it leaves gets no orders")
+{
+  Setting setting(2);
+  setting.control.advice["a-0"].isLeaving = true;
+  setting.Publish(2);
+  setting.time.RunUntil(setting.time.Now() + 5s);
+  REQUIRE(setting.control.orders.size() == 1);
+  CHECK(setting.control.orders[0].order.runner == UpstreamId("r-1"));
+  CHECK(setting.state.fleet.Find(UpstreamId("r-0"))->leaving);
+}
--- a/wigeonwalk/fleet/runner.h
+++ b/wigeonwalk/fleet/runner.h
@@ -96,6 +96,15 @@
     return this->missingUntil && *this->missingUntil <= aNow;
   }
 
+  // Returns false if the start of an answer's sender differs from this one.
+  // Zero, an unknown start, counts as the same: the answer came from the
+  // address of this start.
+  bool IsSameStart(std::int64_t aStartedAt) const
+  {
+    return aStartedAt == 0 || this->entry.startedAt == 0 ||
+           aStartedAt == this->entry.startedAt;
+  }
+
   // Records that another daemon has sent a long prompt. Its prefill takes
   // `aPrefillTime` and starts after the other prefills recorded so far.
   void NoteOthersPrefill(Duration aPrefillTime, TimePoint aNow);
--- /dev/null
+++ b/wigeonwalk/fleet/runner_advice.h
@@ -0,0 +1,40 @@
+// What a runner says of itself in the head of an answer, whatever the answer is
+// about.
+//
+//   if (head.advice.isLeaving) { ... send it no new requests ... }
+#pragma once
+
+#include "wigeonwalk/base/enum_names.h"
+
+namespace wigeonwalk {
+
+struct RunnerAdvice
+{
+  // The runner will exit soon and wants no new requests.
+  bool isLeaving = false;
+
+  bool operator==(const RunnerAdvice&) const = default;
+};
+
+// How this daemon learnt that a runner leaves.
+enum class LeavingCause
+{
+  // The runner said so in an answer to this daemon.
+  Answer,
+  Registry,
+  // Another daemon had such an answer.
+  Peer,
+};
+
+template<>
+struct EnumNames<LeavingCause>
+{
+  static constexpr std::array<EnumName<LeavingCause>, 3> kTable{ {
+    { LeavingCause::Answer, "answer" },
+    { LeavingCause::Registry, "registry" },
+    { LeavingCause::Peer, "peer" },
+  } };
+};
+static_assert(HasCompleteTable<LeavingCause>());
+
+} // namespace wigeonwalk
--- a/wigeonwalk/ports/attempts.h
+++ b/wigeonwalk/ports/attempts.h
@@ -1,7 +1,8 @@
 // Ports of the entry daemon's request path: attempts at runners, and the
 // response to the caller.
 //
-//   auto attempt = co_await upstreams.Open(request, spec, by, until, reason);
+//   auto attempt = co_await upstreams.Open(request, spec, by, until,
+//                                      maySend, reason);
 //   co_await exchange.Answer(*attempt, body);
 #pragma once
 
@@ -42,7 +43,8 @@
 };
 
 // Opens attempts. `Request` is a caller's request; its `facts` are the decoded
-// fields on which routing and admission depend.
+// fields on which routing and admission depend. Open asks `aMaySend` between
+// connecting and sending.
 template<typename T>
 concept AttemptOpener = RunnerExchange<typename T::Attempt> &&
   requires(T& aOpener,
@@ -50,10 +52,11 @@
            const AttemptSpec& aSpec,
            TimePoint aConnectBy,
            TimePoint aDeadline,
+           const SendCheck& aMaySend,
            FailureReason& aReason)
 {
   {
-    aOpener.Open(aRequest, aSpec, aConnectBy, aDeadline, aReason)
+    aOpener.Open(aRequest, aSpec, aConnectBy, aDeadline, aMaySend, aReason)
     } -> std::same_as<Task<std::optional<typename T::Attempt>>>;
   {
     aRequest.facts
--- a/wigeonwalk/ports/log_field.h
+++ b/wigeonwalk/ports/log_field.h
@@ -83,12 +83,14 @@
   Cost,
   FirstByte,
   Outcome,
+  Start,
+  Cause,
 };
 
 template<>
 struct EnumNames<LogKey>
 {
-  static constexpr std::array<EnumName<LogKey>, 30> kTable{ {
+  static constexpr std::array<EnumName<LogKey>, 32> kTable{ {
     { LogKey::Organisation, "organisation" },
     { LogKey::Service, "service" },
     { LogKey::Model, "model" },
@@ -119,6 +121,8 @@
     { LogKey::Cost, "cost_ms" },
     { LogKey::FirstByte, "first_byte_us" },
     { LogKey::Outcome, "outcome" },
+    { LogKey::Start, "start" },
+    { LogKey::Cause, "cause" },
   } };
 };
 static_assert(HasCompleteTable<LogKey>());
--- a/wigeonwalk/ports/runner_control.h
+++ b/wigeonwalk/ports/runner_control.h
@@ -2,12 +2,13 @@
 // status reports, orders, and freeing parts of the cache.
 //
 //   auto batch = co_await control.CacheEvents(address, since, wait, deadline,
-//                                             reason);
-//   auto outcome = co_await control.Order(order, deadline, reason);
+//                                             advice, reason);
+//   auto outcome = co_await control.Order(order, deadline, advice, reason);
 #pragma once
 
 #include "wigeonwalk/base/enum_names.h"
 #include "wigeonwalk/fleet/runner.h"
+#include "wigeonwalk/fleet/runner_advice.h"
 #include "wigeonwalk/ports/task.h"
 
 #include <concepts>
@@ -119,7 +120,9 @@
 static_assert(HasCompleteTable<OrderOutcome>());
 
 // Client of the control interface. A call returns by its deadline. CacheEvents
-// waits up to `aWait` and returns as soon as there are events.
+// waits up to `aWait` and returns as soon as there are events. Calls to runners
+// set `aAdvice` once the head of an answer was read, whatever becomes of its
+// body.
 template<typename T>
 concept RunnerControl = requires(T& aControl,
                                  const std::string& aAddress,
@@ -129,10 +132,11 @@
                                  const std::vector<PartName>& aParts,
                                  std::int64_t aEpoch,
                                  TimePoint aDeadline,
+                                 RunnerAdvice& aAdvice,
                                  FailureReason& aReason)
 {
   {
-    aControl.CacheEvents(aAddress, aSince, aWait, aDeadline, aReason)
+    aControl.CacheEvents(aAddress, aSince, aWait, aDeadline, aAdvice, aReason)
     } -> std::same_as<Task<std::optional<PartEventBatch>>>;
   {
     aControl.ListParts(aAddress, aDeadline, aReason)
@@ -141,10 +145,10 @@
     aControl.FreeParts(aAddress, aParts, aEpoch, aDeadline, aReason)
     } -> std::same_as<Task<bool>>;
   {
-    aControl.Report(aAddress, aDeadline, aReason)
+    aControl.Report(aAddress, aDeadline, aAdvice, aReason)
     } -> std::same_as<Task<std::optional<RunnerReport>>>;
   {
-    aControl.Order(aOrder, aDeadline, aReason)
+    aControl.Order(aOrder, aDeadline, aAdvice, aReason)
     } -> std::same_as<Task<OrderOutcome>>;
 };
 
--- a/wigeonwalk/retry/leaving_upstreams.cc
+++ b/wigeonwalk/retry/leaving_upstreams.cc
@@ -46,6 +46,31 @@
          aIncarnation <= found->second.incarnation;
 }
 
+std::optional<std::uint64_t>
+LeavingUpstreams::MarkOf(const UpstreamId& aUpstream) const
+{
+  const auto found = this->entries.find(aUpstream);
+  return found == this->entries.end()
+           ? std::nullopt
+           : std::optional(found->second.incarnation);
+}
+
+void
+LeavingUpstreams::Forget(const UpstreamId& aUpstream)
+{
+  this->entries.erase(aUpstream);
+}
+
+std::vector<LeavingNotice>
+LeavingUpstreams::All() const
+{
+  std::vector<LeavingNotice> all;
+  for (const auto& [upstream, entry] : this->entries) {
+    all.push_back({ upstream, entry.incarnation });
+  }
+  return all;
+}
+
 std::vector<LeavingNotice>
 LeavingUpstreams::TakeNotices(std::size_t aMaxCount)
 {
--- a/wigeonwalk/retry/leaving_upstreams.h
+++ b/wigeonwalk/retry/leaving_upstreams.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -49,6 +50,15 @@
   // Returns true if the incarnation must get no new requests.
   bool IsLeaving(const UpstreamId& aUpstream, std::uint64_t aIncarnation) const;
 
+  // Returns the marked incarnation of an upstream, if any.
+  std::optional<std::uint64_t> MarkOf(const UpstreamId& aUpstream) const;
+
+  // Removes the mark of an upstream that no longer exists.
+  void Forget(const UpstreamId& aUpstream);
+
+  // Returns all marks, in no particular order.
+  std::vector<LeavingNotice> All() const;
+
   // Returns up to `aMaxCount` notices for the next message to another daemon.
   std::vector<LeavingNotice> TakeNotices(std::size_t aMaxCount);
 
--- a/wigeonwalk/testing/fake_runner_control.h
+++ b/wigeonwalk/testing/fake_runner_control.h
@@ -63,8 +63,10 @@
                                                   std::uint64_t aSince,
                                                   Duration aWait,
                                                   TimePoint,
+                                                  RunnerAdvice& aAdvice,
                                                   FailureReason& aReason)
   {
+    aAdvice = this->advice[aAddress];
     ++this->eventCalls;
     if (this->unreachableAddresses.contains(aAddress)) {
       co_return Fail(aReason, ReasonCode::ConnectRefused, "connection refused");
@@ -105,8 +107,10 @@
 
   Task<std::optional<RunnerReport>> Report(const std::string& aAddress,
                                            TimePoint aDeadline,
+                                           RunnerAdvice& aAdvice,
                                            FailureReason& aReason)
   {
+    aAdvice = this->advice[aAddress];
     FakeRunner& runner = this->runners.at(aAddress);
     this->Advance(runner);
     if (runner.fault == OrderFault::Unresponsive) {
@@ -124,8 +128,10 @@
 
   Task<OrderOutcome> Order(const WeightsOrder& aOrder,
                            TimePoint aDeadline,
+                           RunnerAdvice& aAdvice,
                            FailureReason& aReason)
   {
+    aAdvice = this->advice[aOrder.address];
     FakeRunner& runner = this->runners.at(aOrder.address);
     this->Advance(runner);
     this->orders.push_back({ aOrder, this->time.Now() });
@@ -164,6 +170,8 @@
   std::map<std::string, PartListing> listings;
   std::vector<std::string> freed;
   std::set<std::string> unreachableAddresses;
+  // What each address says of itself in its answers.
+  std::map<std::string, RunnerAdvice> advice;
   std::uint64_t eventCalls = 0;
 
 private:
