--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -4,6 +4,7 @@
 //   for (auto& step : rollout.NextSteps()) { spawn(rollout.Load(step)); }
 #pragma once
 
+#include "wigeonwalk/entry/advice_handling.h"
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/load_plan.h"
@@ -279,10 +280,8 @@
     Runner& runner = *aStep.runner;
     FailureReason reason;
     const std::string address = runner.entry.address;
-    const TimePoint reportBy = this->timer.Now() + kCallTimeout;
-    const auto report =
-      co_await this->control.Report(address, reportBy, reason);
-    if (!report || !IsSameStart(runner, *report)) {
+    const auto report = co_await this->ReadReport(aStep.runner, reason);
+    if (!report || !runner.IsSameStart(report->startedAt)) {
       this->LogStep(aStep, OrderOutcome::Unknown, reason);
       co_return LoadProgress::Failed;
     }
@@ -311,14 +310,33 @@
     this->Pause(aStep, kLoadTimeout);
     const TimePoint orderedAt = this->timer.Now();
     const TimePoint orderBy = orderedAt + kCallTimeout;
+    RunnerAdvice advice;
     const OrderOutcome outcome =
-      co_await this->control.Order(order, orderBy, reason);
+      co_await this->control.Order(order, orderBy, advice, reason);
+    ApplyAdvice(
+      this->state, this->log, aStep.runner, advice, this->timer.Now());
     this->LogStep(aStep, outcome, reason);
     const LoadProgress progress =
       co_await this->HandleOutcome(aStep, outcome, orderedAt);
     co_return progress;
   }
 
+  Task<std::optional<RunnerReport>> ReadReport(std::shared_ptr<Runner> aRunner,
+                                               FailureReason& aReason)
+  {
+    const TimePoint deadline = this->timer.Now() + kCallTimeout;
+    RunnerAdvice advice;
+    auto report = co_await this->control.Report(
+      aRunner->entry.address, deadline, advice, aReason);
+    ApplyAdvice(this->state,
+                this->log,
+                aRunner,
+                report ? report->startedAt : 0,
+                advice,
+                this->timer.Now());
+    co_return report;
+  }
+
   Task<LoadProgress> HandleOutcome(const LoadStep& aStep,
                                    OrderOutcome aOutcome,
                                    TimePoint aOrderedAt)
@@ -357,10 +375,8 @@
     while (next < endBy) {
       co_await this->timer.WaitUntil(next);
       FailureReason reason;
-      const TimePoint deadline = this->timer.Now() + kCallTimeout;
-      const auto report = co_await this->control.Report(
-        aStep.runner->entry.address, deadline, reason);
-      if (report && !IsSameStart(*aStep.runner, *report)) {
+      const auto report = co_await this->ReadReport(aStep.runner, reason);
+      if (report && !aStep.runner->IsSameStart(report->startedAt)) {
         co_return LoadProgress::Failed;
       }
       if (report && HasWeights(*report, aStep)) {
@@ -375,12 +391,6 @@
     co_return LoadProgress::Failed;
   }
 
-  static bool IsSameStart(const Runner& aRunner, const RunnerReport& aReport)
-  {
-    return aReport.startedAt == 0 || aRunner.entry.startedAt == 0 ||
-           aReport.startedAt == aRunner.entry.startedAt;
-  }
-
   static bool HasWeights(const RunnerReport& aReport, const LoadStep& aStep)
   {
     return std::any_of(aReport.models.begin(),
