entry: refuse requests with a part of the prompt that crashes runners

PoisonTracker counts crashes by organisation and whole content. No two of these requests are alike, so their crashes never met under one key. Class of fault: evidence is kept under a key that is finer than what it is about.

PartCrashTracker counts crashes by model and part. A crash also accuses the sound parts beside the guilty one, so crashes count only in sequence, by different requests, and without an answer to the part since; a crash that a refused part explains accuses no other. From three on, requests with the part are refused at admission and before each attempt; from two on a lost request is not sent to a further runner. PartReporter tells a crash to three daemons, and all daemons once the part is suspected. Log lines and a gauge show parts, runners and findings.

--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -127,6 +127,32 @@
   return DecodePoisonNotice(aNotice);
 }
 
+std::string
+EntryMsgpack::EncodePartEvidence(const PartNotice& aNotice) const
+{
+  return PackMessage(Json::array({ aNotice.part.hash.high,
+                                   aNotice.part.hash.low,
+                                   aNotice.part.partsAfter,
+                                   aNotice.crashId,
+                                   aNotice.content,
+                                   aNotice.sentAge.count(),
+                                   aNotice.age.count() }));
+}
+
+std::optional<PartNotice>
+EntryMsgpack::DecodePartEvidence(const std::string& aPayload) const
+{
+  return UnpackMessage(aPayload, [](const Json& aJson) {
+    return PartNotice{ { { aJson.at(0).get<std::uint64_t>(),
+                           aJson.at(1).get<std::uint64_t>() },
+                         aJson.at(2).get<std::uint32_t>() },
+                       aJson.at(3).get<std::uint64_t>(),
+                       aJson.at(4).get<std::uint64_t>(),
+                       Duration(aJson.at(5).get<std::int64_t>()),
+                       Duration(aJson.at(6).get<std::int64_t>()) };
+  });
+}
+
 std::string
 EntryMsgpack::EncodeQuery(const RegistryQuery& aQuery) const
 {
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.h
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.h
@@ -24,6 +24,9 @@
   std::optional<HeldParts> DecodeParts(const std::string& aPayload) const;
   PeerNotice EncodePoison(const PoisonNotice& aNotice) const;
   std::optional<PoisonNotice> DecodePoison(const PeerNotice& aNotice) const;
+  std::string EncodePartEvidence(const PartNotice& aNotice) const;
+  std::optional<PartNotice> DecodePartEvidence(
+    const std::string& aPayload) const;
   std::string EncodeQuery(const RegistryQuery& aQuery) const;
   std::optional<RegistryQuery> DecodeQuery(const std::string& aPayload) const;
   std::string EncodeChanges(const RegistryChanges& aChanges) const;
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -5,6 +5,7 @@
 #include "wigeonwalk/entry/part_relay.h"
 #include "wigeonwalk/entry/registry_readers.h"
 #include "wigeonwalk/membership/rendezvous.h"
+#include "wigeonwalk/retry/part_crash_tracker.h"
 
 #include <catch2/catch.hpp>
 
@@ -41,6 +42,14 @@
     CHECK(codec.DecodeParts(codec.EncodeParts(parts)) == parts);
   }
 
+  SECTION("for evidence against parts of prompts")
+  {
+    const PartNotice crash{ { { ~0ULL, 3 }, 2 }, ~0ULL, 7, 900ms, Duration(1) };
+    CHECK(codec.DecodePartEvidence(codec.EncodePartEvidence(crash)) == crash);
+    const PartNotice answer{ { { 1, 2 }, 0 }, 0, 0, 3min, 3min };
+    CHECK(codec.DecodePartEvidence(codec.EncodePartEvidence(answer)) == answer);
+  }
+
   SECTION("for the registry, with values of arbitrary bytes")
   {
     RegistryChanges changes{ 12, 700ms, true, {} };
@@ -65,6 +74,7 @@
     CHECK_FALSE(codec.DecodePause(broken).has_value());
     CHECK_FALSE(codec.DecodeQuery(broken).has_value());
     CHECK_FALSE(codec.DecodeChanges(broken).has_value());
+    CHECK_FALSE(codec.DecodePartEvidence(broken).has_value());
   }
 }
 
@@ -169,3 +179,46 @@
   CAPTURE(mostParts, loadBytes, relayBytes, workBytes);
   CHECK(mostParts + loadBytes + relayBytes + workBytes <= 22'000);
 }
+
+// Guards against control traffic above the bound of 22 KB/s per daemon while
+// all 350 daemons are told of a part of prompts that crashes runners.
+TEST_CASE("evidence against a part of prompts at the target's size")
+{
+  constexpr std::size_t kDaemons = 350;
+  const EntryMsgpack codec;
+  PartCrashTracker collector;
+  const TimePoint start(24h);
+  TimePoint now = start;
+
+  SECTION("without evidence nothing is sent")
+  {
+    collector.RecordAnswer({ { { 1, 2 }, 1 } }, now);
+    CHECK(collector.TakeReports(now + 1min).empty());
+  }
+
+  SECTION("reports on a refused part stay within the bound on average")
+  {
+    for (std::uint64_t i = 0; i < PartCrashTracker::kMaxPartCrashes; ++i) {
+      now += 1s;
+      collector.Merge(
+        { { { ~i, ~0ULL }, 1 }, ~i, ~0ULL, 400ms, 4ms }, true, now);
+      collector.Merge(
+        { { { 1, ~0ULL }, 1 }, ~i, ~0ULL - i, 400ms, 4ms }, true, now);
+    }
+    std::size_t bytes = 0;
+    for (TimePoint end = now + 85s; now < end; now += 100ms) {
+      std::vector<PeerNotice> notices;
+      for (const PartReport& report : collector.TakeReports(now)) {
+        CHECK(report.audience == PartAudience::All);
+        notices.push_back({ NoticeKind::PartEvidence,
+                            codec.EncodePartEvidence(report.notice) });
+      }
+      if (!notices.empty()) {
+        bytes += WireBytes(std::move(notices)) * (kDaemons - 1);
+      }
+    }
+    CAPTURE(bytes);
+    CHECK(bytes > 0);
+    CHECK(static_cast<double>(bytes) / ToSeconds(now - start) <= 22'000);
+  }
+}
--- a/wigeonwalk/adapters/metrics/metric_names.h
+++ b/wigeonwalk/adapters/metrics/metric_names.h
@@ -36,12 +36,13 @@
   MembersAlive,
   LogLinesDropped,
   EventsDropped,
+  PromptPartsRefused,
 };
 
 template<>
 struct EnumNames<Metric>
 {
-  static constexpr std::array<EnumName<Metric>, 21> kTable{ {
+  static constexpr std::array<EnumName<Metric>, 22> kTable{ {
     { Metric::TimeToFirstToken, "time_to_first_token" },
     { Metric::TimeBetweenTokens, "time_between_tokens" },
     { Metric::QueueTime, "queue_time" },
@@ -63,6 +64,7 @@
     { Metric::MembersAlive, "alive" },
     { Metric::LogLinesDropped, "log_dropped" },
     { Metric::EventsDropped, "timeline_dropped" },
+    { Metric::PromptPartsRefused, "refused_prompt" },
   } };
 };
 static_assert(HasCompleteTable<Metric>());
@@ -101,7 +103,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 21> kMetricInfos{ {
+inline constexpr std::array<MetricInfo, 22> kMetricInfos{ {
   { Metric::TimeToFirstToken,
     MetricType::Histogram,
     "seconds",
@@ -207,6 +209,11 @@
     "events",
     "",
     "Timeline events that gave way to later ones." },
+  { Metric::PromptPartsRefused,
+    MetricType::Gauge,
+    "parts",
+    "",
+    "Parts of prompts that are refused because they crash runners." },
 } };
 
 // Returns unit, type and labels of a metric.
--- a/wigeonwalk/entry/admission.cc
+++ b/wigeonwalk/entry/admission.cc
@@ -1,6 +1,7 @@
 #include "wigeonwalk/entry/admission.h"
 
 #include <algorithm>
+#include <string>
 
 namespace wigeonwalk {
 
@@ -69,6 +70,20 @@
   return true;
 }
 
+std::vector<SharedPart>
+SharedPartsOf(const Prompt& aPrompt)
+{
+  std::vector<SharedPart> shared;
+  auto partsAfter = static_cast<std::uint32_t>(aPrompt.parts.size());
+  for (const PromptPart& part : aPrompt.parts) {
+    --partsAfter;
+    if (partsAfter > 0) {
+      shared.push_back({ HashOfPart(aPrompt.model, part.id), partsAfter });
+    }
+  }
+  return shared;
+}
+
 } // namespace
 
 std::uint32_t
@@ -106,7 +121,29 @@
     aRequest.callerTimeout.value_or(kDefaultCallerTimeout);
   aAdmitted.deadline = aNow + std::min(callerTimeout, aAdmitted.route->timeout);
   aState.retryBudget.RecordRequest(aAdmitted.service->name, aNow);
-  return AdmitFingerprint(aState, aRequest, aNow, aAdmitted, aReason);
+  if (aRequest.prompt) {
+    aAdmitted.sharedParts = SharedPartsOf(*aRequest.prompt);
+  }
+  return AdmitFingerprint(aState, aRequest, aNow, aAdmitted, aReason) &&
+         AdmitParts(aState, aAdmitted, aNow, aReason);
+}
+
+bool
+AdmitParts(const EntryState& aState,
+           const AdmittedRequest& aAdmitted,
+           TimePoint aNow,
+           FailureReason& aReason)
+{
+  const auto refused =
+    aState.partCrashes.FindRefused(aAdmitted.sharedParts, aNow);
+  if (refused) {
+    Fail(aReason,
+         ReasonCode::Poisoned,
+         "requests with part " + refused->part.ToHex() +
+           " of the prompt have crashed " + std::to_string(refused->crashes) +
+           " runners");
+  }
+  return !refused;
 }
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/admission.h
+++ b/wigeonwalk/entry/admission.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace wigeonwalk {
 
@@ -28,6 +29,9 @@
   // Key under which crashes caused by this request are counted.
   Fingerprint fingerprint;
   RunKind kind = RunKind::Shared;
+  // The parts of the prompt that other requests may share; the last part is the
+  // request's own.
+  std::vector<SharedPart> sharedParts;
 
   // Priority, 0 for the most urgent. The organisation's takes precedence over
   // the route's.
@@ -47,6 +51,15 @@
              AdmittedRequest& aAdmitted,
              FailureReason& aReason);
 
+// Returns false with the reason if a part of the prompt is refused because it
+// crashes runners. Evidence may arrive at any time, so this is checked before
+// each attempt.
+bool
+AdmitParts(const EntryState& aState,
+           const AdmittedRequest& aAdmitted,
+           TimePoint aNow,
+           FailureReason& aReason);
+
 // RAII guard: the request counts as running at the runner while this object
 // exists.
 class TrackedRun
--- a/wigeonwalk/entry/answer_relay.h
+++ b/wigeonwalk/entry/answer_relay.h
@@ -169,6 +169,9 @@
       co_return AttemptEnd::Failed;
     }
     runner.health.NoteSuccess(now - aSent.sentAt, now);
+    if (aHead.IsSuccess()) {
+      this->NoteAnswerGoesOn(aProgress);
+    }
     aProgress.firstByteAt = now;
     const bool written = co_await aExchange.Answer(aAttempt, std::move(body));
     aAttempt.Finish();
@@ -184,7 +187,7 @@
                                FailureReason& aReason)
   {
     const TimePoint openedAt = this->timer.Now();
-    while (true) {
+    for (int reads = 0;; ++reads) {
       auto events =
         co_await aAttempt.ReadEvents(aProgress.admitted.deadline, aReason);
       if (!events) {
@@ -194,6 +197,9 @@
         break;
       }
       aSent.load.NotePrefillDone();
+      if (reads == 1) {
+        this->NoteAnswerGoesOn(aProgress);
+      }
       bool written = false;
       if (aProgress.streamStarted) {
         written = co_await aExchange.WriteEvents(std::move(*events));
@@ -219,6 +225,15 @@
     co_return ended ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
   }
 
+  // A part that crashes runners does so when its answer begins, so the parts of
+  // an answer that goes on do not.
+  void NoteAnswerGoesOn(Progress& aProgress)
+  {
+    aProgress.answerGoesOn = true;
+    this->state.partCrashes.RecordAnswer(aProgress.admitted.sharedParts,
+                                         this->timer.Now());
+  }
+
   void NoteFirstEvents(const EntryRequest& aRequest,
                        const RunnerPick& aPick,
                        Progress& aProgress)
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -5,6 +5,7 @@
 #include "wigeonwalk/fleet/runner.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/peer_messages.h"
+#include "wigeonwalk/retry/part_evidence.h"
 #include "wigeonwalk/retry/poison_tracker.h"
 
 #include <concepts>
@@ -104,6 +105,7 @@
                                     const RunnerWork& aWork,
                                     const HeldParts& aParts,
                                     const PoisonNotice& aPoison,
+                                    const PartNotice& aPart,
                                     const PeerNotice& aNotice,
                                     const RegistryQuery& aQuery,
                                     const RegistryChanges& aChanges,
@@ -139,6 +141,12 @@
   {
     aCodec.DecodePoison(aNotice)
     } -> std::same_as<std::optional<PoisonNotice>>;
+  {
+    aCodec.EncodePartEvidence(aPart)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodePartEvidence(aPayload)
+    } -> std::same_as<std::optional<PartNotice>>;
   {
     aCodec.EncodeQuery(aQuery)
     } -> std::same_as<std::string>;
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -9,6 +9,7 @@
   : retryBudget({ .ratio = aSettings.bounds.repeatRatio,
                   .slack = aSettings.bounds.repeatSlack,
                   .window = aSettings.bounds.repeatWindow })
+  , partCrashes(HashBytes(aSettings.host.Text(), 0).low)
   , settings(std::move(aSettings))
 {
 }
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -13,6 +13,7 @@
 #include "wigeonwalk/fleet/weight_history.h"
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/queueing/service_queue.h"
+#include "wigeonwalk/retry/part_crash_tracker.h"
 #include "wigeonwalk/retry/poison_tracker.h"
 #include "wigeonwalk/retry/sliding_window_budget.h"
 #include "wigeonwalk/routing/route_table.h"
@@ -114,6 +115,7 @@
   std::map<HostId, EntryMember> members;
   SlidingWindowBudget retryBudget;
   PoisonTracker poison;
+  PartCrashTracker partCrashes;
   RevisionClock revisionClock;
   // The registry has not answered for some time.
   bool registryUnreachable = true;
--- a/wigeonwalk/entry/forward_progress.h
+++ b/wigeonwalk/entry/forward_progress.h
@@ -31,6 +31,8 @@
   // The caller has got its final response or has left.
   bool done = false;
   bool streamStarted = false;
+  // The answer of the present attempt has begun and gone on.
+  bool answerGoesOn = false;
   std::optional<std::uint64_t> lastEventId;
   // When the first bytes of a runner's response were relayed; the epoch if none
   // were.
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -128,7 +128,10 @@
   {
     while (true) {
       const auto choice = co_await this->Choose(aRequest.facts, aProgress);
-      if (!choice) {
+      if (!choice || !AdmitParts(this->state,
+                                 aProgress.admitted,
+                                 this->timer.Now(),
+                                 aProgress.failure)) {
         co_return;
       }
       LogPlaced(this->log,
@@ -212,6 +215,7 @@
       this->peers.AnnounceWork({ aProgress.lastRunner, aChoice.prefillTokens });
     }
     const SentAttempt sent{ aChoice, load, sentAt };
+    aProgress.answerGoesOn = false;
     const AttemptEnd end = co_await this->relay.RelayResponse(
       aRequest.facts, *attempt, sent, aProgress, aExchange, aReason);
     const bool cancelled = co_await this->IsCancelled();
@@ -221,6 +225,7 @@
                                    this->timer.Now());
     } else if (end == AttemptEnd::Failed && !cancelled &&
                aReason.code == ReasonCode::ConnectionLostAfterWrite) {
+      this->NotePartsLost(aRequest.facts, aProgress, sent);
       this->NoteConnectionLost(aRequest.facts, aProgress, aChoice);
     }
     co_return end;
@@ -242,6 +247,30 @@
     co_return cancellation.cancelled() != boost::asio::cancellation_type::none;
   }
 
+  // Records that the connection was lost before the answer had begun and gone
+  // on: a part of the prompt may have crashed the runner.
+  void NotePartsLost(const EntryRequest& aRequest,
+                     const Progress& aProgress,
+                     const SentAttempt& aSent)
+  {
+    const std::vector<SharedPart>& parts = aProgress.admitted.sharedParts;
+    if (aProgress.answerGoesOn || parts.empty()) {
+      return;
+    }
+    const TimePoint now = this->timer.Now();
+    const RunnerEntry& runner = aSent.pick.runner->entry;
+    this->state.partCrashes.RecordLost(
+      { parts,
+        HashBytes(aRequest.prompt->parts.back().id,
+                  aProgress.admitted.fingerprint.low)
+          .low,
+        runner.id,
+        static_cast<std::uint64_t>(runner.startedAt),
+        aSent.sentAt },
+      now);
+    LogPartsLost(this->log, now, aRequest.id, runner.id, parts);
+  }
+
   // Records that the connection was lost while the request ran: the runner may
   // have crashed.
   void NoteConnectionLost(const EntryRequest& aRequest,
@@ -285,7 +314,8 @@
   }
 
   // Returns true if another attempt is safe (the request can't run twice, or
-  // may do so) and the route, the deadline and the retry budget allow it.
+  // may do so, and none of its parts is suspected to crash runners) and the
+  // route, the deadline and the retry budget allow it.
   bool MayRetry(const Progress& aProgress)
   {
     const bool mayRunAgain =
@@ -298,7 +328,11 @@
       return false;
     }
     const TimePoint now = this->timer.Now();
-    if (now >= aProgress.admitted.deadline) {
+    const bool isSuspected =
+      this->state.partCrashes.StatusOf(aProgress.admitted.sharedParts, now) !=
+      PartStatus::Clear;
+    if (now >= aProgress.admitted.deadline ||
+        (isSuspected && aProgress.verdict != Verdict::NotRun)) {
       return false;
     }
     // A failed connection attempt does not count towards the retry budget, as
@@ -326,8 +360,11 @@
     refusal.verdict = aProgress.verdict;
     refusal.reason = aProgress.failure;
     if (aProgress.verdict == Verdict::NotRun) {
+      const bool isPoisoned = refusal.reason.code == ReasonCode::Poisoned;
+      const Duration byDefault =
+        isPoisoned ? PartCrashTracker::kRefusal : kRetryAfter;
       refusal.retryAfter =
-        aProgress.retryAfter > Duration(0) ? aProgress.retryAfter : kRetryAfter;
+        aProgress.retryAfter > Duration(0) ? aProgress.retryAfter : byDefault;
     }
     co_await aExchange.Refuse(refusal);
   }
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -10,6 +10,7 @@
 #include "wigeonwalk/entry/held_parts.h"
 #include "wigeonwalk/entry/notice_limits.h"
 #include "wigeonwalk/entry/part_relay.h"
+#include "wigeonwalk/entry/part_reporter.h"
 #include "wigeonwalk/entry/peer_loads.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/peer_channel.h"
@@ -59,6 +60,7 @@
     , codec(aCodec)
     , timer(aTimer)
     , log(aLog)
+    , partReporter(aState, aChannel, aCodec, aTimer, aLog)
   {
   }
 
@@ -71,6 +73,7 @@
         this->SendLoads();
         this->peerLoads.ApplyTo(this->state.fleet, now);
       }
+      this->partReporter.Report();
       co_await this->timer.WaitUntil(now + kLoopInterval);
     }
   }
@@ -125,6 +128,7 @@
   // once: their callers send them again within seconds, to any daemon.
   void AnnouncePoison()
   {
+    this->partReporter.Report();
     PeerDatagram datagram = this->Datagram();
     for (const PoisonNotice& notice :
          this->state.poison.TakeUrgent(kMaxPoisonNotices)) {
@@ -217,6 +221,14 @@
           this->state.poison.MergeNotice(*poison, now);
         }
         break;
+      case NoticeKind::PartEvidence:
+        if (const auto part = this->codec.DecodePartEvidence(aNotice.payload)) {
+          this->partReporter.OnEvidence(aSender, *part);
+        }
+        break;
+      case NoticeKind::PartEvidenceQuery:
+        this->partReporter.OnQuery(aSender);
+        break;
       case NoticeKind::Leaving:
         // Entry daemons learn from the registry which runners leave.
         break;
@@ -289,6 +301,7 @@
   const C& codec;
   T& timer;
   L& log;
+  PartReporter<P, C, T, L> partReporter;
   PeerLoads peerLoads;
   TimePoint loadsAt;
   bool sentEmptyLoads = false;
--- a/wigeonwalk/entry/request_log.h
+++ b/wigeonwalk/entry/request_log.h
@@ -10,6 +10,7 @@
 #include "wigeonwalk/retry/verdict_rules.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace wigeonwalk {
 
@@ -99,6 +100,26 @@
                { LogKey::Count, aSentAttempts } });
 }
 
+// Logs the parts of a prompt whose request was lost with its runner before it
+// was answered.
+template<StructuredLog L>
+void
+LogPartsLost(L& aLog,
+             TimePoint aNow,
+             const RequestId& aRequest,
+             const UpstreamId& aRunner,
+             const std::vector<SharedPart>& aParts)
+{
+  for (const SharedPart& part : aParts) {
+    aLog.Write(aNow,
+               LogLevel::Info,
+               "prompt part lost with a runner",
+               aRequest,
+               { LogField::Name(LogKey::Part, part.hash.ToHex()),
+                 { LogKey::Upstream, aRunner } });
+  }
+}
+
 // Logs the end of a request: its response is complete, or the caller has left.
 template<StructuredLog L>
 void
--- a/wigeonwalk/entry/test_entry.h
+++ b/wigeonwalk/entry/test_entry.h
@@ -100,7 +100,7 @@
     request.facts.id = RequestId("q-1");
     request.facts.host = "a.example";
     request.facts.target = "/" + aRoute + "/7";
-    request.facts.contentHash = HashBytes(request.facts.target, 0);
+    request.facts.contentHash = HashBytes(request.facts.target, this->content);
     request.facts.apiKey = std::move(aKey);
     request.facts.callerTimeout = this->callerTimeout;
     request.facts.prompt = this->prompt;
@@ -124,6 +124,8 @@
   CountMeasures measures;
   NullLog log;
   Duration callerTimeout = std::chrono::seconds(10);
+  // Requests with different numbers have different content.
+  std::uint64_t content = 0;
   // The prompt of each request that is sent.
   std::optional<Prompt> prompt;
 };
--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -109,6 +109,28 @@
     notice.crashId = 3;
     return notice;
   }
+  std::string EncodePartEvidence(const PartNotice& aNotice) const
+  {
+    std::ostringstream text;
+    text << aNotice.part.hash.high << ' ' << aNotice.part.hash.low << ' '
+         << aNotice.part.partsAfter << ' ' << aNotice.crashId << ' '
+         << aNotice.content << ' ' << aNotice.sentAge.count() << ' '
+         << aNotice.age.count();
+    return text.str();
+  }
+  std::optional<PartNotice> DecodePartEvidence(const std::string& aText) const
+  {
+    std::istringstream text(aText);
+    PartNotice notice;
+    std::int64_t sentAge = 0;
+    std::int64_t age = 0;
+    text >> notice.part.hash.high >> notice.part.hash.low >>
+      notice.part.partsAfter >> notice.crashId >> notice.content >> sentAge >>
+      age;
+    notice.sentAge = Duration(sentAge);
+    notice.age = Duration(age);
+    return notice;
+  }
   std::string EncodeQuery(const RegistryQuery& aQuery) const
   {
     return std::to_string(aQuery.revision);
--- a/wigeonwalk/ports/log_field.h
+++ b/wigeonwalk/ports/log_field.h
@@ -83,12 +83,13 @@
   Cost,
   FirstByte,
   Outcome,
+  Part,
 };
 
 template<>
 struct EnumNames<LogKey>
 {
-  static constexpr std::array<EnumName<LogKey>, 30> kTable{ {
+  static constexpr std::array<EnumName<LogKey>, 31> kTable{ {
     { LogKey::Organisation, "organisation" },
     { LogKey::Service, "service" },
     { LogKey::Model, "model" },
@@ -119,6 +120,7 @@
     { LogKey::Cost, "cost_ms" },
     { LogKey::FirstByte, "first_byte_us" },
     { LogKey::Outcome, "outcome" },
+    { LogKey::Part, "part" },
   } };
 };
 static_assert(HasCompleteTable<LogKey>());
--- a/wigeonwalk/ports/peer_messages.h
+++ b/wigeonwalk/ports/peer_messages.h
@@ -80,18 +80,22 @@
   RunnerLoads,
   RunnerWork,
   HeldParts,
+  PartEvidence,
+  PartEvidenceQuery,
 };
 
 template<>
 struct EnumNames<NoticeKind>
 {
-  static constexpr std::array<EnumName<NoticeKind>, 6> kTable{ {
+  static constexpr std::array<EnumName<NoticeKind>, 8> kTable{ {
     { NoticeKind::Poison, "poison" },
     { NoticeKind::Leaving, "leaving" },
     { NoticeKind::RunnerPause, "runner-pause" },
     { NoticeKind::RunnerLoads, "runner-loads" },
     { NoticeKind::RunnerWork, "runner-work" },
     { NoticeKind::HeldParts, "held-parts" },
+    { NoticeKind::PartEvidence, "part-evidence" },
+    { NoticeKind::PartEvidenceQuery, "part-evidence-query" },
   } };
 };
 static_assert(HasCompleteTable<NoticeKind>());
