--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.h
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.h
@@ -26,6 +26,9 @@
   std::optional<PoisonNotice> DecodePoison(const PeerNotice& aNotice) const;
   PeerNotice EncodeLeaving(const LeavingNotice& aNotice) const;
   std::optional<LeavingNotice> DecodeLeaving(const PeerNotice& aNotice) const;
+  std::string EncodePartEvidence(const PartNotice& aNotice) const;
+  std::optional<PartNotice> DecodePartEvidence(
+    const std::string& aPayload) const;
   std::string EncodeQuery(const RegistryQuery& aQuery) const;
   std::optional<RegistryQuery> DecodeQuery(const std::string& aPayload) const;
   std::string EncodeChanges(const RegistryChanges& aChanges) const;
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -6,6 +6,7 @@
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/peer_messages.h"
 #include "wigeonwalk/retry/leaving_upstreams.h"
+#include "wigeonwalk/retry/part_evidence.h"
 #include "wigeonwalk/retry/poison_tracker.h"
 
 #include <concepts>
@@ -130,6 +131,7 @@
                                     const HeldParts& aParts,
                                     const PoisonNotice& aPoison,
                                     const LeavingNotice& aLeaving,
+                                    const PartNotice& aPart,
                                     const PeerNotice& aNotice,
                                     const RegistryQuery& aQuery,
                                     const RegistryChanges& aChanges,
@@ -171,18 +173,23 @@
   {
     aCodec.DecodeLeaving(aNotice)
     } -> std::same_as<std::optional<LeavingNotice>>;
-  {
-    aCodec.EncodeQuery(aQuery)
-    } -> std::same_as<std::string>;
-  {
-    aCodec.DecodeQuery(aPayload)
-    } -> std::same_as<std::optional<RegistryQuery>>;
-  {
-    aCodec.EncodeChanges(aChanges)
-    } -> std::same_as<std::string>;
-  {
-    aCodec.DecodeChanges(aPayload)
-    } -> std::same_as<std::optional<RegistryChanges>>;
+  aCodec.EncodePartEvidence(aPart)
+  } -> std::same_as<std::string>;
+{
+  aCodec.DecodePartEvidence(aPayload)
+  } -> std::same_as<std::optional<PartNotice>>;
+{
+  aCodec.EncodeQuery(aQuery)
+  } -> std::same_as<std::string>;
+{
+  aCodec.DecodeQuery(aPayload)
+  } -> std::same_as<std::optional<RegistryQuery>>;
+{
+  aCodec.EncodeChanges(aChanges)
+  } -> std::same_as<std::string>;
+{
+  aCodec.DecodeChanges(aPayload)
+  } -> std::same_as<std::optional<RegistryChanges>>;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -15,6 +15,7 @@
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/queueing/service_queue.h"
 #include "wigeonwalk/retry/leaving_upstreams.h"
+#include "wigeonwalk/retry/part_crash_tracker.h"
 #include "wigeonwalk/retry/poison_tracker.h"
 #include "wigeonwalk/retry/sliding_window_budget.h"
 #include "wigeonwalk/routing/route_table.h"
@@ -154,6 +155,7 @@
     leavingCounts{};
   SlidingWindowBudget retryBudget;
   PoisonTracker poison;
+  PartCrashTracker partCrashes;
   RevisionClock revisionClock;
   // How often weights were found that may have been published earlier.
   std::uint64_t foundWeights = 0;
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -11,6 +11,7 @@
 #include "wigeonwalk/entry/held_parts.h"
 #include "wigeonwalk/entry/notice_limits.h"
 #include "wigeonwalk/entry/part_relay.h"
+#include "wigeonwalk/entry/part_reporter.h"
 #include "wigeonwalk/entry/peer_loads.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/peer_channel.h"
@@ -61,6 +62,7 @@
     , codec(aCodec)
     , timer(aTimer)
     , log(aLog)
+    , partReporter(aState, aChannel, aCodec, aTimer, aLog)
   {
   }
 
@@ -74,6 +76,7 @@
         this->peerLoads.ApplyTo(this->state.fleet, now);
       }
       this->SendLeaving(now);
+      this->partReporter.Report();
       co_await this->timer.WaitUntil(now + kLoopInterval);
     }
   }
@@ -128,6 +131,7 @@
   // once: their callers send them again within seconds, to any daemon.
   void AnnouncePoison()
   {
+    this->partReporter.Report();
     PeerDatagram datagram = this->Datagram();
     for (const PoisonNotice& notice :
          this->state.poison.TakeUrgent(kMaxPoisonNotices)) {
@@ -220,6 +224,14 @@
           this->state.poison.MergeNotice(*poison, now);
         }
         break;
+      case NoticeKind::PartEvidence:
+        if (const auto part = this->codec.DecodePartEvidence(aNotice.payload)) {
+          this->partReporter.OnEvidence(aSender, *part);
+        }
+        break;
+      case NoticeKind::PartEvidenceQuery:
+        this->partReporter.OnQuery(aSender);
+        break;
       case NoticeKind::Leaving:
         if (const auto leaving = this->codec.DecodeLeaving(aNotice)) {
           this->ApplyLeaving(*leaving, now);
@@ -353,6 +365,7 @@
   const C& codec;
   T& timer;
   L& log;
+  PartReporter<P, C, T, L> partReporter;
   PeerLoads peerLoads;
   TimePoint loadsAt;
   TimePoint leavingAt;
--- a/wigeonwalk/ports/log_field.h
+++ b/wigeonwalk/ports/log_field.h
@@ -85,12 +85,13 @@
   Outcome,
   Start,
   Cause,
+  Part,
 };
 
 template<>
 struct EnumNames<LogKey>
 {
-  static constexpr std::array<EnumName<LogKey>, 32> kTable{ {
+  static constexpr std::array<EnumName<LogKey>, 33> kTable{ {
     { LogKey::Organisation, "organisation" },
     { LogKey::Service, "service" },
     { LogKey::Model, "model" },
@@ -123,6 +124,7 @@
     { LogKey::Outcome, "outcome" },
     { LogKey::Start, "start" },
     { LogKey::Cause, "cause" },
+    { LogKey::Part, "part" },
   } };
 };
 static_assert(HasCompleteTable<LogKey>());
