entry: send a runner no requests while it asks for a pause

A runner that turns a request away with 503 may say for how long it wants none. The daemon came back at once: callers lost tries and budget to answers that were known before, and the runner got the load that it had turned away.

A pause is at most as long as the longest timeout of a route. The choice and the check before the send keep to it, so do new orders and calls for cache events that were turned away themselves. If all runners pause for longer than a request may wait, it is refused at once with the earliest end, spread by request, and nothing is taken from the budget of repeats. A pause is no failure: the runner is not avoided beyond it.

--- a/wigeonwalk/entry/advice_handling.h
+++ b/wigeonwalk/entry/advice_handling.h
@@ -32,6 +32,23 @@
                { LogKey::Limit, aState.Settings().bounds.drain } });
 }
 
+// Logs that a runner asked for no requests, and for how much longer it gets
+// none.
+template<StructuredLog L>
+void
+LogPause(L& aLog, const Runner& aRunner, TimePoint aNow)
+{
+  aLog.Write(aNow,
+             LogLevel::Info,
+             "runner asks for a pause",
+             {},
+             { { LogKey::Upstream, aRunner.entry.id },
+               { LogKey::Service, aRunner.entry.service },
+               { LogKey::Start, aRunner.entry.startedAt },
+               { LogKey::Cause, LeavingCause::Answer },
+               { LogKey::Limit, aRunner.requestedPause.AdmitsFrom() - aNow } });
+}
+
 // Applies the advice in an answer of a runner. `aRunner` is the start of the
 // runner to which the call was made; it may have ended since. Null stands for a
 // holder that is no runner.
@@ -49,6 +66,9 @@
   if (aAdvice.isLeaving && aState.MarkLeaving(*aRunner, LeavingCause::Answer)) {
     LogLeaving(aLog, aState, aRunner->entry, LeavingCause::Answer, aNow);
   }
+  if (aAdvice.pause && aState.Pause(*aRunner, *aAdvice.pause, aNow)) {
+    LogPause(aLog, *aRunner, aNow);
+  }
 }
 
 // As above, for an answer that gives the start of its sender; zero if it does
--- a/wigeonwalk/entry/answer_relay.h
+++ b/wigeonwalk/entry/answer_relay.h
@@ -68,6 +68,9 @@
                 aSent.pick.runner,
                 head->advice,
                 this->timer.Now());
+    if (!head->refusedWithoutRunning) {
+      aSent.pick.runner->requestedPause.NoteTaken(aSent.sentAt);
+    }
     if (!this->IsUsable(aRequest, *head, aSent.pick, aProgress, aReason)) {
       co_return AttemptEnd::Failed;
     }
--- a/wigeonwalk/entry/cache_follower.h
+++ b/wigeonwalk/entry/cache_follower.h
@@ -148,7 +148,10 @@
       } else {
         this->NoteFailure(aHolder, reason, now);
         ++failures;
-        const TimePoint next = now + BackoffDelay(kRetryDelays, failures);
+        TimePoint next = now + BackoffDelay(kRetryDelays, failures);
+        if (advice.pause && runner != nullptr) {
+          next = std::max(next, runner->requestedPause.AdmitsFrom());
+        }
         co_await this->timer.WaitUntil(next);
       }
     }
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -101,6 +101,25 @@
   return true;
 }
 
+bool
+EntryState::Pause(Runner& aRunner, Duration aPause, TimePoint aNow)
+{
+  constexpr std::uint64_t kSteps = 1'024;
+  Duration longest{ 0 };
+  if (this->routes != nullptr) {
+    for (const Route& route : this->routes->Configuration().routes) {
+      longest = std::max(longest, route.timeout);
+    }
+  }
+  const Hash128 hash =
+    HashBytes(this->settings.host.Text() + aRunner.entry.id.Text(), 0);
+  const double spread = static_cast<double>(hash.low % kSteps) / kSteps;
+  const TimePoint end = aNow + std::min(aPause, longest);
+  const bool isLonger = aRunner.requestedPause.Extend(end, spread);
+  this->requestedPauses += isLonger ? 1 : 0;
+  return isLonger;
+}
+
 std::shared_ptr<Runner>
 EntryState::MergeLeaving(const LeavingNotice& aNotice)
 {
@@ -158,7 +177,8 @@
   std::erase_if(all, [&](const std::shared_ptr<Runner>& aRunner) {
     return std::find(aTried.begin(), aTried.end(), aRunner->entry.id) !=
              aTried.end() ||
-           aNow < aRunner->pausedUntil || aRunner->IsGone(aNow);
+           aNow < aRunner->pausedUntil || aRunner->IsGone(aNow) ||
+           !aRunner->TakesRequests(aNow);
   });
   std::vector<std::shared_ptr<Runner>> healthy;
   for (const auto& runner : all) {
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -80,6 +80,11 @@
   // registration is replaced or removed.
   bool MarkLeaving(Runner& aRunner, LeavingCause aCause);
 
+  // Sends the runner no requests for the time that it asked for, at most for
+  // the longest time that a route waits. Returns true if its pause ends later
+  // now.
+  bool Pause(Runner& aRunner, Duration aPause, TimePoint aNow);
+
   // Merges another daemon's mark. Returns the runner if it got requests until
   // now, else null. A mark without a start names no start and is ignored.
   std::shared_ptr<Runner> MergeLeaving(const LeavingNotice& aNotice);
@@ -142,6 +147,10 @@
   // Runners that leave, by the cause by which this daemon learnt of it first.
   std::array<std::uint64_t, EnumNames<LeavingCause>::kTable.size()>
     leavingCounts{};
+  // Pauses that runners asked this daemon for, and requests that were refused
+  // because all runners paused.
+  std::uint64_t requestedPauses = 0;
+  std::uint64_t refusedForPause = 0;
   SlidingWindowBudget retryBudget;
   PoisonTracker poison;
   RevisionClock revisionClock;
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -9,6 +9,7 @@
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/forward_progress.h"
+#include "wigeonwalk/entry/pause_forecast.h"
 #include "wigeonwalk/entry/request_log.h"
 #include "wigeonwalk/entry/runner_wait.h"
 #include "wigeonwalk/ports/attempts.h"
@@ -105,7 +106,7 @@
       progress.failure = reason;
     }
     if (!progress.done) {
-      co_await this->Refuse(progress, aExchange);
+      co_await this->Refuse(aRequest.facts, progress, aExchange);
     }
     this->NoteEnd(aRequest.facts, progress);
   }
@@ -199,8 +200,12 @@
     const TimePoint connectBy =
       std::min(aProgress.admitted.deadline, sentAt + kConnectTimeout);
     bool isWanted = true;
-    const SendCheck maySend = [&isWanted, &aChoice] {
-      isWanted = !aChoice.runner->leaving;
+    const SendCheck maySend = [this, &isWanted, &aChoice] {
+      const TimePoint now = this->timer.Now();
+      isWanted = aChoice.runner->TakesRequests(now);
+      if (isWanted) {
+        aChoice.runner->requestedPause.NoteSent(now);
+      }
       return isWanted;
     };
     auto attempt = co_await this->upstreams.Open(aRequest,
@@ -289,7 +294,10 @@
     aProgress.verdict = CombineVerdicts(aProgress.verdict, verdict);
     aProgress.tried.push_back(aChoice.runner->entry.id);
     const TimePoint now = this->timer.Now();
-    if (aProgress.failure.code != ReasonCode::StatusServerError &&
+    // A runner that asked for a pause is not avoided beyond it.
+    const bool asked = aProgress.failure.code == ReasonCode::RefusedBeforeRun &&
+                       aChoice.runner->requestedPause.IsPaused(now);
+    if (!asked && aProgress.failure.code != ReasonCode::StatusServerError &&
         aProgress.failure.code != ReasonCode::ResponseTimeout) {
       aChoice.runner->health.NoteFailure(now);
     }
@@ -318,6 +326,11 @@
     if (now >= aProgress.admitted.deadline) {
       return false;
     }
+    const PauseForecast pauses = ForecastPause(
+      this->state, aProgress.admitted.service->name, aProgress.tried, now);
+    if (pauses.any && !pauses.untried) {
+      return false;
+    }
     // A failed connection attempt does not count towards the retry budget, as
     // nothing reached a runner.
     return aProgress.sentAttempts == 0 ||
@@ -325,8 +338,28 @@
              aProgress.admitted.service->name, this->state.DaemonCount(), now);
   }
 
+  // Returns the delay after which a caller should retry: when one of the
+  // runners may take its next request.
+  Duration RetryAfter(const EntryRequest& aRequest, const Progress& aProgress)
+  {
+    if (aProgress.retryAfter > Duration(0)) {
+      return aProgress.retryAfter;
+    }
+    if (aProgress.admitted.service == nullptr) {
+      return kRetryAfter;
+    }
+    const TimePoint now = this->timer.Now();
+    const PauseForecast pauses =
+      ForecastPause(this->state, aProgress.admitted.service->name, {}, now);
+    return pauses.any
+             ? RetryAfterPause(*pauses.any, SpreadOfRequest(aRequest.id), now)
+             : kRetryAfter;
+  }
+
   template<CallerExchange<Attempt> X>
-  Task<void> Refuse(Progress& aProgress, X& aExchange)
+  Task<void> Refuse(const EntryRequest& aRequest,
+                    Progress& aProgress,
+                    X& aExchange)
   {
     aProgress.done = true;
     if (aProgress.streamStarted) {
@@ -343,8 +376,7 @@
     refusal.verdict = aProgress.verdict;
     refusal.reason = aProgress.failure;
     if (aProgress.verdict == Verdict::NotRun) {
-      refusal.retryAfter =
-        aProgress.retryAfter > Duration(0) ? aProgress.retryAfter : kRetryAfter;
+      refusal.retryAfter = this->RetryAfter(aRequest, aProgress);
     }
     co_await aExchange.Refuse(refusal);
   }
--- a/wigeonwalk/entry/runner_wait.h
+++ b/wigeonwalk/entry/runner_wait.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/pause_forecast.h"
 #include "wigeonwalk/entry/runner_pick.h"
 #include "wigeonwalk/ports/clock.h"
 
@@ -79,6 +80,9 @@
       co_return std::nullopt;
     }
     while (this->timer.Now() < giveUpAt) {
+      if (this->IsRefusedByPause(aSearch, giveUpAt, aFailure)) {
+        co_return std::nullopt;
+      }
       const TimePoint next =
         std::min(this->timer.Now() + kPollInterval, giveUpAt);
       co_await this->timer.WaitUntil(next);
@@ -121,14 +125,6 @@
     return organisation ? organisation->name : OrganisationId();
   }
 
-  // A number in [0, 1) that differs between requests.
-  static double SpreadOf(const EntryRequest& aRequest)
-  {
-    constexpr std::uint64_t kSteps = 1'024;
-    return static_cast<double>(HashBytes(aRequest.id.Text(), 0).low % kSteps) /
-           kSteps;
-  }
-
   static std::string Milliseconds(Duration aDuration)
   {
     return std::to_string(
@@ -186,7 +182,7 @@
     const TimePoint now = this->timer.Now();
     const Duration longest = aGiveUpAt - now;
     const Admission admission = aPlace.queue->Admit(
-      aPlace.ticket, longest, SpreadOf(aSearch.request), now);
+      aPlace.ticket, longest, SpreadOfRequest(aSearch.request.id), now);
     if (admission.admitted || !this->Pick(aSearch, RoomRule::Ignored)) {
       return false;
     }
@@ -200,6 +196,28 @@
     return true;
   }
 
+  // Returns true with the reason if no runner takes requests before
+  // `aGiveUpAt`, because all asked for a pause.
+  bool IsRefusedByPause(const RunnerSearch& aSearch,
+                        TimePoint aGiveUpAt,
+                        SearchFailure& aFailure) const
+  {
+    const TimePoint now = this->timer.Now();
+    const PauseForecast pauses = ForecastPause(
+      this->state, aSearch.admitted.service->name, aSearch.tried, now);
+    if (!pauses.any || (pauses.untried && *pauses.untried < aGiveUpAt)) {
+      return false;
+    }
+    Fail(aFailure.reason,
+         ReasonCode::Unavailable,
+         "all runners asked for a pause; the first ends in " +
+           Milliseconds(*pauses.any - now));
+    aFailure.retryAfter =
+      RetryAfterPause(*pauses.any, SpreadOfRequest(aSearch.request.id), now);
+    ++this->state.refusedForPause;
+    return true;
+  }
+
   std::optional<RunnerPick> PickNow(const RunnerSearch& aSearch) const
   {
     return this->Pick(aSearch,
@@ -220,7 +238,8 @@
       Refuse(aFailure,
              "no place after " +
                Milliseconds(this->timer.Now() - aSearch.arrivedAt),
-             ServiceQueue::RetryAfter(std::nullopt, SpreadOf(aSearch.request)));
+             ServiceQueue::RetryAfter(std::nullopt,
+                                      SpreadOfRequest(aSearch.request.id)));
       return std::nullopt;
     }
     return pick;
--- a/wigeonwalk/entry/test_runners.h
+++ b/wigeonwalk/entry/test_runners.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -178,6 +179,11 @@
     attempt.time = this->time;
     attempt.script = script;
     attempt.advice.isLeaving = this->leaving.contains(aSpec.runner);
+    if (const auto pause = this->pauses.find(aSpec.runner);
+        pause != this->pauses.end()) {
+      attempt.script = Script::RefuseWithoutRunning;
+      attempt.advice.pause = pause->second;
+    }
     attempt.isStream = this->stream;
     attempt.last = aSpec.resumeAfter.value_or(0);
     attempt.stopAt = script == Script::BreakStreamAfterTwo ? 2 : kEvents;
@@ -192,6 +198,8 @@
   Duration connectTime{ 0 };
   // Runners that say in their answers that they leave.
   std::set<UpstreamId> leaving;
+  // Runners that turn requests away and ask for a pause.
+  std::map<UpstreamId, Duration> pauses;
   std::vector<AttemptSpec> attempts;
   int finished = 0;
   // Shared by all open attempts: its use count minus one is their number.
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -216,7 +216,8 @@
     const auto failure = this->failed.find(aRunner->entry.id);
     const bool waits = failure != this->failed.end() &&
                        this->timer.Now() < failure->second.retryAt;
-    if (waits || this->loading.contains(aRunner->entry.id)) {
+    if (waits || this->loading.contains(aRunner->entry.id) ||
+        aRunner->requestedPause.IsPaused(this->timer.Now())) {
       return std::nullopt;
     }
     for (const LoadedModel& loaded : aRunner->entry.models) {
@@ -254,7 +255,8 @@
       co_return co_await this->AwaitLoad(aStep);
     }
     const auto number = this->leader.FencingNumber();
-    if (!number || runner.leaving) {
+    if (!number || runner.leaving ||
+        runner.requestedPause.IsPaused(this->timer.Now())) {
       co_return false;
     }
     const WeightsOrder order{ runner.entry.id,
--- a/wigeonwalk/entry/weight_rollout_test.cc
+++ b/wigeonwalk/entry/weight_rollout_test.cc
@@ -220,3 +220,24 @@
   CHECK(setting.control.orders[0].order.runner == UpstreamId("r-1"));
   CHECK(setting.state.fleet.Find(UpstreamId("r-0"))->leaving);
 }
+
+// Guards against orders to a runner within the time for which it wants none,
+// and against a rollout that gives it up.
+SCENARIO("a runner that asks for a pause gets its order afterwards")
+{
+  Setting setting(1);
+  RoutingConfiguration configuration = MakeConfiguration();
+  configuration.version = 2;
+  Route route;
+  route.timeout = 5s;
+  configuration.routes = { route };
+  setting.state.Apply(configuration, setting.time.Now());
+  const TimePoint pausedAt = setting.time.Now();
+  const auto runner = setting.state.fleet.Find(UpstreamId("r-0"));
+  setting.state.Pause(*runner, 2s, pausedAt);
+  setting.Publish(2);
+  setting.time.RunUntil(pausedAt + 5s);
+  REQUIRE(setting.control.orders.size() == 1);
+  CHECK(setting.control.orders[0].at >= pausedAt + 2s);
+  CHECK(setting.AllHave(2));
+}
--- a/wigeonwalk/fleet/requested_pause.h
+++ b/wigeonwalk/fleet/requested_pause.h
@@ -14,8 +14,8 @@
 
 // Admits no requests until the latest end that was asked for. A request that
 // succeeds meanwhile was sent before, so it doesn't end the pause. Afterwards a
-// few requests go first; the others follow once one of them was taken, or after
-// kFirstWindow if none was answered. Not thread-safe.
+// few requests go first; the others follow once one of them was taken, or
+// kFirstWindow after the first if none was answered. Not thread-safe.
 class RequestedPause
 {
 public:
@@ -49,7 +49,7 @@
   {
     return !this->IsPaused(aNow) &&
            (this->isTaken || this->sent < kFirstRequests ||
-            aNow >= this->admitsFrom + kFirstWindow);
+            aNow >= this->firstSentAt + kFirstWindow);
   }
 
   // Returns when requests are admitted again: the first ones, or the others if
@@ -58,14 +58,17 @@
   {
     return this->isTaken || this->sent < kFirstRequests
              ? this->admitsFrom
-             : this->admitsFrom + kFirstWindow;
+             : this->firstSentAt + kFirstWindow;
   }
 
   // Records that a request is sent.
   void NoteSent(TimePoint aNow)
   {
-    if (!this->IsPaused(aNow)) {
-      ++this->sent;
+    if (this->IsPaused(aNow)) {
+      return;
+    }
+    if (this->sent++ == 0) {
+      this->firstSentAt = aNow;
     }
   }
 
@@ -78,7 +81,9 @@
 private:
   TimePoint end;
   TimePoint admitsFrom;
-  std::uint32_t sent = 0;
+  // Since the end of the pause.
+  std::uint64_t sent = 0;
+  TimePoint firstSentAt;
   bool isTaken = false;
 };
 
--- a/wigeonwalk/fleet/runner.h
+++ b/wigeonwalk/fleet/runner.h
@@ -7,6 +7,7 @@
 #include "wigeonwalk/base/enum_names.h"
 #include "wigeonwalk/base/ids.h"
 #include "wigeonwalk/base/time.h"
+#include "wigeonwalk/fleet/requested_pause.h"
 #include "wigeonwalk/fleet/runner_health.h"
 
 #include <cstdint>
@@ -76,6 +77,8 @@
   std::optional<TimePoint> missingUntil;
   // No new requests until this time, because the runner is loading weights.
   TimePoint pausedUntil;
+  // No new requests from this daemon, at the runner's request.
+  RequestedPause requestedPause;
   RunnerHealth health;
 
   // Requests in flight from this daemon, and the cache memory they take, in
@@ -105,6 +108,12 @@
            aStartedAt == this->entry.startedAt;
   }
 
+  // Returns true if a new request may be sent, as far as the runner has said.
+  bool TakesRequests(TimePoint aNow) const
+  {
+    return !this->leaving && this->requestedPause.Admits(aNow);
+  }
+
   // Records that another daemon has sent a long prompt. Its prefill takes
   // `aPrefillTime` and starts after the other prefills recorded so far.
   void NoteOthersPrefill(Duration aPrefillTime, TimePoint aNow);
--- a/wigeonwalk/fleet/runner_advice.h
+++ b/wigeonwalk/fleet/runner_advice.h
@@ -5,6 +5,9 @@
 #pragma once
 
 #include "wigeonwalk/base/enum_names.h"
+#include "wigeonwalk/base/time.h"
+
+#include <optional>
 
 namespace wigeonwalk {
 
@@ -12,6 +15,9 @@
 {
   // The runner will exit soon and wants no new requests.
   bool isLeaving = false;
+  // How long the runner wants no requests from this daemon, after it has turned
+  // one away.
+  std::optional<Duration> pause = std::nullopt;
 
   bool operator==(const RunnerAdvice&) const = default;
 };
