--- a/wigeonwalk/adapters/metrics/metric_names.h
+++ b/wigeonwalk/adapters/metrics/metric_names.h
@@ -36,12 +36,15 @@
   MembersAlive,
   LogLinesDropped,
   EventsDropped,
+  RunnersLeaving,
+  RunnerPauses,
+  RequestsRefusedForPause,
 };
 
 template<>
 struct EnumNames<Metric>
 {
-  static constexpr std::array<EnumName<Metric>, 21> kTable{ {
+  static constexpr std::array<EnumName<Metric>, 24> kTable{ {
     { Metric::TimeToFirstToken, "time_to_first_token" },
     { Metric::TimeBetweenTokens, "time_between_tokens" },
     { Metric::QueueTime, "queue_time" },
@@ -63,6 +66,9 @@
     { Metric::MembersAlive, "alive" },
     { Metric::LogLinesDropped, "log_dropped" },
     { Metric::EventsDropped, "timeline_dropped" },
+    { Metric::RunnersLeaving, "leaving" },
+    { Metric::RunnerPauses, "requested" },
+    { Metric::RequestsRefusedForPause, "refused_for_pause" },
   } };
 };
 static_assert(HasCompleteTable<Metric>());
@@ -101,7 +107,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 21> kMetricInfos{ {
+inline constexpr std::array<MetricInfo, 24> kMetricInfos{ {
   { Metric::TimeToFirstToken,
     MetricType::Histogram,
     "seconds",
@@ -207,6 +213,21 @@
     "events",
     "",
     "Timeline events that gave way to later ones." },
+  { Metric::RunnersLeaving,
+    MetricType::Counter,
+    "runners",
+    "cause",
+    "Runners that leave, by how this daemon learnt of it." },
+  { Metric::RunnerPauses,
+    MetricType::Counter,
+    "pauses",
+    "",
+    "Pauses that runners asked this daemon for." },
+  { Metric::RequestsRefusedForPause,
+    MetricType::Counter,
+    "requests",
+    "",
+    "Requests refused because all runners asked for a pause." },
 } };
 
 // Returns unit, type and labels of a metric.
