--- a/wigeonwalk/adapters/metrics/metric_names.h
+++ b/wigeonwalk/adapters/metrics/metric_names.h
@@ -37,12 +37,15 @@
   LogLinesDropped,
   EventsDropped,
   PromptPartsRefused,
+  RunnersLeaving,
+  RunnerPauses,
+  RequestsRefusedForPause,
 };
 
 template<>
 struct EnumNames<Metric>
 {
-  static constexpr std::array<EnumName<Metric>, 22> kTable{ {
+  static constexpr std::array<EnumName<Metric>, 25> kTable{ {
     { Metric::TimeToFirstToken, "time_to_first_token" },
     { Metric::TimeBetweenTokens, "time_between_tokens" },
     { Metric::QueueTime, "queue_time" },
@@ -65,6 +68,9 @@
     { Metric::LogLinesDropped, "log_dropped" },
     { Metric::EventsDropped, "timeline_dropped" },
     { Metric::PromptPartsRefused, "refused_prompt" },
+    { Metric::RunnersLeaving, "leaving" },
+    { Metric::RunnerPauses, "requested" },
+    { Metric::RequestsRefusedForPause, "refused_for_pause" },
   } };
 };
 static_assert(HasCompleteTable<Metric>());
@@ -103,7 +109,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 22> kMetricInfos{ {
+inline constexpr std::array<MetricInfo, 25> kMetricInfos{ {
   { Metric::TimeToFirstToken,
     MetricType::Histogram,
     "seconds",
@@ -214,6 +220,21 @@
     "parts",
     "",
     "Parts of prompts that are refused because they crash runners." },
+  { Metric::RunnersLeaving,
+    MetricType::Counter,
+    "runners",
+    "cause",
+    "Runners that leave, by how this daemon learnt of it." },
+  { Metric::RunnerPauses,
+    MetricType::Counter,
+    "pauses",
+    "",
+    "Pauses that runners asked this daemon for." },
+  { Metric::RequestsRefusedForPause,
+    MetricType::Counter,
+    "requests",
+    "",
+    "Requests refused because all runners asked for a pause." },
 } };
 
 // Returns unit, type and labels of a metric.
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -230,7 +230,8 @@
     const auto failure = this->failed.find(aRunner->entry.id);
     const bool waits = failure != this->failed.end() &&
                        this->timer.Now() < failure->second.retryAt;
-    if (waits || this->loading.contains(aRunner->entry.id)) {
+    if (waits || this->loading.contains(aRunner->entry.id) ||
+        aRunner->requestedPause.IsPaused(this->timer.Now())) {
       return std::nullopt;
     }
     for (const LoadedModel& loaded : aRunner->entry.models) {
@@ -297,7 +298,8 @@
       co_return loaded;
     }
     const auto number = this->leader.FencingNumber();
-    if (!aMayOrder || !number || runner.leaving) {
+    if (!aMayOrder || !number || runner.leaving ||
+        runner.requestedPause.IsPaused(this->timer.Now())) {
       co_return LoadProgress::Failed;
     }
     const WeightsOrder order{ runner.entry.id,
