--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -173,23 +173,24 @@
   {
     aCodec.DecodeLeaving(aNotice)
     } -> std::same_as<std::optional<LeavingNotice>>;
-  aCodec.EncodePartEvidence(aPart)
-  } -> std::same_as<std::string>;
-{
-  aCodec.DecodePartEvidence(aPayload)
-  } -> std::same_as<std::optional<PartNotice>>;
-{
-  aCodec.EncodeQuery(aQuery)
-  } -> std::same_as<std::string>;
-{
-  aCodec.DecodeQuery(aPayload)
-  } -> std::same_as<std::optional<RegistryQuery>>;
-{
-  aCodec.EncodeChanges(aChanges)
-  } -> std::same_as<std::string>;
-{
-  aCodec.DecodeChanges(aPayload)
-  } -> std::same_as<std::optional<RegistryChanges>>;
+  {
+    aCodec.EncodePartEvidence(aPart)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodePartEvidence(aPayload)
+    } -> std::same_as<std::optional<PartNotice>>;
+  {
+    aCodec.EncodeQuery(aQuery)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodeQuery(aPayload)
+    } -> std::same_as<std::optional<RegistryQuery>>;
+  {
+    aCodec.EncodeChanges(aChanges)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodeChanges(aPayload)
+    } -> std::same_as<std::optional<RegistryChanges>>;
 };
 
 } // namespace wigeonwalk
