--- a/wigeonwalk/entry/replaced_weights.h
+++ b/wigeonwalk/entry/replaced_weights.h
@@ -1,6 +1,6 @@
 // For how long weights may be used after newer ones were published.
 //
-//   const TimePoint until = UsableUntil(state, model, version);
+//   const TimePoint until = UsableUntil(state, model, service, version);
 #pragma once
 
 #include "wigeonwalk/entry/entry_state.h"
@@ -18,12 +18,22 @@
 Duration
 FractionOfTimeForNewWeights(const EntryState& aState, double aFraction);
 
-// Returns until when a version of a model's weights gets requests, by the time
-// since which newer ones are known and the estimated age of the newest at this
-// daemon's start. TimePoint::max() if no newer ones are known.
+// Returns since when each version of the weights is known, or is estimated from
+// the registry's record if neither this daemon nor one that it asked has
+// observed the publication. An estimate does not shorten the time that counts
+// from an observed one, and counts only if a good part of the service's runners
+// have the version.
+WeightHistory
+HistoryWithEstimates(const EntryState& aState,
+                     const ModelName& aModel,
+                     const ServiceName& aService);
+
+// Returns until when a service's runners with this version of a model's weights
+// get requests; TimePoint::max() if no newer ones are known.
 TimePoint
 UsableUntil(const EntryState& aState,
             const ModelName& aModel,
+            const ServiceName& aService,
             WeightNumber aVersion);
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -153,11 +153,14 @@
       if (auto step = this->StepFor(runner)) {
         const UpstreamId& id = runner->entry.id;
         const auto failure = this->failed.find(id);
-        PendingLoad load{
-          id,
-          UsableUntil(this->state, step->model, runner->VersionOf(step->model)),
-          failure == this->failed.end() ? Duration(0) : failure->second.spent
-        };
+        PendingLoad load{ id,
+                          UsableUntil(this->state,
+                                      step->model,
+                                      runner->entry.service,
+                                      runner->VersionOf(step->model)),
+                          failure == this->failed.end()
+                            ? Duration(0)
+                            : failure->second.spent };
         pending.push_back({ std::move(load), std::move(*step) });
       }
     }
