retry: refuse a part that was answered before only after twice the crashes

Such a part is now suspected and refused after twice as many crashes in sequence, so that the other one explains them first.

Evidence: "a part of sound prompts stands beside a deadly one" fails before, with the sound part refused. The simulation of several daemons has such a part in all prompts now, and the tests of requests are in a file of their own.

--- /dev/null
+++ b/wigeonwalk/entry/forward_parts_test.cc
@@ -0,0 +1,104 @@
+#include "wigeonwalk/entry/test_entry.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+// Guards against a part of prompts that crashes one runner after another,
+// because no two of the requests that hold it are alike.
+SCENARIO("requests that share a part of their prompts crash runners")
+{
+  TestEntry entry;
+  entry.runners.scripts = { Script::LoseAnswer };
+  const auto send = [&entry](const char* aRoute,
+                             std::vector<PromptPart> aParts) {
+    const std::string own = "own-" + std::to_string(++entry.content);
+    aParts.push_back({ own, 80 });
+    entry.prompt = Prompt{ ModelName("m"), 330, 50, std::move(aParts) };
+    return entry.Send(aRoute);
+  };
+  for (int i = 0; i < 8; ++i) {
+    const std::string first = i % 2 == 0 ? "first" : "other";
+    send("booking", { { first, 200 }, { "deadly", 50 } });
+    // Each runner registers again with a new start time.
+    for (const auto& runner : entry.state.fleet.All()) {
+      RunnerEntry next = runner->entry;
+      ++next.startedAt;
+      entry.state.Apply(next, entry.time.Now());
+    }
+    entry.time.RunUntil(entry.time.Now() + 6s);
+  }
+
+  THEN("they reach no further runner after the third")
+  {
+    CHECK(entry.runners.attempts.size() == 3);
+    const FakeCaller caller = send("booking", { { "deadly", 50 } });
+    CHECK(caller.refusal->reason.code == ReasonCode::Poisoned);
+    CHECK(caller.refusal->verdict == Verdict::NotRun);
+    CHECK(caller.refusal->retryAfter >= 1min);
+  }
+
+  THEN("requests that share only their other parts are served")
+  {
+    entry.runners.scripts = { Script::Answer };
+    CHECK(send("lookup", { { "first", 200 } }).status == 200);
+    CHECK(send("stream", { { "other", 200 } }).status == 200);
+    CHECK(send("lookup", { { "deadly", 50 } }).status == 0);
+  }
+
+  THEN("other parts with the same name of another model are served")
+  {
+    entry.runners.scripts = { Script::Answer };
+    entry.prompt = Prompt{
+      ModelName("other"), 330, 50, { { "deadly", 50 }, { "own", 80 } }
+    };
+    CHECK(entry.Send("lookup").status == 200);
+  }
+}
+
+// Guards against a further runner that crashes because the evidence arrives
+// while a request waits for a place.
+SCENARIO("evidence arrives while a request waits for a runner")
+{
+  TestEntry entry;
+  const auto runners = entry.state.fleet.All();
+  for (const auto& runner : runners) {
+    entry.state.ApplyRemoved(runner->entry.id, entry.time.Now());
+  }
+  FakeRunners::Request request;
+  request.facts.host = "a.example";
+  request.facts.target = "/booking/7";
+  request.facts.apiKey = "key";
+  request.facts.prompt =
+    Prompt{ ModelName("m"), 330, 50, { { "deadly", 50 }, { "own", 80 } } };
+  FakeCaller caller;
+  TestRun run(entry.state,
+              entry.runners,
+              entry.peers,
+              entry.measures,
+              entry.time,
+              entry.log);
+  entry.time.Spawn(run.Forward(request, caller));
+  entry.time.RunUntil(entry.time.Now() + 30ms);
+  const std::vector<SharedPart> parts{ { HashOfPart(ModelName("m"), "deadly"),
+                                         1 } };
+  for (std::uint64_t i = 0; i < PartCrashTracker::kMaxPartCrashes; ++i) {
+    const TimePoint at = entry.time.Now() - 3s + i * 1s;
+    entry.state.partCrashes.RecordLost(
+      { parts, i, UpstreamId("r-1"), i, at - 500ms }, at);
+  }
+  for (const auto& runner : runners) {
+    RunnerEntry next = runner->entry;
+    ++next.startedAt;
+    entry.state.Apply(next, entry.time.Now());
+  }
+  entry.time.RunUntilIdle(entry.time.Now() + 1s);
+  CHECK(entry.runners.attempts.empty());
+  REQUIRE(caller.refusal.has_value());
+  CHECK(caller.refusal->reason.code == ReasonCode::Poisoned);
+}
--- a/wigeonwalk/entry/part_reporter_test.cc
+++ b/wigeonwalk/entry/part_reporter_test.cc
@@ -62,13 +62,14 @@
 };
 
 // Daemons and runners of one service, and callers that send requests to any
-// daemon. Each prompt has a first part that other requests share.
+// daemon. All prompts share
+// a first part, and some a second one.
 class PartSimulation
 {
 public:
   static constexpr Duration kPrefill = 300ms;
   static constexpr Duration kRestart = 3s;
-  static constexpr std::size_t kFirstParts = 100;
+  static constexpr std::size_t kSecondParts = 100;
   static constexpr std::size_t kRunners = 18;
   static constexpr Duration kContact = 3s;
 
@@ -152,13 +153,13 @@
   Task<void> Call(bool aIsDeadly)
   {
     const std::uint64_t content = this->random();
-    const std::string first =
-      "first-" + std::to_string(this->Draw(kFirstParts));
+    const std::string second =
+      "second-" + std::to_string(this->Draw(kSecondParts));
     const ModelName model("m");
-    std::vector<SharedPart> parts{ { HashOfPart(model, first), 1 } };
+    std::vector<SharedPart> parts{ { HashOfPart(model, "system"), 2 },
+                                   { HashOfPart(model, second), 1 } };
     if (aIsDeadly) {
-      parts[0].partsAfter = 2;
-      parts.push_back({ HashOfPart(model, "deadly"), 1 });
+      parts[1].hash = HashOfPart(model, "deadly");
     }
     this->soundSent += aIsDeadly ? 0 : 1;
     for (int i = 0; i < 2; ++i) {
@@ -284,6 +285,8 @@
   const std::uint64_t seed = GENERATE(1, 2, 3);
   INFO(daemons << " daemons, share " << share << ", seed " << seed);
   PartSimulation simulation(daemons, 0.02, seed);
+  simulation.time.Spawn(simulation.Play(40, 0, 10s));
+  simulation.time.RunUntil(simulation.time.Now() + 10s);
   simulation.time.Spawn(simulation.Play(40, share, 30s));
 
   WHEN("nothing else happens")
--- a/wigeonwalk/retry/part_crash_tracker.cc
+++ b/wigeonwalk/retry/part_crash_tracker.cc
@@ -46,17 +46,24 @@
 }
 
 PartStatus
-PartCrashTracker::Assess(const Record& aRecord)
+PartCrashTracker::Assess(const Record& aRecord) const
 {
+  if (aRecord.crashes.empty()) {
+    return PartStatus::Clear;
+  }
+  const TimePoint answeredAt = this->answers.Of(aRecord.part.hash);
+  const bool wasAnswered =
+    aRecord.crashes.front().at - answeredAt < kEvidenceRetention;
+  const std::size_t factor = wasAnswered ? kAnsweredFactor : 1;
   const std::size_t count = CountSequential(aRecord);
-  if (count < kSuspectCrashes) {
+  if (count < kSuspectCrashes * factor) {
     return PartStatus::Clear;
   }
   std::set<std::uint64_t> contents;
   for (const Crash& crash : aRecord.crashes) {
     contents.insert(crash.content);
   }
-  return count >= kMaxPartCrashes && contents.size() >= kMinContents
+  return count >= kMaxPartCrashes * factor && contents.size() >= kMinContents
            ? PartStatus::Refused
            : PartStatus::Suspected;
 }
@@ -385,9 +392,7 @@
   Record& record = found->second;
   const std::size_t erased = std::erase_if(
     record.crashes, [aAt](const Crash& aCrash) { return aCrash.sentAt < aAt; });
-  if (erased > 0) {
-    this->Update(record);
-  }
+  this->Update(record);
   return erased > 0;
 }
 
--- a/wigeonwalk/retry/part_crash_tracker.h
+++ b/wigeonwalk/retry/part_crash_tracker.h
@@ -25,6 +25,7 @@
 // - An answer that goes on clears its parts of all requests sent before.
 // - Crashes count only if each request was sent after the crash before, so
 //   requests that ran together when a rack failed count once.
+// - A part that was answered before takes twice as many.
 // - A part is refused only if different requests crashed: a request that its
 //   caller repeats would otherwise condemn all of its parts.
 // - A crash that is explained by a refused part accuses no other part. Of two
@@ -39,6 +40,9 @@
   static constexpr std::size_t kSuspectCrashes = 2;
   static constexpr std::size_t kMaxPartCrashes = 3;
   static constexpr std::size_t kMinContents = 2;
+  // Factor for both numbers if the part was answered before: the prompts with a
+  // deadly part often share another one with many sound prompts.
+  static constexpr std::size_t kAnsweredFactor = 2;
   // Bounds of the memory: accused parts, crashes of each, explained crashes,
   // and findings that were not taken.
   static constexpr std::size_t kMaxRecords = 4'096;
@@ -111,7 +115,7 @@
   };
 
   static std::size_t CountSequential(const Record& aRecord);
-  static PartStatus Assess(const Record& aRecord);
+  PartStatus Assess(const Record& aRecord) const;
   static bool Insert(Record& aRecord, const Crash& aCrash);
   PartStatus StatusAt(const Record& aRecord, TimePoint aNow) const;
   bool IsExplained(const SharedPart& aPart, std::uint64_t aCrashId) const;
--- a/wigeonwalk/retry/part_crash_tracker_test.cc
+++ b/wigeonwalk/retry/part_crash_tracker_test.cc
@@ -108,6 +108,17 @@
   {
     daemon.Send({ kGreeting, kDeadly });
     CHECK(daemon.Status(kDeadly) == PartStatus::Clear);
+
+    AND_THEN("it takes twice as many crashes until it is refused again")
+    {
+      for (std::uint64_t content = 4; content < 9; ++content) {
+        daemon.SendAndLose(
+          { kGreeting, kDeadly }, content, "u-" + std::to_string(content));
+        CHECK(daemon.Status(kDeadly) != PartStatus::Refused);
+      }
+      daemon.SendAndLose({ kGreeting, kDeadly }, 9, "u-9");
+      CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+    }
   }
 }
 
@@ -178,6 +189,26 @@
   }
 }
 
+// Guards against refusing a part of many sound prompts instead of the one that
+// stands beside it in all deadly ones.
+SCENARIO("a part of sound prompts stands beside a deadly one")
+{
+  Daemon daemon;
+  daemon.Send({ kGreeting });
+  for (std::uint64_t content = 1; content < 4; ++content) {
+    const std::string upstream = "u-" + std::to_string(content);
+    if (content < 3) {
+      daemon.SendAndLose({ kGreeting, kDeadly }, content, upstream);
+    } else {
+      daemon.SendAndLose({ kGreeting }, content, upstream);
+    }
+  }
+  CHECK(daemon.Status(kGreeting) == PartStatus::Clear);
+  daemon.SendAndLose({ kGreeting, kDeadly }, 4, "u-4");
+  CHECK(daemon.Status(kGreeting) == PartStatus::Clear);
+  CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+}
+
 // Guards against refusing a part that many sound requests share instead of the
 // one that crashes upstreams, depending on which evidence arrives first.
 SCENARIO("two parts have the same evidence")
