retry: keep the last of several requests that were lost in one crash

A crash counts only if its request was sent after the crash before. Where two requests with the part were lost in one crash, each daemon kept the one that it saw itself and ignored the other, so that a crash looked simultaneous to some. The request that was sent last is now kept, whoever saw it.

Evidence: "several requests with a part are lost in one crash" fails before: suspected where it must be refused.

--- a/wigeonwalk/retry/part_crash_tracker.cc
+++ b/wigeonwalk/retry/part_crash_tracker.cc
@@ -13,6 +13,9 @@
 constexpr std::uint64_t kPartSeed = 0x7061727400000001ULL;
 constexpr std::uint64_t kCrashSeed = 0x7061727400000002ULL;
 
+// The times of one event differ by less than this after they were told as ages.
+constexpr Duration kClockTolerance = std::chrono::milliseconds(20);
+
 std::uint64_t
 CrashIdOf(const UpstreamId& aUpstream, std::uint64_t aIncarnation)
 {
@@ -298,21 +301,28 @@
   return true;
 }
 
-// Inserts a crash in the order of times. Returns false if it is known.
+// Inserts a crash in the order of times. Of several requests that were lost in
+// one crash the one sent last is kept. Returns false if nothing changes.
 bool
 PartCrashTracker::Insert(Record& aRecord, const Crash& aCrash)
 {
   std::vector<Crash>& crashes = aRecord.crashes;
-  const auto hasId = [&aCrash](const Crash& aKnown) {
-    return aKnown.id == aCrash.id;
-  };
-  if (std::any_of(crashes.begin(), crashes.end(), hasId)) {
-    return false;
+  const auto known = std::find_if(
+    crashes.begin(), crashes.end(), [&aCrash](const Crash& aKnown) {
+      return aKnown.id == aCrash.id;
+    });
+  if (known != crashes.end()) {
+    const bool isLater = aCrash.sentAt > known->sentAt + kClockTolerance;
+    if (isLater) {
+      known->sentAt = aCrash.sentAt;
+      known->content = aCrash.content;
+    }
+    return isLater;
   }
   aRecord.lastCrashAt = std::max(aRecord.lastCrashAt, aCrash.at);
   const auto later = std::find_if(
-    crashes.begin(), crashes.end(), [&aCrash](const Crash& aKnown) {
-      return aKnown.at > aCrash.at;
+    crashes.begin(), crashes.end(), [&aCrash](const Crash& aOther) {
+      return aOther.at > aCrash.at;
     });
   crashes.insert(later, aCrash);
   if (crashes.size() > kMaxCrashesPerRecord) {
--- a/wigeonwalk/retry/part_crash_tracker_test.cc
+++ b/wigeonwalk/retry/part_crash_tracker_test.cc
@@ -209,6 +209,23 @@
   CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
 }
 
+// Guards against crashes in sequence that look simultaneous to a daemon that
+// saw another of the requests that were lost.
+SCENARIO("several requests with a part are lost in one crash")
+{
+  Daemon daemon;
+  const TimePoint start = daemon.now;
+  daemon.SendAndLose({ kDeadly }, 1, "u-1");
+  daemon.SendAndLose({ kDeadly }, 2, "u-2");
+  daemon.now += 400ms;
+  daemon.tracker.RecordLost({ { kDeadly }, 3, UpstreamId("u-3"), 1, start },
+                            daemon.now);
+  CHECK(daemon.Status(kDeadly) == PartStatus::Suspected);
+  daemon.tracker.RecordLost(
+    { { kDeadly }, 4, UpstreamId("u-3"), 1, daemon.now - 300ms }, daemon.now);
+  CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+}
+
 // Guards against refusing a part that many sound requests share instead of the
 // one that crashes upstreams, depending on which evidence arrives first.
 SCENARIO("two parts have the same evidence")
