retry: tolerate the way of a datagram between crashes in sequence

A daemon sends a lost request again within microseconds, while another one knows the crash a few milliseconds later, from its own connection or from an age that travelled. There the second request seemed to have been sent before the first crash, so the two counted as one. Requests sent up to 50 ms before the crash now count as sent after it; requests that run when a rack fails were mostly sent longer before.

Evidence: "a request is sent again as soon as its upstream is lost" fails before: suspected where it must be refused.

--- a/wigeonwalk/retry/part_crash_tracker.cc
+++ b/wigeonwalk/retry/part_crash_tracker.cc
@@ -13,8 +13,9 @@
 constexpr std::uint64_t kPartSeed = 0x7061727400000001ULL;
 constexpr std::uint64_t kCrashSeed = 0x7061727400000002ULL;
 
-// The times of one event differ by less than this after they were told as ages.
-constexpr Duration kClockTolerance = std::chrono::milliseconds(20);
+// The times of one event at two daemons differ by less than this: by the time
+// that a datagram takes between regions.
+constexpr Duration kClockTolerance = std::chrono::milliseconds(50);
 
 std::uint64_t
 CrashIdOf(const UpstreamId& aUpstream, std::uint64_t aIncarnation)
@@ -40,7 +41,7 @@
   std::size_t count = 0;
   TimePoint endedAt;
   for (const Crash& crash : aRecord.crashes) {
-    if (count == 0 || crash.sentAt >= endedAt) {
+    if (count == 0 || crash.sentAt + kClockTolerance >= endedAt) {
       ++count;
       endedAt = crash.at;
     }
--- a/wigeonwalk/retry/part_crash_tracker_test.cc
+++ b/wigeonwalk/retry/part_crash_tracker_test.cc
@@ -226,6 +226,29 @@
   CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
 }
 
+// Guards against crashes in sequence that look simultaneous because another
+// daemon learnt of the first one later than the request was sent again.
+SCENARIO("a request is sent again as soon as its upstream is lost")
+{
+  Daemon seen;
+  Daemon told;
+  const std::vector<SharedPart> parts{ kDeadly };
+  for (std::uint64_t i = 1; i < 4; ++i) {
+    const UpstreamId upstream("u-" + std::to_string(i));
+    const TimePoint sentAt = seen.now;
+    seen.now += 400ms;
+    seen.tracker.RecordLost({ parts, i, upstream, 1, sentAt }, seen.now);
+    told.now = seen.now + 5ms;
+    told.tracker.RecordLost({ parts, i, upstream, 1, sentAt }, told.now);
+  }
+  for (const PartNotice& notice :
+       seen.tracker.EvidenceOf(kDeadly.hash, seen.now)) {
+    told.tracker.Merge(notice, false, told.now);
+  }
+  CHECK(seen.Status(kDeadly) == PartStatus::Refused);
+  CHECK(told.tracker.StatusOf(parts, told.now) == PartStatus::Refused);
+}
+
 // Guards against refusing a part that many sound requests share instead of the
 // one that crashes upstreams, depending on which evidence arrives first.
 SCENARIO("two parts have the same evidence")
