--- a/wigeonwalk/entry/part_reporter_test.cc
+++ b/wigeonwalk/entry/part_reporter_test.cc
@@ -232,7 +232,7 @@
     const Duration prefill = kPrefill / 2 + kPrefill * this->Draw(100) / 100;
     while (this->time.Now() < sentAt + prefill &&
            runner.incarnation == incarnation) {
-      const TimePoint next = this->time.Now() + 5ms;
+      const TimePoint next = this->time.Now() + 20ms;
       co_await this->time.WaitUntil(next);
     }
     if (aIsDeadly && runner.incarnation == incarnation) {
