--- a/wigeonwalk/retry/part_crash_tracker.cc
+++ b/wigeonwalk/retry/part_crash_tracker.cc
@@ -13,6 +13,10 @@
 constexpr std::uint64_t kPartSeed = 0x7061727400000001ULL;
 constexpr std::uint64_t kCrashSeed = 0x7061727400000002ULL;
 
+// The times of one event at two daemons differ by less than this: by the time
+// that a datagram takes between regions.
+constexpr Duration kClockTolerance = std::chrono::milliseconds(50);
+
 std::uint64_t
 CrashIdOf(const UpstreamId& aUpstream, std::uint64_t aIncarnation)
 {
@@ -37,7 +41,7 @@
   std::size_t count = 0;
   TimePoint endedAt;
   for (const Crash& crash : aRecord.crashes) {
-    if (count == 0 || crash.sentAt >= endedAt) {
+    if (count == 0 || crash.sentAt + kClockTolerance >= endedAt) {
       ++count;
       endedAt = crash.at;
     }
@@ -46,17 +50,24 @@
 }
 
 PartStatus
-PartCrashTracker::Assess(const Record& aRecord)
+PartCrashTracker::Assess(const Record& aRecord) const
 {
+  if (aRecord.crashes.empty()) {
+    return PartStatus::Clear;
+  }
+  const TimePoint answeredAt = this->answers.Of(aRecord.part.hash);
+  const bool wasAnswered =
+    aRecord.crashes.front().at - answeredAt < kEvidenceRetention;
+  const std::size_t factor = wasAnswered ? kAnsweredFactor : 1;
   const std::size_t count = CountSequential(aRecord);
-  if (count < kSuspectCrashes) {
+  if (count < kSuspectCrashes * factor) {
     return PartStatus::Clear;
   }
   std::set<std::uint64_t> contents;
   for (const Crash& crash : aRecord.crashes) {
     contents.insert(crash.content);
   }
-  return count >= kMaxPartCrashes && contents.size() >= kMinContents
+  return count >= kMaxPartCrashes * factor && contents.size() >= kMinContents
            ? PartStatus::Refused
            : PartStatus::Suspected;
 }
@@ -291,21 +302,28 @@
   return true;
 }
 
-// Inserts a crash in the order of times. Returns false if it is known.
+// Inserts a crash in the order of times. Of several requests that were lost in
+// one crash the one sent last is kept. Returns false if nothing changes.
 bool
 PartCrashTracker::Insert(Record& aRecord, const Crash& aCrash)
 {
   std::vector<Crash>& crashes = aRecord.crashes;
-  const auto hasId = [&aCrash](const Crash& aKnown) {
-    return aKnown.id == aCrash.id;
-  };
-  if (std::any_of(crashes.begin(), crashes.end(), hasId)) {
-    return false;
+  const auto known = std::find_if(
+    crashes.begin(), crashes.end(), [&aCrash](const Crash& aKnown) {
+      return aKnown.id == aCrash.id;
+    });
+  if (known != crashes.end()) {
+    const bool isLater = aCrash.sentAt > known->sentAt + kClockTolerance;
+    if (isLater) {
+      known->sentAt = aCrash.sentAt;
+      known->content = aCrash.content;
+    }
+    return isLater;
   }
   aRecord.lastCrashAt = std::max(aRecord.lastCrashAt, aCrash.at);
   const auto later = std::find_if(
-    crashes.begin(), crashes.end(), [&aCrash](const Crash& aKnown) {
-      return aKnown.at > aCrash.at;
+    crashes.begin(), crashes.end(), [&aCrash](const Crash& aOther) {
+      return aOther.at > aCrash.at;
     });
   crashes.insert(later, aCrash);
   if (crashes.size() > kMaxCrashesPerRecord) {
@@ -385,9 +403,7 @@
   Record& record = found->second;
   const std::size_t erased = std::erase_if(
     record.crashes, [aAt](const Crash& aCrash) { return aCrash.sentAt < aAt; });
-  if (erased > 0) {
-    this->Update(record);
-  }
+  this->Update(record);
   return erased > 0;
 }
 
--- a/wigeonwalk/retry/part_crash_tracker_test.cc
+++ b/wigeonwalk/retry/part_crash_tracker_test.cc
@@ -108,6 +108,17 @@
   {
     daemon.Send({ kGreeting, kDeadly });
     CHECK(daemon.Status(kDeadly) == PartStatus::Clear);
+
+    AND_THEN("it takes twice as many crashes until it is refused again")
+    {
+      for (std::uint64_t content = 4; content < 9; ++content) {
+        daemon.SendAndLose(
+          { kGreeting, kDeadly }, content, "u-" + std::to_string(content));
+        CHECK(daemon.Status(kDeadly) != PartStatus::Refused);
+      }
+      daemon.SendAndLose({ kGreeting, kDeadly }, 9, "u-9");
+      CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+    }
   }
 }
 
@@ -178,6 +189,66 @@
   }
 }
 
+// Guards against refusing a part of many sound prompts instead of the one that
+// stands beside it in all deadly ones.
+SCENARIO("a part of sound prompts stands beside a deadly one")
+{
+  Daemon daemon;
+  daemon.Send({ kGreeting });
+  for (std::uint64_t content = 1; content < 4; ++content) {
+    const std::string upstream = "u-" + std::to_string(content);
+    if (content < 3) {
+      daemon.SendAndLose({ kGreeting, kDeadly }, content, upstream);
+    } else {
+      daemon.SendAndLose({ kGreeting }, content, upstream);
+    }
+  }
+  CHECK(daemon.Status(kGreeting) == PartStatus::Clear);
+  daemon.SendAndLose({ kGreeting, kDeadly }, 4, "u-4");
+  CHECK(daemon.Status(kGreeting) == PartStatus::Clear);
+  CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+}
+
+// Guards against crashes in sequence that look simultaneous to a daemon that
+// saw another of the requests that were lost.
+SCENARIO("several requests with a part are lost in one crash")
+{
+  Daemon daemon;
+  const TimePoint start = daemon.now;
+  daemon.SendAndLose({ kDeadly }, 1, "u-1");
+  daemon.SendAndLose({ kDeadly }, 2, "u-2");
+  daemon.now += 400ms;
+  daemon.tracker.RecordLost({ { kDeadly }, 3, UpstreamId("u-3"), 1, start },
+                            daemon.now);
+  CHECK(daemon.Status(kDeadly) == PartStatus::Suspected);
+  daemon.tracker.RecordLost(
+    { { kDeadly }, 4, UpstreamId("u-3"), 1, daemon.now - 300ms }, daemon.now);
+  CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+}
+
+// Guards against crashes in sequence that look simultaneous because another
+// daemon learnt of the first one later than the request was sent again.
+SCENARIO("a request is sent again as soon as its upstream is lost")
+{
+  Daemon seen;
+  Daemon told;
+  const std::vector<SharedPart> parts{ kDeadly };
+  for (std::uint64_t i = 1; i < 4; ++i) {
+    const UpstreamId upstream("u-" + std::to_string(i));
+    const TimePoint sentAt = seen.now;
+    seen.now += 400ms;
+    seen.tracker.RecordLost({ parts, i, upstream, 1, sentAt }, seen.now);
+    told.now = seen.now + 5ms;
+    told.tracker.RecordLost({ parts, i, upstream, 1, sentAt }, told.now);
+  }
+  for (const PartNotice& notice :
+       seen.tracker.EvidenceOf(kDeadly.hash, seen.now)) {
+    told.tracker.Merge(notice, false, told.now);
+  }
+  CHECK(seen.Status(kDeadly) == PartStatus::Refused);
+  CHECK(told.tracker.StatusOf(parts, told.now) == PartStatus::Refused);
+}
+
 // Guards against refusing a part that many sound requests share instead of the
 // one that crashes upstreams, depending on which evidence arrives first.
 SCENARIO("two parts have the same evidence")
