entry: take a runner's weights from its refusal, not the newest ones

Callers would get refusals from one daemon for good: after a 421 for other weights, a daemon assumed that the runner had the newest. If it had a version between, nothing corrected that, because registrations only raise versions. Each request there was refused again, and a daemon that gives orders never loaded the runner. Change: the refusal names the runner's version, and that one counts.

--- a/wigeonwalk/entry/answer_relay.h
+++ b/wigeonwalk/entry/answer_relay.h
@@ -134,15 +134,8 @@
                            const AnswerHead& aHead,
                            const RunnerPick& aPick)
   {
-    if (!aHead.wrongWeights || !aRequest.prompt) {
-      return;
-    }
-    // Assume that the runner has the newest weights; if it does not, its next
-    // heartbeat gives the version.
-    const WeightNumber newest =
-      this->state.WeightsOf(aRequest.prompt->model).Newest().version;
-    if (newest > aPick.spec.version) {
-      aPick.runner->SetVersion(aRequest.prompt->model, newest);
+    if (aHead.otherWeights && aRequest.prompt) {
+      aPick.runner->SetVersion(aRequest.prompt->model, *aHead.otherWeights);
     }
   }
 
--- a/wigeonwalk/entry/answer_relay_test.cc
+++ b/wigeonwalk/entry/answer_relay_test.cc
@@ -68,3 +68,45 @@
     CHECK(entry.state.parts.Parts() == 0);
   }
 }
+
+// Guards against a runner that is never given the newest weights, and refuses
+// all requests, because it is taken to have them since a refusal.
+SCENARIO("the weights of a runner that refused a request for other weights")
+{
+  TestEntry entry;
+  const ModelName model("m");
+  RoutingConfiguration configuration = entry.state.Routes()->Configuration();
+  ++configuration.version;
+  configuration.services[0].engine = EngineTraits{};
+  entry.state.Apply(configuration, entry.time.Now());
+  std::vector<RunnerEntry> heartbeats;
+  for (const auto& runner : entry.state.fleet.All()) {
+    runner->SetVersion(model, 1);
+    heartbeats.push_back(runner->entry);
+  }
+  entry.state.Apply(DesiredWeights{ model, 3 }, entry.time.Now());
+  entry.prompt = Prompt{ model, 16, 4, { { "p-1", 16 } } };
+  entry.runners.scripts = { Script::SecondWeights, Script::Answer };
+  entry.Send("lookup");
+  REQUIRE(entry.runners.attempts.size() == 2);
+  const UpstreamId refused = entry.runners.attempts[0].runner;
+
+  THEN("it counts as having the version that it named")
+  {
+    CHECK(entry.state.fleet.Find(refused)->VersionOf(model) == 2);
+  }
+
+  WHEN("its next heartbeat says that it has the second of three versions")
+  {
+    for (RunnerEntry& heartbeat : heartbeats) {
+      if (heartbeat.id == refused) {
+        heartbeat.models = { { model, 2 } };
+        entry.state.Apply(heartbeat, entry.time.Now());
+      }
+    }
+    THEN("it counts as having that version")
+    {
+      CHECK(entry.state.fleet.Find(refused)->VersionOf(model) == 2);
+    }
+  }
+}
--- a/wigeonwalk/entry/entry_request.h
+++ b/wigeonwalk/entry/entry_request.h
@@ -70,8 +70,9 @@
   bool refusedWithoutRunning = false;
   // The status code implies that the request did not run and never will.
   bool impliesNotRun = false;
-  // The runner's weights differ from the version that the attempt requires.
-  bool wrongWeights = false;
+  // Version of the runner's weights, if it refused the request because the
+  // request requires another one.
+  std::optional<WeightNumber> otherWeights;
   // The response has the runner's signature header.
   bool isSigned = false;
   bool isEventStream = false;
--- a/wigeonwalk/entry/test_runners.h
+++ b/wigeonwalk/entry/test_runners.h
@@ -30,6 +30,8 @@
   BreakWhileSending,
   RefuseWithoutRunning,
   Misdirected,
+  // 421 because the runner has the second version of the weights.
+  SecondWeights,
   ServerError,
   LoseAnswer,
   CutAnswer,
@@ -77,6 +79,11 @@
         head.status = 421;
         head.refusedWithoutRunning = true;
         break;
+      case Script::SecondWeights:
+        head.status = 421;
+        head.refusedWithoutRunning = true;
+        head.otherWeights = 2;
+        break;
       case Script::ImplyNotRun:
         head.status = 503;
         head.impliesNotRun = true;
