entry: go on asking for the ages of weights after two seconds

Requests could begin on replaced weights at a restarted daemon whose peers were paused during its first two seconds: it gave up asking how long ago they were replaced. Change: it asks every 750 ms afterwards, until it knows or the time for new weights has passed.

--- a/wigeonwalk/entry/registry_relay.h
+++ b/wigeonwalk/entry/registry_relay.h
@@ -58,6 +58,8 @@
   // still listed as members.
   static constexpr Duration kLearnTime = std::chrono::seconds(2);
   static constexpr Duration kLearnInterval = std::chrono::milliseconds(250);
+  // How often they are asked afterwards, because they may have been paused.
+  static constexpr Duration kSlowLearnInterval = std::chrono::milliseconds(750);
   // A reader is asked three times within the lifetime of its knowledge.
   static constexpr int kCallsPerLifetime = 3;
 
@@ -102,15 +104,19 @@
   Task<void> LearnWeightAges()
   {
     std::uint64_t handled = 0;
-    TimePoint until;
+    TimePoint fastUntil;
+    TimePoint askAt;
     std::size_t position = this->random();
     while (true) {
       const TimePoint startedAt = this->timer.Now();
       if (handled != this->state.foundWeights) {
         handled = this->state.foundWeights;
-        until = startedAt + kLearnTime;
+        fastUntil = startedAt + kLearnTime;
+        askAt = startedAt;
       }
-      if (startedAt < until && !KnowsAgesOfWeights(this->state, startedAt)) {
+      if (startedAt >= askAt && !KnowsAgesOfWeights(this->state, startedAt)) {
+        askAt = startedAt +
+                (startedAt < fastUntil ? kLearnInterval : kSlowLearnInterval);
         co_await this->AskForAges(position);
         ++position;
       }
