--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -237,14 +237,22 @@
         aRunner->requestedPause.IsPaused(this->timer.Now())) {
       return std::nullopt;
     }
+    std::optional<LoadStep> first;
+    TimePoint firstUntil;
     for (const LoadedModel& loaded : aRunner->entry.models) {
       const WeightNumber newest =
         this->state.WeightsOf(loaded.model).Newest().version;
-      if (loaded.version < newest) {
-        return LoadStep{ aRunner, loaded.model, newest };
+      if (loaded.version >= newest) {
+        continue;
+      }
+      const TimePoint until = UsableUntil(
+        this->state, loaded.model, aRunner->entry.service, loaded.version);
+      if (!first || until < firstUntil) {
+        first = LoadStep{ aRunner, loaded.model, newest };
+        firstUntil = until;
       }
     }
-    return std::nullopt;
+    return first;
   }
 
   void PauseBeforeLoad(const LoadStep& aStep)
--- a/wigeonwalk/entry/weight_rollout_test.cc
+++ b/wigeonwalk/entry/weight_rollout_test.cc
@@ -468,3 +468,21 @@
   CHECK(setting.control.orders[0].at >= pausedAt + 2s);
   CHECK(setting.AllHave(2));
 }
+
+// Guards against a runner of two models whose older publication waits behind
+// the newer one of the other model.
+SCENARIO("a runner of two models loads first the weights that run out first")
+{
+  Setting setting(1);
+  const ModelName other("z");
+  const auto runner = setting.state.fleet.Find(UpstreamId("r-0"));
+  runner->SetVersion(other, 1);
+  setting.leader.fenced = true;
+  setting.state.Apply(DesiredWeights{ other, 2 }, setting.time.Now());
+  setting.time.RunUntil(setting.time.Now() + 8s);
+  setting.Publish(2);
+  setting.leader.fenced = false;
+  const auto steps = setting.rollout.NextSteps();
+  REQUIRE(steps.size() == 1);
+  CHECK(steps[0].model.Text() == other.Text());
+}
