entry: send no request to wait at a runner whose weights run out soon

Callers got broken streams: a request on replaced weights has until these run out, and one that had waited at its busy runner was stopped there after its answer had begun. Change: from six tenths of the time for new weights on, a runner with replaced weights gets a request only if it has room, so that it begins at once. Evidence: the new section of 'a request on old weights may not wait longer' (a full runner 9 s after the replacement).

--- a/wigeonwalk/entry/replaced_weights.h
+++ b/wigeonwalk/entry/replaced_weights.h
@@ -7,10 +7,11 @@
 
 namespace wigeonwalk {
 
-// Fractions of the time allowed for the introduction of new weights. Replaced
-// weights get no requests after the first, and none may wait at its runner
-// beyond the second. The rest covers the time until this daemon has learnt of
-// the new weights.
+// Fractions of the time allowed for the introduction of new weights. Runners
+// with replaced weights get no requests without room for them after the first,
+// none at all after the second, and no request may run there beyond the third.
+// The rest covers the time until this daemon has learnt of the new weights.
+inline constexpr double kWaitFraction = 0.6;
 inline constexpr double kSendFraction = 0.8;
 inline constexpr double kStartFraction = 0.9;
 
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -19,21 +19,24 @@
   return costs;
 }
 
-// Returns the oldest version that may get requests now. Each version counts
-// from the first one that replaced it.
+// Returns the oldest version that was not replaced longer ago than a fraction
+// of the time for new weights. Each version counts from the first one that
+// replaced it.
 WeightNumber
-OldestUsableWeights(const EntryState& aState,
+OldestWeightsWithin(const EntryState& aState,
                     const WeightHistory& aHistory,
+                    double aFraction,
                     TimePoint aNow)
 {
   const WeightNumber oldest = aHistory.NewestKnownAt(
-    aNow - FractionOfTimeForNewWeights(aState, kSendFraction));
+    aNow - FractionOfTimeForNewWeights(aState, aFraction));
   // No weights are older than the first version.
   return oldest <= 1 ? 0 : oldest;
 }
 
 // Limits a request on replaced weights to the time for which they may be used:
-// the runner rejects it if it still waits there at the end.
+// at its end the runner rejects a request that still waits, and stops one that
+// runs.
 void
 LimitToUseOfWeights(const EntryState& aState,
                     const WeightHistory& aHistory,
@@ -74,7 +77,9 @@
     .runnerTokens = traits.cacheTokens,
     .bytesPerToken = traits.bytesPerToken,
     .newest = aState.WeightsOf(model).Newest().version,
-    .oldestUsable = OldestUsableWeights(aState, history, aNow),
+    .oldestUsable = OldestWeightsWithin(aState, history, kSendFraction, aNow),
+    .oldestWithoutRoom =
+      OldestWeightsWithin(aState, history, kWaitFraction, aNow),
     .knowsAllZones = aState.KnowsAllZones(),
     .room = aRoom,
     .costs = CostsFrom(aState),
--- a/wigeonwalk/entry/runner_pick_test.cc
+++ b/wigeonwalk/entry/runner_pick_test.cc
@@ -185,6 +185,25 @@
     }
   }
 
+  WHEN("its runner is full, so that it would wait there")
+  {
+    const auto full = entry.state.fleet.Find(UpstreamId("r-1"));
+    const auto other = entry.state.fleet.Find(UpstreamId("r-2"));
+    full->inFlight = full->entry.slots;
+    other->inFlight = other->entry.slots;
+    const std::vector<UpstreamId> tried = { UpstreamId("r-3") };
+    entry.time.RunUntil(replacedAt + 5s);
+    CHECK(entry.Pick(tried));
+    entry.time.RunUntil(replacedAt + 9s);
+    THEN("it is not sent there while little of the time is left")
+    {
+      CHECK_FALSE(entry.Pick(tried));
+      entry.SetVersions({ 2 });
+      REQUIRE(entry.Pick(tried));
+      CHECK(entry.Pick(tried)->runner == full);
+    }
+  }
+
   WHEN("the runner has the new weights")
   {
     entry.SetVersions({ 2, 2, 2 });
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -249,8 +249,11 @@
 bool
 IsEligible(const EngineQuery& aQuery, const Runner& aRunner)
 {
-  return aRunner.VersionOf(aQuery.prompt.model) >= aQuery.oldestUsable &&
-         (aQuery.room == RoomRule::Ignored || HasRoom(aQuery, aRunner));
+  const WeightNumber version = aRunner.VersionOf(aQuery.prompt.model);
+  const bool mayWait =
+    aQuery.room == RoomRule::Ignored && version >= aQuery.oldestWithoutRoom;
+  return version >= aQuery.oldestUsable &&
+         (mayWait || HasRoom(aQuery, aRunner));
 }
 
 // Chooses a store for each shared part that no store holds yet.
--- a/wigeonwalk/fleet/runner_choice.h
+++ b/wigeonwalk/fleet/runner_choice.h
@@ -132,6 +132,9 @@
   WeightNumber newest = 0;
   // Runners with older weights are excluded.
   WeightNumber oldestUsable = 0;
+  // Runners with older weights must have room for the request, whatever `room`
+  // says: it must not wait there.
+  WeightNumber oldestWithoutRoom = 0;
   // The index covers the runners of all zones.
   bool knowsAllZones = true;
   RoomRule room = RoomRule::Ignored;
