--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -44,7 +44,9 @@
                     TimePoint aNow)
 {
   const auto replacedAt = aHistory.ReplacedAt(aPick.spec.version);
-  if (!replacedAt) {
+  if (!replacedAt ||
+      *replacedAt + FractionOfTimeForNewWeights(aState, kStartFraction) <=
+        aNow) {
     return;
   }
   aPick.replacedFor = aNow - *replacedAt;
--- a/wigeonwalk/entry/runner_pick_test.cc
+++ b/wigeonwalk/entry/runner_pick_test.cc
@@ -285,3 +285,16 @@
     }
   }
 }
+
+// Guards against a request that is given a millisecond because the weights of
+// its runner are unknown.
+SCENARIO("a runner with unknown weights gets the request's whole time")
+{
+  EngineEntry entry;
+  entry.Publish(1);
+  entry.time.RunUntil(entry.time.Now() +
+                      entry.state.Settings().bounds.newWeights);
+  const auto pick = entry.Pick();
+  REQUIRE(pick);
+  CHECK(pick->spec.timeLeft == 10s);
+}
