--- a/wigeonwalk/entry/forward_parts_test.cc
+++ b/wigeonwalk/entry/forward_parts_test.cc
@@ -24,7 +24,7 @@
   };
   for (int i = 0; i < 8; ++i) {
     const std::string first = i % 2 == 0 ? "first" : "other";
-    send("booking", { { first, 200 }, { "deadly", 50 } });
+    send("booking", { { first, 200 }, { "crashing", 50 } });
     // Each runner registers again with a new start time.
     for (const auto& runner : entry.state.fleet.All()) {
       RunnerEntry next = runner->entry;
@@ -37,7 +37,7 @@
   THEN("they reach no further runner after the third")
   {
     CHECK(entry.runners.attempts.size() == 3);
-    const FakeCaller caller = send("booking", { { "deadly", 50 } });
+    const FakeCaller caller = send("booking", { { "crashing", 50 } });
     CHECK(caller.refusal->reason.code == ReasonCode::Poisoned);
     CHECK(caller.refusal->verdict == Verdict::NotRun);
     CHECK(caller.refusal->retryAfter >= 1min);
@@ -48,14 +48,14 @@
     entry.runners.scripts = { Script::Answer };
     CHECK(send("lookup", { { "first", 200 } }).status == 200);
     CHECK(send("stream", { { "other", 200 } }).status == 200);
-    CHECK(send("lookup", { { "deadly", 50 } }).status == 0);
+    CHECK(send("lookup", { { "crashing", 50 } }).status == 0);
   }
 
   THEN("other parts with the same name of another model are served")
   {
     entry.runners.scripts = { Script::Answer };
     entry.prompt = Prompt{
-      ModelName("other"), 330, 50, { { "deadly", 50 }, { "own", 80 } }
+      ModelName("other"), 330, 50, { { "crashing", 50 }, { "own", 80 } }
     };
     CHECK(entry.Send("lookup").status == 200);
   }
@@ -75,7 +75,7 @@
   request.facts.target = "/booking/7";
   request.facts.apiKey = "key";
   request.facts.prompt =
-    Prompt{ ModelName("m"), 330, 50, { { "deadly", 50 }, { "own", 80 } } };
+    Prompt{ ModelName("m"), 330, 50, { { "crashing", 50 }, { "own", 80 } } };
   FakeCaller caller;
   TestRun run(entry.state,
               entry.runners,
@@ -85,7 +85,7 @@
               entry.log);
   entry.time.Spawn(run.Forward(request, caller));
   entry.time.RunUntil(entry.time.Now() + 30ms);
-  const std::vector<SharedPart> parts{ { HashOfPart(ModelName("m"), "deadly"),
+  const std::vector<SharedPart> parts{ { HashOfPart(ModelName("m"), "crashing"),
                                          1 } };
   for (std::uint64_t i = 0; i < PartCrashTracker::kMaxPartCrashes; ++i) {
     const TimePoint at = entry.time.Now() - 3s + i * 1s;
--- a/wigeonwalk/entry/part_reporter.h
+++ b/wigeonwalk/entry/part_reporter.h
@@ -199,7 +199,7 @@
           break;
         case PartStatus::Clear:
           this->log.Write(
-            aNow, LogLevel::Info, "prompt part acquitted", {}, { part });
+            aNow, LogLevel::Info, "prompt part cleared", {}, { part });
           break;
       }
     }
--- a/wigeonwalk/entry/part_reporter_test.cc
+++ b/wigeonwalk/entry/part_reporter_test.cc
@@ -54,7 +54,8 @@
   Reporter reporter;
 };
 
-// A runner that crashes when it begins to answer a request with a deadly part.
+// A runner that crashes when it begins to answer a request with a crashing
+// part.
 struct SimulatedRunner
 {
   std::uint64_t incarnation = 1;
@@ -101,13 +102,13 @@
                                    this->members);
   }
 
-  // Sends sound requests and some with the deadly part, at fixed intervals.
-  Task<void> Play(double aPerSecond, double aDeadlyShare, Duration aLength)
+  // Sends sound requests and some with the crashing part, at fixed intervals.
+  Task<void> Play(double aPerSecond, double aCrashingShare, Duration aLength)
   {
     const TimePoint end = this->time.Now() + aLength;
-    std::bernoulli_distribution isDeadly(aDeadlyShare);
+    std::bernoulli_distribution isCrashing(aCrashingShare);
     while (this->time.Now() < end) {
-      this->time.Spawn(this->Call(isDeadly(this->random)));
+      this->time.Spawn(this->Call(isCrashing(this->random)));
       const TimePoint next = this->time.Now() + FromSeconds(1 / aPerSecond);
       co_await this->time.WaitUntil(next);
     }
@@ -123,9 +124,9 @@
 
   VirtualTime time;
   std::vector<std::unique_ptr<PartDaemon>> daemons;
-  // Crashes by deadly requests, and such requests that reached a runner late.
+  // Crashes by crashing requests, and such requests that reached a runner late.
   std::vector<TimePoint> crashes;
-  int lateDeadly = 0;
+  int lateCrashing = 0;
   int soundSent = 0;
   int soundRefused = 0;
 
@@ -150,7 +151,7 @@
   }
 
   // A caller sends its request, and again to another daemon if it is lost.
-  Task<void> Call(bool aIsDeadly)
+  Task<void> Call(bool aIsCrashing)
   {
     const std::uint64_t content = this->random();
     const std::string second =
@@ -158,17 +159,17 @@
     const ModelName model("m");
     std::vector<SharedPart> parts{ { HashOfPart(model, "system"), 2 },
                                    { HashOfPart(model, second), 1 } };
-    if (aIsDeadly) {
-      parts[1].hash = HashOfPart(model, "deadly");
+    if (aIsCrashing) {
+      parts[1].hash = HashOfPart(model, "crashing");
     }
-    this->soundSent += aIsDeadly ? 0 : 1;
+    this->soundSent += aIsCrashing ? 0 : 1;
     for (int i = 0; i < 2; ++i) {
       const Outcome outcome = co_await this->Forward(
-        this->Draw(this->daemons.size()), parts, content, aIsDeadly);
+        this->Draw(this->daemons.size()), parts, content, aIsCrashing);
       if (outcome == Outcome::Answered) {
         co_return;
       }
-      this->soundRefused += !aIsDeadly && outcome == Outcome::Refused ? 1 : 0;
+      this->soundRefused += !aIsCrashing && outcome == Outcome::Refused ? 1 : 0;
     }
   }
 
@@ -176,7 +177,7 @@
   Task<Outcome> Forward(std::size_t aDaemon,
                         std::vector<SharedPart> aParts,
                         std::uint64_t aContent,
-                        bool aIsDeadly)
+                        bool aIsCrashing)
   {
     for (int i = 0; i < 2; ++i) {
       const std::size_t runner = co_await this->Pick();
@@ -189,7 +190,7 @@
         break;
       }
       const Outcome outcome =
-        co_await this->Attempt(aDaemon, runner, aParts, aContent, aIsDeadly);
+        co_await this->Attempt(aDaemon, runner, aParts, aContent, aIsCrashing);
       if (outcome == Outcome::Answered) {
         co_return outcome;
       }
@@ -219,15 +220,15 @@
                         std::size_t aRunner,
                         std::vector<SharedPart> aParts,
                         std::uint64_t aContent,
-                        bool aIsDeadly)
+                        bool aIsCrashing)
   {
     SimulatedRunner& runner = this->runners[aRunner];
     const TimePoint sentAt = this->time.Now();
     const std::uint64_t incarnation = runner.incarnation;
     constexpr std::size_t kEnough = 5;
-    if (aIsDeadly && this->crashes.size() >= kEnough &&
+    if (aIsCrashing && this->crashes.size() >= kEnough &&
         sentAt > this->crashes[kEnough - 1] + kContact) {
-      ++this->lateDeadly;
+      ++this->lateCrashing;
     }
     const Duration prefill = kPrefill / 2 + kPrefill * this->Draw(100) / 100;
     while (this->time.Now() < sentAt + prefill &&
@@ -235,7 +236,7 @@
       const TimePoint next = this->time.Now() + 20ms;
       co_await this->time.WaitUntil(next);
     }
-    if (aIsDeadly && runner.incarnation == incarnation) {
+    if (aIsCrashing && runner.incarnation == incarnation) {
       this->crashes.push_back(this->time.Now());
       this->End(runner);
     }
@@ -278,7 +279,7 @@
 // Guards against a part of prompts that goes on crashing runners because each
 // daemon sees too few of the crashes, and against sound requests that are
 // refused with it.
-SCENARIO("requests with a deadly part come at all daemons")
+SCENARIO("requests with a crashing part come at all daemons")
 {
   const std::size_t daemons = GENERATE(7, 49);
   const double share = GENERATE(0.01, 0.05, 0.5);
@@ -295,7 +296,7 @@
 
     THEN("few of them reach runners after the fifth crash was told")
     {
-      CHECK(simulation.lateDeadly <= 3);
+      CHECK(simulation.lateCrashing <= 3);
       CHECK(simulation.soundRefused == 0);
     }
   }
@@ -310,7 +311,7 @@
 
     THEN("few of them reach runners after the fifth crash was told")
     {
-      CHECK(simulation.lateDeadly <= 3);
+      CHECK(simulation.lateCrashing <= 3);
       CHECK(simulation.soundRefused == 0);
     }
   }
--- a/wigeonwalk/retry/part_crash_tracker.cc
+++ b/wigeonwalk/retry/part_crash_tracker.cc
@@ -123,7 +123,7 @@
   for (const SharedPart& part : aParts) {
     this->answers.Set(part.hash, aNow);
     const bool isKnown = this->StatusOf({ part }, aNow) != PartStatus::Clear;
-    if (this->Acquit(part, aNow)) {
+    if (this->ClearEvidence(part, aNow)) {
       std::optional<PartAudience>& audience =
         this->records.at(part.hash).audience;
       audience = isKnown ? PartAudience::All
@@ -172,7 +172,8 @@
     const TimePoint at = aNow - aNotice.age;
     this->answers.Set(hash, at);
     // Those whom this daemon has told of the crashes must hear of the answer.
-    if (this->Acquit(aNotice.part, at) && this->records.at(hash).audience) {
+    if (this->ClearEvidence(aNotice.part, at) &&
+        this->records.at(hash).audience) {
       this->schedule.Start(hash, aNow);
     }
     return PartReply::None;
@@ -394,7 +395,7 @@
 // Voids the evidence of requests sent before an answer. Returns true if there
 // was such evidence.
 bool
-PartCrashTracker::Acquit(const SharedPart& aPart, TimePoint aAt)
+PartCrashTracker::ClearEvidence(const SharedPart& aPart, TimePoint aAt)
 {
   const auto found = this->records.find(aPart.hash);
   if (found == this->records.end()) {
--- a/wigeonwalk/retry/part_crash_tracker.h
+++ b/wigeonwalk/retry/part_crash_tracker.h
@@ -27,7 +27,7 @@
 //   requests that ran together when a rack failed count once.
 // - A part that was answered before takes twice as many.
 // - A part is refused only if different requests crashed: a request that its
-//   caller repeats would otherwise condemn all of its parts.
+//   caller repeats would otherwise get all of its parts refused.
 // - A crash that is explained by a refused part accuses no other part. Of two
 //   parts with the same evidence the one later in the prompt is refused,
 //   because fewer requests share it.
@@ -41,7 +41,7 @@
   static constexpr std::size_t kMaxPartCrashes = 3;
   static constexpr std::size_t kMinContents = 2;
   // Factor for both numbers if the part was answered before: the prompts with a
-  // deadly part often share another one with many sound prompts.
+  // crashing part often share another one with many sound prompts.
   static constexpr std::size_t kAnsweredFactor = 2;
   // Bounds of the memory: accused parts, crashes of each, explained crashes,
   // and findings that were not taken.
@@ -122,7 +122,7 @@
   bool Add(const SharedPart& aPart, const Crash& aCrash);
   void Update(Record& aRecord);
   void Explain(const SharedPart& aPart, std::uint64_t aCrashId);
-  bool Acquit(const SharedPart& aPart, TimePoint aAt);
+  bool ClearEvidence(const SharedPart& aPart, TimePoint aAt);
   void MakeRoom();
 
   std::uint64_t seed;
--- a/wigeonwalk/retry/part_crash_tracker_test.cc
+++ b/wigeonwalk/retry/part_crash_tracker_test.cc
@@ -18,7 +18,7 @@
 
 const SharedPart kGreeting = Part("greeting", 2);
 const SharedPart kOther = Part("other", 2);
-const SharedPart kDeadly = Part("deadly", 1);
+const SharedPart kCrashing = Part("crashing", 1);
 
 // One daemon's tracker and its clock.
 struct Daemon
@@ -64,21 +64,21 @@
 SCENARIO("requests that share one part crash upstreams")
 {
   Daemon daemon;
-  daemon.SendAndLose({ kGreeting, kDeadly }, 1, "u-1");
-  CHECK(daemon.Status(kDeadly) == PartStatus::Clear);
-  daemon.SendAndLose({ kOther, kDeadly }, 2, "u-2");
-  CHECK(daemon.Status(kDeadly) == PartStatus::Suspected);
-  daemon.SendAndLose({ kGreeting, kDeadly }, 3, "u-3");
+  daemon.SendAndLose({ kGreeting, kCrashing }, 1, "u-1");
+  CHECK(daemon.Status(kCrashing) == PartStatus::Clear);
+  daemon.SendAndLose({ kOther, kCrashing }, 2, "u-2");
+  CHECK(daemon.Status(kCrashing) == PartStatus::Suspected);
+  daemon.SendAndLose({ kGreeting, kCrashing }, 3, "u-3");
 
   THEN("it is refused after the third, and no other part is suspected")
   {
-    CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+    CHECK(daemon.Status(kCrashing) == PartStatus::Refused);
     CHECK(daemon.Status(kGreeting) == PartStatus::Clear);
     CHECK(daemon.Status(kOther) == PartStatus::Clear);
     const auto refused =
-      daemon.tracker.FindRefused({ kGreeting, kDeadly }, daemon.now);
+      daemon.tracker.FindRefused({ kGreeting, kCrashing }, daemon.now);
     REQUIRE(refused.has_value());
-    CHECK(refused->part == kDeadly.hash);
+    CHECK(refused->part == kCrashing.hash);
     CHECK(refused->crashes == 3);
   }
 
@@ -86,7 +86,7 @@
   {
     const SharedPart beside = Part("beside", 1);
     daemon.tracker.RecordLost(
-      { { kGreeting, kDeadly }, 4, UpstreamId("u-4"), 1, daemon.now - 1s },
+      { { kGreeting, kCrashing }, 4, UpstreamId("u-4"), 1, daemon.now - 1s },
       daemon.now);
     daemon.tracker.RecordLost(
       { { kOther, beside }, 5, UpstreamId("u-4"), 1, daemon.now - 1s },
@@ -97,27 +97,27 @@
   THEN("it is tried again long after the last crash, and refused at the next")
   {
     daemon.now += PartCrashTracker::kRefusal - 1s;
-    CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+    CHECK(daemon.Status(kCrashing) == PartStatus::Refused);
     daemon.now += PartCrashTracker::kRefusal + 1s;
-    CHECK(daemon.Status(kDeadly) == PartStatus::Suspected);
-    daemon.SendAndLose({ kOther, kDeadly }, 9, "u-9");
-    CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+    CHECK(daemon.Status(kCrashing) == PartStatus::Suspected);
+    daemon.SendAndLose({ kOther, kCrashing }, 9, "u-9");
+    CHECK(daemon.Status(kCrashing) == PartStatus::Refused);
   }
 
   THEN("an answer ends the refusal")
   {
-    daemon.Send({ kGreeting, kDeadly });
-    CHECK(daemon.Status(kDeadly) == PartStatus::Clear);
+    daemon.Send({ kGreeting, kCrashing });
+    CHECK(daemon.Status(kCrashing) == PartStatus::Clear);
 
     AND_THEN("it takes twice as many crashes until it is refused again")
     {
       for (std::uint64_t content = 4; content < 9; ++content) {
         daemon.SendAndLose(
-          { kGreeting, kDeadly }, content, "u-" + std::to_string(content));
-        CHECK(daemon.Status(kDeadly) != PartStatus::Refused);
+          { kGreeting, kCrashing }, content, "u-" + std::to_string(content));
+        CHECK(daemon.Status(kCrashing) != PartStatus::Refused);
       }
-      daemon.SendAndLose({ kGreeting, kDeadly }, 9, "u-9");
-      CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+      daemon.SendAndLose({ kGreeting, kCrashing }, 9, "u-9");
+      CHECK(daemon.Status(kCrashing) == PartStatus::Refused);
     }
   }
 }
@@ -190,23 +190,23 @@
 }
 
 // Guards against refusing a part of many sound prompts instead of the one that
-// stands beside it in all deadly ones.
-SCENARIO("a part of sound prompts stands beside a deadly one")
+// stands beside it in all crashing ones.
+SCENARIO("a part of sound prompts stands beside a crashing one")
 {
   Daemon daemon;
   daemon.Send({ kGreeting });
   for (std::uint64_t content = 1; content < 4; ++content) {
     const std::string upstream = "u-" + std::to_string(content);
     if (content < 3) {
-      daemon.SendAndLose({ kGreeting, kDeadly }, content, upstream);
+      daemon.SendAndLose({ kGreeting, kCrashing }, content, upstream);
     } else {
       daemon.SendAndLose({ kGreeting }, content, upstream);
     }
   }
   CHECK(daemon.Status(kGreeting) == PartStatus::Clear);
-  daemon.SendAndLose({ kGreeting, kDeadly }, 4, "u-4");
+  daemon.SendAndLose({ kGreeting, kCrashing }, 4, "u-4");
   CHECK(daemon.Status(kGreeting) == PartStatus::Clear);
-  CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+  CHECK(daemon.Status(kCrashing) == PartStatus::Refused);
 }
 
 // Guards against crashes in sequence that look simultaneous to a daemon that
@@ -215,15 +215,15 @@
 {
   Daemon daemon;
   const TimePoint start = daemon.now;
-  daemon.SendAndLose({ kDeadly }, 1, "u-1");
-  daemon.SendAndLose({ kDeadly }, 2, "u-2");
+  daemon.SendAndLose({ kCrashing }, 1, "u-1");
+  daemon.SendAndLose({ kCrashing }, 2, "u-2");
   daemon.now += 400ms;
-  daemon.tracker.RecordLost({ { kDeadly }, 3, UpstreamId("u-3"), 1, start },
+  daemon.tracker.RecordLost({ { kCrashing }, 3, UpstreamId("u-3"), 1, start },
                             daemon.now);
-  CHECK(daemon.Status(kDeadly) == PartStatus::Suspected);
+  CHECK(daemon.Status(kCrashing) == PartStatus::Suspected);
   daemon.tracker.RecordLost(
-    { { kDeadly }, 4, UpstreamId("u-3"), 1, daemon.now - 300ms }, daemon.now);
-  CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+    { { kCrashing }, 4, UpstreamId("u-3"), 1, daemon.now - 300ms }, daemon.now);
+  CHECK(daemon.Status(kCrashing) == PartStatus::Refused);
 }
 
 // Guards against crashes in sequence that look simultaneous because another
@@ -232,7 +232,7 @@
 {
   Daemon seen;
   Daemon told;
-  const std::vector<SharedPart> parts{ kDeadly };
+  const std::vector<SharedPart> parts{ kCrashing };
   for (std::uint64_t i = 1; i < 4; ++i) {
     const UpstreamId upstream("u-" + std::to_string(i));
     const TimePoint sentAt = seen.now;
@@ -242,10 +242,10 @@
     told.tracker.RecordLost({ parts, i, upstream, 1, sentAt }, told.now);
   }
   for (const PartNotice& notice :
-       seen.tracker.EvidenceOf(kDeadly.hash, seen.now)) {
+       seen.tracker.EvidenceOf(kCrashing.hash, seen.now)) {
     told.tracker.Merge(notice, false, told.now);
   }
-  CHECK(seen.Status(kDeadly) == PartStatus::Refused);
+  CHECK(seen.Status(kCrashing) == PartStatus::Refused);
   CHECK(told.tracker.StatusOf(parts, told.now) == PartStatus::Refused);
 }
 
@@ -256,10 +256,10 @@
   Daemon seen;
   for (std::uint64_t content = 1; content < 4; ++content) {
     seen.SendAndLose(
-      { kGreeting, kDeadly }, content, "u-" + std::to_string(content));
+      { kGreeting, kCrashing }, content, "u-" + std::to_string(content));
   }
   const auto crashesOf = [&seen](const SharedPart& aPart) {
-    auto evidence = seen.tracker.EvidenceOf(kDeadly.hash, seen.now);
+    auto evidence = seen.tracker.EvidenceOf(kCrashing.hash, seen.now);
     for (PartNotice& notice : evidence) {
       notice.part = aPart;
     }
@@ -267,20 +267,20 @@
   };
   const bool greetingFirst = GENERATE(true, false);
   Daemon told;
-  const auto order = greetingFirst ? std::vector{ kGreeting, kDeadly }
-                                   : std::vector{ kDeadly, kGreeting };
+  const auto order = greetingFirst ? std::vector{ kGreeting, kCrashing }
+                                   : std::vector{ kCrashing, kGreeting };
   for (const SharedPart& part : order) {
     for (const PartNotice& notice : crashesOf(part)) {
       told.tracker.Merge(notice, false, told.now);
     }
   }
   CHECK(seen.Status(kGreeting) == PartStatus::Clear);
-  CHECK(seen.Status(kDeadly) == PartStatus::Refused);
+  CHECK(seen.Status(kCrashing) == PartStatus::Refused);
   CHECK(told.Status(kGreeting) == PartStatus::Clear);
-  CHECK(told.Status(kDeadly) == PartStatus::Refused);
+  CHECK(told.Status(kCrashing) == PartStatus::Refused);
 }
 
-// Guards against evidence that counts twice, is lost on the way, or condemns a
+// Guards against evidence that counts twice, is lost on the way, or refuses a
 // part that another daemon has seen answered.
 SCENARIO("daemons tell each other of crashes")
 {
@@ -291,16 +291,16 @@
 
   WHEN("each has seen some of the crashes of a part")
   {
-    first.SendAndLose({ kOther, kDeadly }, 1, "u-1");
+    first.SendAndLose({ kOther, kCrashing }, 1, "u-1");
     first.now += 1s;
     second.now += 1'400ms;
     first.Report(second);
-    second.SendAndLose({ kGreeting, kDeadly }, 2, "u-2");
+    second.SendAndLose({ kGreeting, kCrashing }, 2, "u-2");
     second.now += 1s;
     first.now += 1'400ms;
     second.Report(first);
-    CHECK(first.Status(kDeadly) == PartStatus::Suspected);
-    first.SendAndLose({ kGreeting, kDeadly }, 3, "u-3");
+    CHECK(first.Status(kCrashing) == PartStatus::Suspected);
+    first.SendAndLose({ kGreeting, kCrashing }, 3, "u-3");
     second.now += 400ms;
     const auto reports = first.tracker.TakeReports(first.now);
 
@@ -312,8 +312,9 @@
         second.tracker.Merge(report.notice, false, second.now);
         second.tracker.Merge(report.notice, false, second.now);
       }
-      CHECK(second.Status(kDeadly) == PartStatus::Refused);
-      CHECK(second.tracker.FindRefused({ kDeadly }, second.now)->crashes == 3);
+      CHECK(second.Status(kCrashing) == PartStatus::Refused);
+      CHECK(second.tracker.FindRefused({ kCrashing }, second.now)->crashes ==
+            3);
     }
   }
 
@@ -359,10 +360,10 @@
   WHEN("one that doesn't know that a part is refused reports a crash")
   {
     for (std::uint64_t content = 1; content < 4; ++content) {
-      first.SendAndLose({ kDeadly }, content, "u-" + std::to_string(content));
+      first.SendAndLose({ kCrashing }, content, "u-" + std::to_string(content));
     }
-    second.SendAndLose({ kDeadly }, 9, "u-9");
-    const auto evidence = second.tracker.EvidenceOf(kDeadly.hash, second.now);
+    second.SendAndLose({ kCrashing }, 9, "u-9");
+    const auto evidence = second.tracker.EvidenceOf(kCrashing.hash, second.now);
 
     THEN("a daemon that collects the evidence answers with it")
     {
@@ -374,9 +375,9 @@
 
   WHEN("a notice has impossible times")
   {
-    PartNotice notice{ kDeadly, 7, 1, 1s, 2s };
+    PartNotice notice{ kCrashing, 7, 1, 1s, 2s };
     first.tracker.Merge(notice, true, first.now);
-    notice = { kDeadly, 7, 1, -1s, -2s };
+    notice = { kCrashing, 7, 1, -1s, -2s };
     first.tracker.Merge(notice, true, first.now);
 
     THEN("it is ignored")
@@ -392,7 +393,7 @@
 {
   Daemon daemon;
   for (std::uint64_t content = 1; content < 4; ++content) {
-    daemon.SendAndLose({ kDeadly }, content, "u-" + std::to_string(content));
+    daemon.SendAndLose({ kCrashing }, content, "u-" + std::to_string(content));
   }
   for (std::size_t i = 0; i < 2 * PartCrashTracker::kMaxRecords; ++i) {
     daemon.now += 1ms;
@@ -404,6 +405,6 @@
                               daemon.now);
   }
   CHECK(daemon.tracker.Records() == PartCrashTracker::kMaxRecords);
-  CHECK(daemon.Status(kDeadly) == PartStatus::Refused);
+  CHECK(daemon.Status(kCrashing) == PartStatus::Refused);
   CHECK(daemon.tracker.RefusedParts(daemon.now) == 1);
 }
