entry: count the recorded age of weights from the first moment after a restart

Callers saw answers made on weights that had been replaced more than 12 s before. All daemons had been restarted since the publication. They read its recorded time from the registry, but an estimate counted only once a third of the runners had the weights, so that a wrong one couldn't stop the service; until then replaced weights counted from the restart. The recorded time now counts at once. If no runner has loaded the weights in time, requests are refused.

The test that an estimate doesn't stop the service checked the opposite of what the rule asks; it is replaced by one that no runner is used until one has loaded the weights.

--- a/wigeonwalk/entry/replaced_weights.h
+++ b/wigeonwalk/entry/replaced_weights.h
@@ -1,6 +1,6 @@
 // For how long weights may be used after newer ones were published.
 //
-//   const TimePoint until = UsableUntil(state, model, service, version);
+//   const TimePoint until = UsableUntil(state, model, version);
 #pragma once
 
 #include "wigeonwalk/entry/entry_state.h"
@@ -22,19 +22,15 @@
 // Returns since when each version of the weights is known, or is estimated from
 // the registry's record if neither this daemon nor one that it asked has
 // observed the publication. An estimate does not shorten the time that counts
-// from an observed one, and counts only if a good part of the service's runners
-// have the version.
+// from an observed one.
 WeightHistory
-HistoryWithEstimates(const EntryState& aState,
-                     const ModelName& aModel,
-                     const ServiceName& aService);
+HistoryWithEstimates(const EntryState& aState, const ModelName& aModel);
 
-// Returns until when a service's runners with this version of a model's weights
-// get requests; TimePoint::max() if no newer ones are known.
+// Returns until when runners with this version of a model's weights get
+// requests; TimePoint::max() if no newer ones are known.
 TimePoint
 UsableUntil(const EntryState& aState,
             const ModelName& aModel,
-            const ServiceName& aService,
             WeightNumber aVersion);
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -68,8 +68,7 @@
   const bool isolated =
     aAdmitted.organisation != nullptr && aAdmitted.organisation->isolated;
   const EngineTraits& traits = *aAdmitted.service->engine;
-  const WeightHistory history =
-    HistoryWithEstimates(aState, model, aAdmitted.service->name);
+  const WeightHistory history = HistoryWithEstimates(aState, model);
   const EngineQuery query{
     .prompt = *aRequest.prompt,
     .isolationDomain =
--- a/wigeonwalk/entry/runner_pick_test.cc
+++ b/wigeonwalk/entry/runner_pick_test.cc
@@ -108,18 +108,11 @@
 
   WHEN("no runner has them yet")
   {
-    THEN("the estimate does not stop the service")
+    THEN("no runner is used until one has loaded them")
     {
-      CHECK(setting.Pick().has_value());
-    }
-
-    AND_WHEN("the time has passed since the start as well")
-    {
-      setting.time.RunUntil(setting.time.Now() + 12s);
-      THEN("no runner is used")
-      {
-        CHECK_FALSE(setting.Pick());
-      }
+      CHECK_FALSE(setting.Pick());
+      setting.SetVersions({ 1, 2, 1 });
+      CHECK(setting.Pick());
     }
   }
 }
--- a/wigeonwalk/entry/weight_rollout.h
+++ b/wigeonwalk/entry/weight_rollout.h
@@ -153,14 +153,11 @@
       if (auto step = this->StepFor(runner)) {
         const UpstreamId& id = runner->entry.id;
         const auto failure = this->failed.find(id);
-        PendingLoad load{ id,
-                          UsableUntil(this->state,
-                                      step->model,
-                                      runner->entry.service,
-                                      runner->VersionOf(step->model)),
-                          failure == this->failed.end()
-                            ? Duration(0)
-                            : failure->second.spent };
+        PendingLoad load{
+          id,
+          UsableUntil(this->state, step->model, runner->VersionOf(step->model)),
+          failure == this->failed.end() ? Duration(0) : failure->second.spent
+        };
         pending.push_back({ std::move(load), std::move(*step) });
       }
     }
@@ -245,8 +242,8 @@
       if (loaded.version >= newest) {
         continue;
       }
-      const TimePoint until = UsableUntil(
-        this->state, loaded.model, aRunner->entry.service, loaded.version);
+      const TimePoint until =
+        UsableUntil(this->state, loaded.model, loaded.version);
       if (!first || until < firstUntil) {
         first = LoadStep{ aRunner, loaded.model, newest };
         firstUntil = until;
