entry: limit requests at runners of unknown version to the use of replaced weights

A request at a runner whose version is unknown is sent without the version that it expects, so that no runner refuses it. Its time was limited by the age of the first version instead of the second, and not at all once that had passed, so it could wait at the runner until its weights might not be used any more. Such a runner now counts as having the first version.

--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -11,6 +11,9 @@
 
 using Candidates = std::vector<std::shared_ptr<Runner>>;
 
+// No weights are older than this version.
+constexpr WeightNumber kFirstWeights = 1;
+
 PlacementCosts
 CostsFrom(const EntryState& aState)
 {
@@ -30,29 +33,28 @@
 {
   const WeightNumber oldest = aHistory.NewestKnownAt(
     aNow - FractionOfTimeForNewWeights(aState, aFraction));
-  // No weights are older than the first version.
-  return oldest <= 1 ? 0 : oldest;
+  return oldest <= kFirstWeights ? 0 : oldest;
 }
 
 // Limits a request on replaced weights to the time for which they may be used:
 // at its end the runner rejects a request that still waits, and stops one that
-// runs.
+// runs. A runner of unknown version may have any but the newest weights.
 void
 LimitToUseOfWeights(const EntryState& aState,
                     const WeightHistory& aHistory,
                     RunnerPick& aPick,
                     TimePoint aNow)
 {
-  const auto replacedAt = aHistory.ReplacedAt(aPick.spec.version);
-  if (!replacedAt ||
-      *replacedAt + FractionOfTimeForNewWeights(aState, kStartFraction) <=
-        aNow) {
+  const auto replacedAt =
+    aHistory.ReplacedAt(std::max(aPick.spec.version, kFirstWeights));
+  if (!replacedAt) {
     return;
   }
   aPick.replacedFor = aNow - *replacedAt;
   const Duration usable =
     FractionOfTimeForNewWeights(aState, kStartFraction) - aPick.replacedFor;
-  aPick.spec.timeLeft = std::min(aPick.spec.timeLeft, usable);
+  aPick.spec.timeLeft =
+    std::max(std::min(aPick.spec.timeLeft, usable), Duration(0));
 }
 
 bool
--- a/wigeonwalk/entry/runner_pick_test.cc
+++ b/wigeonwalk/entry/runner_pick_test.cc
@@ -291,3 +291,20 @@
   REQUIRE(pick);
   CHECK(pick->spec.timeLeft == 10s);
 }
+
+// Guards against a request that waits at a runner of unknown version until its
+// weights may not be used any more.
+SCENARIO("a request at a runner of unknown version ends in time")
+{
+  EngineEntry entry;
+  const Duration limit = entry.state.Settings().bounds.newWeights;
+  entry.Publish(1);
+  entry.time.RunUntil(entry.time.Now() + 2 * limit);
+  const TimePoint replacedAt = entry.time.Now();
+  entry.Publish(2);
+  entry.time.RunUntil(replacedAt + 9s);
+  const auto pick = entry.Pick();
+  REQUIRE(pick);
+  REQUIRE(pick->spec.version == 0);
+  CHECK(entry.time.Now() + pick->spec.timeLeft <= replacedAt + limit);
+}
