entry: estimate and record the time of weights that no daemon observed

Callers saw answers made on replaced weights for longer than allowed if the new ones were published while all daemons were down: their time counted from the daemons' return, and, as only observed publications were recorded, anew from each further restart of all.

--- a/wigeonwalk/entry/replaced_weights.cc
+++ b/wigeonwalk/entry/replaced_weights.cc
@@ -4,6 +4,21 @@
 
 namespace wigeonwalk {
 
+namespace {
+
+// Moves an estimated time to that of the older versions that were observed.
+void
+NotBeforeOlder(const WeightHistory& aObserved, PublishedWeights& aEstimate)
+{
+  for (const PublishedWeights& older : aObserved.Versions()) {
+    if (older.version < aEstimate.version && !older.mayBeOlder) {
+      aEstimate.knownSince = std::max(aEstimate.knownSince, older.knownSince);
+    }
+  }
+}
+
+} // namespace
+
 Duration
 FractionOfTimeForNewWeights(const EntryState& aState, double aFraction)
 {
@@ -15,18 +30,20 @@
 HistoryWithEstimates(const EntryState& aState, const ModelName& aModel)
 {
   const WeightHistory& observed = aState.WeightsOf(aModel);
-  WeightHistory history = observed;
-  for (PublishedWeights estimate :
-       aState.RecordedWeightsOf(aModel).Versions()) {
-    if (observed.IsExact(estimate.version)) {
-      continue;
+  const WeightHistory& recorded = aState.RecordedWeightsOf(aModel);
+  WeightHistory history;
+  for (PublishedWeights publication : observed.Versions()) {
+    if (publication.mayBeOlder && !recorded.Knows(publication.version)) {
+      publication.knownSince -= kUnobservedTime;
+      NotBeforeOlder(observed, publication);
     }
-    for (const PublishedWeights& older : observed.Versions()) {
-      if (older.version < estimate.version && !older.mayBeOlder) {
-        estimate.knownSince = std::max(estimate.knownSince, older.knownSince);
-      }
+    history.Record(publication);
+  }
+  for (PublishedWeights estimate : recorded.Versions()) {
+    if (!observed.IsExact(estimate.version)) {
+      NotBeforeOlder(observed, estimate);
+      history.Record(estimate);
     }
-    history.Record(estimate);
   }
   return history;
 }
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -11,9 +11,6 @@
 
 using Candidates = std::vector<std::shared_ptr<Runner>>;
 
-// No weights are older than this version.
-constexpr WeightNumber kFirstWeights = 1;
-
 PlacementCosts
 CostsFrom(const EntryState& aState)
 {
--- a/wigeonwalk/entry/weight_recorder.h
+++ b/wigeonwalk/entry/weight_recorder.h
@@ -8,6 +8,7 @@
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/item_mirror.h"
 #include "wigeonwalk/entry/order_authority.h"
+#include "wigeonwalk/entry/replaced_weights.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/registry_items.h"
@@ -19,10 +20,12 @@
 
 namespace wigeonwalk {
 
-// The daemon that gives orders writes each publication that it has observed
-// once; several at the same time share a write. The timer's time is the time of
-// day at the process's start, continued by a clock that does not step. One
-// task.
+// The daemon that gives orders writes each publication once; several at the
+// same time share a write. One that it has found, because it was published
+// while no daemon ran, is written with its latest possible time, unless another
+// daemon tells within kLearnTime that it has observed it. The timer's time is
+// the time of day at the process's start, continued by a clock that does not
+// step. One task.
 template<OrderAuthority A,
          KeyValueService S,
          RegistryEncoder E,
@@ -34,6 +37,7 @@
   static constexpr Duration kLoopInterval = std::chrono::milliseconds(200);
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(500);
   static constexpr Duration kRetryDelay = std::chrono::seconds(1);
+  static constexpr Duration kLearnTime = std::chrono::seconds(2);
   // Versions in one record.
   static constexpr std::size_t kMaxVersions = 4;
 
@@ -73,33 +77,40 @@
         this->timer.Now() < this->retryAt) {
       return due;
     }
-    for (const auto& [model, history] : this->state.Weights()) {
-      const PublishedWeights newest = history.Newest();
+    for (const auto& [model, observed] : this->state.Weights()) {
+      const PublishedWeights newest = observed.Newest();
       const auto last = this->written.find(model);
       const WeightHistory& recorded = this->state.RecordedWeightsOf(model);
       const bool isRecorded =
         recorded.Newest().version >= newest.version ||
         (last != this->written.end() && last->second >= newest.version);
-      if (!newest.mayBeOlder && !isRecorded) {
-        due.push_back(MakeRecord(model, recorded, history));
+      if (!isRecorded && this->IsSettled(newest)) {
+        due.push_back(this->MakeRecord(model));
       }
     }
     return due;
   }
 
-  // Adds the observed publications to those that are recorded.
-  static WeightsRecord MakeRecord(const ModelName& aModel,
-                                  WeightHistory aRecorded,
-                                  const WeightHistory& aObserved)
+  // Returns true if no better time of the publication is expected from another
+  // daemon. The age of the first version decides nothing.
+  bool IsSettled(const PublishedWeights& aNewest) const
   {
-    for (const PublishedWeights& known : aObserved.Versions()) {
-      if (!known.mayBeOlder) {
-        aRecorded.Record(known);
-      }
+    return !aNewest.mayBeOlder ||
+           (aNewest.version > kFirstWeights &&
+            this->timer.Now() - aNewest.knownSince >= kLearnTime);
+  }
+
+  // Adds the known publications to those that are recorded.
+  WeightsRecord MakeRecord(const ModelName& aModel) const
+  {
+    WeightHistory known = this->state.RecordedWeightsOf(aModel);
+    const WeightHistory history = HistoryWithEstimates(this->state, aModel);
+    for (const PublishedWeights& publication : history.Versions()) {
+      known.Record(publication);
     }
     WeightsRecord record;
     record.model = aModel;
-    const auto& versions = aRecorded.Versions();
+    const auto& versions = known.Versions();
     const std::size_t dropped =
       versions.size() - std::min(versions.size(), kMaxVersions);
     for (std::size_t i = dropped; i < versions.size(); ++i) {
--- a/wigeonwalk/fleet/weight_history.cc
+++ b/wigeonwalk/fleet/weight_history.cc
@@ -82,6 +82,16 @@
   return { first, this->versions.end() };
 }
 
+bool
+WeightHistory::Knows(WeightNumber aVersion) const
+{
+  return std::any_of(this->versions.begin(),
+                     this->versions.end(),
+                     [aVersion](const PublishedWeights& aKnown) {
+                       return aKnown.version == aVersion;
+                     });
+}
+
 bool
 WeightHistory::IsExact(WeightNumber aVersion) const
 {
--- a/wigeonwalk/fleet/weight_history.h
+++ b/wigeonwalk/fleet/weight_history.h
@@ -15,6 +15,9 @@
 
 namespace wigeonwalk {
 
+// No weights are older than this version.
+inline constexpr WeightNumber kFirstWeights = 1;
+
 // One version, and since when it is known to have been published.
 struct PublishedWeights
 {
@@ -55,6 +58,9 @@
   // oldest first.
   std::vector<PublishedWeights> NeededSince(TimePoint aTime) const;
 
+  // Returns true if the version is known, exactly or not.
+  bool Knows(WeightNumber aVersion) const;
+
   // Returns true if the version is known and can't be older than that.
   bool IsExact(WeightNumber aVersion) const;
 
