entry: log and count answers on old weights

An operator could not tell from the logs whether an answer was made on the weights that its request was sent for: a daemon that counted their age too late and a runner that began a request after its deadline looked the same. Each answer's version is now compared with the expected one and with the time since which the daemon counts it as replaced.

--- a/wigeonwalk/adapters/metrics/metric_names.h
+++ b/wigeonwalk/adapters/metrics/metric_names.h
@@ -40,12 +40,13 @@
   RunnersLeaving,
   RunnerPauses,
   RequestsRefusedForPause,
+  AnswersOnOldWeights,
 };
 
 template<>
 struct EnumNames<Metric>
 {
-  static constexpr std::array<EnumName<Metric>, 25> kTable{ {
+  static constexpr std::array<EnumName<Metric>, 26> kTable{ {
     { Metric::TimeToFirstToken, "time_to_first_token" },
     { Metric::TimeBetweenTokens, "time_between_tokens" },
     { Metric::QueueTime, "queue_time" },
@@ -71,6 +72,7 @@
     { Metric::RunnersLeaving, "leaving" },
     { Metric::RunnerPauses, "requested" },
     { Metric::RequestsRefusedForPause, "refused_for_pause" },
+    { Metric::AnswersOnOldWeights, "on_old_weights" },
   } };
 };
 static_assert(HasCompleteTable<Metric>());
@@ -109,7 +111,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 25> kMetricInfos{ {
+inline constexpr std::array<MetricInfo, 26> kMetricInfos{ {
   { Metric::TimeToFirstToken,
     MetricType::Histogram,
     "seconds",
@@ -235,6 +237,11 @@
     "requests",
     "",
     "Requests refused because all runners asked for a pause." },
+  { Metric::AnswersOnOldWeights,
+    MetricType::Counter,
+    "answers",
+    "",
+    "Answers made on older weights than expected or allowed." },
 } };
 
 // Returns unit, type and labels of a metric.
--- a/wigeonwalk/entry/answer_relay.h
+++ b/wigeonwalk/entry/answer_relay.h
@@ -8,6 +8,7 @@
 #include "wigeonwalk/entry/advice_handling.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/forward_progress.h"
+#include "wigeonwalk/entry/replaced_weights.h"
 #include "wigeonwalk/entry/runner_pick.h"
 #include "wigeonwalk/ports/attempts.h"
 #include "wigeonwalk/ports/clock.h"
@@ -71,6 +72,7 @@
     if (!head->refusedWithoutRunning) {
       aSent.pick.runner->requestedPause.NoteTaken(aSent.sentAt);
     }
+    this->CheckWeights(aRequest, *head, aSent.pick);
     if (!this->IsUsable(aRequest, *head, aSent.pick, aProgress, aReason)) {
       co_return AttemptEnd::Failed;
     }
@@ -130,6 +132,36 @@
     return true;
   }
 
+  // Logs and counts an answer that was made on older weights than the request
+  // expected, or on weights that were replaced longer ago than allowed.
+  void CheckWeights(const EntryRequest& aRequest,
+                    const AnswerHead& aHead,
+                    const RunnerPick& aPick)
+  {
+    if (!aRequest.prompt || !aHead.weights) {
+      return;
+    }
+    const TimePoint now = this->timer.Now();
+    const WeightHistory history =
+      HistoryWithEstimates(this->state, aRequest.prompt->model);
+    const TimePoint replacedAt =
+      history.ReplacedAt(*aHead.weights).value_or(now);
+    const Duration allowed = this->state.Settings().bounds.newWeights;
+    if (*aHead.weights >= aPick.spec.version && now - replacedAt <= allowed) {
+      return;
+    }
+    ++this->state.answersOnOldWeights;
+    this->log.Write(now,
+                    LogLevel::Warning,
+                    "answer on old weights",
+                    aRequest.id,
+                    { { LogKey::Upstream, aPick.runner->entry.id },
+                      { LogKey::Model, aRequest.prompt->model },
+                      { LogKey::Version, *aHead.weights },
+                      { LogKey::Expected, aPick.spec.version },
+                      { LogKey::Age, now - replacedAt } });
+  }
+
   void NoteWeightsMismatch(const EntryRequest& aRequest,
                            const AnswerHead& aHead,
                            const RunnerPick& aPick)
--- a/wigeonwalk/entry/answer_relay_test.cc
+++ b/wigeonwalk/entry/answer_relay_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace wigeonwalk;
+using namespace std::chrono_literals;
 
 // Guards against streams with lost or duplicate events, and against broken
 // streams that look complete to the caller.
@@ -110,3 +111,31 @@
     }
   }
 }
+
+// Guards against answers on replaced weights that leave no trace in the logs.
+SCENARIO("an answer on old weights is counted")
+{
+  struct Row
+  {
+    WeightNumber answered;
+    Duration after;
+    std::uint64_t counted;
+  };
+  const Row row = GENERATE(Row{ 2, 1s, 0 },
+                           Row{ 1, 1s, 1 },
+                           Row{ 2, 11'900ms, 0 },
+                           Row{ 2, 12'100ms, 1 },
+                           Row{ 3, 12'100ms, 0 });
+  CAPTURE(row.answered, row.after.count());
+  TestEntry entry;
+  const ModelName model("m");
+  for (const auto& runner : entry.state.fleet.All()) {
+    runner->SetVersion(model, 2);
+  }
+  entry.state.Apply(DesiredWeights{ model, 2 }, entry.time.Now() - 1h);
+  entry.state.Apply(DesiredWeights{ model, 3 }, entry.time.Now() - row.after);
+  entry.prompt = Prompt{ model, 16, 4, { { "p-1", 16 } } };
+  entry.runners.answeredWeights = row.answered;
+  entry.Send("lookup");
+  CHECK(entry.state.answersOnOldWeights == row.counted);
+}
--- a/wigeonwalk/entry/entry_request.h
+++ b/wigeonwalk/entry/entry_request.h
@@ -70,6 +70,8 @@
   bool refusedWithoutRunning = false;
   // The status code implies that the request did not run and never will.
   bool impliesNotRun = false;
+  // Version of the weights with which the runner answers, if it says so.
+  std::optional<WeightNumber> weights;
   // Version of the runner's weights, if it refused the request because the
   // request requires another one.
   std::optional<WeightNumber> otherWeights;
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -160,6 +160,8 @@
   // because all runners paused.
   std::uint64_t requestedPauses = 0;
   std::uint64_t refusedForPause = 0;
+  // Answers that were made on older weights than expected or allowed.
+  std::uint64_t answersOnOldWeights = 0;
   SlidingWindowBudget retryBudget;
   PoisonTracker poison;
   PartCrashTracker partCrashes;
--- a/wigeonwalk/entry/test_runners.h
+++ b/wigeonwalk/entry/test_runners.h
@@ -57,6 +57,7 @@
   bool bodySent = false;
   // What the runner says of itself in the head.
   RunnerAdvice advice;
+  std::optional<WeightNumber> weights;
   std::shared_ptr<int> open = nullptr;
   int* finished = nullptr;
 
@@ -70,6 +71,7 @@
     head.advice = this->advice;
     head.isSigned = this->script != Script::Unsigned;
     head.isEventStream = this->isStream;
+    head.weights = this->weights;
     switch (this->script) {
       case Script::RefuseWithoutRunning:
         head.status = 503;
@@ -191,6 +193,7 @@
       attempt.script = Script::RefuseWithoutRunning;
       attempt.advice.pause = pause->second;
     }
+    attempt.weights = this->answeredWeights;
     attempt.isStream = this->stream;
     attempt.last = aSpec.resumeAfter.value_or(0);
     attempt.stopAt = script == Script::BreakStreamAfterTwo ? 2 : kEvents;
@@ -202,6 +205,8 @@
   VirtualTime* time = nullptr;
   std::deque<Script> scripts{ Script::Answer };
   bool stream = false;
+  // Version of the weights that answers name.
+  std::optional<WeightNumber> answeredWeights;
   Duration connectTime{ 0 };
   // Runners that say in their answers that they leave.
   std::set<UpstreamId> leaving;
--- a/wigeonwalk/ports/log_field.h
+++ b/wigeonwalk/ports/log_field.h
@@ -86,12 +86,13 @@
   Start,
   Cause,
   Part,
+  Expected,
 };
 
 template<>
 struct EnumNames<LogKey>
 {
-  static constexpr std::array<EnumName<LogKey>, 33> kTable{ {
+  static constexpr std::array<EnumName<LogKey>, 34> kTable{ {
     { LogKey::Organisation, "organisation" },
     { LogKey::Service, "service" },
     { LogKey::Model, "model" },
@@ -125,6 +126,7 @@
     { LogKey::Start, "start" },
     { LogKey::Cause, "cause" },
     { LogKey::Part, "part" },
+    { LogKey::Expected, "expected" },
   } };
 };
 static_assert(HasCompleteTable<LogKey>());
