ports, testing: revisions rise across a restore of the registry

The registry may come back from an older copy and give its revisions out again. The port now numbers revisions and leases within an incarnation, held in their upper bits, so that every comparison orders by incarnation first. The fake can take and restore a copy.

--- a/wigeonwalk/ports/key_value.h
+++ b/wigeonwalk/ports/key_value.h
@@ -22,10 +22,37 @@
 // Largest value that the service accepts, in bytes.
 inline constexpr std::size_t kMaxValueBytes = 1024 * 1024;
 
-// Identifies a lease; zero means none.
+// Revisions and leases are numbered within an incarnation of the service, which
+// the upper bits hold. It increases when the service is restored from an older
+// copy of its data: later writes are then gone, and the numbers that they had
+// are given out again. So revisions increase with every write, also across a
+// restore, and those of an earlier incarnation name no state of the present
+// one.
+inline constexpr int kNumberBits = 40;
+
+constexpr std::int64_t
+MakeRevision(std::int64_t aIncarnation, std::int64_t aNumber)
+{
+  return (aIncarnation << kNumberBits) | aNumber;
+}
+
+constexpr std::int64_t
+IncarnationOf(std::int64_t aRevision)
+{
+  return aRevision >> kNumberBits;
+}
+
+constexpr std::int64_t
+NumberOf(std::int64_t aRevision)
+{
+  return aRevision & ((std::int64_t(1) << kNumberBits) - 1);
+}
+
+// Identifies a lease, with the incarnation in the upper bits; zero means none.
+// A lease of an earlier incarnation has expired.
 using LeaseId = std::int64_t;
 
-// One key with its value. Revisions increase with every write to the service.
+// One key with its value.
 struct KeyValueEntry
 {
   std::string key;
@@ -106,7 +133,9 @@
 
 // Client of the key-value service. Reads are linearizable. Each call counts
 // against the platform's rate limit; a waiting watch counts as one call. A call
-// returns by its deadline.
+// returns by its deadline. After a restore, a watch from a revision of an
+// earlier incarnation fails with Stale, a write that expects one with Conflict,
+// and a call with a lease of one with Expired.
 template<typename T>
 concept KeyValueService =
   requires(T& aService,
--- a/wigeonwalk/testing/fake_key_value.cc
+++ b/wigeonwalk/testing/fake_key_value.cc
@@ -81,6 +81,18 @@
   this->state->Lapse(aLease);
 }
 
+void
+FakeKeyValue::TakeCopy()
+{
+  this->state->TakeCopy();
+}
+
+void
+FakeKeyValue::RestoreCopy()
+{
+  this->state->RestoreCopy();
+}
+
 std::uint64_t
 FakeKeyValue::Count(KeyValueCall aCall) const
 {
@@ -401,6 +413,9 @@
   }
   WatchBatch batch;
   while (true) {
+    if (IncarnationOf(aRevision) != IncarnationOf(shared->revision)) {
+      co_return Fail(aReason, ReasonCode::Stale, "revision is not available");
+    }
     batch.events = shared->EventsFrom(aPrefix, aRevision);
     if (!batch.events.empty() || shared->time.Now() >= aDeadline) {
       break;
--- a/wigeonwalk/testing/fake_key_value.h
+++ b/wigeonwalk/testing/fake_key_value.h
@@ -126,6 +126,11 @@
   // Ends a lease now and deletes its keys.
   void LapseLease(LeaseId aLease);
 
+  // Keeps a copy of the data, and replaces the data by the last copy: later
+  // writes and leases are gone, and a new incarnation begins.
+  void TakeCopy();
+  void RestoreCopy();
+
   // Calls of one kind, of all kinds, and in the busiest second so far.
   std::uint64_t Count(KeyValueCall aCall) const;
   std::uint64_t CountAll() const;
--- a/wigeonwalk/testing/fake_key_value_test.cc
+++ b/wigeonwalk/testing/fake_key_value_test.cc
@@ -157,3 +157,47 @@
     }
   }
 }
+
+// Guards against a fake whose restore keeps what a real one loses.
+SCENARIO("a fake key-value service is restored from a copy", "[fake]")
+{
+  VirtualTime time;
+  FakeKeyValue service(time);
+  const TimePoint start = time.Now();
+  const std::int64_t before = service.Store("a/1", "old");
+  service.TakeCopy();
+  const std::int64_t lost = service.Store("a/1", "new");
+  LeaseId lease = 0;
+  time.Spawn(GrantAndPut(service, time, lease));
+  std::optional<WatchBatch> batch;
+  time.RunUntil(start + 1s);
+  service.RestoreCopy();
+
+  THEN("later writes and leases are gone, and revisions still rise")
+  {
+    CHECK(service.Peek("a/1")->value == "old");
+    CHECK(NumberOf(service.Peek("a/1")->modRevision) == before);
+    CHECK(service.Peek("a/1")->modRevision > lost);
+    CHECK_FALSE(service.Peek("a/held"));
+    WriteResult result;
+    time.Spawn(Put(service,
+                   { .key = "a/2", .value = "x", .lease = lease },
+                   start + 2s,
+                   result));
+    time.RunUntil(start + 2s);
+    CHECK(result.outcome == WriteOutcome::NotSent);
+  }
+
+  THEN("a write that expects a lost revision conflicts, and a watch is stale")
+  {
+    WriteResult result;
+    time.Spawn(Put(service,
+                   { .key = "a/1", .value = "x", .expectedRevision = lost },
+                   start + 2s,
+                   result));
+    time.Spawn(Watch(service, start + 9s, batch));
+    time.RunUntil(start + 10s);
+    CHECK(result.outcome == WriteOutcome::Conflict);
+    CHECK_FALSE(batch);
+  }
+}
--- a/wigeonwalk/testing/internal/key_value_state.cc
+++ b/wigeonwalk/testing/internal/key_value_state.cc
@@ -63,6 +63,41 @@
   }
 }
 
+void
+KeyValueState::TakeCopy()
+{
+  this->copy = { this->entries, this->leases, this->revision, this->nextLease };
+}
+
+void
+KeyValueState::RestoreCopy()
+{
+  const std::int64_t incarnation = IncarnationOf(this->revision) + 1;
+  const auto renumber = [incarnation](std::int64_t aNumber) {
+    return aNumber == 0 ? 0 : MakeRevision(incarnation, NumberOf(aNumber));
+  };
+  this->entries = this->copy.entries;
+  for (auto& [key, entry] : this->entries) {
+    entry.createRevision = renumber(entry.createRevision);
+    entry.modRevision = renumber(entry.modRevision);
+    entry.lease = renumber(entry.lease);
+  }
+  this->leases.clear();
+  for (const auto& [lease, granted] : this->copy.leases) {
+    this->leases[renumber(lease)] = { granted.timeToLive,
+                                      this->time.Now() + granted.timeToLive };
+  }
+  this->revision = MakeRevision(incarnation, NumberOf(this->copy.revision));
+  this->nextLease = renumber(this->copy.nextLease);
+  this->history.clear();
+  for (const auto& [lease, granted] : this->leases) {
+    this->time.Spawn(ExpireLease(this->shared_from_this(), lease));
+  }
+  for (const Signal& signal : this->signals) {
+    signal.timer->cancel();
+  }
+}
+
 WriteResult
 KeyValueState::Compare(const std::string& aKey,
                        std::optional<std::int64_t> aExpected) const
--- a/wigeonwalk/testing/internal/key_value_state.h
+++ b/wigeonwalk/testing/internal/key_value_state.h
@@ -22,7 +22,7 @@
   TimePoint expiresAt;
 };
 
-struct KeyValueState
+struct KeyValueState : std::enable_shared_from_this<KeyValueState>
 {
   explicit KeyValueState(VirtualTime& aTime);
 
@@ -35,6 +35,10 @@
   // Ends a lease and deletes the keys attached to it.
   void Lapse(LeaseId aLease);
 
+  // Keeps a copy of the data; replaces the data by the last copy.
+  void TakeCopy();
+  void RestoreCopy();
+
   // Returns a conflict if the key's revision is not the expected one.
   WriteResult Compare(const std::string& aKey,
                       std::optional<std::int64_t> aExpected) const;
@@ -62,7 +66,17 @@
   LeaseId nextLease = 1;
 
 private:
+  struct Copy
+  {
+    std::map<std::string, KeyValueEntry> entries;
+    std::map<LeaseId, FakeLease> leases;
+    std::int64_t revision = 0;
+    LeaseId nextLease = 1;
+  };
+
   void RecordChange(bool aDeleted, const KeyValueEntry& aEntry);
+
+  Copy copy;
 };
 
 // Ends a lease when its time to live passes without a renewal.
