entry: record weights again that a restore of the registry lost

Callers saw (by a test): after a restore the record of when weights were published stayed lost, so a restart of all daemons counted the age of replaced weights anew.

Cause: WeightRecorder took a version as recorded once it was ever seen in a record or written.

Change: it compares with the record that the mirror holds now, or with its own write while the mirror is not yet up to date with it.

The fixture of weight_recorder_test.cc moved unchanged to test_recording.h.

--- /dev/null
+++ b/wigeonwalk/entry/test_recording.h
@@ -0,0 +1,98 @@
+// Daemons that record when weights were published, for tests.
+//
+//   RecordingSetting setting;
+//   const TimePoint second = setting.Publish("2");
+#pragma once
+
+#include "wigeonwalk/entry/test_registry.h"
+#include "wigeonwalk/entry/test_rollout.h"
+#include "wigeonwalk/entry/weight_recorder.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace wigeonwalk {
+
+// A daemon that records publications while it may give orders.
+struct RecordingDaemon : RegistryDaemon
+{
+  using Recorder = WeightRecorder<FakeOrderAuthority,
+                                  FakeKeyValue,
+                                  TestDecoder,
+                                  VirtualTime,
+                                  NullLog>;
+
+  RecordingDaemon(VirtualTime& aTime,
+                  FakeKeyValue& aService,
+                  PeerNetwork& aNetwork,
+                  const std::string& aHost,
+                  bool aGivesOrders)
+    : RegistryDaemon(aTime, aService, aNetwork, aHost)
+    , recorder(state, mirror, authority, service, decoder, aTime, log)
+  {
+    this->authority.fenced = !aGivesOrders;
+    aTime.Spawn(this->recorder.Run());
+  }
+
+  std::optional<TimePoint> ReplacedAt(WeightNumber aVersion) const
+  {
+    return this->state.WeightsOf(kModel).ReplacedAt(aVersion);
+  }
+
+  std::optional<TimePoint> RecordedReplacement(WeightNumber aVersion) const
+  {
+    return this->state.RecordedWeightsOf(kModel).ReplacedAt(aVersion);
+  }
+
+  FakeOrderAuthority authority;
+  Recorder recorder;
+};
+
+// Two daemons, the first of which gives orders.
+struct RecordingSetting
+{
+  RecordingSetting()
+    : service(time)
+    , network(time, 7)
+  {
+    this->service.Store("config", "1");
+    this->service.Store("weights/m", "1");
+    this->service.Store("members/front-1", "peer-front-1");
+    this->service.Store("members/front-2", "peer-front-2");
+    this->StartAll();
+    this->RunFor(std::chrono::seconds(3));
+  }
+
+  // Starts both daemons, after those that ran before have stopped.
+  void StartAll()
+  {
+    for (auto& daemon : this->daemons) {
+      daemon->authority.fenced = true;
+      this->stopped.push_back(std::move(daemon));
+    }
+    this->daemons.clear();
+    for (const char* host : { "front-1", "front-2" }) {
+      this->daemons.push_back(std::make_unique<RecordingDaemon>(
+        this->time, this->service, this->network, host, this->daemons.empty()));
+    }
+  }
+
+  TimePoint Publish(const std::string& aVersion)
+  {
+    this->service.Store("weights/m", aVersion);
+    return this->time.Now();
+  }
+
+  void RunFor(Duration aSpan) { this->time.RunUntil(this->time.Now() + aSpan); }
+
+  VirtualTime time;
+  FakeKeyValue service;
+  PeerNetwork network;
+  std::vector<std::unique_ptr<RecordingDaemon>> stopped;
+  std::vector<std::unique_ptr<RecordingDaemon>> daemons;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/entry/weight_recorder.h
+++ b/wigeonwalk/entry/weight_recorder.h
@@ -15,20 +15,25 @@
 #include "wigeonwalk/ports/structured_log.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
+#include <variant>
 #include <vector>
 
 namespace wigeonwalk {
 
-// The daemon that gives orders writes each publication once; several at the
-// same time share a write. One that it has found, because it was published
-// while no daemon ran, is written with its latest possible time, unless another
-// daemon tells within kLearnTime that it has observed it. The timer's time is
-// the time of day at the process's start, continued by a clock that does not
-// step. One task.
+template<typename T>
+concept RegistryItemCodec = RegistryDecoder<T> && RegistryEncoder<T>;
+
+// The daemon that gives orders writes each publication once, and again if the
+// registry lost it in a restore; several at the same time share a write. One
+// that it has found, because it was published while no daemon ran, is written
+// with its latest possible time, unless another daemon tells within kLearnTime
+// that it has observed it. The timer's time is the time of day at the process's
+// start, continued by a clock that does not step. One task.
 template<OrderAuthority A,
          KeyValueService S,
-         RegistryEncoder E,
+         RegistryItemCodec E,
          Timer T,
          StructuredLog L>
 class WeightRecorder
@@ -45,14 +50,14 @@
                  const ItemMirror& aMirror,
                  A& aLeader,
                  S& aStore,
-                 const E& aEncoder,
+                 const E& aCodec,
                  T& aTimer,
                  L& aLog)
     : state(aState)
     , mirror(aMirror)
     , leader(aLeader)
     , store(aStore)
-    , encoder(aEncoder)
+    , codec(aCodec)
     , timer(aTimer)
     , log(aLog)
   {
@@ -79,18 +84,36 @@
     }
     for (const auto& [model, observed] : this->state.Weights()) {
       const PublishedWeights newest = observed.Newest();
-      const auto last = this->written.find(model);
-      const WeightHistory& recorded = this->state.RecordedWeightsOf(model);
-      const bool isRecorded =
-        recorded.Newest().version >= newest.version ||
-        (last != this->written.end() && last->second >= newest.version);
-      if (!isRecorded && this->IsSettled(newest)) {
+      if (!this->IsRecorded(model, newest.version) && this->IsSettled(newest)) {
         due.push_back(this->MakeRecord(model));
       }
     }
     return due;
   }
 
+  // Returns true if the registry's record has the version, or this daemon wrote
+  // it later than the mirror's revision.
+  bool IsRecorded(const ModelName& aModel, WeightNumber aVersion) const
+  {
+    const auto last = this->written.find(aModel);
+    if (last != this->written.end() && last->second.version >= aVersion &&
+        last->second.revision > this->mirror.Revision()) {
+      return true;
+    }
+    WeightsRecord record;
+    record.model = aModel;
+    const KeyValueEntry* item =
+      this->mirror.Find(this->codec.Encode(record).key);
+    if (item == nullptr) {
+      return false;
+    }
+    FailureReason ignored;
+    const RegistryItem decoded = this->codec.Decode(*item, ignored);
+    const auto* present = std::get_if<WeightsRecord>(&decoded);
+    return present != nullptr && !present->versions.empty() &&
+           present->versions.back().version >= aVersion;
+  }
+
   // Returns true if no better time of the publication is expected from another
   // daemon. The age of the first version decides nothing.
   bool IsSettled(const PublishedWeights& aNewest) const
@@ -122,7 +145,7 @@
 
   Task<void> Write(WeightsRecord aRecord)
   {
-    const KeyValueEntry item = this->encoder.Encode(aRecord);
+    const KeyValueEntry item = this->codec.Encode(aRecord);
     const KeyValueEntry* current = this->mirror.Find(item.key);
     PutRequest put;
     put.key = item.key;
@@ -132,7 +155,8 @@
     const TimePoint deadline = this->timer.Now() + kCallTimeout;
     const WriteResult result = co_await this->store.Put(put, deadline, reason);
     if (result.outcome == WriteOutcome::Applied) {
-      this->written[aRecord.model] = aRecord.versions.back().version;
+      this->written[aRecord.model] = { aRecord.versions.back().version,
+                                       result.revision };
       co_return;
     }
     this->retryAt = this->timer.Now() + kRetryDelay;
@@ -145,14 +169,21 @@
                       LogField(reason) });
   }
 
+  // The newest version in the last record that this daemon wrote.
+  struct WrittenRecord
+  {
+    WeightNumber version = 0;
+    std::int64_t revision = 0;
+  };
+
   const EntryState& state;
   const ItemMirror& mirror;
   A& leader;
   S& store;
-  const E& encoder;
+  const E& codec;
   T& timer;
   L& log;
-  std::map<ModelName, WeightNumber> written;
+  std::map<ModelName, WrittenRecord> written;
   TimePoint retryAt;
 };
 
--- a/wigeonwalk/entry/weight_recorder_test.cc
+++ b/wigeonwalk/entry/weight_recorder_test.cc
@@ -1,104 +1,15 @@
-#include "wigeonwalk/entry/weight_recorder.h"
-
-#include "wigeonwalk/entry/test_registry.h"
-#include "wigeonwalk/entry/test_rollout.h"
+#include "wigeonwalk/entry/test_recording.h"
 
 #include <catch2/catch.hpp>
 
-#include <memory>
-#include <vector>
-
 using namespace wigeonwalk;
 using namespace std::chrono_literals;
 
-namespace {
-
-// A daemon that records publications while it may give orders.
-struct RecordingDaemon : RegistryDaemon
-{
-  using Recorder = WeightRecorder<FakeOrderAuthority,
-                                  FakeKeyValue,
-                                  TestDecoder,
-                                  VirtualTime,
-                                  NullLog>;
-
-  RecordingDaemon(VirtualTime& aTime,
-                  FakeKeyValue& aService,
-                  PeerNetwork& aNetwork,
-                  const std::string& aHost,
-                  bool aGivesOrders)
-    : RegistryDaemon(aTime, aService, aNetwork, aHost)
-    , recorder(state, mirror, authority, service, decoder, aTime, log)
-  {
-    this->authority.fenced = !aGivesOrders;
-    aTime.Spawn(this->recorder.Run());
-  }
-
-  std::optional<TimePoint> ReplacedAt(WeightNumber aVersion) const
-  {
-    return this->state.WeightsOf(kModel).ReplacedAt(aVersion);
-  }
-
-  std::optional<TimePoint> RecordedReplacement(WeightNumber aVersion) const
-  {
-    return this->state.RecordedWeightsOf(kModel).ReplacedAt(aVersion);
-  }
-
-  FakeOrderAuthority authority;
-  Recorder recorder;
-};
-
-// Two daemons, the first of which gives orders.
-struct Setting
-{
-  Setting()
-    : service(time)
-    , network(time, 7)
-  {
-    this->service.Store("config", "1");
-    this->service.Store("weights/m", "1");
-    this->service.Store("members/front-1", "peer-front-1");
-    this->service.Store("members/front-2", "peer-front-2");
-    this->StartAll();
-    this->RunFor(3s);
-  }
-
-  // Starts both daemons, after those that ran before have stopped.
-  void StartAll()
-  {
-    for (auto& daemon : this->daemons) {
-      daemon->authority.fenced = true;
-      this->stopped.push_back(std::move(daemon));
-    }
-    this->daemons.clear();
-    for (const char* host : { "front-1", "front-2" }) {
-      this->daemons.push_back(std::make_unique<RecordingDaemon>(
-        this->time, this->service, this->network, host, this->daemons.empty()));
-    }
-  }
-
-  TimePoint Publish(const std::string& aVersion)
-  {
-    this->service.Store("weights/m", aVersion);
-    return this->time.Now();
-  }
-
-  void RunFor(Duration aSpan) { this->time.RunUntil(this->time.Now() + aSpan); }
-
-  VirtualTime time;
-  FakeKeyValue service;
-  PeerNetwork network;
-  std::vector<std::unique_ptr<RecordingDaemon>> stopped;
-  std::vector<std::unique_ptr<RecordingDaemon>> daemons;
-};
-
-} // namespace
-
 // Guards against requests on weights that were replaced long ago, after a
 // restart of all daemons: none of them has observed the publications.
 SCENARIO("publications are known after a restart of all daemons")
 {
-  Setting setting;
+  RecordingSetting setting;
   const TimePoint second = setting.Publish("2");
   setting.RunFor(6s);
   const TimePoint third = setting.Publish("3");
@@ -145,7 +56,7 @@
 // time at which a daemon merely started.
 SCENARIO("a publication is recorded once, by the daemon that observed it")
 {
-  Setting setting;
+  RecordingSetting setting;
   CHECK(setting.service.Count(KeyValueCall::Put) == 0);
 
   WHEN("the answer to the write is lost")
@@ -230,7 +141,7 @@
 // none has observed the publication, so each restart of all counted anew.
 SCENARIO("a publication that all daemons found outlasts their next restart")
 {
-  Setting setting;
+  RecordingSetting setting;
   const TimePoint second = setting.Publish("2");
   setting.StartAll();
   setting.RunFor(5s);
@@ -246,7 +157,7 @@
 // the weights were published while all were down.
 SCENARIO("weights that were published while no daemon ran count from before")
 {
-  Setting setting;
+  RecordingSetting setting;
   const TimePoint second = setting.Publish("2");
   setting.StartAll();
   setting.RunFor(3s);
