entry: write the record of the holder of the lease on orders conditionally

Callers saw (by a test): a daemon gave orders 2.04 s after another one, with a least time of 3 s between two holders.

Cause: a write of the record that was answered too late could take effect after a later holder's and replace it, so the daemon that it names took itself for the last holder.

Change: the write expects the record's revision that the mirror knows.

Evidence: the new scenario of order_leader_test.cc failed without the condition and passes with it (asan).

--- a/wigeonwalk/entry/order_leader.h
+++ b/wigeonwalk/entry/order_leader.h
@@ -266,12 +266,15 @@
   }
 
   // Records this daemon as the last holder. The next holder waits only if it
-  // finds this record, so the lease is released if it can't be written.
+  // finds this record, so the lease is released if it can't be written. The
+  // write is conditional, since it may take effect after a later holder's.
   Task<void> WriteHolder(std::string aRecord, TimePoint aDeadline)
   {
     PutRequest put;
     put.key = kLastHolderKey;
     put.value = std::move(aRecord);
+    const KeyValueEntry* last = this->mirror.Find(kLastHolderKey);
+    put.expectedRevision = last == nullptr ? 0 : last->modRevision;
     FailureReason reason;
     const WriteResult result = co_await this->store.Put(put, aDeadline, reason);
     if (result.outcome != WriteOutcome::Applied) {
--- a/wigeonwalk/entry/order_leader_test.cc
+++ b/wigeonwalk/entry/order_leader_test.cc
@@ -65,3 +65,39 @@
     }
   }
 }
+
+// Guards against a holder that gives orders too early, because the record of
+// the holder before was overwritten by a write that took effect late.
+SCENARIO("a late record of a holder does not replace a newer one")
+{
+  constexpr const char* kRecordKey = Candidate::Leader::kLastHolderKey;
+  OrderCluster cluster;
+  cluster.RunFor(3s);
+  const std::size_t first = cluster.terms.back().holder;
+  const auto pauseHolder = [&cluster](Duration aSpan) {
+    const TimePoint now = cluster.time.Now();
+    const std::size_t holder = cluster.terms.back().holder;
+    cluster.candidates[holder]->pause = { now, now + aSpan };
+    return now;
+  };
+  pauseHolder(9s);
+  cluster.RunFor(10s);
+  REQUIRE(cluster.terms.back().holder != first);
+
+  const TimePoint now = pauseHolder(40s);
+  FakeKeyValue& link = cluster.candidates[first]->service;
+  link.AddLinkFault({ .fault = KeyValueFault::Slow,
+                      .from = now,
+                      .until = now + 2'800ms,
+                      .delay = 2'500ms,
+                      .keyPrefix = kRecordKey });
+  link.AddLinkFault(
+    { .fault = KeyValueFault::Down, .from = now + 2'800ms, .until = now + 9s });
+  cluster.RunFor(9s);
+  REQUIRE(cluster.terms.size() == 3);
+  REQUIRE(cluster.terms.back().holder != first);
+  pauseHolder(40s);
+  cluster.RunFor(9s);
+  CHECK(cluster.terms.back().holder == first);
+  CHECK(cluster.LeastGap() >= EntryBounds{}.orderLease);
+}
