kv_client: don't hold a lease that was granted before a restore

Cause, found by reading: if the service is restored between the grant of a lease and the write of its key, the lease's number may belong to another lease, and the keeper took the lease as held until its next renewal.

Change: Acquire fails if the key's revision is of another incarnation than the lease.

Evidence: restored_lease_test.cc failed without the change and passes with it (asan).

--- a/wigeonwalk/kv_client/lease_keeper.h
+++ b/wigeonwalk/kv_client/lease_keeper.h
@@ -116,6 +116,10 @@
       this->blockingRevision = result.current ? result.current->modRevision : 0;
       co_return false;
     }
+    if (IncarnationOf(result.revision) != IncarnationOf(*lease)) {
+      Fail(aReason, ReasonCode::Expired, "the service was restored");
+      co_return false;
+    }
     this->held = HeldLease{ *lease,
                             static_cast<std::uint64_t>(result.revision),
                             this->ReliedUntil(sentAt) };
