--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -7,6 +7,7 @@
 #include "wigeonwalk/entry/advice_handling.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/item_mirror.h"
+#include "wigeonwalk/entry/registry_item_log.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/registry_items.h"
@@ -305,7 +306,8 @@
       if (const auto* entry = std::get_if<RunnerEntry>(&item)) {
         runner = *entry;
       }
-      this->LogItem(item, aChange.entry.modRevision);
+      LogRegistryItem(
+        this->log, this->state, item, aChange.entry.modRevision, now);
       change = this->state.Apply(std::move(item), now);
       if (runner) {
         this->LogIfLeaving(*runner, change);
@@ -339,50 +341,6 @@
     }
   }
 
-  void LogItem(const RegistryItem& aItem, std::int64_t aRevision)
-  {
-    constexpr StringLiteral kNamed("weights named");
-    constexpr StringLiteral kFound("weights found");
-    const TimePoint now = this->timer.Now();
-    if (const auto* routing = std::get_if<RoutingConfiguration>(&aItem)) {
-      this->log.Write(now,
-                      LogLevel::Info,
-                      "configuration in force",
-                      {},
-                      { { LogKey::Version, routing->version },
-                        { LogKey::Count, routing->routes.size() },
-                        { LogKey::Revision, aRevision } });
-    } else if (const auto* named = std::get_if<DesiredWeights>(&aItem)) {
-      this->log.Write(now,
-                      LogLevel::Info,
-                      named->mayBeOlder ? kFound : kNamed,
-                      {},
-                      { { LogKey::Model, named->model },
-                        { LogKey::Version, named->version },
-                        { LogKey::Revision, aRevision } });
-    } else if (const auto* record = std::get_if<WeightsRecord>(&aItem)) {
-      this->LogRecord(*record, now);
-    }
-  }
-
-  // Logs the recorded ages that this daemon did not observe.
-  void LogRecord(const WeightsRecord& aRecord, TimePoint aNow)
-  {
-    const WeightHistory& known = this->state.WeightsOf(aRecord.model);
-    for (const RecordedWeights& row : aRecord.versions) {
-      if (!known.IsExact(row.version)) {
-        this->log.Write(aNow,
-                        LogLevel::Info,
-                        "weights age learnt",
-                        {},
-                        { { LogKey::Model, aRecord.model },
-                          { LogKey::Version, row.version },
-                          { LogKey::Age, aNow - row.publishedAt },
-                          { LogKey::Place, StringLiteral("registry") } });
-      }
-    }
-  }
-
   EntryState& state;
   ItemMirror& mirror;
   S& store;
