entry: treat a restore of the registry as its return after an outage

Callers saw requests refused for want of runners: after a restore with no outage that was long enough to be noticed, the full read removed all runners that had registered after the copy was taken, although they register again within two seconds.

The watch counted only an outage of more than a second as a return of the registry. Now a listing of a higher incarnation counts as one before it is applied, so the runners that it lacks are kept for the grace; it is logged as a warning. A listing of another incarnation than the revision that was read before it belongs to neither and is read again.

--- /dev/null
+++ b/wigeonwalk/entry/registry_restore_test.cc
@@ -0,0 +1,124 @@
+#include "wigeonwalk/entry/test_registry.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Two daemons of a zone, and a registry that is copied before and after it
+// changes.
+struct Setting
+{
+  Setting()
+    : service(time)
+    , network(time, 7)
+  {
+    this->service.Store("config", "1");
+    this->service.Store("weights/m", "1");
+    this->service.Store("runners/r-1", "ready 100");
+    this->service.Store("members/front-1", "peer-front-1");
+    this->service.Store("members/front-2", "peer-front-2");
+    this->one = std::make_unique<RegistryDaemon>(
+      this->time, this->service, this->network, "front-1");
+    this->two = std::make_unique<RegistryDaemon>(
+      this->time, this->service, this->network, "front-2");
+    this->RunFor(3s);
+    this->service.TakeCopy();
+  }
+
+  void RunFor(Duration aSpan) { this->time.RunUntil(this->time.Now() + aSpan); }
+
+  void Erase(const std::string& aKey)
+  {
+    this->time.Spawn([](FakeKeyValue aService,
+                        VirtualTime& aTime,
+                        std::string aErased) -> Task<> {
+      FailureReason why;
+      const TimePoint deadline = aTime.Now() + 1s;
+      co_await aService.Delete(aErased, std::nullopt, deadline, why);
+    }(this->service.Connect(), this->time, aKey));
+    this->RunFor(1s);
+  }
+
+  // The number of runners that may get a request.
+  std::size_t Usable(const RegistryDaemon& aDaemon) const
+  {
+    return aDaemon.state.Candidates(ServiceName("s"), {}, this->time.Now())
+      .size();
+  }
+
+  VirtualTime time;
+  FakeKeyValue service;
+  PeerNetwork network;
+  std::unique_ptr<RegistryDaemon> one;
+  std::unique_ptr<RegistryDaemon> two;
+};
+
+} // namespace
+
+// Guards against runners that are dropped because a copy of the registry does
+// not list them.
+SCENARIO("runners that registered after the copy are kept")
+{
+  Setting setting;
+  setting.service.Store("runners/r-2", "ready 100");
+  setting.RunFor(3s);
+  REQUIRE(setting.Usable(*setting.one) == 2);
+
+  WHEN("the registry is restored without an outage")
+  {
+    setting.service.RestoreCopy();
+    setting.RunFor(2s);
+    CHECK(setting.Usable(*setting.one) == 2);
+    CHECK(setting.Usable(*setting.two) == 2);
+
+    THEN("they are removed unless they register again")
+    {
+      setting.RunFor(3s);
+      CHECK(setting.Usable(*setting.one) == 1);
+      CHECK(setting.Usable(*setting.two) == 1);
+    }
+
+    AND_WHEN("they register again")
+    {
+      setting.service.Store("runners/r-2", "ready 100");
+      setting.RunFor(5s);
+      CHECK(setting.Usable(*setting.one) == 2);
+      CHECK(setting.Usable(*setting.two) == 2);
+    }
+  }
+}
+
+// Guards against a listing that is read with the revision of an earlier
+// incarnation.
+SCENARIO("the registry is restored again while it is read")
+{
+  Setting setting;
+  setting.service.Store("runners/r-2", "ready 100");
+  setting.RunFor(3s);
+  const TimePoint now = setting.time.Now();
+  setting.service.AddFault({ .fault = KeyValueFault::Slow,
+                             .from = now + 10ms,
+                             .until = now + 1s,
+                             .delay = 300ms });
+  setting.service.RestoreCopy();
+  const Duration wait = GENERATE(100ms, 350ms, 600ms, 900ms);
+  CAPTURE(wait.count());
+  setting.RunFor(wait);
+  setting.service.RestoreCopy();
+  setting.service.Store("config", "2");
+  setting.RunFor(2s);
+  for (const RegistryDaemon* daemon : { &*setting.one, &*setting.two }) {
+    CHECK(IncarnationOf(daemon->mirror.Revision()) == 2);
+    CHECK(daemon->Version() == 2);
+    CHECK(setting.Usable(*daemon) == 2);
+  }
+  setting.RunFor(4s);
+  for (const RegistryDaemon* daemon : { &*setting.one, &*setting.two }) {
+    CHECK(setting.Usable(*daemon) == 1);
+  }
+}
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace wigeonwalk {
 
@@ -117,6 +118,7 @@
   void ApplyReported(const std::vector<WatchEvent>& aChanges,
                      std::int64_t aRevision)
   {
+    this->NoteIncarnation(aRevision);
     for (const WatchEvent& change : aChanges) {
       this->Apply(change);
     }
@@ -179,7 +181,12 @@
     if (!listing) {
       co_return false;
     }
+    if (!IsOfIncarnation(*listing, IncarnationOf(before->revision))) {
+      Fail(aReason, ReasonCode::Stale, "the registry was restored meanwhile");
+      co_return false;
+    }
     this->NoteAnswer(this->timer.Now());
+    this->NoteIncarnation(before->revision);
     for (const WatchEvent& change :
          this->mirror.Replace(*listing, before->revision)) {
       this->ApplyToState(change);
@@ -219,6 +226,36 @@
     co_return true;
   }
 
+  static bool IsOfIncarnation(const std::vector<KeyValueEntry>& aListing,
+                              std::int64_t aIncarnation)
+  {
+    return std::all_of(aListing.begin(),
+                       aListing.end(),
+                       [aIncarnation](const KeyValueEntry& aEntry) {
+                         return IncarnationOf(aEntry.modRevision) ==
+                                aIncarnation;
+                       });
+  }
+
+  // Records that the state at a revision is applied next. After a restore of
+  // the registry, registrations may be missing as after an outage.
+  void NoteIncarnation(std::int64_t aRevision)
+  {
+    const std::int64_t known = this->mirror.Revision();
+    if (known == 0 || IncarnationOf(aRevision) <= IncarnationOf(known)) {
+      return;
+    }
+    const TimePoint now = this->timer.Now();
+    const std::string since = "known until " + std::to_string(known);
+    this->state.fleet.NoteRegistryReturned(now);
+    this->log.Write(now,
+                    LogLevel::Warning,
+                    "registry was restored from a copy",
+                    {},
+                    { { LogKey::Revision, aRevision },
+                      LogField::Name(LogKey::Detail, since) });
+  }
+
   // Records whether changes that are learnt next may be older than the time for
   // which this daemon may rely on its knowledge. `aTime` is the time from which
   // on changes are reported when they are made.
--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -18,8 +18,8 @@
 namespace wigeonwalk {
 
 // Decodes items: "config" and "weights/MODEL" hold a version, "runners/ID" a
-// state, "members/HOST" an address, "published/MODEL" versions with their times
-// in microseconds.
+// state and possibly a start, "members/HOST" an address, "published/MODEL"
+// versions with their times in microseconds.
 struct TestDecoder
 {
   RegistryItem Decode(const KeyValueEntry& aEntry, FailureReason& aReason) const
@@ -61,8 +61,10 @@
     entry.id = UpstreamId(aEntry.key.substr(8));
     entry.service = ServiceName("s");
     entry.address = "10.0.0.1:1";
-    entry.state =
-      ParseName<RunnerState>(aEntry.value).value_or(RunnerState::Ready);
+    std::istringstream fields(aEntry.value);
+    std::string state;
+    fields >> state >> entry.startedAt;
+    entry.state = ParseName<RunnerState>(state).value_or(RunnerState::Ready);
     return entry;
   }
 
@@ -196,7 +198,8 @@
   std::string EncodeChanges(const RegistryChanges& aChanges) const
   {
     std::string text = std::to_string(aChanges.revision) + " " +
-                       std::to_string(aChanges.age.count());
+                       std::to_string(aChanges.age.count()) +
+                       (aChanges.full ? " full" : "");
     for (const WatchEvent& change : aChanges.changes) {
       text += "\n" + std::to_string(change.entry.modRevision) + " " +
               (change.deleted ? "-" : "+") + change.entry.key + "=" +
@@ -219,6 +222,7 @@
     std::size_t end = 0;
     changes.revision = std::stol(line, &end);
     changes.age = Duration(std::stol(line.substr(end)));
+    changes.full = line.ends_with(" full");
     while (std::getline(lines, line)) {
       if (line[0] == '*') {
         changes.weights.push_back(DecodeAge(line.substr(1)));
