entry: bring a daemon of an earlier incarnation up to date by a full copy

A daemon that can't reach the registry kept a runner for good that a restore had removed, if it learnt of the restore from a daemon that had started after it: that one has no tombstone of the runner, and its answer listed only changes. Also an answer of the registry of before the restore that arrived after the daemon had learnt of it from another one added items that nothing removes.

The mirror answers a query of an earlier incarnation with a full copy, and ignores changes and listings of one. A daemon applies a full copy as a listing, with the removal of what it lacks and the grace after a restore.

--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -114,7 +114,7 @@
   std::int64_t revision = 0;
   // How long ago the registry was at this revision, as far as the sender knows.
   Duration age{ 0 };
-  // `changes` lists all current items; it may lack removals.
+  // `changes` lists all current items and no removals.
   bool full = false;
   std::vector<WatchEvent> changes;
   // Of weights published after the query's revision, or of all.
--- a/wigeonwalk/entry/item_mirror.cc
+++ b/wigeonwalk/entry/item_mirror.cc
@@ -9,6 +9,9 @@
 ItemMirror::Apply(const WatchEvent& aChange)
 {
   const std::int64_t changedAt = aChange.entry.modRevision;
+  if (this->IsOutdated(changedAt)) {
+    return false;
+  }
   const auto known = this->items.find(aChange.entry.key);
   if (known == this->items.end()) {
     this->items.emplace(aChange.entry.key,
@@ -33,6 +36,12 @@
   return true;
 }
 
+bool
+ItemMirror::IsOutdated(std::int64_t aRevision) const
+{
+  return IncarnationOf(aRevision) < IncarnationOf(this->revision);
+}
+
 void
 ItemMirror::NoteSameContent(const std::string& aKey)
 {
@@ -106,7 +115,7 @@
 std::optional<std::vector<WatchEvent>>
 ItemMirror::ChangesSince(std::int64_t aRevision) const
 {
-  if (aRevision < this->droppedUpTo) {
+  if (aRevision < this->droppedUpTo || this->IsOutdated(aRevision)) {
     return std::nullopt;
   }
   std::vector<WatchEvent> changes;
--- a/wigeonwalk/entry/item_mirror.h
+++ b/wigeonwalk/entry/item_mirror.h
@@ -26,7 +26,8 @@
   // daemon that is further behind gets a full copy.
   static constexpr std::size_t kMaxTombstones = 4'096;
 
-  // Applies one change. Returns true if it is newer than the key's known state.
+  // Applies one change. Returns true if it is newer than the key's known state
+  // and not of an earlier incarnation than the known revision.
   bool Apply(const WatchEvent& aChange);
 
   // Records that the last change of a key was of no consequence, such as a
@@ -44,7 +45,8 @@
   std::int64_t Revision() const { return this->revision; }
 
   // Returns the changes after a revision, oldest first, or nothing if
-  // tombstones after it may have been dropped.
+  // tombstones after it may have been dropped, or if it is of an earlier
+  // incarnation.
   std::optional<std::vector<WatchEvent>> ChangesSince(
     std::int64_t aRevision) const;
 
@@ -63,6 +65,9 @@
     std::int64_t previousContentRevision = 0;
   };
 
+  // Returns true if the revision is of an earlier incarnation than the known
+  // one.
+  bool IsOutdated(std::int64_t aRevision) const;
   void DropTombstones();
 
   std::map<std::string, Item> items;
--- a/wigeonwalk/entry/registry_relay.h
+++ b/wigeonwalk/entry/registry_relay.h
@@ -28,11 +28,10 @@
 // reader knew the registry to be at the mirror's revision at `aKnownAt`.
 template<typename T>
 concept ChangeSink = requires(T& aSink,
-                              const std::vector<WatchEvent>& aChanges,
-                              std::int64_t aRevision,
+                              const RegistryChanges& aReported,
                               TimePoint aKnownAt)
 {
-  aSink.ApplyReported(aChanges, aRevision);
+  aSink.ApplyReported(aReported);
   aSink.NoteReader(aKnownAt);
 };
 
@@ -170,7 +169,7 @@
       // A removal that was reported after an outage of the registry counts from
       // the registry's return, so that is recorded first.
       this->watch.NoteReader(askedAt - changes->age);
-      this->watch.ApplyReported(changes->changes, changes->revision);
+      this->watch.ApplyReported(*changes);
       this->ApplyAges(changes->weights, reader.host);
       if (this->state.FollowsReader(this->timer.Now())) {
         break;
@@ -208,7 +207,7 @@
                     { { LogKey::Peer, peer.host },
                       { LogKey::Count, changes->changes.size() },
                       { LogKey::Revision, changes->revision } });
-    this->watch.ApplyReported(changes->changes, changes->revision);
+    this->watch.ApplyReported(*changes);
     this->ApplyAges(changes->weights, peer.host);
   }
 
--- a/wigeonwalk/entry/registry_restore_test.cc
+++ b/wigeonwalk/entry/registry_restore_test.cc
@@ -122,3 +122,103 @@
     CHECK(setting.Usable(*daemon) == 1);
   }
 }
+// Guards against a daemon that keeps what a restore has removed because it
+// learns of the restore from another one.
+SCENARIO("a daemon learns of a restore from one that knows nothing earlier")
+{
+  Setting setting;
+  setting.service.Store("members/front-3", "peer-front-3");
+  setting.service.TakeCopy();
+  setting.service.Store("runners/r-2", "ready 100");
+  setting.RunFor(2s);
+  REQUIRE(setting.Usable(*setting.one) == 2);
+  setting.one->service.AddLinkFault(
+    { .fault = KeyValueFault::Down, .from = setting.time.Now() });
+  setting.two->endpoint.alive = false;
+  setting.service.RestoreCopy();
+  RegistryDaemon late(
+    setting.time, setting.service, setting.network, "front-3");
+  setting.service.Store("config", "2");
+  setting.RunFor(3s);
+  CHECK(setting.one->Version() == 2);
+  CHECK(setting.Usable(*setting.one) == 2);
+  setting.RunFor(4s);
+  CHECK(setting.Usable(*setting.one) == 1);
+}
+
+// Guards against a daemon that brings back what was lost in a restore.
+SCENARIO("a daemon does not know of the restore")
+{
+  Setting setting;
+  setting.service.Store("runners/r-2", "ready 100");
+  setting.RunFor(2s);
+  setting.one->service.AddLinkFault(
+    { .fault = KeyValueFault::Down, .from = setting.time.Now() });
+  setting.one->endpoint.alive = false;
+  setting.service.RestoreCopy();
+  setting.RunFor(5s);
+  REQUIRE(setting.Usable(*setting.two) == 1);
+  setting.two->service.AddLinkFault(
+    { .fault = KeyValueFault::Down, .from = setting.time.Now() });
+  setting.one->endpoint.alive = true;
+  setting.two->endpoint.pausedUntil = setting.time.Now() + 100ms;
+  setting.RunFor(5s);
+  CHECK(setting.Usable(*setting.two) == 1);
+  CHECK(IncarnationOf(setting.one->mirror.Revision()) == 1);
+  CHECK(setting.Usable(*setting.one) == 1);
+}
+
+namespace {
+
+WatchEvent
+Change(const std::string& aKey, std::int64_t aRevision, bool aDeleted = false)
+{
+  WatchEvent change;
+  change.deleted = aDeleted;
+  change.entry.key = aKey;
+  change.entry.modRevision = aRevision;
+  return change;
+}
+
+} // namespace
+
+// Guards against items of an earlier incarnation in the mirror.
+SCENARIO("a mirror knows a restored registry")
+{
+  ItemMirror mirror;
+  mirror.Apply(Change("a", 40));
+  mirror.Apply(Change("b", 41));
+  mirror.NoteRevision(60);
+  const auto changes = mirror.Replace(
+    { Change("a", MakeRevision(1, 20)).entry }, MakeRevision(1, 21));
+  REQUIRE(changes.size() == 2);
+  CHECK(changes[1].deleted);
+  CHECK(mirror.Revision() == MakeRevision(1, 21));
+
+  THEN("a change of the earlier incarnation is ignored")
+  {
+    CHECK(!mirror.Apply(Change("a", 61)));
+    CHECK(!mirror.Apply(Change("c", 62)));
+    CHECK(mirror.Items().size() == 1);
+  }
+
+  THEN("a listing of the earlier incarnation is ignored")
+  {
+    CHECK(mirror.Replace({ Change("c", 62).entry }, 63).empty());
+    CHECK(mirror.Items().size() == 1);
+    CHECK(mirror.Revision() == MakeRevision(1, 21));
+  }
+
+  THEN("later changes at lower numbers are applied")
+  {
+    CHECK(mirror.Apply(Change("a", MakeRevision(1, 22))));
+    CHECK(mirror.Apply(Change("b", MakeRevision(1, 23))));
+    CHECK(mirror.ChangesSince(MakeRevision(1, 21))->size() == 2);
+  }
+
+  THEN("only a full copy brings a daemon of the earlier incarnation up to date")
+  {
+    CHECK(!mirror.ChangesSince(60).has_value());
+    CHECK(mirror.ChangesSince(MakeRevision(1, 0)).has_value());
+  }
+}
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "wigeonwalk/entry/advice_handling.h"
+#include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/item_mirror.h"
 #include "wigeonwalk/entry/registry_item_log.h"
@@ -114,15 +115,22 @@
     }
   }
 
-  // Applies changes that another daemon reported.
-  void ApplyReported(const std::vector<WatchEvent>& aChanges,
-                     std::int64_t aRevision)
+  // Applies changes that another daemon reported. Items that are not in a full
+  // copy have been removed.
+  void ApplyReported(const RegistryChanges& aReported)
   {
-    this->NoteIncarnation(aRevision);
-    for (const WatchEvent& change : aChanges) {
+    if (aReported.full) {
+      std::vector<KeyValueEntry> items;
+      for (const WatchEvent& change : aReported.changes) {
+        items.push_back(change.entry);
+      }
+      this->ApplyListing(items, aReported.revision);
+      return;
+    }
+    for (const WatchEvent& change : aReported.changes) {
       this->Apply(change);
     }
-    this->mirror.NoteRevision(aRevision);
+    this->mirror.NoteRevision(aReported.revision);
   }
 
   // Records that a reader of this zone knew the registry to be at the mirror's
@@ -186,11 +194,7 @@
       co_return false;
     }
     this->NoteAnswer(this->timer.Now());
-    this->NoteIncarnation(before->revision);
-    for (const WatchEvent& change :
-         this->mirror.Replace(*listing, before->revision)) {
-      this->ApplyToState(change);
-    }
+    this->ApplyListing(*listing, before->revision);
     this->hasListing = true;
     this->log.Write(this->timer.Now(),
                     LogLevel::Info,
@@ -306,6 +310,15 @@
     }
   }
 
+  void ApplyListing(const std::vector<KeyValueEntry>& aListing,
+                    std::int64_t aRevision)
+  {
+    this->NoteIncarnation(aRevision);
+    for (const WatchEvent& change : this->mirror.Replace(aListing, aRevision)) {
+      this->ApplyToState(change);
+    }
+  }
+
   void Apply(const WatchEvent& aChange)
   {
     if (this->mirror.Apply(aChange)) {
