entry, fleet: send no requests to starts of runners that only a copy lists

Requests were sent to runners that had left or died before the registry was restored: their old registrations are in the copy until the registry removes them again, and the fleet forgot a runner with its removal. A runner that had started again was replaced by its earlier start until its next heartbeat, with its load, health and cached parts.

The fleet remembers former starts, for ten minutes and 4096 at most. One that was leaving gets no requests again, and one that was replaced doesn't replace its successor. One whose registration had only lapsed may return at any time, but if a restored registry lists it, it gets requests only when it registers again or has been listed for longer than the registry lists a dead runner.

--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -28,16 +28,30 @@
 }
 
 FleetChange
-EntryState::Apply(RegistryItem aItem, TimePoint aNow)
+EntryState::ApplyRunner(const RunnerEntry& aEntry,
+                        TimePoint aNow,
+                        ItemOrigin aOrigin)
 {
-  if (auto* entry = std::get_if<RunnerEntry>(&aItem)) {
-    const FleetChange change = this->fleet.Register(*entry);
-    this->generation += change == FleetChange::None ? 0 : 1;
-    if (change == FleetChange::Restarted) {
-      this->ForgetHolder(entry->id);
+  const auto known = this->fleet.Find(aEntry.id);
+  const FleetChange change = aOrigin == ItemOrigin::Restored
+                               ? this->fleet.RegisterRestored(aEntry, aNow)
+                               : this->fleet.Register(aEntry);
+  this->generation += change == FleetChange::None ? 0 : 1;
+  if (change == FleetChange::Restarted) {
+    this->ForgetHolder(aEntry.id);
+    if (known->entry.startedAt != aEntry.startedAt) {
+      this->fleet.NoteReplaced(*known, aNow);
     }
-    this->NoteRegistered(entry->id, change);
-    return change;
+  }
+  this->NoteRegistered(aEntry.id, change);
+  return change;
+}
+
+FleetChange
+EntryState::Apply(RegistryItem aItem, TimePoint aNow, ItemOrigin aOrigin)
+{
+  if (const auto* entry = std::get_if<RunnerEntry>(&aItem)) {
+    return this->ApplyRunner(*entry, aNow, aOrigin);
   }
   ++this->generation;
   if (auto* configuration = std::get_if<RoutingConfiguration>(&aItem)) {
@@ -85,7 +99,8 @@
   const auto runner = this->fleet.Find(aRunner);
   const bool isNew =
     aChange == FleetChange::Added || aChange == FleetChange::Restarted;
-  if (aChange == FleetChange::StartedLeaving || (isNew && runner->leaving)) {
+  if (aChange == FleetChange::StartedLeaving ||
+      (isNew && runner->entry.state == RunnerState::Leaving)) {
     this->CountLeaving(LeavingCause::Registry);
   }
   if (isNew && this->IsMarked(*runner)) {
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -28,6 +28,25 @@
 
 namespace wigeonwalk {
 
+// How a registry item was learnt.
+enum class ItemOrigin
+{
+  // By a write, or by a listing of the incarnation that was already known.
+  Written,
+  // By the first listing after a restore of the registry from an older copy.
+  Restored,
+};
+
+template<>
+struct EnumNames<ItemOrigin>
+{
+  static constexpr std::array<EnumName<ItemOrigin>, 2> kTable{ {
+    { ItemOrigin::Written, "written" },
+    { ItemOrigin::Restored, "restored" },
+  } };
+};
+static_assert(HasCompleteTable<ItemOrigin>());
+
 // Position in a holder's stream of cache events.
 struct FollowedHolder
 {
@@ -58,7 +77,9 @@
 
   // Applies a decoded registry item or its removal. Returns how the runner
   // changed, if the item describes one.
-  FleetChange Apply(RegistryItem aItem, TimePoint aNow);
+  FleetChange Apply(RegistryItem aItem,
+                    TimePoint aNow,
+                    ItemOrigin aOrigin = ItemOrigin::Written);
   FleetChange ApplyRemoved(const RemovedItem& aItem, TimePoint aNow);
 
   // The current configuration; null before the first one is known.
@@ -179,6 +200,9 @@
   bool stopping = false;
 
 private:
+  FleetChange ApplyRunner(const RunnerEntry& aEntry,
+                          TimePoint aNow,
+                          ItemOrigin aOrigin);
   void ForgetHolder(const UpstreamId& aHolder);
   void CountLeaving(LeavingCause aCause);
   // Returns true if this start of the runner is marked. A start that an
--- a/wigeonwalk/entry/registry_restore_test.cc
+++ b/wigeonwalk/entry/registry_restore_test.cc
@@ -122,6 +122,100 @@
     CHECK(setting.Usable(*daemon) == 1);
   }
 }
+
+// Guards against requests to a runner that has left and reappears from a copy
+// of the registry.
+SCENARIO("a runner that has left reappears from the copy")
+{
+  Setting setting;
+
+  WHEN("it was leaving")
+  {
+    setting.service.Store("runners/r-1", "draining 100");
+    setting.RunFor(2s);
+    setting.Erase("runners/r-1");
+    setting.service.RestoreCopy();
+    setting.RunFor(6s);
+    CHECK(setting.Usable(*setting.one) == 0);
+    CHECK(setting.Usable(*setting.two) == 0);
+
+    THEN("only its next start gets requests")
+    {
+      setting.service.Store("runners/r-1", "ready 200");
+      setting.RunFor(1s);
+      CHECK(setting.Usable(*setting.one) == 1);
+      CHECK(setting.Usable(*setting.two) == 1);
+    }
+  }
+
+  WHEN("its registration had lapsed")
+  {
+    setting.Erase("runners/r-1");
+    REQUIRE(setting.Usable(*setting.one) == 0);
+    setting.service.RestoreCopy();
+    setting.RunFor(2s);
+    CHECK(setting.Usable(*setting.one) == 0);
+    CHECK(setting.Usable(*setting.two) == 0);
+
+    THEN("it gets none if the registration lapses again")
+    {
+      setting.Erase("runners/r-1");
+      setting.RunFor(5s);
+      CHECK(setting.Usable(*setting.one) == 0);
+      CHECK(setting.Usable(*setting.two) == 0);
+    }
+
+    THEN("it gets some as soon as it registers again")
+    {
+      setting.service.Store("runners/r-1", "ready 100");
+      setting.RunFor(1s);
+      CHECK(setting.Usable(*setting.one) == 1);
+      CHECK(setting.Usable(*setting.two) == 1);
+    }
+
+    THEN("it gets some if it stays registered")
+    {
+      setting.RunFor(3s);
+      CHECK(setting.Usable(*setting.one) == 1);
+      CHECK(setting.Usable(*setting.two) == 1);
+    }
+
+    THEN("it gets none after the next restore")
+    {
+      setting.service.RestoreCopy();
+      setting.RunFor(1'500ms);
+      CHECK(setting.Usable(*setting.one) == 0);
+      CHECK(setting.Usable(*setting.two) == 0);
+    }
+  }
+
+  WHEN("its registration lapses and returns without a restore")
+  {
+    setting.Erase("runners/r-1");
+    setting.service.Store("runners/r-1", "ready 100");
+    setting.RunFor(1s);
+    CHECK(setting.Usable(*setting.one) == 1);
+    CHECK(setting.Usable(*setting.two) == 1);
+  }
+}
+
+// Guards against a runner that is replaced by its earlier start.
+SCENARIO("an earlier start of a runner reappears from the copy")
+{
+  Setting setting;
+  setting.service.Store("runners/r-1", "ready 200");
+  setting.RunFor(2s);
+  const UpstreamId id("r-1");
+  const auto present = setting.one->state.fleet.Find(id);
+  REQUIRE(present->entry.startedAt == 200);
+  setting.service.RestoreCopy();
+  setting.RunFor(1s);
+  CHECK(setting.one->state.fleet.Find(id) == present);
+  setting.service.Store("runners/r-1", "ready 200");
+  setting.RunFor(1s);
+  CHECK(setting.one->state.fleet.Find(id) == present);
+}
+
 // Guards against a daemon that keeps what a restore has removed because it
 // learns of the restore from another one.
 SCENARIO("a daemon learns of a restore from one that knows nothing earlier")
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -241,13 +241,14 @@
                        });
   }
 
-  // Records that the state at a revision is applied next. After a restore of
-  // the registry, registrations may be missing as after an outage.
-  void NoteIncarnation(std::int64_t aRevision)
+  // Records that the state at a revision is applied next, and returns its
+  // origin. After a restore of the registry, registrations may be missing as
+  // after an outage.
+  ItemOrigin NoteIncarnation(std::int64_t aRevision)
   {
     const std::int64_t known = this->mirror.Revision();
     if (known == 0 || IncarnationOf(aRevision) <= IncarnationOf(known)) {
-      return;
+      return ItemOrigin::Written;
     }
     const TimePoint now = this->timer.Now();
     const std::string since = "known until " + std::to_string(known);
@@ -258,6 +259,7 @@
                     {},
                     { { LogKey::Revision, aRevision },
                       LogField::Name(LogKey::Detail, since) });
+    return ItemOrigin::Restored;
   }
 
   // Records whether changes that are learnt next may be older than the time for
@@ -313,21 +315,21 @@
   void ApplyListing(const std::vector<KeyValueEntry>& aListing,
                     std::int64_t aRevision)
   {
-    this->NoteIncarnation(aRevision);
+    const ItemOrigin origin = this->NoteIncarnation(aRevision);
     for (const WatchEvent& change : this->mirror.Replace(aListing, aRevision)) {
-      this->ApplyToState(change);
+      this->ApplyToState(change, origin);
     }
   }
 
   void Apply(const WatchEvent& aChange)
   {
     if (this->mirror.Apply(aChange)) {
-      this->ApplyToState(aChange);
+      this->ApplyToState(aChange, ItemOrigin::Written);
     }
   }
 
   // Decodes a changed item and applies it to the state.
-  void ApplyToState(const WatchEvent& aChange)
+  void ApplyToState(const WatchEvent& aChange, ItemOrigin aOrigin)
   {
     const TimePoint now = this->timer.Now();
     const std::string& key = aChange.entry.key;
@@ -358,7 +360,7 @@
       }
       LogRegistryItem(
         this->log, this->state, item, aChange.entry.modRevision, now);
-      change = this->state.Apply(std::move(item), now);
+      change = this->state.Apply(std::move(item), now, aOrigin);
       if (runner) {
         this->LogIfLeaving(*runner, change);
         if (change == FleetChange::None) {
--- a/wigeonwalk/fleet/fleet.cc
+++ b/wigeonwalk/fleet/fleet.cc
@@ -8,21 +8,28 @@
 FleetChange
 Fleet::Register(const RunnerEntry& aEntry)
 {
+  const Former* known = this->FindFormer(aEntry);
+  const bool hasEnded = known != nullptr && known->ended;
   std::shared_ptr<Runner>& slot = this->runners[aEntry.id];
   const bool isNew = slot == nullptr;
   const bool restarted = !isNew && (slot->entry.startedAt != aEntry.startedAt ||
                                     slot->entry.address != aEntry.address ||
                                     slot->entry.service != aEntry.service);
+  if (restarted && hasEnded) {
+    return FleetChange::None;
+  }
   if (isNew || restarted) {
     slot = std::make_shared<Runner>();
     slot->entry = aEntry;
-    slot->leaving = aEntry.state == RunnerState::Leaving;
+    slot->leaving = aEntry.state == RunnerState::Leaving || hasEnded;
     return isNew ? FleetChange::Added : FleetChange::Restarted;
   }
   Runner& runner = *slot;
   runner.missingUntil.reset();
+  const bool wasDoubted = runner.doubtedUntil != TimePoint();
+  runner.doubtedUntil = TimePoint();
   if (runner.entry == aEntry) {
-    return FleetChange::None;
+    return wasDoubted ? FleetChange::Updated : FleetChange::None;
   }
   // A heartbeat that was written before an order to load weights was executed
   // still contains the older version.
@@ -38,6 +45,52 @@
   return FleetChange::Updated;
 }
 
+FleetChange
+Fleet::RegisterRestored(const RunnerEntry& aEntry, TimePoint aNow)
+{
+  const auto known = this->Find(aEntry.id);
+  const bool isDoubted = known != nullptr ? aNow < known->doubtedUntil
+                                          : this->FindFormer(aEntry) != nullptr;
+  const FleetChange change = this->Register(aEntry);
+  if (isDoubted) {
+    this->runners.at(aEntry.id)->doubtedUntil = aNow + kMaxSilence;
+  }
+  return change;
+}
+
+void
+Fleet::NoteReplaced(const Runner& aRunner, TimePoint aNow)
+{
+  this->NoteFormer(aRunner, true, aNow);
+}
+
+const Fleet::Former*
+Fleet::FindFormer(const RunnerEntry& aEntry) const
+{
+  const auto found = this->former.find({ aEntry.id, aEntry.startedAt });
+  return found == this->former.end() ? nullptr : &found->second;
+}
+
+void
+Fleet::NoteFormer(const Runner& aRunner, bool aEnded, TimePoint aNow)
+{
+  const std::int64_t start = aRunner.entry.startedAt;
+  if (start == 0) {
+    return;
+  }
+  Former& row = this->former[{ aRunner.entry.id, start }];
+  row = { row.ended || aEnded, aNow };
+  if (this->former.size() > kMaxFormer) {
+    const auto oldest = std::min_element(
+      this->former.begin(),
+      this->former.end(),
+      [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.removedAt < aRight.second.removedAt;
+      });
+    this->former.erase(oldest);
+  }
+}
+
 FleetChange
 Fleet::Unregister(const UpstreamId& aRunner, TimePoint aNow)
 {
@@ -50,6 +103,7 @@
     found->second->missingUntil = graceEnd;
     return FleetChange::Missing;
   }
+  this->NoteFormer(*found->second, found->second->leaving, aNow);
   found->second->leaving = true;
   this->runners.erase(found);
   return FleetChange::Removed;
@@ -69,12 +123,16 @@
     Runner& runner = *it->second;
     if (runner.missingUntil && *runner.missingUntil <= aNow) {
       expired.push_back(it->first);
+      this->NoteFormer(runner, runner.leaving, aNow);
       runner.leaving = true;
       it = this->runners.erase(it);
     } else {
       ++it;
     }
   }
+  std::erase_if(this->former, [aNow](const auto& aRow) {
+    return aNow - aRow.second.removedAt >= kFormerRetention;
+  });
   return expired;
 }
 
--- a/wigeonwalk/fleet/fleet.h
+++ b/wigeonwalk/fleet/fleet.h
@@ -8,8 +8,11 @@
 #include "wigeonwalk/fleet/runner.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace wigeonwalk {
@@ -54,8 +57,26 @@
   static constexpr Duration kReregistrationGrace =
     std::chrono::milliseconds(2'300);
 
+  // Longest time for which the registry lists a runner that no longer runs: it
+  // removes a registration after three heartbeat intervals without a write.
+  static constexpr Duration kMaxSilence = std::chrono::seconds(4);
+  // How long, and how many, former starts of runners are remembered: an older
+  // copy of the registry still lists them.
+  static constexpr Duration kFormerRetention = std::chrono::minutes(10);
+  static constexpr std::size_t kMaxFormer = 4'096;
+
+  // A start that had been leaving when it was removed, or was replaced by
+  // another one, gets no requests again.
   FleetChange Register(const RunnerEntry& aEntry);
 
+  // Applies a registration that was listed after the registry was restored from
+  // an older copy. A start that had been removed before gets no requests until
+  // it is registered again, or has been listed for kMaxSilence.
+  FleetChange RegisterRestored(const RunnerEntry& aEntry, TimePoint aNow);
+
+  // Records that a start was replaced by another one of the same runner.
+  void NoteReplaced(const Runner& aRunner, TimePoint aNow);
+
   // Removes a runner whose registration has disappeared. Shortly after an
   // outage of the registry, the runner is kept until kReregistrationGrace after
   // the registry's return instead.
@@ -79,8 +100,25 @@
 
   std::size_t Size() const { return this->runners.size(); }
 
+  // The number of remembered former starts.
+  std::size_t FormerCount() const { return this->former.size(); }
+
 private:
+  // A start of a runner that is no longer registered.
+  struct Former
+  {
+    // It was leaving, or was replaced by another start.
+    bool ended = false;
+    TimePoint removedAt;
+  };
+
+  // Returns null if the start is unknown or not a former one.
+  const Former* FindFormer(const RunnerEntry& aEntry) const;
+  void NoteFormer(const Runner& aRunner, bool aEnded, TimePoint aNow);
+
   std::unordered_map<UpstreamId, std::shared_ptr<Runner>> runners;
+  // By id and start.
+  std::map<std::pair<UpstreamId, std::int64_t>, Former> former;
   TimePoint registryReturnedAt;
 };
 
--- a/wigeonwalk/fleet/runner.h
+++ b/wigeonwalk/fleet/runner.h
@@ -75,6 +75,9 @@
   // Set if the registration disappeared right after an outage of the registry:
   // the runner is removed at this time unless it registers again before.
   std::optional<TimePoint> missingUntil;
+  // No new requests until this time, because the registration was listed in a
+  // copy of the registry that is older than its removal.
+  TimePoint doubtedUntil;
   // No new requests until this time, because the runner is loading weights.
   TimePoint pausedUntil;
   // No new requests from this daemon, at the runner's request.
@@ -111,7 +114,8 @@
   // Returns true if a new request may be sent, as far as the runner has said.
   bool TakesRequests(TimePoint aNow) const
   {
-    return !this->leaving && this->requestedPause.Admits(aNow);
+    return !this->leaving && aNow >= this->doubtedUntil &&
+           this->requestedPause.Admits(aNow);
   }
 
   // Records that another daemon has sent a long prompt. Its prefill takes
