entry: report changes again that a listing may have missed

A daemon without access to the registry sent requests to a runner that was leaving. The daemon that it asked had known the runner as leaving before the restore, and found it so again in the listing: it took that for a heartbeat and did not report it, although the runner had been ready in between. The same holds for changes reported by another daemon, which leave out what lies between two states.

Only a change from the watch, which reports all of them, can be a heartbeat.

--- a/wigeonwalk/entry/registry_restore_test.cc
+++ b/wigeonwalk/entry/registry_restore_test.cc
@@ -262,6 +262,89 @@
   CHECK(setting.Usable(*setting.one) == 1);
 }
 
+// Guards against a daemon that is not told of a change because the one that it
+// asks knew the same state before the restore.
+SCENARIO("a listing repeats what a daemon knew before the restore")
+{
+  Setting setting;
+  setting.service.Store("members/front-3", "peer-front-3");
+  setting.service.TakeCopy();
+  setting.service.Store("runners/r-1", "draining 100");
+  setting.RunFor(2s);
+  REQUIRE(setting.Usable(*setting.one) == 0);
+  setting.two->endpoint.alive = false;
+  setting.one->endpoint.alive = false;
+  setting.one->service.AddLinkFault({ .fault = KeyValueFault::Down,
+                                      .from = setting.time.Now(),
+                                      .until = setting.time.Now() + 5s });
+  setting.service.RestoreCopy();
+  RegistryDaemon late(
+    setting.time, setting.service, setting.network, "front-3");
+  setting.RunFor(3s);
+  REQUIRE(setting.Usable(late) == 1);
+  late.service.AddLinkFault(
+    { .fault = KeyValueFault::Down, .from = setting.time.Now() });
+  setting.RunFor(1s);
+  setting.service.Store("runners/r-1", "draining 100");
+  setting.RunFor(2s);
+  setting.one->endpoint.alive = true;
+  setting.RunFor(4s);
+  CHECK(late.mirror.Revision() == setting.one->mirror.Revision());
+  CHECK(setting.Usable(late) == 0);
+}
+
+// Guards against a configuration, weights or their ages that return to an older
+// state.
+SCENARIO("the copy holds an older configuration and older weights")
+{
+  Setting setting;
+  const ModelName model("m");
+  setting.service.Store("config", "2");
+  setting.service.Store("weights/m", "2");
+  setting.RunFor(1s);
+  setting.service.Store("config", "3");
+  setting.service.Store("weights/m", "3");
+  setting.RunFor(1s);
+  const auto known = setting.one->state.WeightsOf(model).Versions();
+  REQUIRE(known.size() == 3);
+  setting.service.RestoreCopy();
+  setting.RunFor(2s);
+  for (const RegistryDaemon* daemon : { &*setting.one, &*setting.two }) {
+    CHECK(daemon->Version() == 3);
+    CHECK(daemon->state.WeightsOf(model).Newest().version == 3);
+  }
+  CHECK(setting.one->state.WeightsOf(model).Versions() == known);
+
+  WHEN("the changes are written again, and new ones")
+  {
+    setting.service.Store("config", "3");
+    setting.service.Store("weights/m", "3");
+    setting.RunFor(1s);
+    CHECK(setting.one->state.WeightsOf(model).Versions() == known);
+    setting.service.Store("config", "4");
+    setting.service.Store("weights/m", "4");
+    setting.RunFor(1s);
+    for (const RegistryDaemon* daemon : { &*setting.one, &*setting.two }) {
+      CHECK(daemon->Version() == 4);
+      CHECK(daemon->state.WeightsOf(model).Newest().version == 4);
+      CHECK(daemon->state.WeightsOf(model).IsExact(4));
+    }
+  }
+
+  WHEN("a daemon starts")
+  {
+    RegistryDaemon late(
+      setting.time, setting.service, setting.network, "front-9");
+    setting.RunFor(1s);
+    CHECK(late.Version() == 1);
+    setting.service.Store("config", "3");
+    setting.service.Store("weights/m", "3");
+    setting.RunFor(1s);
+    CHECK(late.Version() == 3);
+    CHECK(late.state.WeightsOf(model).Newest().version == 3);
+  }
+}
+
 namespace {
 
 WatchEvent
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -223,7 +223,11 @@
     this->missedChanges |= this->timer.Now() > deadline;
     this->NoteAnswer(this->timer.Now());
     for (const WatchEvent& change : batch->events) {
-      this->Apply(change);
+      // A listing or a report of another daemon may lack changes that lie
+      // between two equal states.
+      if (!this->Apply(change)) {
+        this->mirror.NoteSameContent(change.entry.key);
+      }
     }
     this->mirror.NoteRevision(batch->nextRevision - 1);
     this->ExpireRunners();
@@ -321,19 +325,21 @@
     }
   }
 
-  void Apply(const WatchEvent& aChange)
+  // Returns false if the change only repeats a runner's registration.
+  bool Apply(const WatchEvent& aChange)
   {
-    if (this->mirror.Apply(aChange)) {
-      this->ApplyToState(aChange, ItemOrigin::Written);
-    }
+    return !this->mirror.Apply(aChange) ||
+           this->ApplyToState(aChange, ItemOrigin::Written);
   }
 
-  // Decodes a changed item and applies it to the state.
-  void ApplyToState(const WatchEvent& aChange, ItemOrigin aOrigin)
+  // Decodes a changed item and applies it to the state. Returns false if it
+  // only repeats a runner's registration.
+  bool ApplyToState(const WatchEvent& aChange, ItemOrigin aOrigin)
   {
     const TimePoint now = this->timer.Now();
     const std::string& key = aChange.entry.key;
     FleetChange change = FleetChange::None;
+    bool isRepeated = false;
     if (aChange.deleted) {
       const RemovedItem removed = this->decoder.DecodeRemoved(key);
       change = this->state.ApplyRemoved(removed, now);
@@ -348,7 +354,7 @@
                         { LogField::Name(LogKey::Place, key),
                           LogField(reason),
                           { LogKey::Revision, aChange.entry.modRevision } });
-        return;
+        return true;
       }
       if (auto* named = std::get_if<DesiredWeights>(&item)) {
         named->revision = aChange.entry.modRevision;
@@ -363,9 +369,7 @@
       change = this->state.Apply(std::move(item), now, aOrigin);
       if (runner) {
         this->LogIfLeaving(*runner, change);
-        if (change == FleetChange::None) {
-          this->mirror.NoteSameContent(key);
-        }
+        isRepeated = change == FleetChange::None;
       }
     }
     if (change != FleetChange::None && change != FleetChange::Updated) {
@@ -377,6 +381,7 @@
                         { LogKey::Outcome, change },
                         { LogKey::Revision, aChange.entry.modRevision } });
     }
+    return !isRepeated;
   }
 
   void LogIfLeaving(const RunnerEntry& aEntry, FleetChange aChange)
