--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -5,8 +5,10 @@
 #pragma once
 
 #include "wigeonwalk/entry/advice_handling.h"
+#include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/item_mirror.h"
+#include "wigeonwalk/entry/registry_item_log.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/registry_items.h"
@@ -18,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace wigeonwalk {
 
@@ -112,14 +115,22 @@
     }
   }
 
-  // Applies changes that another daemon reported.
-  void ApplyReported(const std::vector<WatchEvent>& aChanges,
-                     std::int64_t aRevision)
+  // Applies changes that another daemon reported. Items that are not in a full
+  // copy have been removed.
+  void ApplyReported(const RegistryChanges& aReported)
   {
-    for (const WatchEvent& change : aChanges) {
+    if (aReported.full) {
+      std::vector<KeyValueEntry> items;
+      for (const WatchEvent& change : aReported.changes) {
+        items.push_back(change.entry);
+      }
+      this->ApplyListing(items, aReported.revision);
+      return;
+    }
+    for (const WatchEvent& change : aReported.changes) {
       this->Apply(change);
     }
-    this->mirror.NoteRevision(aRevision);
+    this->mirror.NoteRevision(aReported.revision);
   }
 
   // Records that a reader of this zone knew the registry to be at the mirror's
@@ -178,11 +189,12 @@
     if (!listing) {
       co_return false;
     }
-    this->NoteAnswer(this->timer.Now());
-    for (const WatchEvent& change :
-         this->mirror.Replace(*listing, before->revision)) {
-      this->ApplyToState(change);
+    if (!IsOfIncarnation(*listing, IncarnationOf(before->revision))) {
+      Fail(aReason, ReasonCode::Stale, "the registry was restored meanwhile");
+      co_return false;
     }
+    this->NoteAnswer(this->timer.Now());
+    this->ApplyListing(*listing, before->revision);
     this->hasListing = true;
     this->log.Write(this->timer.Now(),
                     LogLevel::Info,
@@ -211,13 +223,49 @@
     this->missedChanges |= this->timer.Now() > deadline;
     this->NoteAnswer(this->timer.Now());
     for (const WatchEvent& change : batch->events) {
-      this->Apply(change);
+      // A listing or a report of another daemon may lack changes that lie
+      // between two equal states.
+      if (!this->Apply(change)) {
+        this->mirror.NoteSameContent(change.entry.key);
+      }
     }
     this->mirror.NoteRevision(batch->nextRevision - 1);
     this->ExpireRunners();
     co_return true;
   }
 
+  static bool IsOfIncarnation(const std::vector<KeyValueEntry>& aListing,
+                              std::int64_t aIncarnation)
+  {
+    return std::all_of(aListing.begin(),
+                       aListing.end(),
+                       [aIncarnation](const KeyValueEntry& aEntry) {
+                         return IncarnationOf(aEntry.modRevision) ==
+                                aIncarnation;
+                       });
+  }
+
+  // Records that the state at a revision is applied next, and returns its
+  // origin. After a restore of the registry, registrations may be missing as
+  // after an outage.
+  ItemOrigin NoteIncarnation(std::int64_t aRevision)
+  {
+    const std::int64_t known = this->mirror.Revision();
+    if (known == 0 || IncarnationOf(aRevision) <= IncarnationOf(known)) {
+      return ItemOrigin::Written;
+    }
+    const TimePoint now = this->timer.Now();
+    const std::string since = "known until " + std::to_string(known);
+    this->state.fleet.NoteRegistryReturned(now);
+    this->log.Write(now,
+                    LogLevel::Warning,
+                    "registry was restored from a copy",
+                    {},
+                    { { LogKey::Revision, aRevision },
+                      LogField::Name(LogKey::Detail, since) });
+    return ItemOrigin::Restored;
+  }
+
   // Records whether changes that are learnt next may be older than the time for
   // which this daemon may rely on its knowledge. `aTime` is the time from which
   // on changes are reported when they are made.
@@ -268,19 +316,30 @@
     }
   }
 
-  void Apply(const WatchEvent& aChange)
+  void ApplyListing(const std::vector<KeyValueEntry>& aListing,
+                    std::int64_t aRevision)
   {
-    if (this->mirror.Apply(aChange)) {
-      this->ApplyToState(aChange);
+    const ItemOrigin origin = this->NoteIncarnation(aRevision);
+    for (const WatchEvent& change : this->mirror.Replace(aListing, aRevision)) {
+      this->ApplyToState(change, origin);
     }
   }
 
-  // Decodes a changed item and applies it to the state.
-  void ApplyToState(const WatchEvent& aChange)
+  // Returns false if the change only repeats a runner's registration.
+  bool Apply(const WatchEvent& aChange)
+  {
+    return !this->mirror.Apply(aChange) ||
+           this->ApplyToState(aChange, ItemOrigin::Written);
+  }
+
+  // Decodes a changed item and applies it to the state. Returns false if it
+  // only repeats a runner's registration.
+  bool ApplyToState(const WatchEvent& aChange, ItemOrigin aOrigin)
   {
     const TimePoint now = this->timer.Now();
     const std::string& key = aChange.entry.key;
     FleetChange change = FleetChange::None;
+    bool isRepeated = false;
     if (aChange.deleted) {
       const RemovedItem removed = this->decoder.DecodeRemoved(key);
       change = this->state.ApplyRemoved(removed, now);
@@ -295,7 +354,7 @@
                         { LogField::Name(LogKey::Place, key),
                           LogField(reason),
                           { LogKey::Revision, aChange.entry.modRevision } });
-        return;
+        return true;
       }
       if (auto* named = std::get_if<DesiredWeights>(&item)) {
         named->revision = aChange.entry.modRevision;
@@ -305,13 +364,12 @@
       if (const auto* entry = std::get_if<RunnerEntry>(&item)) {
         runner = *entry;
       }
-      this->LogItem(item, aChange.entry.modRevision);
-      change = this->state.Apply(std::move(item), now);
+      LogRegistryItem(
+        this->log, this->state, item, aChange.entry.modRevision, now);
+      change = this->state.Apply(std::move(item), now, aOrigin);
       if (runner) {
         this->LogIfLeaving(*runner, change);
-        if (change == FleetChange::None) {
-          this->mirror.NoteSameContent(key);
-        }
+        isRepeated = change == FleetChange::None;
       }
     }
     if (change != FleetChange::None && change != FleetChange::Updated) {
@@ -323,6 +381,7 @@
                         { LogKey::Outcome, change },
                         { LogKey::Revision, aChange.entry.modRevision } });
     }
+    return !isRepeated;
   }
 
   void LogIfLeaving(const RunnerEntry& aEntry, FleetChange aChange)
@@ -339,50 +398,6 @@
     }
   }
 
-  void LogItem(const RegistryItem& aItem, std::int64_t aRevision)
-  {
-    constexpr StringLiteral kNamed("weights named");
-    constexpr StringLiteral kFound("weights found");
-    const TimePoint now = this->timer.Now();
-    if (const auto* routing = std::get_if<RoutingConfiguration>(&aItem)) {
-      this->log.Write(now,
-                      LogLevel::Info,
-                      "configuration in force",
-                      {},
-                      { { LogKey::Version, routing->version },
-                        { LogKey::Count, routing->routes.size() },
-                        { LogKey::Revision, aRevision } });
-    } else if (const auto* named = std::get_if<DesiredWeights>(&aItem)) {
-      this->log.Write(now,
-                      LogLevel::Info,
-                      named->mayBeOlder ? kFound : kNamed,
-                      {},
-                      { { LogKey::Model, named->model },
-                        { LogKey::Version, named->version },
-                        { LogKey::Revision, aRevision } });
-    } else if (const auto* record = std::get_if<WeightsRecord>(&aItem)) {
-      this->LogRecord(*record, now);
-    }
-  }
-
-  // Logs the recorded ages that this daemon did not observe.
-  void LogRecord(const WeightsRecord& aRecord, TimePoint aNow)
-  {
-    const WeightHistory& known = this->state.WeightsOf(aRecord.model);
-    for (const RecordedWeights& row : aRecord.versions) {
-      if (!known.IsExact(row.version)) {
-        this->log.Write(aNow,
-                        LogLevel::Info,
-                        "weights age learnt",
-                        {},
-                        { { LogKey::Model, aRecord.model },
-                          { LogKey::Version, row.version },
-                          { LogKey::Age, aNow - row.publishedAt },
-                          { LogKey::Place, StringLiteral("registry") } });
-      }
-    }
-  }
-
   EntryState& state;
   ItemMirror& mirror;
   S& store;
