--- a/wigeonwalk/entry/cluster_key.h
+++ b/wigeonwalk/entry/cluster_key.h
@@ -15,7 +15,6 @@
 #include <algorithm>
 #include <cstdint>
 #include <string>
-#include <utility>
 
 namespace wigeonwalk {
 
@@ -32,7 +31,7 @@
 {
   constexpr Duration kCallTimeout = std::chrono::seconds(1);
   const PutRequest put{ .key = kClusterKeyItem,
-                        .value = std::move(aKey),
+                        .value = aKey,
                         .expectedRevision = 0 };
   FailureReason ignored;
   const TimePoint deadline = aTimer.Now() + kCallTimeout;
--- a/wigeonwalk/entry/order_leader.h
+++ b/wigeonwalk/entry/order_leader.h
@@ -19,7 +19,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace wigeonwalk {
@@ -272,7 +271,7 @@
   {
     PutRequest put;
     put.key = kLastHolderKey;
-    put.value = std::move(aRecord);
+    put.value = aRecord;
     const KeyValueEntry* last = this->mirror.Find(kLastHolderKey);
     put.expectedRevision = last == nullptr ? 0 : last->modRevision;
     FailureReason reason;
