http: end a read at its deadline even if bytes are ready

Callers got no answer in time if a runner sent a body without a length and without end: a read of bytes that are ready succeeds before the stream's timer is looked at, so that only the limit of 16 MiB ended the body. ReadHead and ReadSome now compare the present time with the deadline before each read.

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -70,6 +70,13 @@
     this->stream.expires_after(std::max(left, Duration(1)));
   }
 
+  // Returns true after the deadline. The stream's timer alone does not end
+  // reads of bytes that are ready.
+  bool IsPast(TimePoint aDeadline) const
+  {
+    return this->timer.Now() > aDeadline;
+  }
+
   SystemTimer& timer;
   beast::tcp_stream stream;
   beast::flat_buffer buffer{ kReadAheadBytes };
@@ -188,6 +195,10 @@
   unsigned status = 0;
   error_code error;
   while (status < kFirstFinalStatus && !error) {
+    if (this->state->IsPast(aDeadline)) {
+      error = beast::error::timeout;
+      break;
+    }
     this->state->parser.emplace();
     this->state->parser->body_limit(kMaxResponseBytes);
     headBytes += co_await http::async_read_header(
@@ -226,11 +237,15 @@
     parser.get().body().size = bytes.size();
     this->state->ExpireAt(aDeadline);
     error_code error;
-    co_await http::async_read_some(
-      this->state->stream,
-      this->state->buffer,
-      parser,
-      asio::redirect_error(asio::use_awaitable, error));
+    if (this->state->IsPast(aDeadline)) {
+      error = beast::error::timeout;
+    } else {
+      co_await http::async_read_some(
+        this->state->stream,
+        this->state->buffer,
+        parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    }
     if (error && error != http::error::need_buffer) {
       this->state->failed = true;
       co_return FailResponse(aReason, error, this->state->address);
--- a/wigeonwalk/adapters/http/http_client_test.cc
+++ b/wigeonwalk/adapters/http/http_client_test.cc
@@ -226,3 +226,40 @@
   REQUIRE(fixture.Call().has_value());
   CHECK(fixture.peer.connections == 2);
 }
+
+// Guards against a peer whose bytes are always ready, from which a client reads
+// beyond its deadline.
+SCENARIO("bytes that are ready are not read after the deadline")
+{
+  Fixture fixture;
+  fixture.peer.answers = { { std::string(kOkHead) + "\r\nready" } };
+  const bool isHeadInTime = GENERATE(true, false);
+  CAPTURE(isHeadInTime);
+  FailureReason reason;
+  bool ended = false;
+  const auto call = [&]() -> Task<void> {
+    const HttpRequest request{ .method = "GET", .target = "/" };
+    const std::string address = fixture.peer.Address();
+    const TimePoint past = fixture.timer.Now();
+    const TimePoint future = past + 20s;
+    auto connection =
+      co_await fixture.pool.Acquire(address, Reuse::Allowed, future, reason);
+    REQUIRE(connection.has_value());
+    CHECK(co_await connection->Send(request, future, reason));
+    CHECK(co_await connection->WaitReadable(future));
+    const TimePoint headDeadline = isHeadInTime ? future : past;
+    const auto head = co_await connection->ReadHead(headDeadline, reason);
+    CHECK(head.has_value() == isHeadInTime);
+    if (isHeadInTime) {
+      const auto bytes = co_await connection->ReadSome(past, reason);
+      CHECK_FALSE(bytes.has_value());
+    }
+    CHECK(reason.code == ReasonCode::ResponseTimeout);
+    CHECK_FALSE(connection->Reusable());
+    ended = true;
+  };
+  boost::asio::co_spawn(fixture.context, call(), boost::asio::detached);
+  while (!ended) {
+    fixture.context.run_one();
+  }
+}
