json: limit the nesting and size of what other writers and peers send

A daemon ended when another writer left a deeply nested entry or message: the JSON library recurses once for each level when it copies or prints a value and when it reads MessagePack.

--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -16,6 +16,18 @@
 using namespace wigeonwalk;
 using namespace std::chrono_literals;
 
+// Guards against messages that overflow the stack.
+TEST_CASE("messages between entry daemons that are nested deeply are rejected")
+{
+  const EntryMsgpack codec;
+  const std::string nested(1'000'000, '\x91');
+  CHECK_FALSE(codec.DecodeChanges(nested).has_value());
+  CHECK_FALSE(codec.DecodeQuery(nested).has_value());
+  CHECK_FALSE(codec.DecodeLoads(nested).has_value());
+  CHECK_FALSE(codec.DecodePause(nested).has_value());
+  CHECK_FALSE(codec.DecodeParts(nested).has_value());
+}
+
 TEST_CASE("notices between entry daemons are decoded as they were encoded")
 {
   const EntryMsgpack codec;
--- a/wigeonwalk/adapters/msgpack/msgpack.h
+++ b/wigeonwalk/adapters/msgpack/msgpack.h
@@ -6,6 +6,8 @@
 //   });
 #pragma once
 
+#include "wigeonwalk/adapters/json/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <exception>
@@ -23,14 +25,15 @@
 }
 
 // Decodes the payload with aDecode, which may throw for a missing or malformed
-// element. Returns nullopt if it throws or if the payload is not MessagePack.
+// element. Returns nullopt if it throws, if the payload is not MessagePack or
+// if it exceeds the limits of nesting and size.
 template<typename Decode>
 auto
 UnpackMessage(const std::string& aPayload, Decode aDecode)
   -> std::optional<decltype(aDecode(nlohmann::json()))>
 {
   try {
-    return aDecode(nlohmann::json::from_msgpack(aPayload));
+    return aDecode(ParseBoundedMsgpack(aPayload));
   } catch (const std::exception&) {
     return std::nullopt;
   }
