entry: stop using a runner whose entry can't be read any more

A daemon kept using a runner whose entry another writer had overwritten, while one that started later did not.

--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -295,6 +295,7 @@
                         { LogField::Name(LogKey::Place, key),
                           LogField(reason),
                           { LogKey::Revision, aChange.entry.modRevision } });
+        this->ApplyUnreadable(key);
         return;
       }
       if (auto* named = std::get_if<DesiredWeights>(&item)) {
@@ -325,6 +326,16 @@
     }
   }
 
+  // An entry that can't be read names no runner, whatever it said before. Of
+  // other items, the last readable one holds.
+  void ApplyUnreadable(const std::string& aKey)
+  {
+    const RemovedItem named = this->decoder.DecodeRemoved(aKey);
+    if (std::holds_alternative<UpstreamId>(named)) {
+      this->state.ApplyRemoved(named, this->timer.Now());
+    }
+  }
+
   void LogIfLeaving(const RunnerEntry& aEntry, FleetChange aChange)
   {
     const bool isNew =
