--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -39,8 +39,8 @@
   aNotifier.AnnouncePoison();
 };
 
-// Forwards requests and retries failed attempts. Keeps no state between
-// requests; the EntryState must outlive it.
+// Forwards one request and retries failed attempts. The EntryState must outlive
+// it.
 template<AttemptOpener U,
          WorkNotifier P,
          RequestMetrics M,
@@ -111,6 +111,12 @@
     this->NoteEnd(aRequest.facts, progress);
   }
 
+  // What is known of the request if Forward is cancelled now.
+  Verdict VerdictIfCancelled() const
+  {
+    return this->isAtRunner ? Verdict::MayHaveRun : this->failedVerdict;
+  }
+
 private:
   // Waits for the first configuration if the process has just started.
   Task<void> AwaitConfiguration()
@@ -207,6 +213,7 @@
       const TimePoint now = this->timer.Now();
       isWanted = aChoice.runner->TakesRequests(now);
       if (isWanted) {
+        this->isAtRunner = true;
         aChoice.runner->requestedPause.NoteSent(now);
       }
       return isWanted;
@@ -321,6 +328,8 @@
   {
     const Verdict verdict = VerdictOf(aProgress.failure.code);
     aProgress.verdict = CombineVerdicts(aProgress.verdict, verdict);
+    this->failedVerdict = aProgress.verdict;
+    this->isAtRunner = false;
     aProgress.tried.push_back(aChoice.runner->entry.id);
     const TimePoint now = this->timer.Now();
     // A runner that asked for a pause is not avoided beyond it.
@@ -441,6 +450,10 @@
   L& log;
   RunnerWait<T> wait;
   AnswerRelay<Attempt, M, T, L> relay;
+  // The present attempt may have reached a runner.
+  bool isAtRunner = false;
+  // The combined verdict on the attempts that failed.
+  Verdict failedVerdict = Verdict::NotRun;
 };
 
 } // namespace wigeonwalk
