entry: pass on during a planned stop only what can end in time

Callers saw: a request that arrived during the stop was sent to a runner with its whole deadline, also if that lay beyond the end of the process. A request that must not be repeated was then cut at the runner, although another daemon could have served it.

Any other request is forwarded with AnswerBy as the limit of its deadline, so that the runner doesn't work beyond it. Requests taken before the stop are not affected.

--- a/wigeonwalk/adapters/http/http_server.cc
+++ b/wigeonwalk/adapters/http/http_server.cc
@@ -94,21 +94,45 @@
 
 } // namespace
 
-Task<std::optional<HttpRequest>>
-HttpConnection::ReadRequest(FailureReason& aReason)
+Task<bool>
+HttpConnection::WaitForRequest(FailureReason& aReason)
 {
   State& connection = *this->state;
   error_code error;
-  if (connection.buffer.size() == 0) {
+  while (connection.buffer.size() == 0 && !error) {
     connection.stream.expires_after(connection.limits.idleTimeout);
     const std::size_t bytes = co_await connection.stream.async_read_some(
       connection.buffer.prepare(kReadBytes),
       asio::redirect_error(asio::use_awaitable, error));
     connection.buffer.commit(bytes);
-    if (error) {
-      co_return Fail(aReason, ReasonCode::Cancelled, error.message());
+    error_code ignored;
+    if (error == asio::error::operation_aborted &&
+        connection.stream.socket().available(ignored) > 0) {
+      // A request crossed StopWaiting.
+      error = {};
     }
   }
+  if (error) {
+    Fail(aReason, ReasonCode::Cancelled, error.message());
+  }
+  co_return !error;
+}
+
+void
+HttpConnection::StopWaiting()
+{
+  this->state->stream.cancel();
+}
+
+Task<std::optional<HttpRequest>>
+HttpConnection::ReadRequest(FailureReason& aReason)
+{
+  State& connection = *this->state;
+  error_code error;
+  const bool arrived = co_await this->WaitForRequest(aReason);
+  if (!arrived) {
+    co_return std::nullopt;
+  }
   http::request_parser<http::string_body> parser;
   parser.header_limit(connection.limits.headerBytes);
   parser.body_limit(connection.limits.bodyBytes);
--- a/wigeonwalk/adapters/http/http_server.h
+++ b/wigeonwalk/adapters/http/http_server.h
@@ -45,6 +45,14 @@
   // Sets the limits for subsequent requests.
   void SetLimits(const HttpLimits& aLimits);
 
+  // Waits until the next request begins to arrive. Returns false with the
+  // reason Cancelled if the peer closed the connection or stayed idle, or if
+  // StopWaiting was called.
+  Task<bool> WaitForRequest(FailureReason& aReason);
+
+  // Ends WaitForRequest, unless bytes have arrived.
+  void StopWaiting();
+
   // Reads the next request. Returns nothing with the reason Cancelled if the
   // peer closed the connection or stayed idle. Returns nothing with TooLarge,
   // InvalidArgument or Expired if the caller must send an error response and
--- a/wigeonwalk/entry/admission.cc
+++ b/wigeonwalk/entry/admission.cc
@@ -84,6 +84,24 @@
   return shared;
 }
 
+// Refuses a request that may outlast a stopping daemon, or limits its deadline.
+bool
+AdmitBeforeStop(const EntryState& aState,
+                AdmittedRequest& aAdmitted,
+                FailureReason& aReason)
+{
+  if (!aState.stop) {
+    return true;
+  }
+  if (!aState.stop->Takes(aAdmitted.deadline, aAdmitted.route->MayRunAgain())) {
+    Fail(
+      aReason, ReasonCode::DaemonStopping, "daemon stops before the deadline");
+    return false;
+  }
+  aAdmitted.deadline = std::min(aAdmitted.deadline, aState.stop->AnswerBy());
+  return true;
+}
+
 } // namespace
 
 std::uint32_t
@@ -120,6 +138,9 @@
   const Duration callerTimeout =
     aRequest.callerTimeout.value_or(kDefaultCallerTimeout);
   aAdmitted.deadline = aNow + std::min(callerTimeout, aAdmitted.route->timeout);
+  if (!AdmitBeforeStop(aState, aAdmitted, aReason)) {
+    return false;
+  }
   aState.retryBudget.RecordRequest(aAdmitted.service->name, aNow);
   if (aRequest.prompt) {
     aAdmitted.sharedParts = SharedPartsOf(*aRequest.prompt);
--- a/wigeonwalk/entry/admission.h
+++ b/wigeonwalk/entry/admission.h
@@ -24,7 +24,8 @@
   const Route* route = nullptr;
   const ServiceConfiguration* service = nullptr;
   const OrganisationConfiguration* organisation = nullptr;
-  // The earlier of the caller's and the route's timeout.
+  // The earlier of the caller's and the route's timeout, and of the end of a
+  // daemon that is stopping when the request arrives.
   TimePoint deadline;
   // Key under which crashes caused by this request are counted.
   Fingerprint fingerprint;
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "wigeonwalk/entry/entry_settings.h"
+#include "wigeonwalk/entry/stop_schedule.h"
 #include "wigeonwalk/fleet/fleet.h"
 #include "wigeonwalk/fleet/part_index.h"
 #include "wigeonwalk/fleet/runner_advice.h"
@@ -177,6 +178,8 @@
   TimePoint startedAt;
   // The process is shutting down.
   bool stopping = false;
+  // Set while the process is shutting down.
+  std::optional<StopSchedule> stop;
 
 private:
   void ForgetHolder(const UpstreamId& aHolder);
--- a/wigeonwalk/entry/stop_schedule.cc
+++ b/wigeonwalk/entry/stop_schedule.cc
@@ -42,6 +42,12 @@
          std::min(kExitMargin, this->grace / kExitDivisor);
 }
 
+bool
+StopSchedule::Takes(TimePoint aDeadline, bool aMayRunAgain) const
+{
+  return aMayRunAgain || aDeadline <= this->AnswerBy();
+}
+
 bool
 StopSchedule::MayExit(std::size_t aOpen, TimePoint aNow) const
 {
--- a/wigeonwalk/entry/stop_schedule.h
+++ b/wigeonwalk/entry/stop_schedule.h
@@ -1,7 +1,7 @@
 // Decides what a stopping daemon does with its requests, and when it exits.
 //
 //   StopSchedule stop(now, grace);
-//   while (!stop.MayExit(open, now)) { ... }
+//   if (stop.Takes(deadline, mayRunAgain)) { ... until stop.AnswerBy() ... }
 #pragma once
 
 #include "wigeonwalk/base/time.h"
@@ -32,6 +32,12 @@
   // The process exits at this time even if a response is not yet written.
   TimePoint ExitBy() const;
 
+  // Returns true if a request that arrives during the stop may be forwarded,
+  // with AnswerBy as the limit of its deadline. One that must not run twice is
+  // taken only if its own deadline is within the limit: another daemon can
+  // still serve it, but not once it has been cut off at a runner.
+  bool Takes(TimePoint aDeadline, bool aMayRunAgain) const;
+
   // Returns true if the process may exit with this number of open requests.
   bool MayExit(std::size_t aOpen, TimePoint aNow) const;
 
--- a/wigeonwalk/entry/stop_schedule_test.cc
+++ b/wigeonwalk/entry/stop_schedule_test.cc
@@ -44,4 +44,26 @@
       CHECK(stop.AnswerBy() == begunAt + 59'500ms);
     }
   }
+
+  GIVEN("a request that arrives during the stop")
+  {
+    const StopSchedule stop(begunAt, 8s);
+
+    WHEN("its deadline is before the end")
+    {
+      THEN("it is taken")
+      {
+        CHECK(stop.Takes(stop.AnswerBy(), false));
+        CHECK(stop.Takes(stop.AnswerBy(), true));
+      }
+    }
+    WHEN("its deadline is beyond the end")
+    {
+      THEN("it is taken only if it may run again")
+      {
+        CHECK_FALSE(stop.Takes(stop.AnswerBy() + 1ms, false));
+        CHECK(stop.Takes(stop.AnswerBy() + 1ms, true));
+      }
+    }
+  }
 }
