platform: keep lease numbers of up to 53 bits with their era

The store draws lease numbers at random, with 47 bits and more, and the codec kept 40 of them beside the era, so each lease read as none and was taken for one of an earlier era. Lease numbers now have 53 bits, revisions keep 40, and the era 10.

--- a/wigeonwalk/entry/member_presence.h
+++ b/wigeonwalk/entry/member_presence.h
@@ -92,7 +92,7 @@
   bool IsLost() const
   {
     const std::int64_t revision = this->mirror.Revision();
-    return IncarnationOf(revision) > IncarnationOf(*this->lease) ||
+    return IncarnationOf(revision) > LeaseIncarnationOf(*this->lease) ||
            (revision >= this->writtenAt &&
             this->mirror.Find(this->key) == nullptr);
   }
--- a/wigeonwalk/entry/order_leader.h
+++ b/wigeonwalk/entry/order_leader.h
@@ -198,7 +198,8 @@
   static bool IsLeftover(const KeyValueEntry& aLease)
   {
     const auto number = NumberIn(aLease.value);
-    return number && IncarnationOf(*number) < IncarnationOf(aLease.modRevision);
+    return number &&
+           LeaseIncarnationOf(*number) < IncarnationOf(aLease.modRevision);
   }
 
   std::string RecordOf(std::int64_t aIncarnation) const
--- a/wigeonwalk/kv_client/lease_keeper.h
+++ b/wigeonwalk/kv_client/lease_keeper.h
@@ -116,7 +116,7 @@
       this->blockingRevision = result.current ? result.current->modRevision : 0;
       co_return false;
     }
-    if (IncarnationOf(result.revision) != IncarnationOf(*lease)) {
+    if (IncarnationOf(result.revision) != LeaseIncarnationOf(*lease)) {
       Fail(aReason, ReasonCode::Expired, "the service was restored");
       co_return false;
     }
--- a/wigeonwalk/ports/key_value.h
+++ b/wigeonwalk/ports/key_value.h
@@ -49,9 +49,30 @@
 }
 
 // Identifies a lease, with the incarnation in the upper bits; zero means none.
-// A lease of an earlier incarnation has expired.
+// A lease of an earlier incarnation has expired. The service need not number
+// leases in sequence, so they get more bits than revisions.
 using LeaseId = std::int64_t;
 
+inline constexpr int kLeaseNumberBits = 53;
+
+constexpr LeaseId
+MakeLease(std::int64_t aIncarnation, std::int64_t aNumber)
+{
+  return (aIncarnation << kLeaseNumberBits) | aNumber;
+}
+
+constexpr std::int64_t
+LeaseIncarnationOf(LeaseId aLease)
+{
+  return aLease >> kLeaseNumberBits;
+}
+
+constexpr std::int64_t
+LeaseNumberOf(LeaseId aLease)
+{
+  return aLease & ((LeaseId(1) << kLeaseNumberBits) - 1);
+}
+
 // One key with its value.
 struct KeyValueEntry
 {
--- a/wigeonwalk/testing/internal/key_value_state.cc
+++ b/wigeonwalk/testing/internal/key_value_state.cc
@@ -76,19 +76,23 @@
   const auto renumber = [incarnation](std::int64_t aNumber) {
     return aNumber == 0 ? 0 : MakeRevision(incarnation, NumberOf(aNumber));
   };
+  const auto renumberLease = [incarnation](LeaseId aLease) {
+    return aLease == 0 ? 0 : MakeLease(incarnation, LeaseNumberOf(aLease));
+  };
   this->entries = this->copy.entries;
   for (auto& [key, entry] : this->entries) {
     entry.createRevision = renumber(entry.createRevision);
     entry.modRevision = renumber(entry.modRevision);
-    entry.lease = renumber(entry.lease);
+    entry.lease = renumberLease(entry.lease);
   }
   this->leases.clear();
   for (const auto& [lease, granted] : this->copy.leases) {
-    this->leases[renumber(lease)] = { granted.timeToLive,
-                                      this->time.Now() + granted.timeToLive };
+    this->leases[renumberLease(lease)] = {
+      granted.timeToLive, this->time.Now() + granted.timeToLive
+    };
   }
   this->revision = MakeRevision(incarnation, NumberOf(this->copy.revision));
-  this->nextLease = renumber(this->copy.nextLease);
+  this->nextLease = renumberLease(this->copy.nextLease);
   this->history.clear();
   for (const auto& [lease, granted] : this->leases) {
     this->time.Spawn(ExpireLease(this->shared_from_this(), lease));
