fleet: take a running runner's registration again after another writer replaced it

An entry of another writer for the id of a running runner, with another start or none, marked the runner's own start as ended: its registrations were ignored for ten minutes, its leaving too. A replaced start is now only ignored in a listing after a restore, where the copy is older than its successor. Found by the review of the restore's changes. Evidence: the section 'another writer's entry replaced that of a running one for a moment' was written with the change; it was not run on the code before, where Register returns None by its first condition.

--- a/wigeonwalk/fleet/fleet.cc
+++ b/wigeonwalk/fleet/fleet.cc
@@ -9,19 +9,19 @@
 Fleet::Register(const RunnerEntry& aEntry)
 {
   const Former* known = this->FindFormer(aEntry);
-  const bool hasEnded = known != nullptr && known->ended;
+  const bool hadLeft = known != nullptr && known->wasLeaving;
   std::shared_ptr<Runner>& slot = this->runners[aEntry.id];
   const bool isNew = slot == nullptr;
   const bool restarted = !isNew && (slot->entry.startedAt != aEntry.startedAt ||
                                     slot->entry.address != aEntry.address ||
                                     slot->entry.service != aEntry.service);
-  if (restarted && hasEnded) {
+  if (restarted && hadLeft) {
     return FleetChange::None;
   }
   if (isNew || restarted) {
     slot = std::make_shared<Runner>();
     slot->entry = aEntry;
-    slot->leaving = aEntry.state == RunnerState::Leaving || hasEnded;
+    slot->leaving = aEntry.state == RunnerState::Leaving || hadLeft;
     return isNew ? FleetChange::Added : FleetChange::Restarted;
   }
   Runner& runner = *slot;
@@ -48,9 +48,15 @@
 FleetChange
 Fleet::RegisterRestored(const RunnerEntry& aEntry, TimePoint aNow)
 {
-  const auto known = this->Find(aEntry.id);
-  const bool isDoubted = known != nullptr ? aNow < known->doubtedUntil
-                                          : this->FindFormer(aEntry) != nullptr;
+  const auto runner = this->Find(aEntry.id);
+  const Former* known = this->FindFormer(aEntry);
+  const bool isOtherStart =
+    runner != nullptr && runner->entry.startedAt != aEntry.startedAt;
+  if (isOtherStart && known != nullptr && known->wasReplaced) {
+    return FleetChange::None;
+  }
+  const bool isDoubted =
+    runner != nullptr ? aNow < runner->doubtedUntil : known != nullptr;
   const FleetChange change = this->Register(aEntry);
   if (isDoubted) {
     this->runners.at(aEntry.id)->doubtedUntil = aNow + kMaxSilence;
@@ -72,14 +78,16 @@
 }
 
 void
-Fleet::NoteFormer(const Runner& aRunner, bool aEnded, TimePoint aNow)
+Fleet::NoteFormer(const Runner& aRunner, bool aReplaced, TimePoint aNow)
 {
   const std::int64_t start = aRunner.entry.startedAt;
   if (start == 0) {
     return;
   }
   Former& row = this->former[{ aRunner.entry.id, start }];
-  row = { row.ended || aEnded, aNow };
+  row = { row.wasLeaving || aRunner.leaving,
+          row.wasReplaced || aReplaced,
+          aNow };
   if (this->former.size() > kMaxFormer) {
     const auto oldest = std::min_element(
       this->former.begin(),
@@ -103,7 +111,7 @@
     found->second->missingUntil = graceEnd;
     return FleetChange::Missing;
   }
-  this->NoteFormer(*found->second, found->second->leaving, aNow);
+  this->NoteFormer(*found->second, false, aNow);
   found->second->leaving = true;
   this->runners.erase(found);
   return FleetChange::Removed;
@@ -123,7 +131,7 @@
     Runner& runner = *it->second;
     if (runner.missingUntil && *runner.missingUntil <= aNow) {
       expired.push_back(it->first);
-      this->NoteFormer(runner, runner.leaving, aNow);
+      this->NoteFormer(runner, false, aNow);
       runner.leaving = true;
       it = this->runners.erase(it);
     } else {
--- a/wigeonwalk/fleet/fleet.h
+++ b/wigeonwalk/fleet/fleet.h
@@ -65,13 +65,14 @@
   static constexpr Duration kFormerRetention = std::chrono::minutes(10);
   static constexpr std::size_t kMaxFormer = 4'096;
 
-  // A start that had been leaving when it was removed, or was replaced by
-  // another one, gets no requests again.
+  // A start that had been leaving when it was removed or replaced gets no
+  // requests again.
   FleetChange Register(const RunnerEntry& aEntry);
 
   // Applies a registration that was listed after the registry was restored from
   // an older copy. A start that had been removed before gets no requests until
-  // it is registered again, or has been listed for kMaxSilence.
+  // it is registered again, or has been listed for kMaxSilence. One that had
+  // been replaced does not displace its successor.
   FleetChange RegisterRestored(const RunnerEntry& aEntry, TimePoint aNow);
 
   // Records that a start was replaced by another one of the same runner.
@@ -107,14 +108,16 @@
   // A start of a runner that is no longer registered.
   struct Former
   {
-    // It was leaving, or was replaced by another start.
-    bool ended = false;
+    // It was leaving when it was removed or replaced.
+    bool wasLeaving = false;
+    // It was replaced by another start.
+    bool wasReplaced = false;
     TimePoint removedAt;
   };
 
   // Returns null if the start is unknown or not a former one.
   const Former* FindFormer(const RunnerEntry& aEntry) const;
-  void NoteFormer(const Runner& aRunner, bool aEnded, TimePoint aNow);
+  void NoteFormer(const Runner& aRunner, bool aReplaced, TimePoint aNow);
 
   std::unordered_map<UpstreamId, std::shared_ptr<Runner>> runners;
   // By id and start.
--- a/wigeonwalk/fleet/former_starts_test.cc
+++ b/wigeonwalk/fleet/former_starts_test.cc
@@ -93,6 +93,26 @@
     }
   }
 
+  WHEN("another writer's entry replaced that of a running one for a moment")
+  {
+    fleet.Register(Entry("r-1", 7));
+    const auto running = fleet.Find(id);
+    REQUIRE(fleet.Register(Entry("r-1", 0)) == FleetChange::Restarted);
+    fleet.NoteReplaced(*running, kStart);
+
+    THEN("its next registration counts")
+    {
+      CHECK(fleet.Register(Entry("r-1", 7)) == FleetChange::Restarted);
+      CHECK(fleet.Find(id)->TakesRequests(kStart));
+    }
+
+    THEN("one from an older copy of the registry does not")
+    {
+      CHECK(fleet.RegisterRestored(Entry("r-1", 7), kStart) ==
+            FleetChange::None);
+    }
+  }
+
   WHEN("a runner is listed again and again by restored registries")
   {
     AddAndRemove(fleet, Entry("r-1", 7), kStart);
