--- a/review/standins/runner.hpp
+++ b/review/standins/runner.hpp
@@ -83,9 +83,6 @@
 
   std::string Address() const { return this->server.Address(); }
 
-  // Whether each answer goes on without end, until the caller closes.
-  std::atomic<bool> endless = false;
-
   std::vector<ReceivedOrder> Orders()
   {
     const std::lock_guard lock(this->mutex);
