review: case 5, a machine that the store turns away keeps a dropped key

The answers of other machines are refused once they hold more than 2 MiB, which two entries of another writer are enough for.

--- a/review/standins/cluster.hpp
+++ b/review/standins/cluster.hpp
@@ -121,13 +121,13 @@
     }
     int lastByte = 11;
     for (const std::string& host : aHosts) {
-      this->daemons.push_back(
-        std::make_unique<Daemon>(aRecord,
-                                 host,
-                                 zones[(lastByte - 11) % zones.size()],
-                                 lastByte,
-                                 this->store.Address(),
-                                 aFolder));
+      this->daemons.push_back(std::make_unique<Daemon>(
+        aRecord,
+        host,
+        zones[(lastByte - 11) % zones.size()],
+        lastByte,
+        this->store.DoorAddress(this->store.OpenDoor()),
+        aFolder));
       ++lastByte;
     }
   }
--- a/review/standins/store.hpp
+++ b/review/standins/store.hpp
@@ -17,6 +17,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -121,6 +122,32 @@
 
   std::string Address() const { return this->server.Address(); }
 
+  // Opens an address of its own for one machine, so that the store can turn
+  // that machine away. Returns its number.
+  std::size_t OpenDoor()
+  {
+    auto door = std::make_unique<Door>();
+    Door* opened = door.get();
+    opened->server.Start(
+      [this, opened](HttpSession& aSession, const Request& aRequest) {
+        if (opened->isClosed) {
+          return Reply(aSession, 503, Json::object());
+        }
+        return this->Handle(aSession, aRequest);
+      });
+    this->doors.push_back(std::move(door));
+    return this->doors.size() - 1;
+  }
+  std::string DoorAddress(std::size_t aDoor) const
+  {
+    return this->doors[aDoor]->server.Address();
+  }
+  // Whether the calls of that machine are answered with 503.
+  void SetClosed(std::size_t aDoor, bool aClosed)
+  {
+    this->doors[aDoor]->isClosed = aClosed;
+  }
+
   // Write in place of the operator or a runner.
   void Put(const std::string& aKey, const std::string& aValue)
   {
@@ -169,6 +196,11 @@
   }
 
 private:
+  struct Door
+  {
+    HttpServer server;
+    std::atomic<bool> isClosed = false;
+  };
   struct Item
   {
     std::string value;
@@ -189,7 +221,9 @@
     Millis endsAt = 0;
   };
 
+  // Limits of one page of a listing.
   static constexpr std::size_t kPageItems = 500;
+  static constexpr std::size_t kPageBytes = 1'000'000;
 
   void Write(const std::string& aKey,
              const std::string& aValue,
@@ -279,13 +313,16 @@
       std::unique_lock lock(this->mutex);
       Json rows = Json::array();
       bool more = false;
+      std::size_t bytes = 0;
       for (auto it = this->items.upper_bound(get("after"));
            it != this->items.end();
            ++it) {
         if (!it->first.starts_with(get("prefix"))) {
           continue;
         }
-        if (rows.size() == kPageItems) {
+        bytes += it->second.value.size();
+        if (rows.size() == kPageItems ||
+            (!rows.empty() && bytes > kPageBytes)) {
           more = true;
           break;
         }
@@ -448,6 +485,7 @@
 
   Record& record;
   HttpServer server;
+  std::vector<std::unique_ptr<Door>> doors;
   std::mutex mutex;
   std::condition_variable changed;
   std::map<std::string, Item> items;
