--- a/review/standins/cluster.hpp
+++ b/review/standins/cluster.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace review {
--- a/review/standins/http.hpp
+++ b/review/standins/http.hpp
@@ -16,6 +16,7 @@
 #include <sys/time.h>
 
 #include <atomic>
+#include <cerrno>
 #include <cstdint>
 #include <functional>
 #include <map>
--- a/review/standins/runner.hpp
+++ b/review/standins/runner.hpp
@@ -11,6 +11,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <array>
+#include <cstdio>
 #include <map>
 #include <mutex>
 #include <string>
