--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -19,17 +19,17 @@
 constexpr const char* kPromptOfA = "5c1e07a2:800,91bd3f06:410";
 constexpr const char* kPromptOfB = "5c1e07a2:800,e4402b7d:250";
 
-// Returns the number of parts that one of the two tenants made and the other
-// one used after a time.
+// Returns the number of uses, after a time, of a part that another tenant made
+// while one of the two is isolated.
 int
-CountShared(Cluster& aCluster, Millis aFrom)
+CountShared(Cluster& aCluster, Millis aFrom, bool aIsolated)
 {
   int shared = 0;
   for (const auto& runner : aCluster.runners) {
     for (const UsedPart& used : runner->UsedParts()) {
       const bool ofA =
         used.maker == kIsolatedTenant || used.user == kIsolatedTenant;
-      if (used.at >= aFrom && used.maker != used.user && ofA) {
+      if (aIsolated && used.at >= aFrom && used.maker != used.user && ofA) {
         ++shared;
         aCluster.record.Print("request " + used.request + " of " + used.user +
                               " used part " + used.part + " that " +
@@ -66,12 +66,7 @@
       return kCouldNotRun;
     }
   }
-  const int shared = CountShared(aCluster, from);
-  if (!HasTrouble()) {
-    // Nobody is isolated, so that the tenants may share parts.
-    aCluster.record.Print("no tenant is isolated");
-    return kHeld;
-  }
+  const int shared = CountShared(aCluster, from, HasTrouble());
   if (shared > 0) {
     aCluster.record.Print("WALL broken: " + std::to_string(shared) +
                           " uses of another tenant's KV cache");
