--- a/wigeonwalk/entry/weight_recorder.h
+++ b/wigeonwalk/entry/weight_recorder.h
@@ -9,6 +9,7 @@
 #include "wigeonwalk/entry/item_mirror.h"
 #include "wigeonwalk/entry/order_authority.h"
 #include "wigeonwalk/entry/replaced_weights.h"
+#include "wigeonwalk/membership/rendezvous.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/registry_items.h"
@@ -25,12 +26,35 @@
 template<typename T>
 concept RegistryItemCodec = RegistryDecoder<T> && RegistryEncoder<T>;
 
-// The daemon that gives orders writes each publication once, and again if the
-// registry lost it in a restore; several at the same time share a write. One
-// that it has found, because it was published while no daemon ran, is written
-// with its latest possible time, unless another daemon tells within kLearnTime
-// that it has observed it. The timer's time is the time of day at the process's
-// start, continued by a clock that does not step. One task.
+// Returns true if the mirror has a record of this version or a newer one.
+template<RegistryItemCodec E>
+bool
+IsRecorded(const ItemMirror& aMirror,
+           const E& aCodec,
+           const ModelName& aModel,
+           WeightNumber aVersion)
+{
+  WeightsRecord record;
+  record.model = aModel;
+  const KeyValueEntry* item = aMirror.Find(aCodec.Encode(record).key);
+  if (item == nullptr) {
+    return false;
+  }
+  FailureReason ignored;
+  const RegistryItem decoded = aCodec.Decode(*item, ignored);
+  const auto* present = std::get_if<WeightsRecord>(&decoded);
+  return present != nullptr && !present->versions.empty() &&
+         present->versions.back().version >= aVersion;
+}
+
+// Each publication is written once, and again if the registry lost it in a
+// restore; several at the same time share a write. Any daemon may write: the
+// one that gives orders does so at once, and each of the others if those ranked
+// above it have not. One that all daemons have found, because it was published
+// while none ran, is written with its latest possible time, unless another
+// daemon tells within kLearnTime that it has observed it. The timer's time is
+// the time of day at the process's start, continued by a clock that does not
+// step. One task.
 template<OrderAuthority A,
          KeyValueService S,
          RegistryItemCodec E,
@@ -43,6 +67,9 @@
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(500);
   static constexpr Duration kRetryDelay = std::chrono::seconds(1);
   static constexpr Duration kLearnTime = std::chrono::seconds(2);
+  // Additional wait for each place in the ranking: a daemon learns of another
+  // one's write by its next watch call.
+  static constexpr Duration kRankDelay = std::chrono::seconds(1);
   // Versions in one record.
   static constexpr std::size_t kMaxVersions = 4;
 
@@ -77,41 +104,54 @@
 private:
   std::vector<WeightsRecord> DueRecords()
   {
+    const TimePoint now = this->timer.Now();
     std::vector<WeightsRecord> due;
-    if (!this->leader.FencingNumber() || this->state.registryUnreachable ||
-        this->timer.Now() < this->retryAt) {
+    if (this->state.registryUnreachable || now < this->retryAt) {
       return due;
     }
     for (const auto& [model, observed] : this->state.Weights()) {
       const PublishedWeights newest = observed.Newest();
-      if (!this->IsRecorded(model, newest.version) && this->IsSettled(newest)) {
+      if (this->HasRecord(model, newest.version)) {
+        this->unrecordedSince.erase(model);
+        continue;
+      }
+      if (!this->IsSettled(newest)) {
+        continue;
+      }
+      const auto since = this->unrecordedSince.try_emplace(model, now).first;
+      if (now - since->second >= this->WriteDelay(model)) {
         due.push_back(this->MakeRecord(model));
       }
     }
     return due;
   }
 
+  // Returns how long this daemon leaves the write to those ranked above it.
+  Duration WriteDelay(const ModelName& aModel) const
+  {
+    if (this->leader.FencingNumber()) {
+      return Duration(0);
+    }
+    std::vector<HostId> hosts;
+    for (const auto& [host, member] : this->state.members) {
+      hosts.push_back(host);
+    }
+    const auto ranked = RankOwners(aModel.Text(), hosts, hosts.size());
+    const auto self =
+      std::find(ranked.begin(), ranked.end(), this->state.Settings().host);
+    return kRankDelay * (self - ranked.begin() + 1);
+  }
+
   // Returns true if the registry's record has the version, or this daemon wrote
   // it later than the mirror's revision.
-  bool IsRecorded(const ModelName& aModel, WeightNumber aVersion) const
+  bool HasRecord(const ModelName& aModel, WeightNumber aVersion) const
   {
     const auto last = this->written.find(aModel);
     if (last != this->written.end() && last->second.version >= aVersion &&
         last->second.revision > this->mirror.Revision()) {
       return true;
     }
-    WeightsRecord record;
-    record.model = aModel;
-    const KeyValueEntry* item =
-      this->mirror.Find(this->codec.Encode(record).key);
-    if (item == nullptr) {
-      return false;
-    }
-    FailureReason ignored;
-    const RegistryItem decoded = this->codec.Decode(*item, ignored);
-    const auto* present = std::get_if<WeightsRecord>(&decoded);
-    return present != nullptr && !present->versions.empty() &&
-           present->versions.back().version >= aVersion;
+    return IsRecorded(this->mirror, this->codec, aModel, aVersion);
   }
 
   // Returns true if no better time of the publication is expected from another
@@ -160,6 +200,10 @@
       co_return;
     }
     this->retryAt = this->timer.Now() + kRetryDelay;
+    if (result.outcome == WriteOutcome::Conflict) {
+      // Another daemon's write is about to be mirrored.
+      co_return;
+    }
     this->log.Write(this->timer.Now(),
                     LogLevel::Warning,
                     "failed to record when weights were published",
@@ -184,6 +228,9 @@
   T& timer;
   L& log;
   std::map<ModelName, WrittenRecord> written;
+  // Since when this daemon has been able to record a publication that has no
+  // record.
+  std::map<ModelName, TimePoint> unrecordedSince;
   TimePoint retryAt;
 };
 
