--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -53,6 +53,10 @@
   if (const auto* entry = std::get_if<RunnerEntry>(&aItem)) {
     return this->ApplyRunner(*entry, aNow, aOrigin);
   }
+  if (const auto* checkpoint = std::get_if<WeightsCheckpoint>(&aItem)) {
+    this->weightsRecordedUntil = checkpoint->recordedUntil;
+    return FleetChange::None;
+  }
   ++this->generation;
   if (auto* configuration = std::get_if<RoutingConfiguration>(&aItem)) {
     if (this->routes == nullptr ||
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -149,6 +149,13 @@
   // registry. Their times are estimates.
   const WeightHistory& RecordedWeightsOf(const ModelName& aModel) const;
 
+  // Returns a time before which all publications of weights are recorded in the
+  // registry; nothing if it has no such time.
+  std::optional<TimePoint> WeightsRecordedUntil() const
+  {
+    return this->weightsRecordedUntil;
+  }
+
   // Returns the queue of requests that wait for a runner of the service.
   // Waiting requests share it, because a cancelled one may end after the state.
   std::shared_ptr<ServiceQueue> QueueOf(const ServiceName& aService);
@@ -221,6 +228,7 @@
   std::shared_ptr<const RouteTable> routes;
   std::map<ModelName, WeightHistory> weights;
   std::map<ModelName, WeightHistory> recordedWeights;
+  std::optional<TimePoint> weightsRecordedUntil;
   std::map<ServiceName, std::shared_ptr<ServiceQueue>> queues;
   // Since when marked runners are not registered.
   std::map<UpstreamId, TimePoint> unregisteredLeaving;
--- a/wigeonwalk/entry/registry_item_log.h
+++ b/wigeonwalk/entry/registry_item_log.h
@@ -35,8 +35,8 @@
   }
 }
 
-// Logs a configuration, weights or their recorded ages; other items are not
-// logged here.
+// Logs a configuration, weights, their recorded ages, or the first checkpoint
+// of these; other items are not logged here.
 template<StructuredLog L>
 void
 LogRegistryItem(L& aLog,
@@ -65,6 +65,15 @@
                  { LogKey::Revision, aRevision } });
   } else if (const auto* record = std::get_if<WeightsRecord>(&aItem)) {
     LogWeightsRecord(aLog, aState, *record, aNow);
+  } else if (const auto* checkpoint = std::get_if<WeightsCheckpoint>(&aItem)) {
+    if (!aState.WeightsRecordedUntil()) {
+      aLog.Write(aNow,
+                 LogLevel::Info,
+                 "weights checkpoint read",
+                 {},
+                 { { LogKey::Age, aNow - checkpoint->recordedUntil },
+                   { LogKey::Revision, aRevision } });
+    }
   }
 }
 
--- a/wigeonwalk/entry/replaced_weights.cc
+++ b/wigeonwalk/entry/replaced_weights.cc
@@ -17,6 +17,27 @@
   }
 }
 
+// Returns the earliest time at which weights without a record can have been
+// published. A checkpoint that is later than the time at which they were found
+// is of a host whose clock was ahead, and bounds nothing.
+TimePoint
+EarliestPublication(const EntryState& aState,
+                    const WeightHistory& aRecorded,
+                    const PublishedWeights& aFound)
+{
+  const TimePoint foundAt = aFound.knownSince;
+  const auto checkpoint = aState.WeightsRecordedUntil();
+  TimePoint earliest = checkpoint && *checkpoint <= foundAt
+                         ? *checkpoint
+                         : foundAt - aState.Settings().bounds.newWeights;
+  for (const PublishedWeights& older : aRecorded.Versions()) {
+    if (older.version < aFound.version) {
+      earliest = std::max(earliest, std::min(older.knownSince, foundAt));
+    }
+  }
+  return earliest;
+}
+
 } // namespace
 
 Duration
@@ -34,7 +55,8 @@
   WeightHistory history;
   for (PublishedWeights publication : observed.Versions()) {
     if (publication.mayBeOlder && !recorded.Knows(publication.version)) {
-      publication.knownSince -= kUnobservedTime;
+      publication.knownSince =
+        EarliestPublication(aState, recorded, publication);
       NotBeforeOlder(observed, publication);
     }
     history.Record(publication);
--- a/wigeonwalk/entry/replaced_weights.h
+++ b/wigeonwalk/entry/replaced_weights.h
@@ -15,18 +15,16 @@
 inline constexpr double kSendFraction = 0.8;
 inline constexpr double kStartFraction = 0.9;
 
-// For how long all daemons may have been down before one of them finds weights
-// that none has observed.
-inline constexpr Duration kUnobservedTime = std::chrono::seconds(3);
-
 // Returns a fraction of the time allowed for the introduction of new weights.
 Duration
 FractionOfTimeForNewWeights(const EntryState& aState, double aFraction);
 
 // Returns since when each version of the weights is known, or is estimated if
-// neither this daemon nor one that it asked has observed the publication: from
-// the registry's record, or else kUnobservedTime before it was found. An
-// estimate does not shorten the time that counts from an observed one.
+// neither this daemon nor one that it asked has observed the publication. An
+// estimate is the registry's record, or else the earliest time that the
+// registry allows: its checkpoint, or the publication of the version before.
+// Without either, the whole time for the introduction of new weights counts as
+// over.
 WeightHistory
 HistoryWithEstimates(const EntryState& aState, const ModelName& aModel);
 
--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -19,7 +19,7 @@
 
 // Decodes items: "config" and "weights/MODEL" hold a version, "runners/ID" a
 // state and possibly a start, "members/HOST" an address, "published/MODEL"
-// versions with their times in microseconds.
+// versions with their times in microseconds, and "checkpoint" a time.
 struct TestDecoder
 {
   RegistryItem Decode(const KeyValueEntry& aEntry, FailureReason& aReason) const
@@ -54,6 +54,9 @@
       }
       return record;
     }
+    if (aEntry.key == "checkpoint") {
+      return WeightsCheckpoint{ TimePoint(Duration(std::stol(aEntry.value))) };
+    }
     if (!aEntry.key.starts_with("runners/")) {
       return ForeignItem{};
     }
@@ -80,6 +83,15 @@
     return entry;
   }
 
+  KeyValueEntry Encode(const WeightsCheckpoint& aCheckpoint) const
+  {
+    KeyValueEntry entry;
+    entry.key = "checkpoint";
+    entry.value =
+      std::to_string(aCheckpoint.recordedUntil.time_since_epoch().count());
+    return entry;
+  }
+
   RemovedItem DecodeRemoved(const std::string& aKey) const
   {
     if (aKey.starts_with("runners/")) {
--- a/wigeonwalk/entry/weight_recorder.h
+++ b/wigeonwalk/entry/weight_recorder.h
@@ -23,9 +23,6 @@
 
 namespace wigeonwalk {
 
-template<typename T>
-concept RegistryItemCodec = RegistryDecoder<T> && RegistryEncoder<T>;
-
 // Returns true if the mirror has a record of this version or a newer one.
 template<RegistryItemCodec E>
 bool
@@ -51,7 +48,7 @@
 // restore; several at the same time share a write. Any daemon may write: the
 // one that gives orders does so at once, and each of the others if those ranked
 // above it have not. One that all daemons have found, because it was published
-// while none ran, is written with its latest possible time, unless another
+// while none ran, is written with its earliest possible time, unless another
 // daemon tells within kLearnTime that it has observed it. The timer's time is
 // the time of day at the process's start, continued by a clock that does not
 // step. One task.
--- a/wigeonwalk/ports/registry_items.h
+++ b/wigeonwalk/ports/registry_items.h
@@ -51,6 +51,16 @@
   bool operator==(const WeightsRecord&) const = default;
 };
 
+// Every publication of weights before this time is in a WeightsRecord, so one
+// that is in none was made later. By the time of day of the daemon that wrote
+// it.
+struct WeightsCheckpoint
+{
+  TimePoint recordedUntil;
+
+  bool operator==(const WeightsCheckpoint&) const = default;
+};
+
 // A running entry daemon.
 struct EntryMember
 {
@@ -75,6 +85,7 @@
                                   RoutingConfiguration,
                                   DesiredWeights,
                                   WeightsRecord,
+                                  WeightsCheckpoint,
                                   RunnerEntry,
                                   EntryMember>;
 
@@ -99,11 +110,18 @@
 // Encodes the items that entry daemons write. The result has a key and a value.
 template<typename T>
 concept RegistryEncoder = requires(const T& aEncoder,
-                                   const WeightsRecord& aRecord)
+                                   const WeightsRecord& aRecord,
+                                   const WeightsCheckpoint& aCheckpoint)
 {
   {
     aEncoder.Encode(aRecord)
     } -> std::same_as<KeyValueEntry>;
+  {
+    aEncoder.Encode(aCheckpoint)
+    } -> std::same_as<KeyValueEntry>;
 };
 
+template<typename T>
+concept RegistryItemCodec = RegistryDecoder<T> && RegistryEncoder<T>;
+
 } // namespace wigeonwalk
