--- a/wigeonwalk/entry/weights_checkpoint_test.cc
+++ b/wigeonwalk/entry/weights_checkpoint_test.cc
@@ -78,6 +78,18 @@
       }
     }
 
+    WHEN("the operator writes the same version again")
+    {
+      setting.Publish("2");
+      setting.RunFor(6s);
+      THEN("the time of that write does not count")
+      {
+        for (const auto& daemon : setting.daemons) {
+          CHECK(*daemon->EstimatedReplacement(1) <= second);
+        }
+      }
+    }
+
     WHEN("a further version is published later")
     {
       setting.RunFor(5s);
--- a/wigeonwalk/fleet/weight_history.cc
+++ b/wigeonwalk/fleet/weight_history.cc
@@ -17,7 +17,11 @@
   const bool isKnown =
     position != this->versions.end() && position->version == aWeights.version;
   if (isKnown && position->knownSince <= aWeights.knownSince) {
-    position->mayBeOlder = position->mayBeOlder && aWeights.mayBeOlder;
+    // The time of a later write of the version says nothing of the first one.
+    const bool isLaterWrite =
+      position->revision > 0 && aWeights.revision > position->revision;
+    position->mayBeOlder =
+      position->mayBeOlder && (aWeights.mayBeOlder || isLaterWrite);
     return false;
   }
   TimePoint since = aWeights.knownSince;
--- a/wigeonwalk/fleet/weight_history_test.cc
+++ b/wigeonwalk/fleet/weight_history_test.cc
@@ -120,6 +120,16 @@
     }
   }
 
+  WHEN("the operator writes the same version again, and that is observed")
+  {
+    CHECK_FALSE(history.Record({ 3, kStart + 25s, 40, false }));
+    THEN("it may still be older than the first write that was found")
+    {
+      CHECK(history.ReplacedAt(1) == kStart + 20s);
+      CHECK_FALSE(history.IsExactSince(kStart + 8s));
+    }
+  }
+
   WHEN("another daemon has learnt late of the version between")
   {
     CHECK(history.Record(since(3, kStart + 15s)));
