--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -209,9 +209,12 @@
     const TimePoint connectBy =
       std::min(aProgress.admitted.deadline, sentAt + kConnectTimeout);
     bool isWanted = true;
-    const SendCheck maySend = [this, &isWanted, &aChoice] {
+    const SendCheck maySend = [this, &isWanted, &aChoice, &aProgress] {
       const TimePoint now = this->timer.Now();
-      isWanted = aChoice.runner->TakesRequests(now);
+      isWanted = aChoice.runner->TakesRequests(now) &&
+                 (!aChoice.cacheDomain ||
+                  *aChoice.cacheDomain ==
+                    CurrentCacheDomain(this->state, aProgress.admitted));
       if (isWanted) {
         this->isAtRunner = true;
         aChoice.runner->requestedPause.NoteSent(now);
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -64,14 +64,12 @@
               TimePoint aNow)
 {
   const ModelName& model = aRequest.prompt->model;
-  const bool isolated =
-    aAdmitted.organisation != nullptr && aAdmitted.organisation->isolated;
   const EngineTraits& traits = *aAdmitted.service->engine;
   const WeightHistory history = HistoryWithEstimates(aState, model);
+  aPick.cacheDomain = CurrentCacheDomain(aState, aAdmitted);
   const EngineQuery query{
     .prompt = *aRequest.prompt,
-    .isolationDomain =
-      isolated ? aAdmitted.organisation->name.Text() : std::string(),
+    .cacheDomain = *aPick.cacheDomain,
     .zone = aState.Settings().zone,
     .bodyBytes = aRequest.bodyBytes,
     .runnerTokens = traits.cacheTokens,
@@ -107,6 +105,17 @@
 
 } // namespace
 
+std::string
+CurrentCacheDomain(const EntryState& aState, const AdmittedRequest& aAdmitted)
+{
+  const OrganisationId* organisation =
+    aAdmitted.organisation == nullptr ? nullptr : &aAdmitted.organisation->name;
+  const RouteTable& newest = *aState.Routes();
+  const bool isRemoved =
+    organisation != nullptr && !newest.HasOrganisation(*organisation);
+  return (isRemoved ? *aAdmitted.routes : newest).Domains().Of(organisation);
+}
+
 std::optional<RunnerPick>
 PickRunner(const EntryState& aState,
            const EntryRequest& aRequest,
--- a/wigeonwalk/entry/runner_pick.h
+++ b/wigeonwalk/entry/runner_pick.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace wigeonwalk {
@@ -17,6 +18,8 @@
 {
   std::shared_ptr<Runner> runner;
   AttemptSpec spec;
+  // The cache domain of the salt in `spec`, if it has one.
+  std::optional<std::string> cacheDomain;
   // How the prompt's tokens are provided; see EngineChoice.
   std::uint32_t prefillTokens = 0;
   std::uint32_t recomputedTokens = 0;
@@ -29,6 +32,12 @@
   Duration replacedFor{ 0 };
 };
 
+// Returns the cache domain of a request by the newest configuration: it may
+// have waited since it was admitted by an older one. An organisation that the
+// newest one lacks keeps the domain with which it was admitted.
+std::string
+CurrentCacheDomain(const EntryState& aState, const AdmittedRequest& aAdmitted);
+
 // Returns the runner with the lowest expected cost among those not in `aTried`,
 // or nothing if none can be used now. `aRoom` applies to prompts only.
 std::optional<RunnerPick>
--- a/wigeonwalk/fleet/cache_salt.cc
+++ b/wigeonwalk/fleet/cache_salt.cc
@@ -29,11 +29,11 @@
 std::string
 CacheSalt(const ModelName& aModel,
           WeightNumber aVersion,
-          std::string_view aIsolationDomain)
+          std::string_view aCacheDomain)
 {
   const std::string& model = aModel.Text();
   return std::to_string(aVersion) + "." + std::to_string(model.size()) + "." +
-         model + "." + std::string(aIsolationDomain);
+         model + "." + std::string(aCacheDomain);
 }
 
 std::optional<SaltOwner>
--- a/wigeonwalk/fleet/cache_salt.h
+++ b/wigeonwalk/fleet/cache_salt.h
@@ -1,7 +1,7 @@
-// The salt that separates the KV cache of different weights and isolated
-// organisations.
+// The salt that separates the KV cache of different weights and of
+// organisations that share none.
 //
-//   std::string salt = CacheSalt(model, 2, isolationDomain);
+//   std::string salt = CacheSalt(model, 2, domain);
 //   auto owner = ParseCacheSalt(salt);   // model and version
 #pragma once
 
@@ -23,13 +23,11 @@
 };
 
 // Returns the salt for cache of one version of a model's weights. It differs
-// from the salts of other weights and of other isolation domains.
-// `aIsolationDomain` is empty for cache that organisations share, or the name
-// of an isolated organisation.
+// from the salts of other weights and of other cache domains (CacheDomains).
 std::string
 CacheSalt(const ModelName& aModel,
           WeightNumber aVersion,
-          std::string_view aIsolationDomain);
+          std::string_view aCacheDomain);
 
 // Returns the owner of a salt that CacheSalt returned, or nothing for any other
 // text.
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -34,7 +34,7 @@
   const auto [entry, isNew] = aKeys.try_emplace(aVersion);
   if (isNew) {
     entry->second.salt =
-      CacheSalt(aQuery.prompt.model, aVersion, aQuery.isolationDomain);
+      CacheSalt(aQuery.prompt.model, aVersion, aQuery.cacheDomain);
     for (const PromptPart& part : aQuery.prompt.parts) {
       entry->second.keys.push_back(KeyOfPart(entry->second.salt, part.id));
     }
--- a/wigeonwalk/fleet/runner_choice.h
+++ b/wigeonwalk/fleet/runner_choice.h
@@ -1,7 +1,7 @@
 // Placement: chooses the runner for a request, and the holders from which it
 // fetches cached parts.
 //
-//   EngineQuery query{ .prompt = prompt, .isolationDomain = domain, ... };
+//   EngineQuery query{ .prompt = prompt, .cacheDomain = domain, ... };
 //   if (auto choice = ChooseEngine(query, candidates, index, holders, now)) {
 //     ... send the request to choice->runner ...
 //   }
@@ -120,8 +120,8 @@
 struct EngineQuery
 {
   const Prompt& prompt;
-  // The name of an isolated organisation, or empty for shared cache.
-  std::string isolationDomain;
+  // The domain within which KV cache may be used (CacheDomains).
+  std::string cacheDomain;
   AvailabilityZone zone;
   std::size_t bodyBytes = 0;
   // Memory of a runner in tokens; zero if unknown.
--- a/wigeonwalk/fleet/runner_choice_benchmark.cc
+++ b/wigeonwalk/fleet/runner_choice_benchmark.cc
@@ -75,7 +75,7 @@
       kModel, 17'000, 100, { { part, 12'800 }, { "own", 4'200 } }
     };
     const EngineQuery query{ .prompt = prompt,
-                             .isolationDomain = {},
+                             .cacheDomain = {},
                              .zone = AvailabilityZone("zone-1"),
                              .bodyBytes = 34'000,
                              .runnerTokens = 65'000,
--- a/wigeonwalk/fleet/runner_choice_test.cc
+++ b/wigeonwalk/fleet/runner_choice_test.cc
@@ -46,7 +46,7 @@
   PartIndex index;
   std::vector<CacheHolder> holders;
   std::vector<std::shared_ptr<Runner>> runners;
-  std::string isolationDomain;
+  std::string cacheDomain;
   WeightNumber newest = 1;
   WeightNumber oldestUsable = 0;
   std::size_t bodyBytes = 34'000;
@@ -57,7 +57,7 @@
   std::optional<EngineChoice> Choose() const
   {
     const EngineQuery query{ .prompt = this->prompt,
-                             .isolationDomain = this->isolationDomain,
+                             .cacheDomain = this->cacheDomain,
                              .zone = AvailabilityZone(this->zone),
                              .bodyBytes = this->bodyBytes,
                              .runnerTokens = 65'000,
@@ -71,9 +71,9 @@
   }
 
   PartKey SharedKey(WeightNumber aVersion,
-                    const std::string& aIsolationDomain = {}) const
+                    const std::string& aCacheDomain = {}) const
   {
-    return KeyOfPart(CacheSalt(kModel, aVersion, aIsolationDomain), "s");
+    return KeyOfPart(CacheSalt(kModel, aVersion, aCacheDomain), "s");
   }
 };
 
@@ -187,11 +187,11 @@
   THEN("an isolated organisation uses only its own cache, and others never do")
   {
     setting.index.Set(UpstreamId("r-1"), setting.SharedKey(2), 12'800);
-    setting.isolationDomain = "lace";
+    setting.cacheDomain = "lace";
     CHECK(setting.Choose()->cachedTokens == 0);
     setting.index.Set(UpstreamId("r-1"), setting.SharedKey(2, "lace"), 12'800);
     CHECK(setting.Choose()->cachedTokens == 12'800);
-    setting.isolationDomain = "tofu";
+    setting.cacheDomain = "tofu";
     CHECK(setting.Choose()->cachedTokens == 0);
   }
 
--- a/wigeonwalk/routing/route_table.cc
+++ b/wigeonwalk/routing/route_table.cc
@@ -23,6 +23,7 @@
 
 RouteTable::RouteTable(RoutingConfiguration aConfiguration)
   : configuration(std::move(aConfiguration))
+  , domains(this->configuration)
 {
   for (const Route& route : this->configuration.routes) {
     this->routesByHost[NormaliseHost(route.host)].push_back(&route);
@@ -67,6 +68,15 @@
   return found == this->organisationsByKey.end() ? nullptr : found->second;
 }
 
+bool
+RouteTable::HasOrganisation(const OrganisationId& aName) const
+{
+  const auto& all = this->configuration.organisations;
+  return std::any_of(all.begin(), all.end(), [&aName](const auto& aEntry) {
+    return aEntry.name == aName;
+  });
+}
+
 const ServiceConfiguration*
 RouteTable::FindService(const ServiceName& aService) const
 {
--- a/wigeonwalk/routing/route_table.h
+++ b/wigeonwalk/routing/route_table.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "wigeonwalk/base/hash128.h"
+#include "wigeonwalk/routing/cache_domains.h"
 #include "wigeonwalk/routing/routing_configuration.h"
 
 #include <string>
@@ -32,6 +33,9 @@
   const OrganisationConfiguration* FindOrganisation(
     std::string_view aKey) const;
 
+  // Returns true if the configuration has the organisation.
+  bool HasOrganisation(const OrganisationId& aName) const;
+
   const ServiceConfiguration* FindService(const ServiceName& aService) const;
 
   // Returns true if callers need an API key on routes that are not public.
@@ -40,6 +44,8 @@
     return !this->configuration.organisations.empty();
   }
 
+  const CacheDomains& Domains() const { return this->domains; }
+
   const RoutingConfiguration& Configuration() const
   {
     return this->configuration;
@@ -47,6 +53,7 @@
 
 private:
   RoutingConfiguration configuration;
+  CacheDomains domains;
   // The routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> routesByHost;
   std::unordered_map<std::string, const OrganisationConfiguration*>
