--- a/wigeonwalk/adapters/engine/http_engine.cc
+++ b/wigeonwalk/adapters/engine/http_engine.cc
@@ -105,6 +105,9 @@
     }
     if (!bytes->empty()) {
       stream.buffer += *bytes;
+      if (!stream.connection->Hold(stream.buffer.size(), aReason)) {
+        co_return std::nullopt;
+      }
       continue;
     }
     if (!stream.done) {
--- a/wigeonwalk/adapters/event_stream/event_scanner.h
+++ b/wigeonwalk/adapters/event_stream/event_scanner.h
@@ -28,6 +28,9 @@
 
   bool HasPartialEvent() const { return !this->pending.empty(); }
 
+  // Number of bytes of the incomplete event.
+  std::size_t PartialBytes() const { return this->pending.size(); }
+
 private:
   void NoteEvent(std::string_view aEvent);
 
--- /dev/null
+++ b/wigeonwalk/adapters/http/answer_memory.cc
@@ -0,0 +1,65 @@
+#include "wigeonwalk/adapters/http/answer_memory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wigeonwalk {
+
+AnswerMemory::Share::Share(AnswerMemory& aMemory, std::function<void()> aEnd)
+  : memory(aMemory)
+  , end(std::move(aEnd))
+{
+  this->memory.shares.push_back(this);
+}
+
+AnswerMemory::Share::~Share()
+{
+  this->SetCounted(0);
+  std::erase(this->memory.shares, this);
+}
+
+void
+AnswerMemory::Share::SetCounted(std::size_t aBytes)
+{
+  this->memory.bytes += aBytes;
+  this->memory.bytes -= this->counted;
+  this->counted = aBytes;
+}
+
+bool
+AnswerMemory::Share::Resize(std::size_t aBytes)
+{
+  if (this->isEnded) {
+    return false;
+  }
+  this->SetCounted(aBytes - std::min(aBytes, kUncountedBytes));
+  while (this->memory.bytes > kMaxBytes && this->counted > 0) {
+    Share* largest = this->memory.Largest();
+    if (largest == nullptr || largest == this) {
+      this->isEnded = true;
+      this->SetCounted(0);
+      return false;
+    }
+    largest->isEnded = true;
+    largest->SetCounted(0);
+    largest->end();
+  }
+  return true;
+}
+
+AnswerMemory::Share*
+AnswerMemory::Largest() const
+{
+  Share* largest = nullptr;
+  for (Share* share : this->shares) {
+    const bool isCandidate =
+      !share->isComplete && !share->isEnded && share->counted > 0;
+    if (isCandidate &&
+        (largest == nullptr || share->counted > largest->counted)) {
+      largest = share;
+    }
+  }
+  return largest;
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/wigeonwalk/adapters/http/answer_memory_test.cc
@@ -0,0 +1,100 @@
+#include "wigeonwalk/adapters/http/answer_memory.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <vector>
+
+using namespace wigeonwalk;
+
+namespace {
+
+constexpr std::size_t kLimit = AnswerMemory::kMaxBytes;
+constexpr std::size_t kFree = AnswerMemory::kUncountedBytes;
+
+// Answers that are being received, and how many were ended in favour of others.
+struct Answers
+{
+  AnswerMemory::Share& Add(std::size_t aBytes)
+  {
+    this->shares.push_back(std::make_unique<AnswerMemory::Share>(
+      this->memory, [this] { ++this->ended; }));
+    CHECK(this->shares.back()->Resize(aBytes));
+    return *this->shares.back();
+  }
+
+  AnswerMemory memory;
+  std::vector<std::unique_ptr<AnswerMemory::Share>> shares;
+  int ended = 0;
+};
+
+} // namespace
+
+// Guards against answers of several faulty peers that together use up the
+// memory, and against an end of other answers in their place.
+SCENARIO("the largest answer ends when all together are too large")
+{
+  Answers answers;
+  AnswerMemory::Share& large = answers.Add(kLimit / 2 + kFree);
+  AnswerMemory::Share& medium = answers.Add(kLimit / 4 + kFree);
+  AnswerMemory::Share& ordinary = answers.Add(kFree);
+  CHECK(answers.memory.Bytes() == kLimit / 2 + kLimit / 4);
+
+  WHEN("the largest one grows beyond the limit")
+  {
+    CHECK_FALSE(large.Resize(kLimit + kFree));
+    THEN("it ends, and its memory counts no longer")
+    {
+      CHECK(answers.ended == 0);
+      CHECK(large.IsEnded());
+      CHECK(answers.memory.Bytes() == kLimit / 4);
+      CHECK(medium.Resize(kLimit + kFree));
+    }
+  }
+
+  WHEN("another one grows beyond the limit")
+  {
+    CHECK(medium.Resize(kLimit / 2 + kFree));
+    CHECK(ordinary.Resize(kFree + 1));
+    THEN("the largest one ends in its place")
+    {
+      CHECK(answers.ended == 1);
+      CHECK(large.IsEnded());
+      CHECK_FALSE(medium.IsEnded());
+      CHECK_FALSE(large.Resize(1));
+      CHECK(answers.memory.Bytes() == kLimit / 2 + 1);
+    }
+  }
+
+  WHEN("many of ordinary size arrive beside them")
+  {
+    CHECK(medium.Resize(kLimit / 2 + kFree));
+    for (int i = 0; i < 1'000; ++i) {
+      answers.Add(kFree);
+    }
+    THEN("none ends")
+    {
+      CHECK(answers.ended == 0);
+      CHECK(ordinary.Resize(kFree));
+    }
+  }
+
+  WHEN("the largest one is complete")
+  {
+    large.NoteComplete();
+    CHECK_FALSE(medium.Resize(kLimit / 2 + 1 + kFree));
+    THEN("the next one ends, as the limit holds")
+    {
+      CHECK_FALSE(large.IsEnded());
+      CHECK(medium.IsEnded());
+      CHECK(ordinary.Resize(kFree));
+    }
+  }
+
+  WHEN("one is given up")
+  {
+    answers.shares.erase(answers.shares.begin());
+    CHECK(answers.memory.Bytes() == kLimit / 4);
+    CHECK(medium.Resize(kLimit + kFree));
+  }
+}
--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -84,6 +84,9 @@
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::uint64_t requestsSent = 0;
   bool failed = false;
+  std::shared_ptr<AnswerMemory> memory;
+  // Declared last: its end may close the stream.
+  std::optional<AnswerMemory::Share> held;
 };
 
 HttpClientConnection::HttpClientConnection(std::unique_ptr<State> aState)
@@ -144,6 +147,7 @@
   message.body() = aRequest.body;
   message.prepare_payload();
   this->state->parser.reset();
+  this->state->held.reset();
   ++this->state->requestsSent;
   this->state->ExpireAt(aDeadline);
   error_code error;
@@ -185,6 +189,17 @@
     aReason, ReasonCode::ConnectionLostAfterWrite, aError.message(), aPlace);
 }
 
+std::nullopt_t
+FailTooLarge(FailureReason& aReason, const std::string& aPlace)
+{
+  return Fail(aReason,
+              ReasonCode::MalformedResponse,
+              "largest of the responses that are being received, which "
+              "together exceed " +
+                std::to_string(AnswerMemory::kMaxBytes) + " bytes",
+              aPlace);
+}
+
 } // namespace
 
 Task<std::optional<HttpResponse>>
@@ -248,6 +263,9 @@
     }
     if (error && error != http::error::need_buffer) {
       this->state->failed = true;
+      if (this->state->held && this->state->held->IsEnded()) {
+        co_return FailTooLarge(aReason, this->state->address);
+      }
       co_return FailResponse(aReason, error, this->state->address);
     }
     const std::size_t count = bytes.size() - parser.get().body().size;
@@ -293,7 +311,43 @@
       co_return response;
     }
     response->body += *bytes;
+    if (!this->Hold(response->body.size(), aReason)) {
+      co_return std::nullopt;
+    }
+  }
+}
+
+void
+HttpClientConnection::LimitHeldBytes(std::shared_ptr<AnswerMemory> aMemory)
+{
+  this->state->memory = std::move(aMemory);
+}
+
+bool
+HttpClientConnection::Hold(std::size_t aBytes, FailureReason& aReason)
+{
+  State& connection = *this->state;
+  if (connection.memory == nullptr) {
+    return true;
+  }
+  if (!connection.held) {
+    if (aBytes <= AnswerMemory::kUncountedBytes) {
+      return true;
+    }
+    connection.held.emplace(*connection.memory, [&connection] {
+      connection.failed = true;
+      connection.stream.close();
+    });
+  }
+  if (!connection.held->Resize(aBytes)) {
+    connection.failed = true;
+    FailTooLarge(aReason, connection.address);
+    return false;
+  }
+  if (connection.parser && connection.parser->is_done()) {
+    connection.held->NoteComplete();
   }
+  return true;
 }
 
 bool
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "wigeonwalk/adapters/clock/system_timer.h"
+#include "wigeonwalk/adapters/http/answer_memory.h"
 #include "wigeonwalk/adapters/http/http_message.h"
 #include "wigeonwalk/base/failure_reason.h"
 #include "wigeonwalk/ports/task.h"
@@ -19,9 +20,6 @@
 
 namespace wigeonwalk {
 
-// Largest response body that is accepted, in bytes.
-inline constexpr std::uint64_t kMaxResponseBytes = 16 * 1024 * 1024;
-
 // One connection to an upstream. The reason of a failure tells how far the
 // exchange got: ConnectRefused, ConnectTimeout, WriteFailedPartWay,
 // ConnectionLostAfterWrite, ResponseTimeout or MalformedResponse.
@@ -63,6 +61,14 @@
   Task<std::optional<HttpResponse>> ReadResponse(TimePoint aDeadline,
                                                  FailureReason& aReason);
 
+  // Counts the bytes that are held of responses in `aMemory`.
+  void LimitHeldBytes(std::shared_ptr<AnswerMemory> aMemory);
+
+  // Sets how many bytes of the current response the reader holds until it has
+  // received more. Returns false with MalformedResponse if the response was
+  // ended because too many bytes are held of all. ReadResponse calls it itself.
+  bool Hold(std::size_t aBytes, FailureReason& aReason);
+
   // True if the last response was read to its end, no bytes follow it, and its
   // headers and framing allow keep-alive.
   bool Reusable() const;
--- a/wigeonwalk/adapters/http/http_pool.cc
+++ b/wigeonwalk/adapters/http/http_pool.cc
@@ -51,8 +51,12 @@
       co_return std::move(last.connection);
     }
   }
-  co_return co_await HttpClientConnection::Connect(
+  auto opened = co_await HttpClientConnection::Connect(
     this->timer, this->executor, aAddress, aDeadline, aReason);
+  if (opened) {
+    opened->LimitHeldBytes(this->answerMemory);
+  }
+  co_return opened;
 }
 
 void
@@ -61,6 +65,8 @@
   if (!aConnection.Reusable()) {
     return;
   }
+  FailureReason ignored;
+  aConnection.Hold(0, ignored);
   auto& connections = this->idle[aConnection.Address()];
   const TimePoint now = this->timer.Now();
   const Duration keepAliveTimeout = aConnection.KeepAliveTimeout();
--- a/wigeonwalk/adapters/http/http_pool.h
+++ b/wigeonwalk/adapters/http/http_pool.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -37,7 +38,8 @@
 };
 static_assert(HasCompleteTable<Reuse>());
 
-// A pool of idle connections by address. Not thread-safe.
+// A pool of idle connections by address. The bytes that are held of responses
+// on all its connections are bounded together. Not thread-safe.
 class HttpPool
 {
 public:
@@ -88,6 +90,8 @@
   SystemTimer& timer;
   boost::asio::any_io_executor executor;
   Duration maxIdle;
+  // Shared with connections, which may outlive the pool.
+  std::shared_ptr<AnswerMemory> answerMemory = std::make_shared<AnswerMemory>();
   std::map<std::string, std::vector<Idle>> idle;
 };
 
--- a/wigeonwalk/adapters/key_value/etcd_gateway.cc
+++ b/wigeonwalk/adapters/key_value/etcd_gateway.cc
@@ -235,6 +235,10 @@
       co_return std::nullopt;
     }
     buffer += *bytes;
+    if (!connection->Hold(buffer.size(), aReason)) {
+      ++this->addressIndex;
+      co_return std::nullopt;
+    }
     for (std::size_t end = buffer.find('\n'); end != std::string::npos;
          end = buffer.find('\n')) {
       const auto line = DecodeWatchLine(buffer.substr(0, end), aReason);
