--- a/wigeonwalk/entry/store_cleaner.h
+++ b/wigeonwalk/entry/store_cleaner.h
@@ -14,7 +14,10 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace wigeonwalk {
@@ -22,8 +25,10 @@
 // A store that never evicts keeps the cache of old weights until it is freed.
 // Cache is freed once every runner of the model has newer weights: each request
 // names the weights that it expects, so none can fetch the older cache any
-// more. Partially written parts of old weights are freed as well. Active only
-// while the daemon holds the lease on orders. One task.
+// more. So is the cache of domains that the configuration has no more, once all
+// daemons use the new one and the requests that were placed under the former
+// one have ended. Partially written parts are freed as well. Active only while
+// the daemon holds the lease on orders. One task.
 template<OrderAuthority O, RunnerControl C, Timer T, StructuredLog L>
 class StoreCleaner
 {
@@ -61,6 +66,17 @@
 private:
   using Versions = std::map<ModelName, WeightNumber>;
 
+  // What decides which cache is obsolete.
+  struct CacheInUse
+  {
+    Versions oldest;
+    // The cache domains of the configuration, unless they changed a short time
+    // ago; then empty.
+    std::set<std::string> domains;
+
+    bool operator==(const CacheInUse&) const = default;
+  };
+
   // Returns the oldest version of each model's weights at any runner; zero if a
   // runner's version is unknown.
   Versions OldestWeights() const
@@ -76,15 +92,45 @@
     return oldest;
   }
 
-  Task<void> CleanStores()
+  // Returns the time within which all daemons use a new configuration and the
+  // requests that were placed before have ended.
+  Duration DomainFreeDelay() const
+  {
+    Duration longest{ 0 };
+    for (const Route& route : this->state.Routes()->Configuration().routes) {
+      longest = std::max(longest, route.timeout);
+    }
+    return this->state.Settings().bounds.configurationPropagation + longest;
+  }
+
+  // Returns the cache that is in use, or nothing for kFreeDelay after a change
+  // of weights.
+  std::optional<CacheInUse> StableCacheInUse()
   {
     const TimePoint now = this->timer.Now();
-    const Versions oldest = this->OldestWeights();
+    Versions oldest = this->OldestWeights();
+    std::set<std::string> domains = this->state.Routes()->Domains().All();
     if (oldest != this->seen) {
       this->seen = oldest;
       this->seenSince = now;
     }
+    if (domains != this->seenDomains) {
+      this->seenDomains = domains;
+      this->domainsSince = now;
+    }
     if (now - this->seenSince < kFreeDelay) {
+      return std::nullopt;
+    }
+    if (now - this->domainsSince < this->DomainFreeDelay()) {
+      domains.clear();
+    }
+    return CacheInUse{ std::move(oldest), std::move(domains) };
+  }
+
+  Task<void> CleanStores()
+  {
+    const auto used = this->StableCacheInUse();
+    if (!used) {
       co_return;
     }
     std::vector<std::string> addresses;
@@ -94,24 +140,30 @@
       }
     }
     for (const std::string& address : addresses) {
-      if (this->cleaned[address] != oldest &&
-          co_await this->CleanStore(address, oldest)) {
-        this->cleaned[address] = oldest;
+      if (this->cleaned[address] == *used) {
+        continue;
+      }
+      const bool done = co_await this->CleanStore(address, *used);
+      if (done) {
+        this->cleaned[address] = *used;
       }
     }
   }
 
-  static bool IsObsolete(const PartName& aPart, const Versions& aOldest)
+  static bool IsObsolete(const PartName& aPart, const CacheInUse& aUsed)
   {
     const auto owner = ParseCacheSalt(aPart.salt);
     if (!owner) {
       return false;
     }
-    const auto model = aOldest.find(owner->model);
-    return model != aOldest.end() && owner->version < model->second;
+    if (!aUsed.domains.empty() && !aUsed.domains.contains(owner->domain)) {
+      return true;
+    }
+    const auto model = aUsed.oldest.find(owner->model);
+    return model != aUsed.oldest.end() && owner->version < model->second;
   }
 
-  Task<bool> CleanStore(std::string aAddress, Versions aOldest)
+  Task<bool> CleanStore(std::string aAddress, CacheInUse aUsed)
   {
     FailureReason reason;
     const TimePoint listBy = this->timer.Now() + kCallTimeout;
@@ -122,12 +174,12 @@
     }
     std::vector<PartName> obsolete;
     for (const PartEvent& part : listing->complete) {
-      if (IsObsolete(part.name, aOldest)) {
+      if (IsObsolete(part.name, aUsed)) {
         obsolete.push_back(part.name);
       }
     }
     for (const PartName& part : listing->incomplete) {
-      if (IsObsolete(part, aOldest)) {
+      if (IsObsolete(part, aUsed)) {
         obsolete.push_back(part);
       }
     }
@@ -159,8 +211,10 @@
   L& log;
   Versions seen;
   TimePoint seenSince;
-  // For each store, the versions whose predecessors have been freed.
-  std::map<std::string, Versions> cleaned;
+  std::set<std::string> seenDomains;
+  TimePoint domainsSince;
+  // For each store, the cache that was in use when all other was freed.
+  std::map<std::string, CacheInUse> cleaned;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/fleet/cache_salt.cc
+++ b/wigeonwalk/fleet/cache_salt.cc
@@ -46,7 +46,8 @@
     return std::nullopt;
   }
   return SaltOwner{ ModelName(std::string(aSalt.substr(0, *length))),
-                    *version };
+                    *version,
+                    std::string(aSalt.substr(*length + 1)) };
 }
 
 } // namespace wigeonwalk
--- a/wigeonwalk/fleet/cache_salt.h
+++ b/wigeonwalk/fleet/cache_salt.h
@@ -2,7 +2,7 @@
 // organisations that share none.
 //
 //   std::string salt = CacheSalt(model, 2, domain);
-//   auto owner = ParseCacheSalt(salt);   // model and version
+//   auto owner = ParseCacheSalt(salt);   // model, version and domain
 #pragma once
 
 #include "wigeonwalk/fleet/runner.h"
@@ -13,11 +13,12 @@
 
 namespace wigeonwalk {
 
-// The weights to which cache with a given salt belongs.
+// The weights and the cache domain to which cache with a given salt belongs.
 struct SaltOwner
 {
   ModelName model;
   WeightNumber version = 0;
+  std::string domain;
 
   bool operator==(const SaltOwner&) const = default;
 };
