--- a/wigeonwalk/fleet/runner_choice_test.cc
+++ b/wigeonwalk/fleet/runner_choice_test.cc
@@ -172,7 +172,7 @@
 
 // Guards against use of the cache of other weights or of an isolated
 // organisation.
-SCENARIO("cache is never shared across weights or isolation domains")
+SCENARIO("cache is never shared across weights or cache domains")
 {
   Setting setting;
   setting.runners = { MakeRunner("r-1", "north", 2) };
@@ -195,7 +195,7 @@
     CHECK(setting.Choose()->cachedTokens == 0);
   }
 
-  THEN("salts differ if model, weights or isolation domain differ")
+  THEN("salts differ if model, weights or cache domain differ")
   {
     const std::set<std::string> salts{
       CacheSalt(ModelName("m"), 1, ""),  CacheSalt(ModelName("m"), 2, ""),
