--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -85,7 +85,7 @@
   std::uint64_t requestsSent = 0;
   bool failed = false;
   std::shared_ptr<AnswerMemory> memory;
-  // Declared last: its end may close the stream.
+  // Refers to the memory and the stream.
   std::optional<AnswerMemory::Share> held;
 };
 
