--- a/wigeonwalk/entry/weight_recorder_test.cc
+++ b/wigeonwalk/entry/weight_recorder_test.cc
@@ -119,8 +119,7 @@
     }
   }
 
-  WHEN(
-    "the daemon that gives orders is lost at that time, and the next one too")
+  WHEN("the daemon that gives orders is lost and none takes over")
   {
     const TimePoint second = setting.Publish("2");
     setting.RunFor(50ms);
