routing: an empty list of organisations asks for keys

Cause: RouteTable took an empty list for a configuration without organisations, as the decoder did not keep whether the configuration listed any. On a related path, an organisation whose list of keys held an empty one admitted requests without a key.

Change: the decoder keeps whether the list is there; empty keys identify no organisation.

--- a/wigeonwalk/routing/route_table.cc
+++ b/wigeonwalk/routing/route_table.cc
@@ -37,7 +37,10 @@
   }
   for (const auto& organisation : this->configuration.organisations) {
     for (const std::string& key : organisation.apiKeys) {
-      this->organisationsByKey.emplace(key, &organisation);
+      // A request without a key has the empty one.
+      if (!key.empty()) {
+        this->organisationsByKey.emplace(key, &organisation);
+      }
     }
   }
   for (const auto& service : this->configuration.services) {
--- a/wigeonwalk/routing/route_table.h
+++ b/wigeonwalk/routing/route_table.h
@@ -41,7 +41,8 @@
   // Returns true if callers need an API key on routes that are not public.
   bool RequiresApiKeys() const
   {
-    return !this->configuration.organisations.empty();
+    return this->configuration.listsOrganisations ||
+           !this->configuration.organisations.empty();
   }
 
   const CacheDomains& Domains() const { return this->domains; }
--- a/wigeonwalk/routing/routing_configuration.h
+++ b/wigeonwalk/routing/routing_configuration.h
@@ -155,8 +155,10 @@
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::vector<ServiceConfiguration> services;
-  // Empty if callers need no keys.
   std::vector<OrganisationConfiguration> organisations;
+  // The configuration lists organisations, though the list may be empty:
+  // callers need a key on routes that are not public.
+  bool listsOrganisations = false;
   CallerBounds bounds;
 
   bool operator==(const RoutingConfiguration&) const = default;
