entry: keep zones out of use, cold runners and home regions

Change: the operator's order for a zone is an item of the registry like the configuration; runners tell how long they are cold; routes and organisations may have home regions. EntryState::MaySend is asked when a runner is chosen and again right before a request is sent. A request that no place allows is refused at once, as not run. Metrics, log lines and settings (regions, bounds.zoneOrder) come with it. A configuration without cold limits, homes and orders is served as before: cache domains keep their names.

--- a/wigeonwalk/adapters/metrics/metric_names.h
+++ b/wigeonwalk/adapters/metrics/metric_names.h
@@ -41,12 +41,16 @@
   RunnerPauses,
   RequestsRefusedForPause,
   AnswersOnOldWeights,
+  ZonesOutOfUse,
+  RequestsRefusedForPlace,
+  RunnersCold,
+  RequestsSentToCold,
 };
 
 template<>
 struct EnumNames<Metric>
 {
-  static constexpr std::array<EnumName<Metric>, 26> kTable{ {
+  static constexpr std::array<EnumName<Metric>, 30> kTable{ {
     { Metric::TimeToFirstToken, "time_to_first_token" },
     { Metric::TimeBetweenTokens, "time_between_tokens" },
     { Metric::QueueTime, "queue_time" },
@@ -73,6 +77,10 @@
     { Metric::RunnerPauses, "requested" },
     { Metric::RequestsRefusedForPause, "refused_for_pause" },
     { Metric::AnswersOnOldWeights, "on_old_weights" },
+    { Metric::ZonesOutOfUse, "out_of_use" },
+    { Metric::RequestsRefusedForPlace, "refused_for_place" },
+    { Metric::RunnersCold, "cold" },
+    { Metric::RequestsSentToCold, "sent_to_cold" },
   } };
 };
 static_assert(HasCompleteTable<Metric>());
@@ -111,7 +119,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 26> kMetricInfos{ {
+inline constexpr std::array<MetricInfo, 30> kMetricInfos{ {
   { Metric::TimeToFirstToken,
     MetricType::Histogram,
     "seconds",
@@ -242,6 +250,26 @@
     "answers",
     "",
     "Answers made on older weights than expected or allowed." },
+  { Metric::ZonesOutOfUse,
+    MetricType::Gauge,
+    "zones",
+    "",
+    "Availability zones whose runners get no new requests." },
+  { Metric::RequestsRefusedForPlace,
+    MetricType::Counter,
+    "requests",
+    "cause",
+    "Requests refused because no runner is where they may be processed." },
+  { Metric::RunnersCold,
+    MetricType::Gauge,
+    "runners",
+    "",
+    "Runners that get few requests because they have just started." },
+  { Metric::RequestsSentToCold,
+    MetricType::Counter,
+    "requests",
+    "",
+    "Requests sent to cold runners." },
 } };
 
 // Returns unit, type and labels of a metric.
--- a/wigeonwalk/adapters/settings/entry_settings_json.cc
+++ b/wigeonwalk/adapters/settings/entry_settings_json.cc
@@ -21,6 +21,7 @@
 {
   aField("drain", aBounds.drain);
   aField("stopGrace", aBounds.stopGrace);
+  aField("zoneOrder", aBounds.zoneOrder);
   aField("configurationPropagation", aBounds.configurationPropagation);
   aField("newWeights", aBounds.newWeights);
   aField("orderLease", aBounds.orderLease);
@@ -36,6 +37,7 @@
   aField("host", aSettings.host);
   aField("zone", aSettings.zone);
   aField("region", aSettings.region);
+  aField("regions", aSettings.regions);
   aField("listen", aSettings.listen);
   aField("registryAddress", aSettings.registryAddress);
   aField("bounds", aSettings.bounds);
--- a/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
+++ b/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
@@ -25,6 +25,11 @@
       "type": "string", "format": "label",
       "description": "Region of this host."
     },
+    "regions": {
+      "type": "object",
+      "additionalProperties": { "type": "string", "format": "label" },
+      "description": "Region of each availability zone; a zone that is not listed is in an unknown one."
+    },
     "listen": {
       "type": "object",
       "additionalProperties": false,
@@ -68,6 +73,11 @@
           "x-minimum": "100ms", "x-maximum": "24h", "default": "8s",
           "description": "Time from the request to stop to the end of the process."
         },
+        "zoneOrder": {
+          "type": "string", "format": "duration",
+          "x-minimum": "100ms", "x-maximum": "1h", "default": "5s",
+          "description": "Time in which the runners of a zone that is taken out of use get no new requests any more."
+        },
         "configurationPropagation": {
           "type": "string", "format": "duration",
           "x-minimum": "100ms", "x-maximum": "1h", "default": "2s",
--- a/wigeonwalk/adapters/settings/internal/json_fields.h
+++ b/wigeonwalk/adapters/settings/internal/json_fields.h
@@ -17,6 +17,7 @@
 #include "wigeonwalk/base/ids.h"
 
 #include <concepts>
+#include <map>
 #include <optional>
 #include <string>
 #include <type_traits>
@@ -102,6 +103,15 @@
   }
 }
 
+template<typename Tag, typename T>
+void
+ReadValue(const Json& aJson, std::map<Id<Tag>, T>& aTarget)
+{
+  for (const auto& [key, value] : aJson.items()) {
+    ReadValue(value, aTarget[Id<Tag>(key)]);
+  }
+}
+
 template<Struct S>
 void
 ReadValue(const Json& aJson, S& aTarget)
--- a/wigeonwalk/entry/admission.cc
+++ b/wigeonwalk/entry/admission.cc
@@ -29,6 +29,9 @@
       return false;
     }
   }
+  aAdmitted.homes = HomeRegions::Both(
+    aAdmitted.route->homes,
+    aAdmitted.organisation ? aAdmitted.organisation->homes : HomeRegions());
   const ServiceName* service = ChooseService(*aAdmitted.route, aRequest.id);
   aAdmitted.service =
     service == nullptr ? nullptr : routes.FindService(*service);
--- a/wigeonwalk/entry/admission.h
+++ b/wigeonwalk/entry/admission.h
@@ -24,6 +24,8 @@
   const Route* route = nullptr;
   const ServiceConfiguration* service = nullptr;
   const OrganisationConfiguration* organisation = nullptr;
+  // Regions in which the request may be processed.
+  HomeRegions homes;
   // The earlier of the caller's and the route's timeout, and of the end of a
   // daemon that is stopping when the request arrives.
   TimePoint deadline;
--- a/wigeonwalk/entry/advice_handling.h
+++ b/wigeonwalk/entry/advice_handling.h
@@ -66,6 +66,9 @@
   if (aAdvice.isLeaving && aState.MarkLeaving(*aRunner, LeavingCause::Answer)) {
     LogLeaving(aLog, aState, aRunner->entry, LeavingCause::Answer, aNow);
   }
+  if (aAdvice.coldRemaining) {
+    aRunner->coldStart.Extend(aNow + *aAdvice.coldRemaining);
+  }
   if (aAdvice.pause && aState.Pause(*aRunner, *aAdvice.pause, aNow)) {
     LogPause(aLog, *aRunner, aNow);
   }
--- a/wigeonwalk/entry/entry_settings.h
+++ b/wigeonwalk/entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include "wigeonwalk/base/ids.h"
 #include "wigeonwalk/base/time.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
   Duration drain = std::chrono::seconds(2);
   // Longest time from the stop request to the end of the process.
   Duration stopGrace = std::chrono::seconds(8);
+  // Longest time until the runners of a zone that is taken out of use get no
+  // new requests.
+  Duration zoneOrder = std::chrono::seconds(5);
   // Longest time until all daemons use a new configuration.
   Duration configurationPropagation = std::chrono::seconds(2);
   // Longest time from the publication of new weights until all runners use
@@ -48,6 +52,9 @@
   HostId host;
   AvailabilityZone zone;
   std::string region;
+  // The region of each availability zone. A zone that is not listed is in an
+  // unknown one.
+  std::map<AvailabilityZone, std::string> regions;
   EntryListeners listen;
   // Address of the registry.
   std::string registryAddress;
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -44,9 +44,27 @@
     }
   }
   this->NoteRegistered(aEntry.id, change);
+  this->NoteColdStart(aEntry, change, aNow);
   return change;
 }
 
+void
+EntryState::NoteColdStart(const RunnerEntry& aEntry,
+                          FleetChange aChange,
+                          TimePoint aNow)
+{
+  const auto runner = this->fleet.Find(aEntry.id);
+  if (runner == nullptr || !runner->IsSameStart(aEntry.startedAt)) {
+    return;
+  }
+  if (aEntry.coldRemaining) {
+    runner->coldStart.Extend(aNow + *aEntry.coldRemaining);
+  } else if (aChange == FleetChange::Added ||
+             aChange == FleetChange::Restarted) {
+    runner->coldStart.NoteUnknownAge(aNow);
+  }
+}
+
 FleetChange
 EntryState::Apply(RegistryItem aItem, TimePoint aNow, ItemOrigin aOrigin)
 {
@@ -74,6 +92,8 @@
       this->recordedWeights[record->model].Record(
         { row.version, std::min(row.publishedAt, aNow), row.revision, true });
     }
+  } else if (const auto* order = std::get_if<ZoneOrder>(&aItem)) {
+    this->zonesOutOfUse.TakeOut(order->zone, aNow);
   } else if (auto* member = std::get_if<EntryMember>(&aItem)) {
     this->members[member->host] = *member;
   }
@@ -81,7 +101,9 @@
 }
 
 FleetChange
-EntryState::ApplyRemoved(const RemovedItem& aItem, TimePoint aNow)
+EntryState::ApplyRemoved(const RemovedItem& aItem,
+                         TimePoint aNow,
+                         ItemOrigin aOrigin)
 {
   ++this->generation;
   if (const auto* runner = std::get_if<UpstreamId>(&aItem)) {
@@ -94,6 +116,13 @@
   if (const auto* host = std::get_if<HostId>(&aItem)) {
     this->members.erase(*host);
   }
+  if (const auto* zone = std::get_if<AvailabilityZone>(&aItem)) {
+    if (aOrigin == ItemOrigin::Restored) {
+      this->zonesOutOfUse.NoteMissing(*zone, aNow);
+    } else {
+      this->zonesOutOfUse.TakeBack(*zone);
+    }
+  }
   return FleetChange::None;
 }
 
@@ -219,7 +248,7 @@
     return std::find(aTried.begin(), aTried.end(), aRunner->entry.id) !=
              aTried.end() ||
            aNow < aRunner->pausedUntil || aRunner->IsGone(aNow) ||
-           !aRunner->TakesRequests(aNow);
+           !this->MaySend(*aRunner, aNow);
   });
   std::vector<std::shared_ptr<Runner>> healthy;
   for (const auto& runner : all) {
@@ -230,6 +259,78 @@
   return healthy.empty() ? all : healthy;
 }
 
+bool
+EntryState::MaySend(const Runner& aRunner, TimePoint aNow) const
+{
+  return aRunner.TakesRequests(aNow) &&
+         !this->zonesOutOfUse.IsOut(aRunner.entry.zone, aNow) &&
+         this->AdmitsCold(aRunner, aNow);
+}
+
+void
+EntryState::NoteSent(Runner& aRunner, TimePoint aNow)
+{
+  aRunner.requestedPause.NoteSent(aNow);
+  aRunner.coldStart.NoteSent(aNow);
+  const auto* traits = this->ColdTraitsOf(aRunner.entry.service);
+  this->sentToCold +=
+    traits != nullptr && aRunner.coldStart.IsCold(*traits, aNow) ? 1 : 0;
+}
+
+const ColdStartTraits*
+EntryState::ColdTraitsOf(const ServiceName& aService) const
+{
+  const auto* service =
+    this->routes == nullptr ? nullptr : this->routes->FindService(aService);
+  return service != nullptr && service->coldStart ? &*service->coldStart
+                                                  : nullptr;
+}
+
+bool
+EntryState::AdmitsCold(const Runner& aRunner, TimePoint aNow) const
+{
+  const auto* traits = this->ColdTraitsOf(aRunner.entry.service);
+  if (traits == nullptr || aRunner.coldStart.IsWarm(*traits, aNow)) {
+    return true;
+  }
+  if (aRunner.coldStart.HasJustSent(*traits, aNow)) {
+    return false;
+  }
+  const MemberShares& daemons = this->Shares();
+  const std::string& runner = aRunner.entry.id.Text();
+  const AvailabilityZone& zone = aRunner.entry.zone;
+  return aRunner.coldStart.Admits(*traits,
+                                  { daemons.RankFor(runner, zone),
+                                    daemons.CountIn(zone),
+                                    PhaseOf(this->settings.host, runner) },
+                                  aNow);
+}
+
+std::size_t
+EntryState::ColdRunners(TimePoint aNow) const
+{
+  const auto all = this->fleet.All();
+  return std::count_if(all.begin(), all.end(), [&](const auto& aRunner) {
+    const auto* traits = this->ColdTraitsOf(aRunner->entry.service);
+    return traits != nullptr && aRunner->coldStart.IsCold(*traits, aNow);
+  });
+}
+
+const MemberShares&
+EntryState::Shares() const
+{
+  if (!this->shares || this->shares->first != this->generation) {
+    std::vector<ShareMember> list;
+    for (const auto& [host, member] : this->members) {
+      list.push_back({ host, member.zone });
+    }
+    this->shares.emplace(
+      this->generation,
+      MemberShares(this->settings.host, this->settings.zone, list));
+  }
+  return this->shares->second;
+}
+
 std::vector<CacheHolder>
 EntryState::Sources(TimePoint aNow) const
 {
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -9,6 +9,7 @@
 #include "wigeonwalk/entry/stop_schedule.h"
 #include "wigeonwalk/fleet/fleet.h"
 #include "wigeonwalk/fleet/part_index.h"
+#include "wigeonwalk/fleet/place_rules.h"
 #include "wigeonwalk/fleet/runner_advice.h"
 #include "wigeonwalk/fleet/runner_choice.h"
 #include "wigeonwalk/fleet/weight_history.h"
@@ -19,6 +20,7 @@
 #include "wigeonwalk/retry/poison_tracker.h"
 #include "wigeonwalk/retry/sliding_window_budget.h"
 #include "wigeonwalk/routing/route_table.h"
+#include "wigeonwalk/shares/member_shares.h"
 
 #include <array>
 #include <cstdint>
@@ -81,7 +83,9 @@
   FleetChange Apply(RegistryItem aItem,
                     TimePoint aNow,
                     ItemOrigin aOrigin = ItemOrigin::Written);
-  FleetChange ApplyRemoved(const RemovedItem& aItem, TimePoint aNow);
+  FleetChange ApplyRemoved(const RemovedItem& aItem,
+                           TimePoint aNow,
+                           ItemOrigin aOrigin = ItemOrigin::Written);
 
   // The current configuration; null before the first one is known.
   const std::shared_ptr<const RouteTable>& Routes() const
@@ -96,6 +100,28 @@
     const std::vector<UpstreamId>& aTried,
     TimePoint aNow) const;
 
+  // Returns true if a new request may be sent to the runner now, as far as the
+  // runner and the operator have said.
+  bool MaySend(const Runner& aRunner, TimePoint aNow) const;
+
+  // Records that a request is sent to the runner.
+  void NoteSent(Runner& aRunner, TimePoint aNow);
+
+  // Returns what a service allows its cold runners; null if it sets no limit.
+  const ColdStartTraits* ColdTraitsOf(const ServiceName& aService) const;
+
+  // Returns the number of runners that are cold.
+  std::size_t ColdRunners(TimePoint aNow) const;
+
+  // How this daemon shares with the others what all of them draw on.
+  const MemberShares& Shares() const;
+
+  // Where requests may be processed. Refers to this state.
+  PlaceRules Places() const
+  {
+    return PlaceRules(this->zonesOutOfUse, this->settings.regions);
+  }
+
   // Stops new requests to this start of a runner. Returns true if it got some
   // until now. The mark outlives the registration if the start is known, and is
   // then queued for the other daemons; with an unknown start it ends when the
@@ -180,6 +206,7 @@
   PartIndex parts;
   std::map<UpstreamId, FollowedHolder> holders;
   std::map<HostId, EntryMember> members;
+  ZonesOutOfUse zonesOutOfUse;
   // Starts of runners that said that they leave, here or at another daemon.
   LeavingUpstreams leaving;
   // Runners that leave, by the cause by which this daemon learnt of it first.
@@ -189,6 +216,12 @@
   // because all runners paused.
   std::uint64_t requestedPauses = 0;
   std::uint64_t refusedForPause = 0;
+  // Requests that were refused because no runner is at a place where they may
+  // be processed, by reason.
+  std::array<std::uint64_t, EnumNames<PlaceRefusal>::kTable.size()>
+    refusedForPlace{};
+  // Requests that were sent to cold runners.
+  std::uint64_t sentToCold = 0;
   // Answers that were made on older weights than expected or allowed.
   std::uint64_t answersOnOldWeights = 0;
   SlidingWindowBudget retryBudget;
@@ -215,6 +248,12 @@
   FleetChange ApplyRunner(const RunnerEntry& aEntry,
                           TimePoint aNow,
                           ItemOrigin aOrigin);
+  // Returns true if this daemon's share of what a cold runner may get allows
+  // another request.
+  bool AdmitsCold(const Runner& aRunner, TimePoint aNow) const;
+  void NoteColdStart(const RunnerEntry& aEntry,
+                     FleetChange aChange,
+                     TimePoint aNow);
   void ForgetHolder(const UpstreamId& aHolder);
   void CountLeaving(LeavingCause aCause);
   // Returns true if this start of the runner is marked. A start that an
@@ -225,6 +264,8 @@
 
   EntrySettings settings;
   std::uint64_t generation = 0;
+  // The shares among the members of a generation.
+  mutable std::optional<std::pair<std::uint64_t, MemberShares>> shares;
   std::shared_ptr<const RouteTable> routes;
   std::map<ModelName, WeightHistory> weights;
   std::map<ModelName, WeightHistory> recordedWeights;
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -211,13 +211,13 @@
     bool isWanted = true;
     const SendCheck maySend = [this, &isWanted, &aChoice, &aProgress] {
       const TimePoint now = this->timer.Now();
-      isWanted = aChoice.runner->TakesRequests(now) &&
+      isWanted = this->state.MaySend(*aChoice.runner, now) &&
                  (!aChoice.cacheDomain ||
                   *aChoice.cacheDomain ==
                     CurrentCacheDomain(this->state, aProgress.admitted));
       if (isWanted) {
         this->isAtRunner = true;
-        aChoice.runner->requestedPause.NoteSent(now);
+        this->state.NoteSent(*aChoice.runner, now);
       }
       return isWanted;
     };
@@ -239,6 +239,7 @@
     }
     ++aProgress.sentAttempts;
     aProgress.lastRunner = aChoice.runner->entry.id;
+    aChoice.runner->coldStart.NoteReached(sentAt);
     const TrackedRun followed(this->state.poison,
                               aProgress.lastRunner,
                               aProgress.admitted.fingerprint,
@@ -342,6 +343,10 @@
         aProgress.failure.code != ReasonCode::ResponseTimeout) {
       aChoice.runner->health.NoteFailure(now);
     }
+    if (aProgress.failure.code == ReasonCode::ConnectRefused ||
+        aProgress.failure.code == ReasonCode::ConnectTimeout) {
+      aChoice.runner->coldStart.NoteUnreachable(now);
+    }
     LogFailed(this->log,
               now,
               aRequest.id,
--- a/wigeonwalk/entry/registry_item_log.h
+++ b/wigeonwalk/entry/registry_item_log.h
@@ -35,8 +35,28 @@
   }
 }
 
-// Logs a configuration, weights, their recorded ages, or the first checkpoint
-// of these; other items are not logged here.
+// Logs that an item was removed, if that matters to operators.
+template<StructuredLog L>
+void
+LogRemovedItem(L& aLog,
+               const RemovedItem& aItem,
+               ItemOrigin aOrigin,
+               std::int64_t aRevision,
+               TimePoint aNow)
+{
+  if (const auto* zone = std::get_if<AvailabilityZone>(&aItem)) {
+    aLog.Write(aNow,
+               LogLevel::Info,
+               "zone is taken back into use",
+               {},
+               { { LogKey::Zone, *zone },
+                 { LogKey::Cause, aOrigin },
+                 { LogKey::Revision, aRevision } });
+  }
+}
+
+// Logs a configuration, weights, their recorded ages, the first checkpoint of
+// these, or a zone that is taken out of use; other items are not logged here.
 template<StructuredLog L>
 void
 LogRegistryItem(L& aLog,
@@ -63,6 +83,13 @@
                { { LogKey::Model, named->model },
                  { LogKey::Version, named->version },
                  { LogKey::Revision, aRevision } });
+  } else if (const auto* order = std::get_if<ZoneOrder>(&aItem)) {
+    aLog.Write(
+      aNow,
+      LogLevel::Info,
+      "zone is out of use",
+      {},
+      { { LogKey::Zone, order->zone }, { LogKey::Revision, aRevision } });
   } else if (const auto* record = std::get_if<WeightsRecord>(&aItem)) {
     LogWeightsRecord(aLog, aState, *record, aNow);
   } else if (const auto* checkpoint = std::get_if<WeightsCheckpoint>(&aItem)) {
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -171,7 +171,8 @@
   Duration ShortestBound() const
   {
     const EntryBounds& bounds = this->state.Settings().bounds;
-    return std::min(bounds.drain, bounds.configurationPropagation);
+    return std::min(
+      { bounds.drain, bounds.configurationPropagation, bounds.zoneOrder });
   }
 
   Task<bool> ReadAll(FailureReason& aReason)
@@ -342,7 +343,9 @@
     bool isRepeated = false;
     if (aChange.deleted) {
       const RemovedItem removed = this->decoder.DecodeRemoved(key);
-      change = this->state.ApplyRemoved(removed, now);
+      LogRemovedItem(
+        this->log, removed, aOrigin, aChange.entry.modRevision, now);
+      change = this->state.ApplyRemoved(removed, now, aOrigin);
     } else {
       FailureReason reason;
       RegistryItem item = this->decoder.Decode(aChange.entry, reason);
@@ -370,6 +373,7 @@
       change = this->state.Apply(std::move(item), now, aOrigin);
       if (runner) {
         this->LogIfLeaving(*runner, change);
+        this->LogIfCold(*runner, change);
         isRepeated = change == FleetChange::None;
       }
     }
@@ -409,6 +413,30 @@
     }
   }
 
+  // Logs the first registration of a start that is cold.
+  void LogIfCold(const RunnerEntry& aEntry, FleetChange aChange)
+  {
+    const TimePoint now = this->timer.Now();
+    const auto* traits = this->state.ColdTraitsOf(aEntry.service);
+    const auto runner = this->state.fleet.Find(aEntry.id);
+    const bool isNew =
+      aChange == FleetChange::Added || aChange == FleetChange::Restarted;
+    if (!isNew || traits == nullptr || runner == nullptr ||
+        !runner->coldStart.IsCold(*traits, now)) {
+      return;
+    }
+    this->log.Write(
+      now,
+      LogLevel::Info,
+      "runner is cold",
+      {},
+      { { LogKey::Upstream, aEntry.id },
+        { LogKey::Zone, aEntry.zone },
+        { LogKey::Start, aEntry.startedAt },
+        { LogKey::Limit, runner->coldStart.ColdUntil(*traits) - now },
+        { LogKey::Expected, traits->requestsPerSecond } });
+  }
+
   EntryState& state;
   ItemMirror& mirror;
   S& store;
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -82,7 +82,10 @@
     .room = aRoom,
     .costs = CostsFrom(aState),
   };
-  const auto sources = aState.Sources(aNow);
+  auto sources = aState.Sources(aNow);
+  std::erase_if(sources, [&](const CacheHolder& aHolder) {
+    return !aState.Places().IsHome(aHolder.zone, aAdmitted.homes);
+  });
   auto choice = ChooseEngine(query, aCandidates, aState.parts, sources, aNow);
   if (!choice) {
     return false;
@@ -113,7 +116,9 @@
   const RouteTable& newest = *aState.Routes();
   const bool isRemoved =
     organisation != nullptr && !newest.HasOrganisation(*organisation);
-  return (isRemoved ? *aAdmitted.routes : newest).Domains().Of(organisation);
+  return (isRemoved ? *aAdmitted.routes : newest)
+    .Domains()
+    .Of(organisation, aAdmitted.homes);
 }
 
 std::optional<RunnerPick>
@@ -124,8 +129,11 @@
            RoomRule aRoom,
            TimePoint aNow)
 {
-  const Candidates candidates =
+  Candidates candidates =
     aState.Candidates(aAdmitted.service->name, aTried, aNow);
+  std::erase_if(candidates, [&](const std::shared_ptr<Runner>& aRunner) {
+    return !aState.Places().IsHome(aRunner->entry.zone, aAdmitted.homes);
+  });
   if (candidates.empty()) {
     return std::nullopt;
   }
--- a/wigeonwalk/entry/runner_wait.h
+++ b/wigeonwalk/entry/runner_wait.h
@@ -73,6 +73,9 @@
         co_return pick;
       }
     }
+    if (this->IsRefusedByPlace(aSearch, aFailure)) {
+      co_return std::nullopt;
+    }
     const QueuePlace place(
       queue, { rank, OrganisationOf(aSearch), TokensOf(aSearch.request) });
     const TimePoint giveUpAt = this->GiveUpAt(aSearch);
@@ -80,7 +83,8 @@
       co_return std::nullopt;
     }
     while (this->timer.Now() < giveUpAt) {
-      if (this->IsRefusedByPause(aSearch, giveUpAt, aFailure)) {
+      if (this->IsRefusedByPause(aSearch, giveUpAt, aFailure) ||
+          this->IsRefusedByPlace(aSearch, aFailure)) {
         co_return std::nullopt;
       }
       const TimePoint next =
@@ -218,6 +222,33 @@
     return true;
   }
 
+  // Returns true with the reason if no runner of the service is at a place
+  // where the request may be processed.
+  bool IsRefusedByPlace(const RunnerSearch& aSearch,
+                        SearchFailure& aFailure) const
+  {
+    const TimePoint now = this->timer.Now();
+    if (this->state.zonesOutOfUse.All(now).empty() &&
+        !aSearch.admitted.homes.IsBound()) {
+      return false;
+    }
+    const ServiceName& service = aSearch.admitted.service->name;
+    const PlaceRefusal why = this->state.Places().WhyNone(
+      this->state.fleet.RunnersOf(service), aSearch.admitted.homes, now);
+    if (why == PlaceRefusal::None) {
+      return false;
+    }
+    ++this->state.refusedForPlace[static_cast<std::size_t>(why)];
+    Fail(aFailure.reason,
+         ReasonCode::Unavailable,
+         why == PlaceRefusal::NotAtHome
+           ? "no runner is in a home region of the request"
+           : "all runners are in zones out of use");
+    aFailure.retryAfter = ServiceQueue::RetryAfter(
+      std::nullopt, SpreadOfRequest(aSearch.request.id));
+    return true;
+  }
+
   std::optional<RunnerPick> PickNow(const RunnerSearch& aSearch) const
   {
     return this->Pick(aSearch,
--- a/wigeonwalk/entry/test_entry.h
+++ b/wigeonwalk/entry/test_entry.h
@@ -43,8 +43,8 @@
 // A daemon with one plain service of three runners.
 struct TestEntry
 {
-  TestEntry()
-    : state(Settings())
+  explicit TestEntry(EntrySettings aSettings = Settings())
+    : state(std::move(aSettings))
   {
     this->runners.time = &this->time;
     RoutingConfiguration configuration;
--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -18,8 +18,9 @@
 namespace wigeonwalk {
 
 // Decodes items: "config" and "weights/MODEL" hold a version, "runners/ID" a
-// state and possibly a start, "members/HOST" an address, "published/MODEL"
-// versions with their times in microseconds, and "checkpoint" a time.
+// state and possibly a start, "members/HOST" an address, "zones/ZONE" anything,
+// "published/MODEL" versions with their times in microseconds, and "checkpoint"
+// a time. All runners are in the zone "north".
 struct TestDecoder
 {
   RegistryItem Decode(const KeyValueEntry& aEntry, FailureReason& aReason) const
@@ -57,12 +58,16 @@
     if (aEntry.key == "checkpoint") {
       return WeightsCheckpoint{ TimePoint(Duration(std::stol(aEntry.value))) };
     }
+    if (aEntry.key.starts_with("zones/")) {
+      return ZoneOrder{ AvailabilityZone(aEntry.key.substr(6)) };
+    }
     if (!aEntry.key.starts_with("runners/")) {
       return ForeignItem{};
     }
     RunnerEntry entry;
     entry.id = UpstreamId(aEntry.key.substr(8));
     entry.service = ServiceName("s");
+    entry.zone = AvailabilityZone("north");
     entry.address = "10.0.0.1:1";
     std::istringstream fields(aEntry.value);
     std::string state;
@@ -97,6 +102,9 @@
     if (aKey.starts_with("runners/")) {
       return UpstreamId(aKey.substr(8));
     }
+    if (aKey.starts_with("zones/")) {
+      return AvailabilityZone(aKey.substr(6));
+    }
     return ForeignItem{};
   }
 };
--- a/wigeonwalk/fleet/runner.h
+++ b/wigeonwalk/fleet/runner.h
@@ -7,6 +7,7 @@
 #include "wigeonwalk/base/enum_names.h"
 #include "wigeonwalk/base/ids.h"
 #include "wigeonwalk/base/time.h"
+#include "wigeonwalk/fleet/cold_start.h"
 #include "wigeonwalk/fleet/requested_pause.h"
 #include "wigeonwalk/fleet/runner_health.h"
 
@@ -61,6 +62,9 @@
   // the same id with an empty cache. Zero if not given.
   std::int64_t startedAt = 0;
   std::vector<LoadedModel> models;
+  // How much longer the runner is cold, counted from the registration; nothing
+  // if it does not say so.
+  std::optional<Duration> coldRemaining;
 
   bool operator==(const RunnerEntry&) const = default;
 };
@@ -82,6 +86,8 @@
   TimePoint pausedUntil;
   // No new requests from this daemon, at the runner's request.
   RequestedPause requestedPause;
+  // How many requests the runner may get after its start.
+  ColdStart coldStart;
   RunnerHealth health;
 
   // Requests in flight from this daemon, and the cache memory they take, in
--- a/wigeonwalk/fleet/runner_advice.h
+++ b/wigeonwalk/fleet/runner_advice.h
@@ -18,6 +18,8 @@
   // How long the runner wants no requests from this daemon, after it has turned
   // one away.
   std::optional<Duration> pause = std::nullopt;
+  // How much longer the runner is cold, if it says so.
+  std::optional<Duration> coldRemaining = std::nullopt;
 
   bool operator==(const RunnerAdvice&) const = default;
 };
--- a/wigeonwalk/ports/registry_items.h
+++ b/wigeonwalk/ports/registry_items.h
@@ -61,6 +61,14 @@
   bool operator==(const WeightsCheckpoint&) const = default;
 };
 
+// The operator's order that a zone's runners get no new requests.
+struct ZoneOrder
+{
+  AvailabilityZone zone;
+
+  bool operator==(const ZoneOrder&) const = default;
+};
+
 // A running entry daemon.
 struct EntryMember
 {
@@ -87,10 +95,12 @@
                                   WeightsRecord,
                                   WeightsCheckpoint,
                                   RunnerEntry,
+                                  ZoneOrder,
                                   EntryMember>;
 
 // What a deleted key identified.
-using RemovedItem = std::variant<ForeignItem, UpstreamId, HostId>;
+using RemovedItem =
+  std::variant<ForeignItem, UpstreamId, HostId, AvailabilityZone>;
 
 // Decodes registry items. For an UnreadableItem the reason is set.
 template<typename T>
--- a/wigeonwalk/routing/cache_domains.cc
+++ b/wigeonwalk/routing/cache_domains.cc
@@ -42,14 +42,28 @@
     }
   }
   this->shared = SharedDomain(this->isolated);
+  std::vector<HomeRegions> callers{ HomeRegions() };
+  for (const auto& organisation : aConfiguration.organisations) {
+    callers.push_back(organisation.homes);
+  }
+  for (const Route& route : aConfiguration.routes) {
+    for (const HomeRegions& caller : callers) {
+      const HomeRegions both = HomeRegions::Both(route.homes, caller);
+      if (both.IsBound()) {
+        this->homes.insert(both.Name());
+      }
+    }
+  }
 }
 
 std::string
-CacheDomains::Of(const OrganisationId* aOrganisation) const
+CacheDomains::Of(const OrganisationId* aOrganisation,
+                 const HomeRegions& aHomes) const
 {
   const bool isIsolated =
     aOrganisation != nullptr && this->isolated.contains(aOrganisation->Text());
-  return isIsolated ? IsolatedDomain(aOrganisation->Text()) : this->shared;
+  return aHomes.Name() +
+         (isIsolated ? IsolatedDomain(aOrganisation->Text()) : this->shared);
 }
 
 std::set<std::string>
@@ -59,6 +73,12 @@
   for (const std::string& name : this->isolated) {
     all.insert(IsolatedDomain(name));
   }
+  const std::set<std::string> anywhere = all;
+  for (const std::string& domain : anywhere) {
+    for (const std::string& name : this->homes) {
+      all.insert(name + domain);
+    }
+  }
   return all;
 }
 
--- a/wigeonwalk/routing/cache_domains.h
+++ b/wigeonwalk/routing/cache_domains.h
@@ -1,7 +1,7 @@
 // Which organisations may use each other's KV cache.
 //
 //   CacheDomains domains(configuration);
-//   const std::string domain = domains.Of(organisation);
+//   const std::string domain = domains.Of(organisation, homes);
 #pragma once
 
 #include "wigeonwalk/routing/routing_configuration.h"
@@ -16,15 +16,17 @@
 // was made only by organisations that share it, whatever was isolated or opened
 // in between, and daemons with the same configuration use the same names. What
 // an organisation made before it became isolated stays behind in the domain
-// that was shared until then. Immutable.
+// that was shared until then. Requests with home regions share cache only with
+// requests of the same homes, as others may move it elsewhere. Immutable.
 class CacheDomains
 {
 public:
   explicit CacheDomains(const RoutingConfiguration& aConfiguration);
 
-  // Returns the domain of an organisation, or of callers without one if it is
-  // null.
-  std::string Of(const OrganisationId* aOrganisation) const;
+  // Returns the domain of requests with these homes of an organisation, or of
+  // callers without one if it is null.
+  std::string Of(const OrganisationId* aOrganisation,
+                 const HomeRegions& aHomes = {}) const;
 
   // Returns all domains that requests may use.
   std::set<std::string> All() const;
@@ -34,6 +36,8 @@
 private:
   std::set<std::string> isolated;
   std::string shared;
+  // Names of the homes that requests may have; see HomeRegions::Name.
+  std::set<std::string> homes;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/routing/cache_domains_test.cc
+++ b/wigeonwalk/routing/cache_domains_test.cc
@@ -159,3 +159,38 @@
     CHECK(DomainOf(domains, "lace") != domains.Of(nullptr));
   }
 }
+
+// Guards against cache of a request with home regions that another request
+// moves out of them.
+SCENARIO("requests with home regions share cache only with the same homes")
+{
+  RoutingConfiguration configuration;
+  const OrganisationId lace("lace");
+  OrganisationConfiguration organisation;
+  organisation.name = lace;
+  organisation.homes = HomeRegions({ "east", "west" });
+  configuration.organisations = { organisation };
+  Route route;
+  route.homes = HomeRegions({ "west" });
+  configuration.routes = { Route(), route };
+  const CacheDomains domains(configuration);
+  const HomeRegions both = HomeRegions::Both(organisation.homes, route.homes);
+
+  CHECK(domains.Of(&lace, organisation.homes) != domains.Of(&lace));
+  CHECK(domains.Of(&lace, both) != domains.Of(&lace, organisation.homes));
+  CHECK(domains.Of(&lace, both) == domains.Of(nullptr, route.homes));
+
+  THEN("the domains that may be used include theirs")
+  {
+    for (const HomeRegions& homes :
+         { HomeRegions(), organisation.homes, route.homes, both }) {
+      CHECK(domains.All().contains(domains.Of(&lace, homes)));
+    }
+  }
+
+  THEN("without homes the domain is the one of before")
+  {
+    CHECK(domains.Of(&lace) ==
+          CacheDomains(RoutingConfiguration()).Of(nullptr));
+  }
+}
--- a/wigeonwalk/routing/routing_configuration.h
+++ b/wigeonwalk/routing/routing_configuration.h
@@ -7,6 +7,7 @@
 #include "wigeonwalk/base/enum_names.h"
 #include "wigeonwalk/base/ids.h"
 #include "wigeonwalk/base/time.h"
+#include "wigeonwalk/zones/home_regions.h"
 
 #include <cstdint>
 #include <optional>
@@ -71,6 +72,8 @@
   bool isPublic = false;
   // A broken stream may be resumed at another runner after its last event.
   bool resumable = false;
+  // Regions in which its requests may be processed.
+  HomeRegions homes;
 
   // Returns true if running the same request twice is safe.
   bool MayRunAgain() const
@@ -115,6 +118,18 @@
   bool operator==(const CacheStoreTraits&) const = default;
 };
 
+// What a service allows its runners while they are cold: after a start, or
+// whenever they say so.
+struct ColdStartTraits
+{
+  // How long a runner is cold after its start.
+  Duration time{ 0 };
+  // Requests a second that a cold runner may get from all daemons together.
+  double requestsPerSecond = 0;
+
+  bool operator==(const ColdStartTraits&) const = default;
+};
+
 struct ServiceConfiguration
 {
   ServiceName name;
@@ -123,6 +138,8 @@
   std::uint32_t maxConnections = 0;
   std::optional<EngineTraits> engine;
   std::optional<CacheStoreTraits> cacheStore;
+  // Absent if cold runners get requests like others.
+  std::optional<ColdStartTraits> coldStart;
 
   bool operator==(const ServiceConfiguration&) const = default;
 };
@@ -135,6 +152,8 @@
   std::optional<std::uint32_t> priority;
   // Its KV cache is shared with no other organisation.
   bool isolated = false;
+  // Regions in which its requests may be processed.
+  HomeRegions homes;
 
   bool operator==(const OrganisationConfiguration&) const = default;
 };
