entry: show what crowds of clients do to one daemon

Two earlier tries of the tests hung: they took a listener of the test itself for the daemon's, as the child still had the sockets of the test.

--- /dev/null
+++ b/daemons/test_entry_process.cc
@@ -0,0 +1,162 @@
+#include "daemons/test_entry_process.h"
+
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <sstream>
+#include <system_error>
+#include <vector>
+
+namespace wigeonwalk {
+
+namespace {
+
+// The address 127.0.0.1 and the state of a listener in /proc/net/tcp.
+constexpr const char* kLoopback = "0100007F:";
+constexpr const char* kListening = "0A";
+
+std::string
+WriteTemporaryFile(const std::string& aText)
+{
+  std::string path =
+    (std::filesystem::temp_directory_path() / "entry-settings-XXXXXX").string();
+  const int file = mkstemp(path.data());
+  if (file < 0) {
+    throw std::system_error(errno, std::generic_category(), path);
+  }
+  close(file);
+  std::ofstream(path) << aText;
+  return path;
+}
+
+// Becomes the daemon. Only calls that are safe after fork.
+[[noreturn]] void
+RunProgram(const char* aSettingsFile, ProcessLimits aLimits)
+{
+  // Without the sockets of the test.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
+  // The daemon ends with a test that crashes.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (aLimits.descriptors > 0) {
+    const rlimit limit{ aLimits.descriptors, aLimits.descriptors };
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  execl(WIGEONWALK_ENTRY_PROGRAM,
+        WIGEONWALK_ENTRY_PROGRAM,
+        "--settings",
+        aSettingsFile,
+        static_cast<char*>(nullptr));
+  _exit(127);
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(const std::string& aSettings, ProcessLimits aLimits)
+  : settingsFile(WriteTemporaryFile(aSettings))
+  , process(fork())
+{
+  if (this->process == 0) {
+    RunProgram(this->settingsFile.c_str(), aLimits);
+  }
+  if (this->process < 0) {
+    throw std::system_error(errno, std::generic_category(), "fork");
+  }
+}
+
+EntryProcess::~EntryProcess()
+{
+  if (this->IsAlive()) {
+    kill(this->process, SIGKILL);
+    waitpid(this->process, nullptr, 0);
+  }
+  std::error_code ignored;
+  std::filesystem::remove(this->settingsFile, ignored);
+}
+
+bool
+EntryProcess::IsAlive()
+{
+  this->hasEnded =
+    this->hasEnded || waitpid(this->process, nullptr, WNOHANG) == this->process;
+  return !this->hasEnded;
+}
+
+std::string
+EntryProcess::Folder() const
+{
+  return "/proc/" + std::to_string(this->process);
+}
+
+std::optional<std::string>
+EntryProcess::CallersAddress() const
+{
+  std::error_code error;
+  const auto program =
+    std::filesystem::read_symlink(this->Folder() + "/exe", error);
+  if (program != WIGEONWALK_ENTRY_PROGRAM) {
+    // It still has the sockets of the test.
+    return std::nullopt;
+  }
+  std::set<std::string> sockets;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(this->Folder() + "/fd", error)) {
+    sockets.insert(std::filesystem::read_symlink(entry, error).string());
+  }
+  std::ifstream table(this->Folder() + "/net/tcp");
+  std::string line;
+  std::getline(table, line);
+  while (std::getline(table, line)) {
+    std::istringstream fields(line);
+    const std::vector<std::string> words{
+      std::istream_iterator<std::string>(fields), {}
+    };
+    constexpr std::size_t kLocal = 1;
+    constexpr std::size_t kState = 3;
+    constexpr std::size_t kInode = 9;
+    if (words.size() > kInode && words[kState] == kListening &&
+        words[kLocal].starts_with(kLoopback) &&
+        sockets.contains("socket:[" + words[kInode] + "]")) {
+      constexpr int kHexadecimal = 16;
+      const std::string port =
+        words[kLocal].substr(words[kLocal].find(':') + 1);
+      return "127.0.0.1:" +
+             std::to_string(std::stoul(port, nullptr, kHexadecimal));
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t
+EntryProcess::PeakMemoryBytes() const
+{
+  constexpr std::size_t kKilobyte = 1'024;
+  std::ifstream status(this->Folder() + "/status");
+  std::string word;
+  while (status >> word) {
+    std::size_t kilobytes = 0;
+    if (word == "VmHWM:" && status >> kilobytes) {
+      return kilobytes * kKilobyte;
+    }
+  }
+  return 0;
+}
+
+std::size_t
+EntryProcess::OpenDescriptors() const
+{
+  std::error_code error;
+  const std::filesystem::directory_iterator all(this->Folder() + "/fd", error);
+  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
+} // namespace wigeonwalk
--- /dev/null
+++ b/daemons/test_entry_process.h
@@ -0,0 +1,53 @@
+// An entry daemon as a process of its own, on loopback addresses.
+//
+//   EntryProcess daemon(settingsText, { .descriptors = 256 });
+//   daemon.CallersAddress();   // "127.0.0.1:40213", once it listens
+//   daemon.PeakMemoryBytes();
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace wigeonwalk {
+
+// Limits that the system sets for the process.
+struct ProcessLimits
+{
+  // Most open descriptors; zero keeps the limit of the test.
+  std::size_t descriptors = 0;
+};
+
+// Starts the program in the constructor and kills it in the destructor. Only
+// this process is ever signalled.
+class EntryProcess
+{
+public:
+  EntryProcess(const std::string& aSettings, ProcessLimits aLimits);
+  ~EntryProcess();
+  EntryProcess(const EntryProcess&) = delete;
+  EntryProcess& operator=(const EntryProcess&) = delete;
+
+  // Returns false once the process has ended by itself.
+  bool IsAlive();
+
+  // Returns "IP:port" of the listener on 127.0.0.1, or nothing before there is
+  // one. The other listeners of the settings need other loopback addresses.
+  std::optional<std::string> CallersAddress() const;
+
+  // Peak of the resident memory since the start.
+  std::size_t PeakMemoryBytes() const;
+
+  std::size_t OpenDescriptors() const;
+
+private:
+  std::string Folder() const;
+
+  std::string settingsFile;
+  pid_t process = -1;
+  bool hasEnded = false;
+};
+
+} // namespace wigeonwalk
