http: bound what clients make a daemon hold

Callers saw: six clients with trailers or a chunk extension without end took a daemon to 294 MB, 60 bodies that stopped in the middle to 253 MB, and 400 idle connections before 256 descriptors shut out everybody else.

Cause: the server read into a buffer without a bound, as the parser wants a chunk's extensions and the trailers in one piece and no limit counted them; nothing counted what all connections hold together, and callers could take every descriptor.

Bodies are sent to runners without a further copy.

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -84,9 +84,9 @@
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::uint64_t requestsSent = 0;
   bool failed = false;
-  std::shared_ptr<AnswerMemory> memory;
+  std::shared_ptr<MessageMemory> memory;
   // Refers to the memory and the stream.
-  std::optional<AnswerMemory::Share> held;
+  std::optional<MessageMemory::Share> held;
 };
 
 HttpClientConnection::HttpClientConnection(std::unique_ptr<State> aState)
@@ -133,7 +133,9 @@
                            TimePoint aDeadline,
                            FailureReason& aReason)
 {
-  http::request<http::string_body> message;
+  // Refers to the body of the request: bodies may be large, and the request
+  // outlives the call.
+  http::request<http::span_body<const char>> message;
   message.version(11);
   message.method_string(aRequest.method);
   message.target(aRequest.target);
@@ -144,7 +146,7 @@
     message.insert(header.name, header.value);
   }
   message.keep_alive(aRequest.keepAlive);
-  message.body() = aRequest.body;
+  message.body() = { aRequest.body.data(), aRequest.body.size() };
   message.prepare_payload();
   this->state->parser.reset();
   this->state->held.reset();
@@ -196,7 +198,7 @@
               ReasonCode::MalformedResponse,
               "largest of the responses that are being received, which "
               "together exceed " +
-                std::to_string(AnswerMemory::kMaxBytes) + " bytes",
+                std::to_string(MessageMemory::kMaxBytes) + " bytes",
               aPlace);
 }
 
@@ -318,7 +320,7 @@
 }
 
 void
-HttpClientConnection::LimitHeldBytes(std::shared_ptr<AnswerMemory> aMemory)
+HttpClientConnection::LimitHeldBytes(std::shared_ptr<MessageMemory> aMemory)
 {
   this->state->memory = std::move(aMemory);
 }
@@ -331,7 +333,7 @@
     return true;
   }
   if (!connection.held) {
-    if (aBytes <= AnswerMemory::kUncountedBytes) {
+    if (aBytes <= MessageMemory::kUncountedBytes) {
       return true;
     }
     connection.held.emplace(*connection.memory, [&connection] {
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -8,8 +8,8 @@
 #pragma once
 
 #include "wigeonwalk/adapters/clock/system_timer.h"
-#include "wigeonwalk/adapters/http/answer_memory.h"
 #include "wigeonwalk/adapters/http/http_message.h"
+#include "wigeonwalk/adapters/http/message_memory.h"
 #include "wigeonwalk/base/failure_reason.h"
 #include "wigeonwalk/ports/task.h"
 
@@ -62,7 +62,7 @@
                                                  FailureReason& aReason);
 
   // Counts the bytes that are held of responses in `aMemory`.
-  void LimitHeldBytes(std::shared_ptr<AnswerMemory> aMemory);
+  void LimitHeldBytes(std::shared_ptr<MessageMemory> aMemory);
 
   // Sets how many bytes of the current response the reader holds until it has
   // received more. Returns false with MalformedResponse if the response was
--- a/wigeonwalk/adapters/http/http_pool.cc
+++ b/wigeonwalk/adapters/http/http_pool.cc
@@ -54,7 +54,7 @@
   auto opened = co_await HttpClientConnection::Connect(
     this->timer, this->executor, aAddress, aDeadline, aReason);
   if (opened) {
-    opened->LimitHeldBytes(this->answerMemory);
+    opened->LimitHeldBytes(this->heldMessages);
   }
   co_return opened;
 }
--- a/wigeonwalk/adapters/http/http_pool.h
+++ b/wigeonwalk/adapters/http/http_pool.h
@@ -91,7 +91,8 @@
   boost::asio::any_io_executor executor;
   Duration maxIdle;
   // Shared with connections, which may outlive the pool.
-  std::shared_ptr<AnswerMemory> answerMemory = std::make_shared<AnswerMemory>();
+  std::shared_ptr<MessageMemory> heldMessages =
+    std::make_shared<MessageMemory>();
   std::map<std::string, std::vector<Idle>> idle;
 };
 
--- a/wigeonwalk/adapters/http/http_server.cc
+++ b/wigeonwalk/adapters/http/http_server.cc
@@ -10,6 +10,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <string>
 #include <utility>
 
 namespace wigeonwalk {
@@ -21,7 +23,8 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 8 * 1024;
+// Buffer of a connection that waits for its next request: most requests fit.
+constexpr std::size_t kIdleReadBytes = 2 * 1024;
 
 // Delay after a failed accept, for example for lack of file descriptors, so
 // that the loop does not spin.
@@ -35,11 +38,30 @@
     : stream(std::move(aSocket))
     , limits(aLimits)
   {
+    this->ReleaseBuffer();
+  }
+
+  // Frees a buffer that has grown; it must be empty.
+  void ReleaseBuffer()
+  {
+    this->buffer =
+      beast::flat_buffer(this->limits.headerBytes + kMaxReadBufferBytes);
+  }
+
+  // Counts what is held of the present request. Returns false if it was ended.
+  bool Hold(std::size_t aBodyBytes)
+  {
+    return !this->held || this->held->Resize(this->buffer.capacity() +
+                                             kRequestBodyCopies * aBodyBytes);
   }
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   HttpLimits limits;
+  HttpLimit limitMet = HttpLimit::None;
+  std::shared_ptr<MessageMemory> memory;
+  // Refers to the memory and the stream.
+  std::optional<MessageMemory::Share> held;
 };
 
 HttpConnection::HttpConnection(std::unique_ptr<State> aState)
@@ -54,20 +76,49 @@
 
 namespace {
 
-// Maps a failed read of a request to the reason that determines the error
-// response.
-std::nullopt_t
-FailRead(FailureReason& aReason, error_code aError)
+HttpLimit
+LimitOf(error_code aError)
 {
   if (aError == http::error::header_limit) {
-    return Fail(aReason, ReasonCode::TooLarge, "header too large", "headers");
+    return HttpLimit::Header;
   }
   if (aError == http::error::body_limit) {
-    return Fail(aReason, ReasonCode::TooLarge, "body too large", "body");
+    return HttpLimit::Body;
   }
-  if (aError == beast::error::timeout) {
-    return Fail(aReason, ReasonCode::Expired, "request sent too slowly");
+  if (aError == http::error::buffer_overflow) {
+    return HttpLimit::Framing;
+  }
+  return aError == beast::error::timeout ? HttpLimit::Time : HttpLimit::None;
+}
+
+std::nullopt_t
+FailLimit(FailureReason& aReason, HttpLimit aLimit)
+{
+  switch (aLimit) {
+    case HttpLimit::Time:
+      return Fail(aReason, ReasonCode::Expired, "request sent too slowly");
+    case HttpLimit::Memory:
+      return Fail(aReason,
+                  ReasonCode::Overloaded,
+                  "largest of the requests that are being received, which "
+                  "together exceed the limit");
+    case HttpLimit::Header:
+      return Fail(aReason, ReasonCode::TooLarge, "header too large", "headers");
+    case HttpLimit::Body:
+      return Fail(aReason, ReasonCode::TooLarge, "body too large", "body");
+    default:
+      return Fail(aReason,
+                  ReasonCode::TooLarge,
+                  "chunk extensions or trailers too large",
+                  "chunks");
   }
+}
+
+// Maps a failed read of a request to the reason that determines the error
+// response.
+std::nullopt_t
+FailRead(FailureReason& aReason, error_code aError)
+{
   if (aError == http::error::end_of_stream ||
       aError == http::error::partial_message ||
       aError.category() !=
@@ -77,6 +128,36 @@
   return Fail(aReason, ReasonCode::InvalidArgument, aError.message(), "http");
 }
 
+using RequestParser = http::request_parser<http::string_body>;
+
+// Parses what has been read, as far as it is complete.
+void
+ParseBuffer(beast::flat_buffer& aBuffer,
+            RequestParser& aParser,
+            error_code& aError)
+{
+  const std::size_t parsed = aParser.put(aBuffer.data(), aError);
+  aBuffer.consume(parsed);
+  if (aError == http::error::need_more) {
+    aError = {};
+  }
+}
+
+// Returns how many bytes to read next; zero if the parser needs more in one
+// piece than the buffer holds.
+std::size_t
+BytesToRead(const RequestParser& aParser, const beast::flat_buffer& aBuffer)
+{
+  std::size_t wanted = kIdleReadBytes;
+  if (aParser.is_header_done()) {
+    const std::uint64_t left =
+      aParser.content_length_remaining().value_or(kMaxReadBufferBytes);
+    wanted = std::max<std::uint64_t>(
+      wanted, std::min<std::uint64_t>(left, kMaxReadBufferBytes));
+  }
+  return std::min(wanted, aBuffer.max_size() - aBuffer.size());
+}
+
 HttpRequest
 ToHttpRequest(http::request<http::string_body>&& aMessage)
 {
@@ -98,11 +179,16 @@
 HttpConnection::WaitForRequest(FailureReason& aReason)
 {
   State& connection = *this->state;
+  connection.held.reset();
+  if (connection.buffer.size() == 0 &&
+      connection.buffer.capacity() > kIdleReadBytes) {
+    connection.ReleaseBuffer();
+  }
   error_code error;
   while (connection.buffer.size() == 0 && !error) {
     connection.stream.expires_after(connection.limits.idleTimeout);
     const std::size_t bytes = co_await connection.stream.async_read_some(
-      connection.buffer.prepare(kReadBytes),
+      connection.buffer.prepare(kIdleReadBytes),
       asio::redirect_error(asio::use_awaitable, error));
     connection.buffer.commit(bytes);
     error_code ignored;
@@ -133,18 +219,46 @@
   if (!arrived) {
     co_return std::nullopt;
   }
-  http::request_parser<http::string_body> parser;
+  if (connection.memory != nullptr) {
+    connection.held.emplace(*connection.memory,
+                            [&connection] { connection.stream.cancel(); });
+  }
+  RequestParser parser;
   parser.header_limit(connection.limits.headerBytes);
   parser.body_limit(connection.limits.bodyBytes);
   connection.stream.expires_after(connection.limits.readTimeout);
-  co_await http::async_read(connection.stream,
-                            connection.buffer,
-                            parser,
-                            asio::redirect_error(asio::use_awaitable, error));
+  parser.eager(true);
+  bool mayHold = true;
+  ParseBuffer(connection.buffer, parser, error);
+  while (!parser.is_done() && !error && mayHold) {
+    const std::size_t wanted = BytesToRead(parser, connection.buffer);
+    if (wanted == 0) {
+      error = http::error::buffer_overflow;
+      break;
+    }
+    const std::size_t bytes = co_await connection.stream.async_read_some(
+      connection.buffer.prepare(wanted),
+      asio::redirect_error(asio::use_awaitable, error));
+    connection.buffer.commit(bytes);
+    if (!error) {
+      ParseBuffer(connection.buffer, parser, error);
+    }
+    mayHold = connection.Hold(parser.get().body().size());
+  }
   connection.stream.expires_never();
+  if (connection.buffer.size() == 0) {
+    connection.ReleaseBuffer();
+  }
+  connection.limitMet = mayHold ? LimitOf(error) : HttpLimit::Memory;
+  if (connection.limitMet != HttpLimit::None) {
+    co_return FailLimit(aReason, connection.limitMet);
+  }
   if (error) {
     co_return FailRead(aReason, error);
   }
+  if (connection.held) {
+    connection.held->NoteComplete();
+  }
   co_return ToHttpRequest(parser.release());
 }
 
@@ -239,7 +353,31 @@
 void
 HttpConnection::SetLimits(const HttpLimits& aLimits)
 {
-  this->state->limits = aLimits;
+  State& connection = *this->state;
+  connection.limits = aLimits;
+  connection.buffer.max_size(std::max(
+    connection.buffer.size(), aLimits.headerBytes + kMaxReadBufferBytes));
+}
+
+void
+HttpConnection::LimitHeldBytes(std::shared_ptr<MessageMemory> aMemory)
+{
+  this->state->memory = std::move(aMemory);
+}
+
+HttpLimit
+HttpConnection::LimitMet() const
+{
+  return this->state->limitMet;
+}
+
+std::string
+HttpConnection::PeerAddress() const
+{
+  error_code error;
+  const auto peer = this->state->stream.socket().remote_endpoint(error);
+  return error ? std::string()
+               : peer.address().to_string() + ":" + std::to_string(peer.port());
 }
 
 void
--- a/wigeonwalk/adapters/http/http_server.h
+++ b/wigeonwalk/adapters/http/http_server.h
@@ -7,6 +7,8 @@
 
 #include "wigeonwalk/adapters/clock/system_timer.h"
 #include "wigeonwalk/adapters/http/http_message.h"
+#include "wigeonwalk/adapters/http/message_memory.h"
+#include "wigeonwalk/base/enum_names.h"
 #include "wigeonwalk/base/failure_reason.h"
 #include "wigeonwalk/ports/task.h"
 
@@ -17,6 +19,15 @@
 
 namespace wigeonwalk {
 
+// Copies of a request's body while it is forwarded: the request, and the
+// message to the runner. Each counts toward the memory of requests.
+inline constexpr std::size_t kRequestBodyCopies = 2;
+
+// Most bytes that are read ahead of the parser beyond a request's header.
+// Bounds what the parser needs in one piece: a chunk's size with its
+// extensions, and trailers.
+inline constexpr std::size_t kMaxReadBufferBytes = 32 * 1024;
+
 // Limits on one request. Sizes are in bytes.
 struct HttpLimits
 {
@@ -30,6 +41,34 @@
   Duration writeTimeout = std::chrono::seconds(30);
 };
 
+// Which limit a peer exceeded.
+enum class HttpLimit
+{
+  None,
+  Header,
+  Body,
+  // A chunk's size with its extensions, or the trailers, in one piece.
+  Framing,
+  // The time for one request.
+  Time,
+  // The memory of all requests that are being received.
+  Memory,
+};
+
+template<>
+struct EnumNames<HttpLimit>
+{
+  static constexpr std::array<EnumName<HttpLimit>, 6> kTable{ {
+    { HttpLimit::None, "none" },
+    { HttpLimit::Header, "header" },
+    { HttpLimit::Body, "body" },
+    { HttpLimit::Framing, "framing" },
+    { HttpLimit::Time, "time" },
+    { HttpLimit::Memory, "memory" },
+  } };
+};
+static_assert(HasCompleteTable<HttpLimit>());
+
 // One accepted connection. Not thread-safe: used by one coroutine, except that
 // WaitClosed may run concurrently with writes.
 class HttpConnection
@@ -45,6 +84,16 @@
   // Sets the limits for subsequent requests.
   void SetLimits(const HttpLimits& aLimits);
 
+  // Counts the memory of requests that are received in `aMemory`. A request
+  // counts until the next one begins or the connection ends.
+  void LimitHeldBytes(std::shared_ptr<MessageMemory> aMemory);
+
+  // The limit that the last request exceeded, if ReadRequest failed for it.
+  HttpLimit LimitMet() const;
+
+  // "IP:port" of the peer; empty if it is gone.
+  std::string PeerAddress() const;
+
   // Waits until the next request begins to arrive. Returns false with the
   // reason Cancelled if the peer closed the connection or stayed idle, or if
   // StopWaiting was called.
@@ -55,8 +104,8 @@
 
   // Reads the next request. Returns nothing with the reason Cancelled if the
   // peer closed the connection or stayed idle. Returns nothing with TooLarge,
-  // InvalidArgument or Expired if the caller must send an error response and
-  // then close the connection.
+  // InvalidArgument, Expired or Overloaded if the caller must send an error
+  // response and then close the connection.
   Task<std::optional<HttpRequest>> ReadRequest(FailureReason& aReason);
 
   // Writes a complete response. Returns false if the write failed, for example
--- a/wigeonwalk/adapters/http/answer_memory.cc
+++ b/wigeonwalk/adapters/http/message_memory.cc
@@ -1,25 +1,25 @@
-#include "wigeonwalk/adapters/http/answer_memory.h"
+#include "wigeonwalk/adapters/http/message_memory.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace wigeonwalk {
 
-AnswerMemory::Share::Share(AnswerMemory& aMemory, std::function<void()> aEnd)
+MessageMemory::Share::Share(MessageMemory& aMemory, std::function<void()> aEnd)
   : memory(aMemory)
   , end(std::move(aEnd))
 {
   this->memory.shares.push_back(this);
 }
 
-AnswerMemory::Share::~Share()
+MessageMemory::Share::~Share()
 {
   this->SetCounted(0);
   std::erase(this->memory.shares, this);
 }
 
 void
-AnswerMemory::Share::SetCounted(std::size_t aBytes)
+MessageMemory::Share::SetCounted(std::size_t aBytes)
 {
   this->memory.bytes += aBytes;
   this->memory.bytes -= this->counted;
@@ -27,13 +27,13 @@
 }
 
 bool
-AnswerMemory::Share::Resize(std::size_t aBytes)
+MessageMemory::Share::Resize(std::size_t aBytes)
 {
   if (this->isEnded) {
     return false;
   }
-  this->SetCounted(aBytes - std::min(aBytes, kUncountedBytes));
-  while (this->memory.bytes > kMaxBytes && this->counted > 0) {
+  this->SetCounted(aBytes - std::min(aBytes, this->memory.uncounted));
+  while (this->memory.bytes > this->memory.maxBytes && this->counted > 0) {
     Share* largest = this->memory.Largest();
     if (largest == nullptr || largest == this) {
       this->isEnded = true;
@@ -47,8 +47,8 @@
   return true;
 }
 
-AnswerMemory::Share*
-AnswerMemory::Largest() const
+MessageMemory::Share*
+MessageMemory::Largest() const
 {
   Share* largest = nullptr;
   for (Share* share : this->shares) {
--- a/wigeonwalk/adapters/http/answer_memory_test.cc
+++ b/wigeonwalk/adapters/http/message_memory_test.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/adapters/http/answer_memory.h"
+#include "wigeonwalk/adapters/http/message_memory.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,22 +9,22 @@
 
 namespace {
 
-constexpr std::size_t kLimit = AnswerMemory::kMaxBytes;
-constexpr std::size_t kFree = AnswerMemory::kUncountedBytes;
+constexpr std::size_t kLimit = MessageMemory::kMaxBytes;
+constexpr std::size_t kFree = MessageMemory::kUncountedBytes;
 
 // Answers that are being received, and how many were ended in favour of others.
 struct Answers
 {
-  AnswerMemory::Share& Add(std::size_t aBytes)
+  MessageMemory::Share& Add(std::size_t aBytes)
   {
-    this->shares.push_back(std::make_unique<AnswerMemory::Share>(
+    this->shares.push_back(std::make_unique<MessageMemory::Share>(
       this->memory, [this] { ++this->ended; }));
     CHECK(this->shares.back()->Resize(aBytes));
     return *this->shares.back();
   }
 
-  AnswerMemory memory;
-  std::vector<std::unique_ptr<AnswerMemory::Share>> shares;
+  MessageMemory memory;
+  std::vector<std::unique_ptr<MessageMemory::Share>> shares;
   int ended = 0;
 };
 
@@ -35,9 +35,9 @@
 SCENARIO("the largest answer ends when all together are too large")
 {
   Answers answers;
-  AnswerMemory::Share& large = answers.Add(kLimit / 2 + kFree);
-  AnswerMemory::Share& medium = answers.Add(kLimit / 4 + kFree);
-  AnswerMemory::Share& ordinary = answers.Add(kFree);
+  MessageMemory::Share& large = answers.Add(kLimit / 2 + kFree);
+  MessageMemory::Share& medium = answers.Add(kLimit / 4 + kFree);
+  MessageMemory::Share& ordinary = answers.Add(kFree);
   CHECK(answers.memory.Bytes() == kLimit / 2 + kLimit / 4);
 
   WHEN("the largest one grows beyond the limit")
--- a/wigeonwalk/adapters/metrics/metric_names.h
+++ b/wigeonwalk/adapters/metrics/metric_names.h
@@ -45,12 +45,13 @@
   RequestsRefusedForPlace,
   RunnersCold,
   RequestsSentToCold,
+  CallerLimits,
 };
 
 template<>
 struct EnumNames<Metric>
 {
-  static constexpr std::array<EnumName<Metric>, 30> kTable{ {
+  static constexpr std::array<EnumName<Metric>, 31> kTable{ {
     { Metric::TimeToFirstToken, "time_to_first_token" },
     { Metric::TimeBetweenTokens, "time_between_tokens" },
     { Metric::QueueTime, "queue_time" },
@@ -81,6 +82,7 @@
     { Metric::RequestsRefusedForPlace, "refused_for_place" },
     { Metric::RunnersCold, "cold" },
     { Metric::RequestsSentToCold, "sent_to_cold" },
+    { Metric::CallerLimits, "limited" },
   } };
 };
 static_assert(HasCompleteTable<Metric>());
@@ -119,7 +121,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 30> kMetricInfos{ {
+inline constexpr std::array<MetricInfo, 31> kMetricInfos{ {
   { Metric::TimeToFirstToken,
     MetricType::Histogram,
     "seconds",
@@ -270,6 +272,11 @@
     "requests",
     "",
     "Requests sent to cold runners." },
+  { Metric::CallerLimits,
+    MetricType::Counter,
+    "clients",
+    "cause",
+    "Requests and connections of clients beyond a limit." },
 } };
 
 // Returns unit, type and labels of a metric.
--- a/wigeonwalk/adapters/settings/entry_settings_json.cc
+++ b/wigeonwalk/adapters/settings/entry_settings_json.cc
@@ -15,6 +15,14 @@
   aField("metrics", aListen.metrics);
 }
 
+template<FieldsOf<CallerSettings> S>
+void
+VisitFields(auto&& aField, S& aCallers)
+{
+  aField("connections", aCallers.connections);
+  aField("requestBytes", aCallers.requestBytes);
+}
+
 template<FieldsOf<EntryBounds> S>
 void
 VisitFields(auto&& aField, S& aBounds)
@@ -39,6 +47,7 @@
   aField("region", aSettings.region);
   aField("regions", aSettings.regions);
   aField("listen", aSettings.listen);
+  aField("callers", aSettings.callers);
   aField("registryAddress", aSettings.registryAddress);
   aField("bounds", aSettings.bounds);
   aField("readTokensPerMs", aSettings.readTokensPerMs);
--- a/wigeonwalk/entry/entry_settings.h
+++ b/wigeonwalk/entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include "wigeonwalk/base/ids.h"
 #include "wigeonwalk/base/time.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -47,6 +48,18 @@
   Duration repeatWindow = std::chrono::seconds(10);
 };
 
+// Limits on what all clients together make the daemon hold.
+struct CallerSettings
+{
+  // Most connections that are open at once. Beyond it, the one that has been
+  // idle for the longest time is closed.
+  std::uint32_t connections = 3'000;
+  // Memory of requests that are being received or held, in bytes. Beyond it,
+  // the largest that is still being received is refused. At least one request
+  // of the largest size fits, whatever the limit says.
+  std::uint64_t requestBytes = 24ULL * 1024 * 1024;
+};
+
 struct EntrySettings
 {
   HostId host;
@@ -56,6 +69,7 @@
   // unknown one.
   std::map<AvailabilityZone, std::string> regions;
   EntryListeners listen;
+  CallerSettings callers;
   // Address of the registry.
   std::string registryAddress;
   EntryBounds bounds;
