deploy: give the regions of zones beside the settings template

The review's cases render the template with the placeholders that it had before, and could not start with two new ones (exit 2).

--- a/daemons/wigeonwalk-entry.cc
+++ b/daemons/wigeonwalk-entry.cc
@@ -13,6 +13,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace wigeonwalk;
 
@@ -43,6 +46,25 @@
   });
 }
 
+// Adds the regions that are given beside the settings file, which takes
+// precedence. Returns false after printing the errors.
+bool
+AddRegions(const std::string& aText, EntrySettings& aSettings)
+{
+  if (aText.empty()) {
+    return true;
+  }
+  std::vector<FailureReason> reasons;
+  auto regions = ParseRegions(aText, reasons);
+  for (const FailureReason& reason : reasons) {
+    std::cerr << "--regions: " << reason.ToString() << '\n';
+  }
+  if (regions) {
+    aSettings.regions.merge(*regions);
+  }
+  return regions.has_value();
+}
+
 int
 RunDaemon(EntrySettings aSettings, const std::string& aPath)
 {
@@ -71,15 +93,22 @@
   CLI::App app("wigeonwalk entry daemon: forwards requests to model runners "
                "and plain services");
   std::string settingsFile;
+  std::string regions;
   bool check = false;
   app.add_option("--settings", settingsFile, "JSON file with the settings")
     ->required()
     ->check(CLI::ExistingFile);
+  app
+    .add_option("--regions",
+                regions,
+                "JSON object with the region of each availability zone, beside "
+                "those of the settings file")
+    ->envname("WIGEONWALK_REGIONS");
   app.add_flag("--check-config", check, "Check the settings and exit");
   app.set_version_flag("--version", "wigeonwalk-entry 0.1.0");
   CLI11_PARSE(app, argc, argv);
   auto settings = ReadSettingsFile(settingsFile, ParseEntrySettings);
-  if (!settings) {
+  if (!settings || !AddRegions(regions, *settings)) {
     return kBadSettings;
   }
   return check ? 0 : RunDaemon(std::move(*settings), settingsFile);
--- a/wigeonwalk/adapters/settings/entry_settings_json.cc
+++ b/wigeonwalk/adapters/settings/entry_settings_json.cc
@@ -54,6 +54,23 @@
   aField("logLevel", aSettings.logLevel);
 }
 
+std::optional<std::map<AvailabilityZone, std::string>>
+ParseRegions(std::string_view aText, std::vector<FailureReason>& aReasons)
+{
+  using namespace settings_internal;
+  constexpr std::string_view kSchema = R"json({
+    "type": "object",
+    "additionalProperties": { "type": "string", "format": "label" }
+  })json";
+  const auto json = ParseChecked(aText, kSchema, aReasons);
+  if (!json) {
+    return std::nullopt;
+  }
+  std::map<AvailabilityZone, std::string> regions;
+  ReadValue(*json, regions);
+  return regions;
+}
+
 std::optional<EntrySettings>
 ParseEntrySettings(std::string_view aText, std::vector<FailureReason>& aReasons)
 {
--- a/wigeonwalk/adapters/settings/entry_settings_json.h
+++ b/wigeonwalk/adapters/settings/entry_settings_json.h
@@ -7,7 +7,9 @@
 #include "wigeonwalk/base/failure_reason.h"
 #include "wigeonwalk/entry/entry_settings.h"
 
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -19,4 +21,9 @@
 ParseEntrySettings(std::string_view aText,
                    std::vector<FailureReason>& aReasons);
 
+// Parses the regions of availability zones, a JSON object of zones and their
+// regions. On failure, returns nothing and adds every error.
+std::optional<std::map<AvailabilityZone, std::string>>
+ParseRegions(std::string_view aText, std::vector<FailureReason>& aReasons);
+
 } // namespace wigeonwalk
--- a/wigeonwalk/adapters/settings/entry_settings_test.cc
+++ b/wigeonwalk/adapters/settings/entry_settings_test.cc
@@ -56,6 +56,20 @@
     CHECK(settings->bounds.repeatSlack == 54);
   }
 
+  GIVEN("the regions of zones")
+  {
+    nlohmann::json json = RequiredEntrySettings();
+    json["regions"] = { { "north", "alps" }, { "south", "bay" } };
+    const auto settings = ParseEntrySettings(json.dump(), reasons);
+    REQUIRE(settings.has_value());
+    CHECK(settings->regions.at(AvailabilityZone("south")) == "bay");
+    CHECK(ParseRegions(json["regions"].dump(), reasons) == settings->regions);
+    CHECK(reasons.empty());
+    const std::string invalid = GENERATE("", "[]", R"({"north":7})", "{");
+    CHECK_FALSE(ParseRegions(invalid, reasons).has_value());
+    CHECK_FALSE(reasons.empty());
+  }
+
   GIVEN("a key that is missing, unknown or out of range")
   {
     nlohmann::json json = RequiredEntrySettings();
