entry: pass on no values that nobody can read

Cause: a peer's answer holds all changes since the asker's revision, also items that no daemon can read, each as large as the registry allows; two of them exceed the limit on a message, and each later answer is larger.

Change: the mirror drops the value of an item that can't be decoded; its key and revision stay, so that order and removal work as before. A full copy shrinks as well.

--- a/wigeonwalk/entry/item_mirror.cc
+++ b/wigeonwalk/entry/item_mirror.cc
@@ -51,6 +51,15 @@
   }
 }
 
+void
+ItemMirror::DropValue(const std::string& aKey)
+{
+  const auto found = this->items.find(aKey);
+  if (found != this->items.end()) {
+    found->second.event.entry.value = std::string();
+  }
+}
+
 void
 ItemMirror::DropTombstones()
 {
--- a/wigeonwalk/entry/item_mirror.h
+++ b/wigeonwalk/entry/item_mirror.h
@@ -35,6 +35,10 @@
   // change of consequence.
   void NoteSameContent(const std::string& aKey);
 
+  // Drops the value of an item that can't be read: it is of no use to other
+  // daemons, and may be as large as the registry allows.
+  void DropValue(const std::string& aKey);
+
   // Applies a full listing that was read at `aRevision`. Returns the resulting
   // changes, including removals of older keys that are not listed.
   std::vector<WatchEvent> Replace(const std::vector<KeyValueEntry>& aListing,
--- a/wigeonwalk/entry/item_mirror_test.cc
+++ b/wigeonwalk/entry/item_mirror_test.cc
@@ -142,3 +142,26 @@
     CHECK(mirror.ChangesSince(7)->size() == 1);
   }
 }
+
+// Guards against answers to other daemons that exceed their limit on size, as
+// items that nobody can read are as large as the registry allows.
+SCENARIO("the value of an item that can't be read is not passed on")
+{
+  constexpr std::size_t kLargestValue = 1'048'576;
+  ItemMirror mirror;
+  WatchEvent change;
+  change.entry.key = "runners/odd";
+  change.entry.value = std::string(kLargestValue, 'x');
+  change.entry.modRevision = 7;
+  REQUIRE(mirror.Apply(change));
+  mirror.DropValue("runners/odd");
+  mirror.DropValue("runners/unknown");
+
+  const auto changes = mirror.ChangesSince(1);
+  REQUIRE(changes.has_value());
+  REQUIRE(changes->size() == 1);
+  CHECK(changes->front().entry.value.empty());
+  CHECK(changes->front().entry.modRevision == 7);
+  CHECK(mirror.Items().size() == 1);
+  CHECK_FALSE(mirror.Apply(change));
+}
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -358,6 +358,7 @@
                           LogField(reason),
                           { LogKey::Revision, aChange.entry.modRevision } });
         this->ApplyUnreadable(key);
+        this->mirror.DropValue(key);
         return true;
       }
       if (auto* named = std::get_if<DesiredWeights>(&item)) {
