entry: a holder that returns writes its record again

Cause: a holder that found itself in the record of the last holder did not write it. A conditional write of a daemon that had led in between, delayed in the registry, still found its condition true and replaced the record.

Change: every holder writes the record when it takes the lease, and gives no orders before; the delayed write then fails.

The new scenario checks the record's revision.

--- a/wigeonwalk/entry/order_leader.h
+++ b/wigeonwalk/entry/order_leader.h
@@ -73,7 +73,8 @@
   // The fencing number for orders; nothing if this daemon may not give any.
   std::optional<std::uint64_t> FencingNumber() const
   {
-    if (this->timer.Now() < this->handover.OrdersFrom() || this->fenced) {
+    if (this->timer.Now() < this->handover.OrdersFrom() || this->fenced ||
+        !this->isRecorded) {
       return std::nullopt;
     }
     return this->HeldNumber();
@@ -239,6 +240,7 @@
     const TimePoint deadline = this->timer.Now() + kCallTimeout;
     const bool held = this->HeldUntilNow();
     this->freeSince.reset();
+    this->isRecorded = false;
     if (!co_await this->RemoveLeftover(deadline, reason) ||
         !co_await this->keeper.Acquire(deadline, reason)) {
       co_return;
@@ -260,14 +262,14 @@
                     "lease on orders held",
                     {},
                     { { LogKey::Revision, number }, { LogKey::Age, wait } });
-    if (last != LastHolder::Self) {
-      co_await this->WriteHolder(this->RecordOf(incarnation), deadline);
-    }
+    co_await this->WriteHolder(this->RecordOf(incarnation), deadline);
   }
 
   // Records this daemon as the last holder. The next holder waits only if it
-  // finds this record, so the lease is released if it can't be written. The
-  // write is conditional, since it may take effect after a later holder's.
+  // finds this record, so the lease is released if it can't be written, and no
+  // orders are given before. The write is conditional, since it may take effect
+  // after a later holder's. A holder that finds itself in the record writes it
+  // as well: the write of one in between may still be on its way.
   Task<void> WriteHolder(std::string aRecord, TimePoint aDeadline)
   {
     PutRequest put;
@@ -284,6 +286,8 @@
                       {},
                       { LogField(reason) });
       co_await this->keeper.Release();
+    } else {
+      this->isRecorded = true;
     }
   }
 
@@ -299,6 +303,8 @@
   std::optional<TimePoint> lostAt;
   std::optional<TimePoint> freeSince;
   bool fenced = false;
+  // The registry names this daemon as the last holder.
+  bool isRecorded = false;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/order_leader_test.cc
+++ b/wigeonwalk/entry/order_leader_test.cc
@@ -101,3 +101,31 @@
   CHECK(cluster.terms.back().holder == first);
   CHECK(cluster.LeastGap() >= EntryBounds{}.orderLease);
 }
+
+// Guards against two daemons that give orders in too quick succession, because
+// the record of one in between took effect after the first one had returned.
+SCENARIO("a holder that returns writes its record again")
+{
+  constexpr const char* kRecordKey = Candidate::Leader::kLastHolderKey;
+  OrderCluster cluster;
+  cluster.RunFor(3s);
+  const std::size_t first = cluster.terms.back().holder;
+  const auto before = cluster.service.Peek(kRecordKey);
+  REQUIRE(before.has_value());
+
+  const TimePoint now = cluster.time.Now();
+  for (std::size_t i = 0; i < cluster.candidates.size(); ++i) {
+    if (i != first) {
+      cluster.candidates[i]->service.AddLinkFault(
+        { .fault = KeyValueFault::Down, .from = now });
+    }
+  }
+  cluster.candidates[first]->pause = { now, now + 9s };
+  cluster.RunFor(15s);
+
+  CHECK(cluster.terms.back().holder == first);
+  CHECK(cluster.terms.back().until > now + 9s);
+  const auto after = cluster.service.Peek(kRecordKey);
+  CHECK(after->value == before->value);
+  CHECK(after->modRevision > before->modRevision);
+}
