fleet: book the long prompts that other daemons announce

Daemons announced a long prompt to 24 others, always the first ones by name, and only its prefill counted there; the memory that it takes was known to the eight daemons that get reports, up to 300 ms late.

Now the announcement carries the memory and the expected time of the run, goes to the next 24 daemons of the runner's zone, and is booked until the run has ended or its sender reports. In a larger zone one announcement stands for several.

--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -111,16 +111,24 @@
 std::string
 EntryMsgpack::EncodeWork(const RunnerWork& aWork) const
 {
-  return PackMessage(
-    Json::array({ aWork.runner.Text(), aWork.tokensToPrefill }));
+  return PackMessage(Json::array({ aWork.runner.Text(),
+                                   aWork.tokensToPrefill,
+                                   aWork.memoryTokens,
+                                   aWork.expectedRun.count() }));
 }
 
 std::optional<RunnerWork>
 EntryMsgpack::DecodeWork(const std::string& aPayload) const
 {
   return UnpackMessage(aPayload, [](const Json& aJson) {
-    return RunnerWork{ UpstreamId(aJson.at(0).get<std::string>()),
-                       aJson.at(1).get<std::uint32_t>() };
+    RunnerWork work{ UpstreamId(aJson.at(0).get<std::string>()),
+                     aJson.at(1).get<std::uint32_t>() };
+    constexpr std::size_t kFieldsOfEarlierReleases = 2;
+    if (aJson.size() > kFieldsOfEarlierReleases) {
+      work.memoryTokens = aJson.at(2).get<std::uint64_t>();
+      work.expectedRun = Duration(aJson.at(3).get<std::int64_t>());
+    }
+    return work;
   });
 }
 
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -50,7 +50,7 @@
     const RunnerLoads loads{ { { UpstreamId("r-1"), 2, 17'000 },
                                { UpstreamId("r-2"), 0, 0 } } };
     CHECK(codec.DecodeLoads(codec.EncodeLoads(loads)) == loads);
-    const RunnerWork work{ UpstreamId("r-1"), 12'800 };
+    const RunnerWork work{ UpstreamId("r-1"), 12'800, 17'060, 1'300ms };
     CHECK(codec.DecodeWork(codec.EncodeWork(work)) == work);
   }
 
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -53,6 +53,10 @@
 {
   UpstreamId runner;
   std::uint32_t tokensToPrefill = 0;
+  // Memory of the runner that the request takes, in tokens, and for how long.
+  // Zero from daemons of earlier releases.
+  std::uint64_t memoryTokens = 0;
+  Duration expectedRun{ 0 };
 
   bool operator==(const RunnerWork&) const = default;
 };
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -245,13 +245,20 @@
                               aProgress.admitted.fingerprint,
                               aProgress.admitted.kind);
     if (aChoice.prefillTokens >= kLongPrefillTokens) {
-      this->peers.AnnounceWork({ aProgress.lastRunner, aChoice.prefillTokens });
+      this->peers.AnnounceWork({ aProgress.lastRunner,
+                                 aChoice.prefillTokens,
+                                 prompt ? prompt->MemoryTokens() : 0,
+                                 this->QueueOf(aProgress)->ExpectedRun() });
     }
     const SentAttempt sent{ aChoice, load, sentAt };
     aProgress.answerGoesOn = false;
     const AttemptEnd end = co_await this->relay.RelayResponse(
       aRequest.facts, *attempt, sent, aProgress, aExchange, aReason);
     const bool cancelled = co_await this->IsCancelled();
+    if (end == AttemptEnd::Delivered &&
+        aChoice.prefillTokens >= kLongPrefillTokens) {
+      this->QueueOf(aProgress)->NoteRun(this->timer.Now() - sentAt);
+    }
     if (end == AttemptEnd::Delivered) {
       this->state.poison.Succeeded(aProgress.lastRunner,
                                    aProgress.admitted.fingerprint,
@@ -264,11 +271,16 @@
     co_return end;
   }
 
+  std::shared_ptr<ServiceQueue> QueueOf(const Progress& aProgress)
+  {
+    return this->state.QueueOf(aProgress.admitted.service->name);
+  }
+
   void NoteReleased(const EntryRequest& aRequest, const Progress& aProgress)
   {
     if (aRequest.prompt) {
-      this->state.QueueOf(aProgress.admitted.service->name)
-        ->NoteReleased(aRequest.prompt->MemoryTokens(), this->timer.Now());
+      this->QueueOf(aProgress)->NoteReleased(aRequest.prompt->MemoryTokens(),
+                                             this->timer.Now());
     }
   }
 
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -49,6 +49,8 @@
 public:
   static constexpr Duration kLoopInterval = std::chrono::milliseconds(100);
   static constexpr std::size_t kMaxPoisonNotices = 8;
+  // Longest time for which an announced prompt is booked at its runner.
+  static constexpr Duration kMaxExpectedRun = std::chrono::seconds(10);
 
   PeerExchange(EntryState& aState,
                const R& aRelay,
@@ -92,20 +94,18 @@
     }
   }
 
-  // Notifies other daemons, those of this zone first, of a long prompt that was
-  // sent to a runner.
+  // Notifies other daemons of a long prompt that was sent to a runner: those of
+  // the runner's zone first, which use it most.
   void AnnounceWork(const RunnerWork& aWork)
   {
     const PeerNotice notice{ NoticeKind::RunnerWork,
                              this->codec.EncodeWork(aWork) };
-    std::vector<EntryMember> others = this->Others();
-    const AvailabilityZone& zone = this->state.Settings().zone;
-    std::stable_partition(
-      others.begin(), others.end(), [&zone](const EntryMember& aMember) {
-        return aMember.zone == zone;
-      });
-    others.resize(std::min(others.size(), kMaxWorkPeers));
-    for (const EntryMember& member : others) {
+    const EntrySettings& settings = this->state.Settings();
+    const auto runner = this->state.fleet.Find(aWork.runner);
+    const AvailabilityZone& zone =
+      runner == nullptr ? settings.zone : runner->entry.zone;
+    for (const EntryMember& member :
+         NearestMembers(settings.host, zone, this->Others(), kMaxWorkPeers)) {
       this->SendNotice(member, notice);
     }
   }
@@ -152,16 +152,28 @@
     }
   }
 
-  void ApplyWork(const RunnerWork& aWork)
+  void ApplyWork(const HostId& aSender, const RunnerWork& aWork)
   {
     const auto runner = this->state.fleet.Find(aWork.runner);
     if (runner == nullptr) {
       return;
     }
+    const TimePoint now = this->timer.Now();
+    // Of a large zone, each daemon hears only a part of the announcements.
+    const std::size_t others =
+      this->state.Shares().CountIn(runner->entry.zone) - 1;
+    const std::uint32_t prompts = AnnouncementsOf(others, kMaxWorkPeers);
     const double milliseconds =
-      aWork.tokensToPrefill / this->state.Settings().readTokensPerMs;
-    runner->NoteOthersPrefill(FromSeconds(milliseconds / 1'000),
-                              this->timer.Now());
+      prompts * aWork.tokensToPrefill / this->state.Settings().readTokensPerMs;
+    runner->NoteOthersPrefill(FromSeconds(milliseconds / 1'000), now);
+    const Duration run =
+      std::clamp(aWork.expectedRun, Duration(0), Duration(kMaxExpectedRun));
+    if (aWork.memoryTokens > 0) {
+      this->peerLoads.Book(
+        aSender,
+        { aWork.runner, prompts * aWork.memoryTokens, prompts, now + run },
+        this->state.fleet);
+    }
   }
 
   Task<std::optional<PeerAnswer>> OnCall(PeerCall aCall)
@@ -205,7 +217,7 @@
         break;
       case NoticeKind::RunnerWork:
         if (const auto work = this->codec.DecodeWork(aNotice.payload)) {
-          this->ApplyWork(*work);
+          this->ApplyWork(aSender, *work);
         }
         break;
       case NoticeKind::RunnerLoads:
--- a/wigeonwalk/entry/peer_loads.cc
+++ b/wigeonwalk/entry/peer_loads.cc
@@ -5,10 +5,33 @@
 
 namespace wigeonwalk {
 
+namespace {
+
+void
+AddTo(const Fleet& aFleet, const PeerBooking& aBooking)
+{
+  if (const auto runner = aFleet.Find(aBooking.runner)) {
+    runner->othersInFlight += aBooking.requests;
+    runner->othersTokensInFlight += aBooking.tokens;
+  }
+}
+
+} // namespace
+
+void
+PeerLoads::Book(const HostId& aDaemon,
+                PeerBooking aBooking,
+                const Fleet& aFleet)
+{
+  AddTo(aFleet, aBooking);
+  this->bookings.Book(aDaemon, std::move(aBooking));
+}
+
 void
 PeerLoads::Record(const HostId& aDaemon, RunnerLoads aLoads, TimePoint aNow)
 {
   this->reports[aDaemon] = { std::move(aLoads), aNow };
+  this->bookings.NoteReport(aDaemon);
 }
 
 void
@@ -29,6 +52,9 @@
       }
     }
   }
+  for (const PeerBooking& booking : this->bookings.All(aNow)) {
+    AddTo(aFleet, booking);
+  }
 }
 
 RunnerLoads
--- a/wigeonwalk/entry/peer_loads.h
+++ b/wigeonwalk/entry/peer_loads.h
@@ -1,4 +1,4 @@
-// Loads reported by other daemons, summed for each runner.
+// Loads that other daemons report or announce, summed for each runner.
 //
 //   peerLoads.Record(daemon, loads, now);
 //   peerLoads.ApplyTo(fleet, now);
@@ -6,6 +6,7 @@
 
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/fleet/fleet.h"
+#include "wigeonwalk/fleet/peer_bookings.h"
 #include "wigeonwalk/ports/registry_items.h"
 
 #include <cstddef>
@@ -23,8 +24,11 @@
 
   void Record(const HostId& aDaemon, RunnerLoads aLoads, TimePoint aNow);
 
-  // Sets the loads of other daemons at all runners; expired reports are
-  // dropped.
+  // Adds what a daemon announced since its last report, also to the runner.
+  void Book(const HostId& aDaemon, PeerBooking aBooking, const Fleet& aFleet);
+
+  // Sets the loads of other daemons at all runners; expired reports and
+  // bookings are dropped.
   void ApplyTo(const Fleet& aFleet, TimePoint aNow);
 
 private:
@@ -35,6 +39,7 @@
   };
 
   std::map<HostId, Report> reports;
+  PeerBookings bookings;
 };
 
 // Returns what this daemon has in flight at each runner.
--- a/wigeonwalk/queueing/service_queue.cc
+++ b/wigeonwalk/queueing/service_queue.cc
@@ -51,6 +51,13 @@
   return admission;
 }
 
+void
+ServiceQueue::NoteRun(Duration aTaken)
+{
+  this->expectedRun +=
+    FromSeconds(kRunSmoothing * ToSeconds(aTaken - this->expectedRun));
+}
+
 Duration
 ServiceQueue::RetryAfter(std::optional<Duration> aExpectedWait, double aSpread)
 {
--- a/wigeonwalk/queueing/service_queue.h
+++ b/wigeonwalk/queueing/service_queue.h
@@ -39,6 +39,10 @@
   // Runs that must have ended in the window before the rate is used. After a
   // restart nothing is refused by forecast.
   static constexpr std::size_t kMinRuns = 4;
+  // Expected time of a long prompt's run before one was measured.
+  static constexpr Duration kFirstExpectedRun = std::chrono::seconds(1);
+  // Weight of the latest run in the mean.
+  static constexpr double kRunSmoothing = 0.1;
   // Bounds of the delay until a retry, before it is spread.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(500);
   static constexpr Duration kMaxRetryAfter = std::chrono::seconds(4);
@@ -46,6 +50,12 @@
   // Records that a run has ended and its memory is free.
   void NoteReleased(std::uint64_t aTokens, TimePoint aNow);
 
+  // Records how long the run of a long prompt took.
+  void NoteRun(Duration aTaken);
+
+  // Returns how long the run of a long prompt is expected to take.
+  Duration ExpectedRun() const { return this->expectedRun; }
+
   // Returns the time in which as much memory as given becomes free, or nothing
   // if the rate is unknown.
   std::optional<Duration> TimeToRelease(std::uint64_t aTokens,
@@ -75,6 +85,7 @@
 
   std::deque<Release> releases;
   std::uint64_t releasedTokens = 0;
+  Duration expectedRun = kFirstExpectedRun;
 };
 
 } // namespace wigeonwalk
