--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -243,9 +243,9 @@
     static_cast<double>((answer + 2 * kTcpIpHeaderBytes) * kDaemonsPerReader) *
     kCallsPerSecond;
   const double workBytes =
-    static_cast<double>(
-      WireBytes({ { NoticeKind::RunnerWork,
-                    codec.EncodeWork({ RunnerName(1), 17'060 }) } })) *
+    static_cast<double>(WireBytes(
+      { { NoticeKind::RunnerWork,
+          codec.EncodeWork({ RunnerName(1), 4'260, 17'060, 1'300ms }) } })) *
     kMaxWorkPeers * kLongPromptsPerSecond;
   CAPTURE(mostParts, loadBytes, relayBytes, workBytes);
   CHECK(mostParts + loadBytes + relayBytes + workBytes <= 22'000);
