platform: keep descriptors for new callers

Its 256 descriptors were 138 callers' connections and 106 idle ones to a runner; accept failed with EMFILE, and nothing closed an idle connection.

The reserve was subtracted from callers' connections, but not kept by requests in progress and by the pool. Requests in progress now count, the pool of idle connections is bounded and looks at all addresses, and a failed accept closes an idle connection, to a runner first.

--- a/wigeonwalk/adapters/http/http_client_test.cc
+++ b/wigeonwalk/adapters/http/http_client_test.cc
@@ -29,23 +29,25 @@
 // A pool and a peer on loopback.
 struct Fixture
 {
-  Fixture()
+  explicit Fixture(Duration aMaxIdle = 60s)
     : timer(context.get_executor())
-    , pool(timer, context.get_executor(), 60s)
+    , pool(timer, context.get_executor(), aMaxIdle)
     , peer(context.get_executor())
   {
   }
 
   // Sends one request and reads its response. The deadline is reached only by
   // a client that reads without a bound.
-  std::optional<HttpResponse> Call()
+  std::optional<HttpResponse> Call() { return this->CallPeer(this->peer); }
+
+  std::optional<HttpResponse> CallPeer(const TestPeer& aPeer)
   {
     this->reason = FailureReason();
     std::optional<HttpResponse> response;
     bool ended = false;
     const auto call = [&]() -> Task<void> {
       const HttpRequest request{ .method = "GET", .target = "/" };
-      const std::string address = this->peer.Address();
+      const std::string address = aPeer.Address();
       const TimePoint deadline = this->timer.Now() + 20s;
       response = co_await this->pool.Exchange(
         address, request, Reuse::Allowed, deadline, this->reason);
@@ -263,3 +265,39 @@
     fixture.context.run_one();
   }
 }
+
+// Guards against connections to peers that nobody calls again: they kept the
+// descriptors that a new caller needs.
+SCENARIO("idle connections are closed in time, and beyond their number")
+{
+  constexpr Duration kMaxIdle = 50ms;
+  Fixture fixture(kMaxIdle);
+  TestPeer other(fixture.context.get_executor());
+  fixture.peer.answers = { { kWhole, PeerEnd::KeepOpen } };
+  other.answers = { { kWhole, PeerEnd::KeepOpen } };
+  REQUIRE(fixture.Call());
+  CHECK(fixture.pool.IdleCount() == 1);
+
+  WHEN("another peer is called after the longest idle time")
+  {
+    fixture.context.run_for(kMaxIdle * 2);
+    REQUIRE(fixture.CallPeer(other));
+    CHECK(fixture.pool.IdleCount() == 1);
+  }
+
+  WHEN("only one may be idle")
+  {
+    fixture.pool.SetMaxIdleCount(1);
+    REQUIRE(fixture.CallPeer(other));
+    CHECK(fixture.pool.IdleCount() == 1);
+    fixture.pool.CloseIdle(other.Address());
+    CHECK(fixture.pool.IdleCount() == 0);
+  }
+
+  WHEN("one must make room")
+  {
+    CHECK(fixture.pool.CloseLongestIdle());
+    CHECK(fixture.pool.IdleCount() == 0);
+    CHECK_FALSE(fixture.pool.CloseLongestIdle());
+  }
+}
--- a/wigeonwalk/adapters/http/http_pool.cc
+++ b/wigeonwalk/adapters/http/http_pool.cc
@@ -76,6 +76,43 @@
                                     ? TimePoint::max()
                                     : now + keepAliveTimeout * 3 / 4;
   connections.push_back({ std::move(aConnection), now, reusableUntil });
+  this->CloseExpired(now);
+  if (this->IdleCount() > this->maxIdleCount) {
+    this->CloseLongestIdle();
+  }
+}
+
+void
+HttpPool::CloseExpired(TimePoint aNow)
+{
+  if (aNow < this->expiredAt + this->maxIdle) {
+    return;
+  }
+  this->expiredAt = aNow;
+  const TimePoint oldest = aNow - this->maxIdle;
+  for (auto& [address, connections] : this->idle) {
+    std::erase_if(connections, [oldest](const Idle& aIdle) {
+      return aIdle.idleSince < oldest;
+    });
+  }
+}
+
+bool
+HttpPool::CloseLongestIdle()
+{
+  std::vector<Idle>* longest = nullptr;
+  for (auto& [address, connections] : this->idle) {
+    if (!connections.empty() &&
+        (longest == nullptr ||
+         connections.front().idleSince < longest->front().idleSince)) {
+      longest = &connections;
+    }
+  }
+  if (longest == nullptr) {
+    return false;
+  }
+  longest->erase(longest->begin());
+  return true;
 }
 
 void
--- a/wigeonwalk/adapters/http/http_pool.h
+++ b/wigeonwalk/adapters/http/http_pool.h
@@ -43,6 +43,9 @@
 class HttpPool
 {
 public:
+  // Most idle connections unless another number is set.
+  static constexpr std::size_t kMaxIdleCount = 2'000;
+
   // Connections that have been idle for longer than aMaxIdle are closed instead
   // of reused.
   HttpPool(SystemTimer& aTimer,
@@ -73,6 +76,14 @@
   // uses the address, or when a connection to it became unresponsive.
   void CloseIdle(const std::string& aAddress);
 
+  // Sets the most idle connections to all addresses. Beyond it, the one that
+  // has been idle for the longest time is closed.
+  void SetMaxIdleCount(std::size_t aCount) { this->maxIdleCount = aCount; }
+
+  // Closes the connection that has been idle for the longest time. Returns
+  // false if none is idle.
+  bool CloseLongestIdle();
+
   // Number of idle connections to all addresses.
   std::size_t IdleCount() const;
 
@@ -87,12 +98,19 @@
     TimePoint reusableUntil;
   };
 
+  // Closes what has been idle for too long, to any address. Looks at most once
+  // in each `maxIdle`.
+  void CloseExpired(TimePoint aNow);
+
   SystemTimer& timer;
   boost::asio::any_io_executor executor;
   Duration maxIdle;
+  std::size_t maxIdleCount = kMaxIdleCount;
+  TimePoint expiredAt;
   // Shared with connections, which may outlive the pool.
   std::shared_ptr<MessageMemory> heldMessages =
     std::make_shared<MessageMemory>();
+  // By address; the longest idle first.
   std::map<std::string, std::vector<Idle>> idle;
 };
 
--- a/wigeonwalk/adapters/http/http_server.cc
+++ b/wigeonwalk/adapters/http/http_server.cc
@@ -210,6 +210,17 @@
   this->state->stream.cancel();
 }
 
+bool
+HttpConnection::CloseIfIdle()
+{
+  error_code ignored;
+  if (this->state->stream.socket().available(ignored) > 0) {
+    return false;
+  }
+  this->Close();
+  return true;
+}
+
 Task<std::optional<HttpRequest>>
 HttpConnection::ReadRequest(FailureReason& aReason)
 {
@@ -406,6 +417,7 @@
 
   asio::ip::tcp::acceptor acceptor;
   HttpLimits limits;
+  std::function<void()> makeRoom = [] {};
 };
 
 HttpListener::HttpListener(std::unique_ptr<State> aState)
@@ -467,6 +479,9 @@
     if (error == asio::error::operation_aborted) {
       break;
     }
+    if (error == asio::error::no_descriptors) {
+      this->state->makeRoom();
+    }
     asio::steady_timer pause(this->state->acceptor.get_executor(),
                              kAcceptRetryDelay);
     co_await pause.async_wait(asio::use_awaitable);
@@ -474,6 +489,12 @@
   co_return Fail(aReason, ReasonCode::Cancelled, "listener closed");
 }
 
+void
+HttpListener::OnNoDescriptors(std::function<void()> aMakeRoom)
+{
+  this->state->makeRoom = std::move(aMakeRoom);
+}
+
 void
 HttpListener::Close()
 {
--- a/wigeonwalk/adapters/http/http_server.h
+++ b/wigeonwalk/adapters/http/http_server.h
@@ -13,6 +13,7 @@
 #include "wigeonwalk/ports/task.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -102,6 +103,10 @@
   // Ends WaitForRequest, unless bytes have arrived.
   void StopWaiting();
 
+  // Closes the connection while WaitForRequest waits. Returns false if bytes
+  // have arrived.
+  bool CloseIfIdle();
+
   // Reads the next request. Returns nothing with the reason Cancelled if the
   // peer closed the connection or stayed idle. Returns nothing with TooLarge,
   // InvalidArgument, Expired or Overloaded if the caller must send an error
@@ -154,6 +159,10 @@
   // listener is closed.
   Task<std::optional<HttpConnection>> Accept(FailureReason& aReason);
 
+  // `aMakeRoom` is called each time that a connection can't be accepted for
+  // lack of descriptors.
+  void OnNoDescriptors(std::function<void()> aMakeRoom);
+
   void Close();
 
 private:
--- a/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
+++ b/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
@@ -62,7 +62,7 @@
         "connections": {
           "type": "integer", "minimum": 1, "maximum": 1000000,
           "default": 3000, "x-unit": "connections",
-          "description": "Most connections that are open at once, and at most three quarters of the process's descriptors. Beyond it, the one that has been idle for the longest time is closed."
+          "description": "Most connections that are open at once. Together with the requests in progress they are at most three quarters of the process's descriptors. Beyond it, the one that has been idle for the longest time is closed."
         },
         "requestBytes": {
           "type": "integer", "minimum": 65536, "maximum": 68719476736,
