entry: tell starts and ends of long prompts, and take turns at free places

A trace of all daemons shows two causes. More than half of these prompts came from other zones, whose daemons hear of no announcement, and bookings ended after the run that was expected, 1 s, while runs took 5 s. Up to 80 daemons now tell all others when a long prompt starts and ends, as the number that they have at the runner, so that a lost message is made good by the next. Then all daemons saw each free place at once, and several took it: daemons whose prompts wait now take turns, drawn by lot, at the rate at which others are expected to wait, which is how often their own do.

--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -114,7 +114,9 @@
   return PackMessage(Json::array({ aWork.runner.Text(),
                                    aWork.tokensToPrefill,
                                    aWork.memoryTokens,
-                                   aWork.expectedRun.count() }));
+                                   aWork.expectedRun.count(),
+                                   aWork.atRunner.count,
+                                   aWork.atRunner.tokens }));
 }
 
 std::optional<RunnerWork>
@@ -123,10 +125,17 @@
   return UnpackMessage(aPayload, [](const Json& aJson) {
     RunnerWork work{ UpstreamId(aJson.at(0).get<std::string>()),
                      aJson.at(1).get<std::uint32_t>() };
-    constexpr std::size_t kFieldsOfEarlierReleases = 2;
-    if (aJson.size() > kFieldsOfEarlierReleases) {
+    // Earlier releases send two or four fields.
+    constexpr std::size_t kFieldsWithMemory = 4;
+    constexpr std::size_t kFieldsWithAll = 6;
+    if (aJson.size() >= kFieldsWithMemory) {
       work.memoryTokens = aJson.at(2).get<std::uint64_t>();
       work.expectedRun = Duration(aJson.at(3).get<std::int64_t>());
+      work.atRunner = { 1, work.memoryTokens };
+    }
+    if (aJson.size() >= kFieldsWithAll) {
+      work.atRunner = { aJson.at(4).get<std::uint32_t>(),
+                        aJson.at(5).get<std::uint64_t>() };
     }
     return work;
   });
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -50,8 +50,11 @@
     const RunnerLoads loads{ { { UpstreamId("r-1"), 2, 17'000 },
                                { UpstreamId("r-2"), 0, 0 } } };
     CHECK(codec.DecodeLoads(codec.EncodeLoads(loads)) == loads);
-    const RunnerWork work{ UpstreamId("r-1"), 12'800, 17'060, 1'300ms };
+    const RunnerWork work{
+      UpstreamId("r-1"), 12'800, 17'060, 1'300ms, { 2, 34'120 }
+    };
     CHECK(codec.DecodeWork(codec.EncodeWork(work)) == work);
+    CHECK_FALSE(codec.DecodeWork("soon"));
   }
 
   SECTION("for the parts that a holder has")
@@ -245,7 +248,8 @@
   const double workBytes =
     static_cast<double>(WireBytes(
       { { NoticeKind::RunnerWork,
-          codec.EncodeWork({ RunnerName(1), 4'260, 17'060, 1'300ms }) } })) *
+          codec.EncodeWork(
+            { RunnerName(1), 4'260, 17'060, 1'300ms, { 1, 17'060 } }) } })) *
     kMaxWorkPeers * kLongPromptsPerSecond;
   CAPTURE(mostParts, loadBytes, relayBytes, workBytes);
   CHECK(mostParts + loadBytes + relayBytes + workBytes <= 22'000);
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -48,15 +48,19 @@
   bool operator==(const RunnerLoads&) const = default;
 };
 
-// A long prompt was sent to a runner; later requests wait for its prefill.
+// A long prompt was sent to a runner, where later requests wait for its
+// prefill, or its run has ended.
 struct RunnerWork
 {
   UpstreamId runner;
+  // Zero at the end of a run.
   std::uint32_t tokensToPrefill = 0;
   // Memory of the runner that the request takes, in tokens, and for how long.
-  // Zero from daemons of earlier releases.
+  // Zero at the end of a run, and from daemons of earlier releases.
   std::uint64_t memoryTokens = 0;
   Duration expectedRun{ 0 };
+  // All long prompts that the sender has at the runner now.
+  LongPrompts atRunner;
 
   bool operator==(const RunnerWork&) const = default;
 };
--- a/wigeonwalk/entry/forward_parts_test.cc
+++ b/wigeonwalk/entry/forward_parts_test.cc
@@ -61,6 +61,49 @@
   }
 }
 
+// Guards against runners that look full because the end of a run is not told.
+SCENARIO("other daemons are told of each long prompt's start and end")
+{
+  TestEntry entry;
+  RoutingConfiguration configuration = entry.state.Routes()->Configuration();
+  ++configuration.version;
+  EngineTraits engine;
+  engine.slots = 64;
+  engine.cacheTokens = 80'000;
+  engine.models = { ModelName("m") };
+  configuration.services[0].engine = engine;
+  entry.state.Apply(configuration, entry.time.Now());
+  entry.prompt = Prompt{ ModelName("m"), 17'060, 24, { { "own", 17'060 } } };
+
+  GIVEN("an answer")
+  {
+    entry.runners.scripts = { Script::Answer };
+    CHECK(entry.Send("lookup").status == 200);
+    REQUIRE(entry.peers.work.size() == 2);
+    CHECK(entry.peers.work[0].tokensToPrefill == 17'060);
+    CHECK(entry.peers.work[0].atRunner == LongPrompts{ 1, 17'084 });
+    CHECK(entry.peers.work[1].tokensToPrefill == 0);
+    CHECK(entry.peers.work[1].atRunner == LongPrompts{});
+  }
+
+  GIVEN("a runner that fails and another one that answers")
+  {
+    entry.runners.scripts = { Script::RefuseWithoutRunning, Script::Answer };
+    CHECK(entry.Send("lookup").status == 200);
+    REQUIRE(entry.peers.work.size() == 4);
+    CHECK(entry.peers.work[1].runner == entry.peers.work[0].runner);
+    CHECK(entry.peers.work[1].atRunner == LongPrompts{});
+    CHECK(entry.peers.work[3].atRunner == LongPrompts{});
+  }
+
+  GIVEN("a short prompt")
+  {
+    entry.prompt = Prompt{ ModelName("m"), 300, 24, { { "own", 300 } } };
+    CHECK(entry.Send("lookup").status == 200);
+    CHECK(entry.peers.work.empty());
+  }
+}
+
 // Guards against a further runner that crashes because the evidence arrives
 // while a request waits for a place.
 SCENARIO("evidence arrives while a request waits for a runner")
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -39,6 +39,39 @@
   aNotifier.AnnouncePoison();
 };
 
+// RAII guard: a long prompt at a runner, of which other daemons are told.
+template<WorkNotifier P>
+class AnnouncedPrompt
+{
+public:
+  AnnouncedPrompt(P& aPeers, std::shared_ptr<Runner> aRunner, RunnerWork aWork)
+    : peers(aPeers)
+    , runner(std::move(aRunner))
+    , work(std::move(aWork))
+  {
+    ++this->runner->longPrompts.count;
+    this->runner->longPrompts.tokens += this->work.memoryTokens;
+    this->work.atRunner = this->runner->longPrompts;
+    this->peers.AnnounceWork(this->work);
+  }
+  ~AnnouncedPrompt()
+  {
+    --this->runner->longPrompts.count;
+    this->runner->longPrompts.tokens -= this->work.memoryTokens;
+    this->work.tokensToPrefill = 0;
+    this->work.memoryTokens = 0;
+    this->work.atRunner = this->runner->longPrompts;
+    this->peers.AnnounceWork(this->work);
+  }
+  AnnouncedPrompt(const AnnouncedPrompt&) = delete;
+  AnnouncedPrompt& operator=(const AnnouncedPrompt&) = delete;
+
+private:
+  P& peers;
+  std::shared_ptr<Runner> runner;
+  RunnerWork work;
+};
+
 // Forwards one request and retries failed attempts. The EntryState must outlive
 // it.
 template<AttemptOpener U,
@@ -244,11 +277,14 @@
                               aProgress.lastRunner,
                               aProgress.admitted.fingerprint,
                               aProgress.admitted.kind);
+    std::optional<AnnouncedPrompt<P>> announced;
     if (aChoice.prefillTokens >= kLongPrefillTokens) {
-      this->peers.AnnounceWork({ aProgress.lastRunner,
-                                 aChoice.prefillTokens,
-                                 prompt ? prompt->MemoryTokens() : 0,
-                                 this->QueueOf(aProgress)->ExpectedRun() });
+      announced.emplace(this->peers,
+                        aChoice.runner,
+                        RunnerWork{ aProgress.lastRunner,
+                                    aChoice.prefillTokens,
+                                    prompt->MemoryTokens(),
+                                    this->QueueOf(aProgress)->ExpectedRun() });
     }
     const SentAttempt sent{ aChoice, load, sentAt };
     aProgress.answerGoesOn = false;
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -51,6 +51,8 @@
   static constexpr std::size_t kMaxPoisonNotices = 8;
   // Longest time for which an announced prompt is booked at its runner.
   static constexpr Duration kMaxExpectedRun = std::chrono::seconds(10);
+  // How many times the expected run it is booked if its end is not told.
+  static constexpr int kLostEndFactor = 4;
 
   PeerExchange(EntryState& aState,
                const R& aRelay,
@@ -75,7 +77,7 @@
       if (now >= this->loadsAt) {
         this->loadsAt = now + kLoadReportInterval;
         this->SendLoads();
-        this->peerLoads.ApplyTo(this->state.fleet, now);
+        this->ApplyLoads(now);
       }
       this->SendLeaving(now);
       this->partReporter.Report();
@@ -94,10 +96,16 @@
     }
   }
 
-  // Notifies other daemons of a long prompt that was sent to a runner: those of
-  // the runner's zone first, which use it most.
+  // Notifies other daemons that a long prompt was sent to a runner or that its
+  // run has ended: those of the runner's zone first, which use it most.
   void AnnounceWork(const RunnerWork& aWork)
   {
+    const bool isEnd = aWork.tokensToPrefill == 0;
+    if (isEnd && !this->TellsAll()) {
+      return;
+    }
+    const std::size_t told =
+      this->TellsAll() ? kMaxDaemonsToldAll : kMaxWorkPeers;
     const PeerNotice notice{ NoticeKind::RunnerWork,
                              this->codec.EncodeWork(aWork) };
     const EntrySettings& settings = this->state.Settings();
@@ -105,7 +113,7 @@
     const AvailabilityZone& zone =
       runner == nullptr ? settings.zone : runner->entry.zone;
     for (const EntryMember& member :
-         NearestMembers(settings.host, zone, this->Others(), kMaxWorkPeers)) {
+         NearestMembers(settings.host, zone, this->Others(), told)) {
       this->SendNotice(member, notice);
     }
   }
@@ -162,18 +170,22 @@
     // Of a large zone, each daemon hears only a part of the announcements.
     const std::size_t others =
       this->state.Shares().CountIn(runner->entry.zone) - 1;
-    const std::uint32_t prompts = AnnouncementsOf(others, kMaxWorkPeers);
+    const std::uint32_t daemons =
+      this->TellsAll() ? 1 : AnnouncementsOf(others, kMaxWorkPeers);
     const double milliseconds =
-      prompts * aWork.tokensToPrefill / this->state.Settings().readTokensPerMs;
+      daemons * aWork.tokensToPrefill / this->state.Settings().readTokensPerMs;
     runner->NoteOthersPrefill(FromSeconds(milliseconds / 1'000), now);
+    // If ends are told, only a lost one leaves the booking to its time.
     const Duration run =
-      std::clamp(aWork.expectedRun, Duration(0), Duration(kMaxExpectedRun));
-    if (aWork.memoryTokens > 0) {
-      this->peerLoads.Book(
-        aSender,
-        { aWork.runner, prompts * aWork.memoryTokens, prompts, now + run },
-        this->state.fleet);
-    }
+      aWork.expectedRun * (this->TellsAll() ? kLostEndFactor : 1);
+    const TimePoint until =
+      now + std::clamp(run, Duration(0), Duration(kMaxExpectedRun));
+    this->peerLoads.Book(aSender,
+                         { aWork.runner,
+                           daemons * aWork.atRunner.tokens,
+                           daemons * aWork.atRunner.count,
+                           until },
+                         this->state.fleet);
   }
 
   Task<std::optional<PeerAnswer>> OnCall(PeerCall aCall)
@@ -206,6 +218,17 @@
     return others;
   }
 
+  // Returns true if all daemons are told of all long prompts.
+  bool TellsAll() const
+  {
+    return this->state.DaemonCount() <= kMaxDaemonsToldAll;
+  }
+
+  void ApplyLoads(TimePoint aNow)
+  {
+    this->peerLoads.ApplyTo(this->state.fleet, this->state.members, aNow);
+  }
+
   void HandleNotice(const HostId& aSender, const PeerNotice& aNotice)
   {
     const TimePoint now = this->timer.Now();
@@ -223,7 +246,7 @@
       case NoticeKind::RunnerLoads:
         if (auto loads = this->codec.DecodeLoads(aNotice.payload)) {
           this->peerLoads.Record(aSender, std::move(*loads), now);
-          this->peerLoads.ApplyTo(this->state.fleet, now);
+          this->ApplyLoads(now);
         }
         break;
       case NoticeKind::HeldParts:
--- a/wigeonwalk/entry/peer_loads.cc
+++ b/wigeonwalk/entry/peer_loads.cc
@@ -5,55 +5,52 @@
 
 namespace wigeonwalk {
 
-namespace {
-
-void
-AddTo(const Fleet& aFleet, const PeerBooking& aBooking)
-{
-  if (const auto runner = aFleet.Find(aBooking.runner)) {
-    runner->othersInFlight += aBooking.requests;
-    runner->othersTokensInFlight += aBooking.tokens;
-  }
-}
-
-} // namespace
-
 void
 PeerLoads::Book(const HostId& aDaemon,
                 PeerBooking aBooking,
                 const Fleet& aFleet)
 {
-  AddTo(aFleet, aBooking);
-  this->bookings.Book(aDaemon, std::move(aBooking));
+  const auto runner = aFleet.Find(aBooking.runner);
+  const std::uint32_t requests = aBooking.requests;
+  const std::uint64_t tokens = aBooking.tokens;
+  const PeerBooking before = this->bookings.Book(aDaemon, std::move(aBooking));
+  if (runner == nullptr) {
+    return;
+  }
+  // A runner that has registered again since has no sums yet.
+  runner->othersInFlight +=
+    requests - std::min(before.requests, runner->othersInFlight);
+  runner->othersTokensInFlight +=
+    tokens - std::min(before.tokens, runner->othersTokensInFlight);
 }
 
 void
 PeerLoads::Record(const HostId& aDaemon, RunnerLoads aLoads, TimePoint aNow)
 {
-  this->reports[aDaemon] = { std::move(aLoads), aNow };
-  this->bookings.NoteReport(aDaemon);
+  const TimePoint until = aNow + kReportLifetime;
+  std::vector<PeerBooking> rows;
+  for (RunnerLoadRow& row : aLoads.rows) {
+    rows.push_back(
+      { std::move(row.runner), row.tokensInFlight, row.inFlight, until });
+  }
+  this->bookings.NoteReport(aDaemon, std::move(rows));
 }
 
 void
-PeerLoads::ApplyTo(const Fleet& aFleet, TimePoint aNow)
+PeerLoads::ApplyTo(const Fleet& aFleet,
+                   const std::map<HostId, EntryMember>& aMembers,
+                   TimePoint aNow)
 {
+  this->bookings.KeepOnly(aMembers);
   for (const auto& runner : aFleet.All()) {
     runner->othersInFlight = 0;
     runner->othersTokensInFlight = 0;
   }
-  std::erase_if(this->reports, [aNow](const auto& aReport) {
-    return aNow - aReport.second.at > kReportLifetime;
-  });
-  for (const auto& [daemon, report] : this->reports) {
-    for (const RunnerLoadRow& row : report.loads.rows) {
-      if (const auto runner = aFleet.Find(row.runner)) {
-        runner->othersInFlight += row.inFlight;
-        runner->othersTokensInFlight += row.tokensInFlight;
-      }
-    }
-  }
   for (const PeerBooking& booking : this->bookings.All(aNow)) {
-    AddTo(aFleet, booking);
+    if (const auto runner = aFleet.Find(booking.runner)) {
+      runner->othersInFlight += booking.requests;
+      runner->othersTokensInFlight += booking.tokens;
+    }
   }
 }
 
--- a/wigeonwalk/entry/peer_loads.h
+++ b/wigeonwalk/entry/peer_loads.h
@@ -1,7 +1,8 @@
 // Loads that other daemons report or announce, summed for each runner.
 //
 //   peerLoads.Record(daemon, loads, now);
-//   peerLoads.ApplyTo(fleet, now);
+//   peerLoads.Book(daemon, booking, fleet);
+//   peerLoads.ApplyTo(fleet, members, now);
 #pragma once
 
 #include "wigeonwalk/entry/entry_notices.h"
@@ -15,7 +16,7 @@
 
 namespace wigeonwalk {
 
-// Keeps the latest report of each daemon until it expires. Not thread-safe.
+// Keeps what each daemon told last until it expires. Not thread-safe.
 class PeerLoads
 {
 public:
@@ -24,21 +25,17 @@
 
   void Record(const HostId& aDaemon, RunnerLoads aLoads, TimePoint aNow);
 
-  // Adds what a daemon announced since its last report, also to the runner.
+  // Replaces what a daemon has at one runner until its next report, also in the
+  // runner's sums.
   void Book(const HostId& aDaemon, PeerBooking aBooking, const Fleet& aFleet);
 
-  // Sets the loads of other daemons at all runners; expired reports and
-  // bookings are dropped.
-  void ApplyTo(const Fleet& aFleet, TimePoint aNow);
+  // Sets the loads of other daemons at all runners. What has expired or is of a
+  // daemon that is not among `aMembers` is dropped.
+  void ApplyTo(const Fleet& aFleet,
+               const std::map<HostId, EntryMember>& aMembers,
+               TimePoint aNow);
 
 private:
-  struct Report
-  {
-    RunnerLoads loads;
-    TimePoint at;
-  };
-
-  std::map<HostId, Report> reports;
   PeerBookings bookings;
 };
 
--- a/wigeonwalk/entry/peer_loads_test.cc
+++ b/wigeonwalk/entry/peer_loads_test.cc
@@ -7,6 +7,58 @@
 #include <string>
 
 using namespace wigeonwalk;
+using namespace std::chrono_literals;
+
+// Guards against loads that are counted twice or never given up, which make
+// runners look full.
+SCENARIO("loads of other daemons are summed for each runner")
+{
+  const TimePoint now = TimePoint() + 100s;
+  const HostId one("front-1");
+  const HostId two("front-2");
+  const std::map<HostId, EntryMember> members{ { one, {} }, { two, {} } };
+  RunnerEntry entry;
+  entry.id = UpstreamId("r-1");
+  Fleet fleet;
+  fleet.Register(entry);
+  const Runner& runner = *fleet.Find(entry.id);
+  PeerLoads loads;
+  loads.Book(one, { entry.id, 17'060, 1, now + 2s }, fleet);
+  loads.Book(two, { entry.id, 34'120, 2, now + 2s }, fleet);
+  CHECK(runner.othersInFlight == 3);
+  CHECK(runner.othersTokensInFlight == 51'180);
+
+  THEN("an end is subtracted at once")
+  {
+    loads.Book(two, { entry.id, 17'060, 1, now + 2s }, fleet);
+    CHECK(runner.othersInFlight == 2);
+    CHECK(runner.othersTokensInFlight == 34'120);
+  }
+
+  THEN("a report replaces what was announced, and ends with its lifetime")
+  {
+    loads.Record(one, { { { entry.id, 2, 17'443 } } }, now);
+    loads.ApplyTo(fleet, members, now);
+    CHECK(runner.othersInFlight == 4);
+    CHECK(runner.othersTokensInFlight == 51'563);
+    loads.ApplyTo(fleet, members, now + PeerLoads::kReportLifetime);
+    CHECK(runner.othersInFlight == 2);
+  }
+
+  THEN("those of a daemon that is gone don't count")
+  {
+    loads.ApplyTo(fleet, { { two, {} } }, now);
+    CHECK(runner.othersInFlight == 2);
+  }
+
+  THEN("a runner that registers again starts without any")
+  {
+    ++entry.startedAt;
+    fleet.Register(entry);
+    loads.Book(two, { entry.id, 17'060, 1, now + 2s }, fleet);
+    CHECK(fleet.Find(entry.id)->othersInFlight == 1);
+  }
+}
 
 // Guards against daemons of a large zone that get no load reports, because
 // every daemon reports to only a few others.
--- a/wigeonwalk/entry/registry_watch_test.cc
+++ b/wigeonwalk/entry/registry_watch_test.cc
@@ -223,6 +223,36 @@
     CHECK(runner->othersPrefillUntil < setting.time.Now() + 1'100ms);
   }
 
+  WHEN("one of them tells how many long prompts it has at a runner")
+  {
+    const auto tell = [&](std::uint32_t aCount) {
+      RunnerWork work{ UpstreamId("r-1") };
+      work.atRunner = { aCount, aCount * 17'060 };
+      setting.one->peers.AnnounceWork(work);
+      setting.RunFor(50ms);
+    };
+    tell(2);
+    CHECK(runner->othersInFlight == 2);
+    CHECK(runner->othersTokensInFlight == 34'120);
+
+    THEN("the next number replaces it")
+    {
+      tell(1);
+      CHECK(runner->othersTokensInFlight == 17'060);
+      tell(0);
+      CHECK(runner->othersInFlight == 0);
+    }
+
+    THEN("a lost end leaves it for some runs only")
+    {
+      setting.one->endpoint.alive = false;
+      setting.RunFor(1'500ms);
+      CHECK(runner->othersInFlight == 2);
+      setting.RunFor(1'000ms);
+      CHECK(runner->othersInFlight == 0);
+    }
+  }
+
   WHEN("one of them has requests in flight")
   {
     const RunnerLoad load(
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -54,6 +54,24 @@
     std::max(std::min(aPick.spec.timeLeft, usable), Duration(0));
 }
 
+// Removes the runners at which it is not this daemon's turn.
+void
+KeepTurns(const EntryState& aState,
+          Candidates& aCandidates,
+          double aTurns,
+          TimePoint aNow)
+{
+  if (aTurns >= 1) {
+    return;
+  }
+  const auto turn =
+    static_cast<std::uint64_t>(aNow.time_since_epoch() / Contention::kNoteTime);
+  const HostId& host = aState.Settings().host;
+  std::erase_if(aCandidates, [&](const std::shared_ptr<Runner>& aRunner) {
+    return !HasTurn(host, aRunner->entry.id.Text(), turn, aTurns);
+  });
+}
+
 bool
 PickForPrompt(const EntryState& aState,
               const EntryRequest& aRequest,
@@ -126,7 +144,7 @@
            const EntryRequest& aRequest,
            const AdmittedRequest& aAdmitted,
            const std::vector<UpstreamId>& aTried,
-           RoomRule aRoom,
+           const PickRules& aRules,
            TimePoint aNow)
 {
   Candidates candidates =
@@ -134,6 +152,9 @@
   std::erase_if(candidates, [&](const std::shared_ptr<Runner>& aRunner) {
     return !aState.Places().IsHome(aRunner->entry.zone, aAdmitted.homes);
   });
+  if (aRequest.prompt) {
+    KeepTurns(aState, candidates, aRules.turns, aNow);
+  }
   if (candidates.empty()) {
     return std::nullopt;
   }
@@ -141,7 +162,7 @@
   pick.spec.timeLeft = aAdmitted.deadline - aNow;
   if (aRequest.prompt && aAdmitted.service->engine) {
     if (!PickForPrompt(
-          aState, aRequest, aAdmitted, candidates, aRoom, pick, aNow)) {
+          aState, aRequest, aAdmitted, candidates, aRules.room, pick, aNow)) {
       return std::nullopt;
     }
   } else {
--- a/wigeonwalk/entry/runner_pick.h
+++ b/wigeonwalk/entry/runner_pick.h
@@ -1,6 +1,8 @@
 // Picks the runner for the next attempt of a request.
 //
-//   if (auto pick = PickRunner(state, request, admitted, tried, now)) { ... }
+//   if (auto pick = PickRunner(state, request, admitted, tried, rules, now)) {
+//     ...
+//   }
 #pragma once
 
 #include "wigeonwalk/entry/admission.h"
@@ -32,6 +34,14 @@
   Duration replacedFor{ 0 };
 };
 
+// Which runners a prompt may use now.
+struct PickRules
+{
+  RoomRule room = RoomRule::Ignored;
+  // Part of the runners at which it is this daemon's turn, from 0 to 1.
+  double turns = 1;
+};
+
 // Returns the cache domain of a request by the newest configuration: it may
 // have waited since it was admitted by an older one. An organisation that the
 // newest one lacks keeps the domain with which it was admitted.
@@ -39,13 +49,13 @@
 CurrentCacheDomain(const EntryState& aState, const AdmittedRequest& aAdmitted);
 
 // Returns the runner with the lowest expected cost among those not in `aTried`,
-// or nothing if none can be used now. `aRoom` applies to prompts only.
+// or nothing if none can be used now. `aRules` apply to prompts only.
 std::optional<RunnerPick>
 PickRunner(const EntryState& aState,
            const EntryRequest& aRequest,
            const AdmittedRequest& aAdmitted,
            const std::vector<UpstreamId>& aTried,
-           RoomRule aRoom,
+           const PickRules& aRules,
            TimePoint aNow);
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/runner_pick_test.cc
+++ b/wigeonwalk/entry/runner_pick_test.cc
@@ -64,12 +64,8 @@
     FailureReason reason;
     REQUIRE(
       AdmitRequest(this->state, request, this->time.Now(), admitted, reason));
-    return PickRunner(this->state,
-                      request,
-                      admitted,
-                      aTried,
-                      RoomRule::Ignored,
-                      this->time.Now());
+    return PickRunner(
+      this->state, request, admitted, aTried, {}, this->time.Now());
   }
 };
 
--- a/wigeonwalk/entry/runner_wait.h
+++ b/wigeonwalk/entry/runner_wait.h
@@ -48,7 +48,7 @@
 {
 public:
   // How often a waiting request looks for a runner.
-  static constexpr Duration kPollInterval = std::chrono::milliseconds(20);
+  static constexpr Duration kPollInterval = Contention::kNoteTime;
   // Small prompts, and requests without a usable runner, wait for at most the
   // route's target latency divided by this.
   static constexpr int kShortWaitDivisor = 8;
@@ -68,7 +68,7 @@
     const auto queue = this->state.QueueOf(aSearch.admitted.service->name);
     const std::uint32_t rank = this->QueueRank(aSearch);
     if (aSearch.resumes || !queue->requests.HasWaiting(rank)) {
-      auto pick = this->PickNow(aSearch);
+      auto pick = this->PickNow(aSearch, *queue);
       if (pick) {
         co_return pick;
       }
@@ -90,8 +90,11 @@
       const TimePoint next =
         std::min(this->timer.Now() + kPollInterval, giveUpAt);
       co_await this->timer.WaitUntil(next);
+      if (this->WaitsForRoom(aSearch)) {
+        queue->contention.NoteWaiting(this->timer.Now());
+      }
       if (queue->requests.IsFirst(place.ticket)) {
-        auto pick = this->PickNow(aSearch);
+        auto pick = this->PickNow(aSearch, *queue);
         if (pick) {
           co_return pick;
         }
@@ -187,7 +190,7 @@
     const Duration longest = aGiveUpAt - now;
     const Admission admission = aPlace.queue->Admit(
       aPlace.ticket, longest, SpreadOfRequest(aSearch.request.id), now);
-    if (admission.admitted || !this->Pick(aSearch, RoomRule::Ignored)) {
+    if (admission.admitted || !this->Pick(aSearch, {})) {
       return false;
     }
     const std::uint64_t tokens =
@@ -249,10 +252,20 @@
     return true;
   }
 
-  std::optional<RunnerPick> PickNow(const RunnerSearch& aSearch) const
+  // Picks a runner with room. A large prompt takes turns with those that wait
+  // at other daemons, as all of them see the same room.
+  std::optional<RunnerPick> PickNow(const RunnerSearch& aSearch,
+                                    const ServiceQueue& aQueue) const
   {
-    return this->Pick(aSearch,
-                      aSearch.resumes ? RoomRule::Ignored : RoomRule::Required);
+    if (aSearch.resumes) {
+      return this->Pick(aSearch, {});
+    }
+    PickRules rules{ RoomRule::Required };
+    if (this->WaitsForRoom(aSearch)) {
+      rules.turns = 1 / aQueue.contention.Contenders(this->state.DaemonCount(),
+                                                     this->timer.Now());
+    }
+    return this->Pick(aSearch, rules);
   }
 
   // Picks a runner for a request that may not wait any longer, or gives the
@@ -260,7 +273,7 @@
   std::optional<RunnerPick> PickAtLast(const RunnerSearch& aSearch,
                                        SearchFailure& aFailure) const
   {
-    auto pick = this->Pick(aSearch, RoomRule::Ignored);
+    auto pick = this->Pick(aSearch, {});
     if (!pick) {
       Fail(aFailure.reason, ReasonCode::Unavailable, "no runner can be used");
       return std::nullopt;
@@ -277,13 +290,13 @@
   }
 
   std::optional<RunnerPick> Pick(const RunnerSearch& aSearch,
-                                 RoomRule aRoom) const
+                                 const PickRules& aRules) const
   {
     return PickRunner(this->state,
                       aSearch.request,
                       aSearch.admitted,
                       aSearch.tried,
-                      aRoom,
+                      aRules,
                       this->timer.Now());
   }
 
--- a/wigeonwalk/entry/runner_wait_test.cc
+++ b/wigeonwalk/entry/runner_wait_test.cc
@@ -143,6 +143,45 @@
     }
   }
 
+  GIVEN("prompts that wait at most of the other daemons")
+  {
+    for (int i = 0; i < 79; ++i) {
+      const HostId host("front-" + std::to_string(i));
+      setting.state.Apply(EntryMember{ host, AvailabilityZone("north"), "" },
+                          setting.time.Now());
+    }
+    Contention& contention =
+      setting.state.QueueOf(ServiceName("plain"))->contention;
+    while (contention.Share(setting.time.Now()) < 0.9) {
+      contention.NoteWaiting(setting.time.Now());
+      setting.time.RunUntil(setting.time.Now() + Contention::kNoteTime);
+    }
+
+    WHEN("a run ends")
+    {
+      running[1]->load.reset();
+
+      THEN("few of many daemons take its place at once")
+      {
+        int taken = 0;
+        for (int i = 0; i < 100; ++i) {
+          const auto search = setting.Start(12'000);
+          taken += search->pick ? 1 : 0;
+          search->load.reset();
+          contention.NoteWaiting(setting.time.Now());
+          setting.time.RunUntil(setting.time.Now() + Contention::kNoteTime);
+        }
+        CHECK(taken > 0);
+        CHECK(taken < 20);
+      }
+
+      THEN("a small prompt takes it")
+      {
+        CHECK(setting.Start(300)->pick);
+      }
+    }
+  }
+
   GIVEN("runs that end slowly, and a backlog")
   {
     const auto queue = setting.state.QueueOf(ServiceName("plain"));
--- a/wigeonwalk/entry/test_entry.h
+++ b/wigeonwalk/entry/test_entry.h
@@ -12,13 +12,16 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace wigeonwalk {
 
-struct NoPeers
+struct RecordingPeers
 {
-  void AnnounceWork(const RunnerWork&) {}
+  void AnnounceWork(const RunnerWork& aWork) { this->work.push_back(aWork); }
   void AnnouncePoison() {}
+
+  std::vector<RunnerWork> work;
 };
 
 // Counts how requests ended.
@@ -38,7 +41,7 @@
 
 // The request path of the daemon under test.
 using TestRun =
-  ForwardRun<FakeRunners, NoPeers, CountMeasures, VirtualTime, NullLog>;
+  ForwardRun<FakeRunners, RecordingPeers, CountMeasures, VirtualTime, NullLog>;
 
 // A daemon with one plain service of three runners.
 struct TestEntry
@@ -120,7 +123,7 @@
   VirtualTime time;
   EntryState state;
   FakeRunners runners;
-  NoPeers peers;
+  RecordingPeers peers;
   CountMeasures measures;
   NullLog log;
   Duration callerTimeout = std::chrono::seconds(10);
--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -136,11 +136,20 @@
   }
   std::string EncodeWork(const RunnerWork& aWork) const
   {
-    return aWork.runner.Text();
+    return aWork.runner.Text() + ' ' + std::to_string(aWork.tokensToPrefill) +
+           ' ' + std::to_string(aWork.atRunner.count) + ' ' +
+           std::to_string(aWork.atRunner.tokens);
   }
   std::optional<RunnerWork> DecodeWork(const std::string& aPayload) const
   {
-    return RunnerWork{ UpstreamId(aPayload), 38'000 };
+    std::istringstream fields(aPayload);
+    std::string runner;
+    RunnerWork work;
+    fields >> runner >> work.tokensToPrefill >> work.atRunner.count >>
+      work.atRunner.tokens;
+    work.runner = UpstreamId(runner);
+    work.expectedRun = std::chrono::milliseconds(500);
+    return work;
   }
   std::string EncodeParts(const HeldParts& aParts) const
   {
--- a/wigeonwalk/fleet/peer_bookings.cc
+++ b/wigeonwalk/fleet/peer_bookings.cc
@@ -1,27 +1,42 @@
 #include "wigeonwalk/fleet/peer_bookings.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace wigeonwalk {
 
-void
+std::size_t
+PeerBookings::Count() const
+{
+  std::size_t count = 0;
+  for (const auto& [daemon, bookings] : this->byDaemon) {
+    count += bookings.size();
+  }
+  return count;
+}
+
+PeerBooking
 PeerBookings::Book(const HostId& aDaemon, PeerBooking aBooking)
 {
-  if (this->count >= kMaxBookings) {
-    return;
+  PeerBooking before;
+  ByRunner& bookings = this->byDaemon[aDaemon];
+  const UpstreamId runner = aBooking.runner;
+  if (const auto found = bookings.find(runner); found != bookings.end()) {
+    before = std::move(found->second);
+    bookings.erase(found);
+  }
+  if (aBooking.requests > 0 && this->Count() < kMaxBookings) {
+    bookings.emplace(runner, std::move(aBooking));
   }
-  this->byDaemon[aDaemon].push_back(std::move(aBooking));
-  ++this->count;
+  return before;
 }
 
 void
-PeerBookings::NoteReport(const HostId& aDaemon)
+PeerBookings::NoteReport(const HostId& aDaemon,
+                         std::vector<PeerBooking> aBookings)
 {
-  const auto found = this->byDaemon.find(aDaemon);
-  if (found != this->byDaemon.end()) {
-    this->count -= found->second.size();
-    this->byDaemon.erase(found);
+  this->byDaemon.erase(aDaemon);
+  for (PeerBooking& booking : aBookings) {
+    this->Book(aDaemon, std::move(booking));
   }
 }
 
@@ -30,10 +45,12 @@
 {
   std::vector<PeerBooking> all;
   for (auto& [daemon, bookings] : this->byDaemon) {
-    this->count -= std::erase_if(bookings, [aNow](const PeerBooking& aBooking) {
-      return aBooking.until <= aNow;
+    std::erase_if(bookings, [aNow](const auto& aEntry) {
+      return aEntry.second.until <= aNow;
     });
-    all.insert(all.end(), bookings.begin(), bookings.end());
+    for (const auto& [runner, booking] : bookings) {
+      all.push_back(booking);
+    }
   }
   std::erase_if(this->byDaemon,
                 [](const auto& aEntry) { return aEntry.second.empty(); });
--- a/wigeonwalk/fleet/peer_bookings.h
+++ b/wigeonwalk/fleet/peer_bookings.h
@@ -1,4 +1,4 @@
-// What other daemons have at runners, from their announcements of long prompts.
+// What other daemons have at runners, from their reports and announcements.
 //
 //   bookings.Book(daemon, { runner, tokens, requests, until });
 //   for (const PeerBooking& booking : bookings.All(now)) { ... }
@@ -14,15 +14,15 @@
 
 namespace wigeonwalk {
 
-// Long prompts at one runner. One announcement stands for several prompts if
-// only a part of the daemons is heard.
+// What one daemon has in flight at one runner. It may stand for several daemons
+// if only a part of them is heard.
 struct PeerBooking
 {
   UpstreamId runner;
   // Memory of the runner, in tokens.
   std::uint64_t tokens = 0;
-  std::uint32_t requests = 1;
-  // When the runs are expected to have ended.
+  std::uint32_t requests = 0;
+  // When it counts no more unless it was told again.
   TimePoint until;
 
   bool operator==(const PeerBooking&) const = default;
@@ -31,8 +31,8 @@
 // Answers many daemons that fill the same runners between two reports of their
 // loads: a daemon reports to a few others only, and a long prompt takes a fifth
 // of a runner's memory, so that the runner preempts runs that it has to compute
-// again. Each daemon books what the others announce for as long as such runs
-// take. Not thread-safe.
+// again. All that is told is absolute, so that a lost message is made good by
+// the next one about the same runner. Not thread-safe.
 class PeerBookings
 {
 public:
@@ -40,17 +40,31 @@
   // take the memory.
   static constexpr std::size_t kMaxBookings = 4'096;
 
-  void Book(const HostId& aDaemon, PeerBooking aBooking);
+  // Replaces what the daemon has at this runner; no requests remove it. Returns
+  // what it replaced, or a booking of no requests.
+  PeerBooking Book(const HostId& aDaemon, PeerBooking aBooking);
 
   // A report of the daemon says all that it has at runners.
-  void NoteReport(const HostId& aDaemon);
+  void NoteReport(const HostId& aDaemon, std::vector<PeerBooking> aBookings);
+
+  // Forgets the daemons that are not among `aMembers`.
+  template<typename Members>
+  void KeepOnly(const Members& aMembers)
+  {
+    std::erase_if(this->byDaemon, [&aMembers](const auto& aEntry) {
+      return !aMembers.contains(aEntry.first);
+    });
+  }
 
   // Returns the bookings that have not ended; the others are dropped.
   std::vector<PeerBooking> All(TimePoint aNow);
 
 private:
-  std::map<HostId, std::vector<PeerBooking>> byDaemon;
-  std::size_t count = 0;
+  using ByRunner = std::map<UpstreamId, PeerBooking>;
+
+  std::size_t Count() const;
+
+  std::map<HostId, ByRunner> byDaemon;
 };
 
 // Returns for how many announcements one stands, if `aHeard` of `aDaemons`
--- a/wigeonwalk/fleet/peer_bookings_test.cc
+++ b/wigeonwalk/fleet/peer_bookings_test.cc
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <cstddef>
 #include <iostream>
+#include <iterator>
 #include <limits>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,7 +27,9 @@
   // Reports of eight others every 300 ms.
   Reports,
   // Besides, announcements of each prompt to 24 others.
-  Announcements,
+  Starts,
+  // Announcements when a prompt starts and ends, to all others.
+  StartsAndEnds,
 };
 
 // What callers of one zone got: prompts by the number of prompts that their
@@ -91,18 +95,42 @@
   struct Daemon
   {
     PeerBookings bookings;
-    // Prompts of others at each runner, by the reports.
-    std::vector<std::size_t> reported;
   };
 
   void EndRuns()
   {
-    for (auto& runs : this->running) {
+    for (std::size_t i = 0; i < this->running.size(); ++i) {
+      auto& runs = this->running[i];
+      std::vector<Run> ended;
+      std::copy_if(runs.begin(),
+                   runs.end(),
+                   std::back_inserter(ended),
+                   [this](const Run& aRun) { return aRun.until <= this->now; });
       std::erase_if(
         runs, [this](const Run& aRun) { return aRun.until <= this->now; });
+      for (const Run& run : ended) {
+        if (this->knowledge == Knowledge::StartsAndEnds) {
+          this->Announce(run.daemon, i, this->daemons.size());
+        }
+      }
     }
   }
 
+  // Tells others what a daemon has at a runner.
+  void Announce(std::size_t aDaemon, std::size_t aRunner, std::size_t aCount)
+  {
+    const std::uint32_t heard =
+      AnnouncementsOf(this->daemons.size() - 1, aCount);
+    const auto own = static_cast<std::uint32_t>(this->OwnAt(aDaemon, aRunner));
+    this->ForNext(aDaemon, aCount, [&](Daemon& aOther) {
+      aOther.bookings.Book(HostId(std::to_string(aDaemon)),
+                           { UpstreamId(std::to_string(aRunner)),
+                             0,
+                             heard * own,
+                             this->now + kRunTime });
+    });
+  }
+
   // Calls `aTell` for the daemons that follow one in their order.
   template<typename F>
   void ForNext(std::size_t aDaemon, std::size_t aCount, F aTell)
@@ -124,15 +152,16 @@
 
   void Report()
   {
-    for (Daemon& daemon : this->daemons) {
-      daemon.reported.assign(this->running.size(), 0);
-    }
+    constexpr Duration kLifetime = 900ms;
     for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+      std::vector<PeerBooking> rows;
+      for (std::size_t j = 0; j < this->running.size(); ++j) {
+        const auto own = static_cast<std::uint32_t>(this->OwnAt(i, j));
+        rows.push_back(
+          { UpstreamId(std::to_string(j)), 0, own, this->now + kLifetime });
+      }
       this->ForNext(i, kReported, [&](Daemon& aOther) {
-        for (std::size_t j = 0; j < this->running.size(); ++j) {
-          aOther.reported[j] += this->OwnAt(i, j);
-        }
-        aOther.bookings.NoteReport(HostId(std::to_string(i)));
+        aOther.bookings.NoteReport(HostId(std::to_string(i)), rows);
       });
     }
   }
@@ -140,7 +169,7 @@
   void Place(std::size_t aDaemon)
   {
     Daemon& daemon = this->daemons[aDaemon];
-    std::vector<std::size_t> known = daemon.reported;
+    std::vector<std::size_t> known(this->running.size(), 0);
     for (const PeerBooking& booking : daemon.bookings.All(this->now)) {
       known[std::stoul(booking.runner.Text())] += booking.requests;
     }
@@ -159,16 +188,12 @@
     ++this->total[best];
     this->outcome.beyondMemory += this->running[best].size() >= kRoom ? 1 : 0;
     this->running[best].push_back({ aDaemon, this->now + kRunTime });
-    if (this->knowledge == Knowledge::Announcements) {
-      const std::uint32_t prompts =
-        AnnouncementsOf(this->daemons.size() - 1, kAnnounced);
-      this->ForNext(aDaemon, kAnnounced, [&](Daemon& aOther) {
-        aOther.bookings.Book(HostId(std::to_string(aDaemon)),
-                             { UpstreamId(std::to_string(best)),
-                               0,
-                               prompts,
-                               this->now + kRunTime });
-      });
+    if (this->knowledge != Knowledge::Reports) {
+      this->Announce(aDaemon,
+                     best,
+                     this->knowledge == Knowledge::Starts
+                       ? kAnnounced
+                       : this->daemons.size());
     }
   }
 
@@ -191,8 +216,9 @@
   const TimePoint now = TimePoint() + 100s;
   PeerBookings bookings;
   const PeerBooking booking{ kRunner, 17'060, 1, now + 1s };
-  bookings.Book(kOne, booking);
-  bookings.Book(kTwo, booking);
+  const PeerBooking none;
+  CHECK(bookings.Book(kOne, booking) == none);
+  CHECK(bookings.Book(kTwo, booking) == none);
   CHECK(bookings.All(now) == std::vector<PeerBooking>{ booking, booking });
 
   THEN("they end after the time that their runs take")
@@ -203,16 +229,37 @@
 
   THEN("a report of their daemon takes their place")
   {
-    bookings.NoteReport(kOne);
-    CHECK(bookings.All(now).size() == 1);
-    bookings.Book(kOne, booking);
-    CHECK(bookings.All(now).size() == 2);
+    bookings.NoteReport(kOne, {});
+    CHECK(bookings.All(now) == std::vector<PeerBooking>{ booking });
+    const PeerBooking reported{ kRunner, 17'443, 2, now + 900ms };
+    bookings.NoteReport(kOne, { reported });
+    CHECK(bookings.All(now) == std::vector<PeerBooking>{ reported, booking });
+  }
+
+  THEN("a later one of the same daemon and runner takes their place")
+  {
+    const PeerBooking two{ kRunner, 34'120, 2, now + 2s };
+    CHECK(bookings.Book(kOne, two) == booking);
+    CHECK(bookings.All(now) == std::vector<PeerBooking>{ two, booking });
+  }
+
+  THEN("the end of the last one removes them")
+  {
+    CHECK(bookings.Book(kOne, { kRunner, 0, 0, now + 1s }) == booking);
+    CHECK(bookings.All(now) == std::vector<PeerBooking>{ booking });
+  }
+
+  THEN("those of a daemon that is gone are forgotten")
+  {
+    bookings.KeepOnly(std::set<HostId>{ kTwo });
+    CHECK(bookings.All(now) == std::vector<PeerBooking>{ booking });
   }
 
   THEN("a daemon that announces without end takes a bounded memory")
   {
     for (std::size_t i = 0; i < 2 * PeerBookings::kMaxBookings; ++i) {
-      bookings.Book(kOne, booking);
+      const UpstreamId other("r-" + std::to_string(i));
+      bookings.Book(kOne, { other, 17'060, 1, now + 1s });
     }
     CHECK(bookings.All(now).size() == PeerBookings::kMaxBookings);
     CHECK(bookings.All(now + 1s).empty());
@@ -249,13 +296,17 @@
     return Zone(row.daemons, row.runners, aKnowledge).Play(2'000, rate);
   };
   const Outcome reports = play(Knowledge::Reports);
-  const Outcome announced = play(Knowledge::Announcements);
+  const Outcome announced = play(Knowledge::Starts);
+  const Outcome ended = play(Knowledge::StartsAndEnds);
   std::cout << row.daemons << " daemons, " << row.runners << " runners, "
             << reports.prompts << " prompts: beyond the memory "
             << reports.beyondMemory << " by reports, " << announced.beyondMemory
-            << " by announcements; busiest to mean " << reports.busiestToMean
-            << ", " << announced.busiestToMean << std::endl;
+            << " by starts, " << ended.beyondMemory
+            << " by starts and ends; busiest to mean " << reports.busiestToMean
+            << ", " << announced.busiestToMean << ", " << ended.busiestToMean
+            << std::endl;
   CHECK(announced.beyondMemory <= reports.beyondMemory);
+  CHECK(ended.beyondMemory <= announced.beyondMemory);
   // Of a hundred prompts, at most five meet a full runner while two fifths of
   // the memory is free.
   CHECK(announced.beyondMemory * 20 <= announced.prompts);
--- a/wigeonwalk/fleet/runner.h
+++ b/wigeonwalk/fleet/runner.h
@@ -69,6 +69,15 @@
   bool operator==(const RunnerEntry&) const = default;
 };
 
+// Long prompts in flight at a runner, and the memory they take, in tokens.
+struct LongPrompts
+{
+  std::uint32_t count = 0;
+  std::uint64_t tokens = 0;
+
+  bool operator==(const LongPrompts&) const = default;
+};
+
 // One runner from one start to the next. Shared by the table and the requests
 // in flight.
 struct Runner
@@ -94,6 +103,8 @@
   // tokens.
   std::uint32_t inFlight = 0;
   std::uint64_t tokensInFlight = 0;
+  // Those among them that are announced to other daemons.
+  LongPrompts longPrompts;
   // Prompt tokens of requests in flight whose prefill is not complete.
   std::uint64_t tokensToPrefill = 0;
   // Requests and tokens in flight from other daemons, by their last reports.
--- a/wigeonwalk/queueing/service_queue.h
+++ b/wigeonwalk/queueing/service_queue.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "wigeonwalk/base/time.h"
+#include "wigeonwalk/queueing/contention.h"
 #include "wigeonwalk/queueing/wait_queue.h"
 
 #include <cstdint>
@@ -75,6 +76,8 @@
                              double aSpread);
 
   WaitQueue requests;
+  // Of large prompts.
+  Contention contention;
 
 private:
   struct Release
--- a/wigeonwalk/shares/member_shares.cc
+++ b/wigeonwalk/shares/member_shares.cc
@@ -3,6 +3,7 @@
 #include "wigeonwalk/membership/rendezvous.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace wigeonwalk {
@@ -58,4 +59,17 @@
   return static_cast<double>(RendezvousScore(aHost, aKey) % kSteps) / kSteps;
 }
 
+bool
+HasTurn(const HostId& aHost,
+        std::string_view aKey,
+        std::uint64_t aTurn,
+        double aShare)
+{
+  if (aShare >= 1) {
+    return true;
+  }
+  return PhaseOf(aHost, std::string(aKey) + '/' + std::to_string(aTurn)) <
+         aShare;
+}
+
 } // namespace wigeonwalk
--- a/wigeonwalk/shares/member_shares.h
+++ b/wigeonwalk/shares/member_shares.h
@@ -9,6 +9,7 @@
 #include "wigeonwalk/base/ids.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -61,4 +62,13 @@
 double
 PhaseOf(const HostId& aHost, std::string_view aKey);
 
+// Returns true if it is a daemon's turn at `aKey`, of which each daemon gets
+// this share. Turns are drawn by lot, so that daemons need neither a common
+// clock nor a common list: two may have theirs at the same time.
+bool
+HasTurn(const HostId& aHost,
+        std::string_view aKey,
+        std::uint64_t aTurn,
+        double aShare);
+
 } // namespace wigeonwalk
--- a/wigeonwalk/shares/member_shares_test.cc
+++ b/wigeonwalk/shares/member_shares_test.cc
@@ -92,6 +92,27 @@
     CHECK(SharesOf(self, {}).RankFor("runner", kNorth) == 0U);
   }
 
+  GIVEN("a share of the turns at each runner")
+  {
+    int all = 0;
+    int together = 0;
+    for (std::uint64_t turn = 0; turn < 10'000; ++turn) {
+      int having = 0;
+      for (const ShareMember& member : members) {
+        having += HasTurn(member.host, "runner", turn, 0.1) ? 1 : 0;
+      }
+      all += having;
+      together += having > 1 ? 1 : 0;
+      CHECK(HasTurn(members.front().host, "runner", turn, 1));
+      CHECK_FALSE(HasTurn(members.front().host, "runner", turn, 0));
+    }
+    // Each daemon has a tenth of them, independently of the others.
+    const double mean = 0.1 * static_cast<double>(members.size());
+    CHECK(all > 9'000 * mean);
+    CHECK(all < 11'000 * mean);
+    CHECK(together < 5'000);
+  }
+
   WHEN("a daemon is gone")
   {
     auto fewer = members;
