fleet: estimate the short requests of daemons that don't report

Short prompts waited at runners that had up to 50 of them at 16 slots, while others had room: a daemon hears what eight others have in flight, of up to 78, and counted the rest as nothing. They filled the slots and preempted long prompts.

Reports now leave out long prompts where their starts and ends are told, and what the daemons that don't report have is estimated from those that do, with the mean over all runners of the service as prior.

--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -226,7 +226,17 @@
 
   void ApplyLoads(TimePoint aNow)
   {
-    this->peerLoads.ApplyTo(this->state.fleet, this->state.members, aNow);
+    const std::size_t others = this->state.DaemonCount() - 1;
+    this->peerLoads.ApplyTo(
+      this->state.fleet,
+      { this->state.members, this->Scope(), std::min(others, kMaxLoadPeers) },
+      aNow);
+  }
+
+  // Long prompts are reported where their ends are not told.
+  ReportScope Scope() const
+  {
+    return this->TellsAll() ? ReportScope::ShortRequests : ReportScope::All;
   }
 
   void HandleNotice(const HostId& aSender, const PeerNotice& aNotice)
@@ -245,7 +255,8 @@
         break;
       case NoticeKind::RunnerLoads:
         if (auto loads = this->codec.DecodeLoads(aNotice.payload)) {
-          this->peerLoads.Record(aSender, std::move(*loads), now);
+          this->peerLoads.Record(
+            aSender, std::move(*loads), this->Scope(), now);
           this->ApplyLoads(now);
         }
         break;
@@ -292,7 +303,7 @@
 
   void SendLoads()
   {
-    RunnerLoads loads = LoadsOf(this->state.fleet);
+    RunnerLoads loads = LoadsOf(this->state.fleet, this->Scope());
     // An empty report is sent only once.
     if (loads.rows.empty() && this->sentEmptyLoads) {
       return;
--- a/wigeonwalk/entry/peer_loads_test.cc
+++ b/wigeonwalk/entry/peer_loads_test.cc
@@ -17,6 +17,7 @@
   const HostId one("front-1");
   const HostId two("front-2");
   const std::map<HostId, EntryMember> members{ { one, {} }, { two, {} } };
+  const std::map<HostId, EntryMember> onlyTwo{ { two, {} } };
   RunnerEntry entry;
   entry.id = UpstreamId("r-1");
   Fleet fleet;
@@ -35,19 +36,42 @@
     CHECK(runner.othersTokensInFlight == 34'120);
   }
 
-  THEN("a report replaces what was announced, and ends with its lifetime")
+  THEN("a report of all requests replaces what was announced")
   {
-    loads.Record(one, { { { entry.id, 2, 17'443 } } }, now);
-    loads.ApplyTo(fleet, members, now);
+    loads.Record(one, { { { entry.id, 2, 17'443 } } }, ReportScope::All, now);
+    loads.ApplyTo(fleet, { members }, now);
     CHECK(runner.othersInFlight == 4);
     CHECK(runner.othersTokensInFlight == 51'563);
-    loads.ApplyTo(fleet, members, now + PeerLoads::kReportLifetime);
+    loads.ApplyTo(fleet, { members }, now + PeerLoads::kReportLifetime + 1ms);
     CHECK(runner.othersInFlight == 2);
   }
 
+  THEN("a report of short requests adds to what was announced")
+  {
+    const LoadMembers both{ members, ReportScope::ShortRequests, 1 };
+    loads.Record(one, { { { entry.id, 2, 766 } } }, both.scope, now);
+    loads.ApplyTo(fleet, both, now);
+    CHECK(runner.othersInFlight == 5);
+    CHECK(runner.othersTokensInFlight == 51'946);
+  }
+
+  THEN("short requests of daemons that don't report are estimated")
+  {
+    std::map<HostId, EntryMember> many = members;
+    for (int i = 3; i <= 20; ++i) {
+      many[HostId("front-" + std::to_string(i))] = {};
+    }
+    const LoadMembers most{ many, ReportScope::ShortRequests, 1 };
+    loads.Record(one, { { { entry.id, 2, 766 } } }, most.scope, now);
+    loads.ApplyTo(fleet, most, now);
+    // Two daemons of twenty have two short requests there.
+    CHECK(runner.othersInFlight == 5 + 18);
+    CHECK(runner.othersTokensInFlight == 51'946 + 18 * 383);
+  }
+
   THEN("those of a daemon that is gone don't count")
   {
-    loads.ApplyTo(fleet, { { two, {} } }, now);
+    loads.ApplyTo(fleet, { onlyTwo }, now);
     CHECK(runner.othersInFlight == 2);
   }
 
--- a/wigeonwalk/fleet/peer_bookings.cc
+++ b/wigeonwalk/fleet/peer_bookings.cc
@@ -31,13 +31,9 @@
 }
 
 void
-PeerBookings::NoteReport(const HostId& aDaemon,
-                         std::vector<PeerBooking> aBookings)
+PeerBookings::NoteReport(const HostId& aDaemon)
 {
   this->byDaemon.erase(aDaemon);
-  for (PeerBooking& booking : aBookings) {
-    this->Book(aDaemon, std::move(booking));
-  }
 }
 
 std::vector<PeerBooking>
--- a/wigeonwalk/fleet/peer_bookings.h
+++ b/wigeonwalk/fleet/peer_bookings.h
@@ -1,4 +1,4 @@
-// What other daemons have at runners, from their reports and announcements.
+// What other daemons have at runners, from their announcements of long prompts.
 //
 //   bookings.Book(daemon, { runner, tokens, requests, until });
 //   for (const PeerBooking& booking : bookings.All(now)) { ... }
@@ -14,8 +14,8 @@
 
 namespace wigeonwalk {
 
-// What one daemon has in flight at one runner. It may stand for several daemons
-// if only a part of them is heard.
+// Long prompts of one daemon at one runner. They may stand for those of several
+// daemons if only a part of them is heard.
 struct PeerBooking
 {
   UpstreamId runner;
@@ -45,7 +45,7 @@
   PeerBooking Book(const HostId& aDaemon, PeerBooking aBooking);
 
   // A report of the daemon says all that it has at runners.
-  void NoteReport(const HostId& aDaemon, std::vector<PeerBooking> aBookings);
+  void NoteReport(const HostId& aDaemon);
 
   // Forgets the daemons that are not among `aMembers`.
   template<typename Members>
--- a/wigeonwalk/fleet/peer_bookings_test.cc
+++ b/wigeonwalk/fleet/peer_bookings_test.cc
@@ -95,6 +95,8 @@
   struct Daemon
   {
     PeerBookings bookings;
+    // Prompts of others at each runner, by the reports.
+    std::vector<std::size_t> reported;
   };
 
   void EndRuns()
@@ -152,16 +154,19 @@
 
   void Report()
   {
-    constexpr Duration kLifetime = 900ms;
+    for (Daemon& daemon : this->daemons) {
+      daemon.reported.assign(this->running.size(), 0);
+    }
+    // If ends are told, reports leave out long prompts.
+    if (this->knowledge == Knowledge::StartsAndEnds) {
+      return;
+    }
     for (std::size_t i = 0; i < this->daemons.size(); ++i) {
-      std::vector<PeerBooking> rows;
-      for (std::size_t j = 0; j < this->running.size(); ++j) {
-        const auto own = static_cast<std::uint32_t>(this->OwnAt(i, j));
-        rows.push_back(
-          { UpstreamId(std::to_string(j)), 0, own, this->now + kLifetime });
-      }
       this->ForNext(i, kReported, [&](Daemon& aOther) {
-        aOther.bookings.NoteReport(HostId(std::to_string(i)), rows);
+        for (std::size_t j = 0; j < this->running.size(); ++j) {
+          aOther.reported[j] += this->OwnAt(i, j);
+        }
+        aOther.bookings.NoteReport(HostId(std::to_string(i)));
       });
     }
   }
@@ -169,7 +174,7 @@
   void Place(std::size_t aDaemon)
   {
     Daemon& daemon = this->daemons[aDaemon];
-    std::vector<std::size_t> known(this->running.size(), 0);
+    std::vector<std::size_t> known = daemon.reported;
     for (const PeerBooking& booking : daemon.bookings.All(this->now)) {
       known[std::stoul(booking.runner.Text())] += booking.requests;
     }
@@ -229,11 +234,10 @@
 
   THEN("a report of their daemon takes their place")
   {
-    bookings.NoteReport(kOne, {});
+    bookings.NoteReport(kOne);
     CHECK(bookings.All(now) == std::vector<PeerBooking>{ booking });
-    const PeerBooking reported{ kRunner, 17'443, 2, now + 900ms };
-    bookings.NoteReport(kOne, { reported });
-    CHECK(bookings.All(now) == std::vector<PeerBooking>{ reported, booking });
+    CHECK(bookings.Book(kOne, booking) == none);
+    CHECK(bookings.All(now).size() == 2);
   }
 
   THEN("a later one of the same daemon and runner takes their place")
