http: cut the slowest caller when whole answers need the memory

While a few callers didn't read answers that are larger than what the system buffers, every other caller's long answer failed, for 10 s each time: answers that wait for their callers held the memory of answers, and the answer that was being received was ended. The caller that has taken longest over its answer, and 1 s at least, is now cut off instead. A share of this memory also outlived its answer on a pooled connection and made the next one exempt; it now ends with the answer.

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -325,6 +325,15 @@
   this->state->memory = std::move(aMemory);
 }
 
+void
+HttpClientConnection::GiveUpIfSlow(std::function<void()> aGiveUp)
+{
+  State& connection = *this->state;
+  if (connection.held) {
+    connection.held->NoteWaiting(std::move(aGiveUp), connection.timer.Now());
+  }
+}
+
 bool
 HttpClientConnection::Hold(std::size_t aBytes, FailureReason& aReason)
 {
@@ -332,6 +341,10 @@
   if (connection.memory == nullptr) {
     return true;
   }
+  if (aBytes == 0 && connection.held && !connection.held->IsEnded()) {
+    // The next response on this connection is another message.
+    connection.held.reset();
+  }
   if (!connection.held) {
     if (aBytes <= MessageMemory::kUncountedBytes) {
       return true;
@@ -341,7 +354,7 @@
       connection.stream.close();
     });
   }
-  if (!connection.held->Resize(aBytes)) {
+  if (!connection.held->Resize(aBytes, connection.timer.Now())) {
     connection.failed = true;
     FailTooLarge(aReason, connection.address);
     return false;
--- a/wigeonwalk/adapters/http/http_client.h
+++ b/wigeonwalk/adapters/http/http_client.h
@@ -14,6 +14,7 @@
 #include "wigeonwalk/ports/task.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,8 +68,14 @@
   // Sets how many bytes of the current response the reader holds until it has
   // received more. Returns false with MalformedResponse if the response was
   // ended because too many bytes are held of all. ReadResponse calls it itself.
+  // Zero ends what was held.
   bool Hold(std::size_t aBytes, FailureReason& aReason);
 
+  // The held response waits for its receiver from now on. `aGiveUp` is called,
+  // before the next call of Hold, if it is ended because the memory is needed
+  // and it has waited longest.
+  void GiveUpIfSlow(std::function<void()> aGiveUp);
+
   // True if the last response was read to its end, no bytes follow it, and its
   // headers and framing allow keep-alive.
   bool Reusable() const;
--- a/wigeonwalk/adapters/http/message_memory.cc
+++ b/wigeonwalk/adapters/http/message_memory.cc
@@ -26,27 +26,61 @@
   this->counted = aBytes;
 }
 
+void
+MessageMemory::Share::NoteWaiting(std::function<void()> aGiveUp, TimePoint aNow)
+{
+  this->isComplete = true;
+  this->end = std::move(aGiveUp);
+  this->waitsSince = aNow;
+}
+
+void
+MessageMemory::Share::End()
+{
+  this->isEnded = true;
+  this->SetCounted(0);
+  this->end();
+}
+
 bool
-MessageMemory::Share::Resize(std::size_t aBytes)
+MessageMemory::Share::Resize(std::size_t aBytes, TimePoint aNow)
 {
   if (this->isEnded) {
     return false;
   }
   this->SetCounted(aBytes - std::min(aBytes, this->memory.uncounted));
   while (this->memory.bytes > this->memory.maxBytes && this->counted > 0) {
+    if (Share* slowest = this->memory.Slowest(aNow)) {
+      slowest->End();
+      continue;
+    }
     Share* largest = this->memory.Largest();
     if (largest == nullptr || largest == this) {
       this->isEnded = true;
       this->SetCounted(0);
       return false;
     }
-    largest->isEnded = true;
-    largest->SetCounted(0);
-    largest->end();
+    largest->End();
   }
   return true;
 }
 
+MessageMemory::Share*
+MessageMemory::Slowest(TimePoint aNow) const
+{
+  Share* slowest = nullptr;
+  for (Share* share : this->shares) {
+    const bool isCandidate = share->waitsSince && !share->isEnded &&
+                             share->counted > 0 &&
+                             aNow - *share->waitsSince >= kMaxWait;
+    if (isCandidate &&
+        (slowest == nullptr || share->waitsSince < slowest->waitsSince)) {
+      slowest = share;
+    }
+  }
+  return slowest;
+}
+
 MessageMemory::Share*
 MessageMemory::Largest() const
 {
--- a/wigeonwalk/adapters/http/message_memory.h
+++ b/wigeonwalk/adapters/http/message_memory.h
@@ -6,9 +6,12 @@
 //   if (!share.Resize(body.size())) { ... the message was ended ... }
 #pragma once
 
+#include "wigeonwalk/base/time.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace wigeonwalk {
@@ -17,9 +20,10 @@
 inline constexpr std::uint64_t kMaxResponseBytes = 16 * 1024 * 1024;
 
 // Messages of several faulty peers may each stay below the limit on one message
-// and together use up the memory. Above the limit on all, the largest message
-// that is still being received is ended; messages of ordinary size never are.
-// Not thread-safe.
+// and together use up the memory. Above the limit on all, the message that has
+// waited longest for its receiver is ended, if there is one that has waited for
+// kMaxWait; else the largest message that is still being received. Messages of
+// ordinary size never are. Not thread-safe.
 class MessageMemory
 {
 public:
@@ -27,6 +31,9 @@
   static constexpr std::size_t kMaxBytes = kMaxResponseBytes;
   // Bytes of each answer that are not counted.
   static constexpr std::size_t kUncountedBytes = 64 * 1024;
+  // How long a complete message may wait for its receiver while others need the
+  // memory.
+  static constexpr Duration kMaxWait = std::chrono::seconds(1);
 
   // `aMaxBytes` is the limit on the counted bytes of all messages, `aUncounted`
   // the number of bytes of each that are not counted.
@@ -49,23 +56,30 @@
 
     // Sets the number of bytes held. Returns false if the message was ended, or
     // if it is the largest one that can be and the limit is exceeded.
-    bool Resize(std::size_t aBytes);
+    bool Resize(std::size_t aBytes, TimePoint aNow = TimePoint());
 
     // The whole message has been received. It still counts, but is not ended.
     void NoteComplete() { this->isComplete = true; }
 
+    // The complete message waits for its receiver from now on. `aGiveUp` is
+    // called if the message is ended in favour of another one.
+    void NoteWaiting(std::function<void()> aGiveUp, TimePoint aNow);
+
     bool IsEnded() const { return this->isEnded; }
 
   private:
     friend class MessageMemory;
 
     void SetCounted(std::size_t aBytes);
+    void End();
 
     MessageMemory& memory;
     std::function<void()> end;
     std::size_t counted = 0;
     bool isComplete = false;
     bool isEnded = false;
+    // Since when it waits for its receiver.
+    std::optional<TimePoint> waitsSince;
   };
 
   MessageMemory(const MessageMemory&) = delete;
@@ -79,6 +93,9 @@
 private:
   // Returns the largest message that is still being received, or null.
   Share* Largest() const;
+  // Returns the message that has waited longest for its receiver, and for
+  // kMaxWait at least, or null.
+  Share* Slowest(TimePoint aNow) const;
 
   std::vector<Share*> shares;
   std::size_t maxBytes;
--- a/wigeonwalk/adapters/http/message_memory_test.cc
+++ b/wigeonwalk/adapters/http/message_memory_test.cc
@@ -91,6 +91,39 @@
     }
   }
 
+  WHEN("complete ones wait for their receivers")
+  {
+    constexpr Duration kMaxWait = MessageMemory::kMaxWait;
+    const TimePoint start = TimePoint() + std::chrono::seconds(100);
+    std::vector<MessageMemory::Share*> givenUp;
+    large.NoteWaiting([&] { givenUp.push_back(&large); },
+                      start + std::chrono::milliseconds(500));
+    medium.NoteWaiting([&] { givenUp.push_back(&medium); }, start);
+
+    THEN("the slowest one ends in favour of another one")
+    {
+      CHECK(ordinary.Resize(kLimit / 4 + 1 + kFree, start + kMaxWait));
+      CHECK(givenUp == std::vector<MessageMemory::Share*>{ &medium });
+      CHECK(medium.IsEnded());
+      CHECK_FALSE(large.IsEnded());
+      CHECK(answers.memory.Bytes() == kLimit / 2 + kLimit / 4 + 1);
+    }
+
+    THEN("the next one ends too if that isn't enough")
+    {
+      CHECK(ordinary.Resize(kLimit + kFree, start + kMaxWait * 2));
+      CHECK(givenUp == std::vector<MessageMemory::Share*>{ &medium, &large });
+    }
+
+    THEN("none ends that has not waited long")
+    {
+      CHECK_FALSE(
+        ordinary.Resize(kLimit / 4 + 1 + kFree, start + kMaxWait / 2));
+      CHECK(givenUp.empty());
+      CHECK(ordinary.IsEnded());
+    }
+  }
+
   WHEN("one is given up")
   {
     answers.shares.erase(answers.shares.begin());
--- a/wigeonwalk/ports/attempts.h
+++ b/wigeonwalk/ports/attempts.h
@@ -67,11 +67,12 @@
 // disconnected.
 template<typename T, typename Attempt>
 concept CallerExchange = requires(T& aExchange,
-                                  const Attempt& aAttempt,
+                                  Attempt& aAttempt,
                                   std::string aBytes,
                                   const Refusal& aRefusal)
 {
-  // Writes the runner's complete response.
+  // Writes the runner's complete response. It may tell the attempt that its
+  // caller is slow.
   {
     aExchange.Answer(aAttempt, aBytes)
     } -> std::same_as<Task<bool>>;
