--- a/wigeonwalk/adapters/metrics/metric_names.h
+++ b/wigeonwalk/adapters/metrics/metric_names.h
@@ -46,12 +46,13 @@
   RunnersCold,
   RequestsSentToCold,
   CallerLimits,
+  DaemonsWaiting,
 };
 
 template<>
 struct EnumNames<Metric>
 {
-  static constexpr std::array<EnumName<Metric>, 31> kTable{ {
+  static constexpr std::array<EnumName<Metric>, 32> kTable{ {
     { Metric::TimeToFirstToken, "time_to_first_token" },
     { Metric::TimeBetweenTokens, "time_between_tokens" },
     { Metric::QueueTime, "queue_time" },
@@ -83,6 +84,7 @@
     { Metric::RunnersCold, "cold" },
     { Metric::RequestsSentToCold, "sent_to_cold" },
     { Metric::CallerLimits, "limited" },
+    { Metric::DaemonsWaiting, "waiting" },
   } };
 };
 static_assert(HasCompleteTable<Metric>());
@@ -121,7 +123,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 31> kMetricInfos{ {
+inline constexpr std::array<MetricInfo, 32> kMetricInfos{ {
   { Metric::TimeToFirstToken,
     MetricType::Histogram,
     "seconds",
@@ -277,6 +279,11 @@
     "clients",
     "cause",
     "Requests and connections of clients beyond a limit." },
+  { Metric::DaemonsWaiting,
+    MetricType::Gauge,
+    "daemons",
+    "",
+    "Daemons expected to have long prompts that wait for a runner's memory." },
 } };
 
 // Returns unit, type and labels of a metric.
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -382,6 +382,16 @@
   return queue;
 }
 
+double
+EntryState::DaemonsWaiting(TimePoint aNow) const
+{
+  double share = 0;
+  for (const auto& [service, queue] : this->queues) {
+    share = std::max(share, queue->contention.Share(aNow));
+  }
+  return share * static_cast<double>(this->DaemonCount());
+}
+
 std::size_t
 EntryState::DaemonCount() const
 {
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -186,6 +186,10 @@
   // Waiting requests share it, because a cancelled one may end after the state.
   std::shared_ptr<ServiceQueue> QueueOf(const ServiceName& aService);
 
+  // Returns how many daemons are expected to have large prompts that wait for
+  // room at the runners of the busiest service.
+  double DaemonsWaiting(TimePoint aNow) const;
+
   // Changes whenever the configuration, the members, or the set, state or
   // registration of runners changes.
   std::uint64_t Generation() const { return this->generation; }
--- a/wigeonwalk/entry/notice_limits.h
+++ b/wigeonwalk/entry/notice_limits.h
@@ -17,7 +17,7 @@
 // Runners in one load report; those with the most tokens in flight are chosen.
 inline constexpr std::size_t kMaxLoadRows = 12;
 // Up to this many daemons tell all others when a long prompt is sent to a
-// runner and when its run has ended: 25 KB/s for each daemon at 110 long
+// runner and when its run has ended: 34 KB/s for each daemon at 110 long
 // prompts a second. In a larger fleet only the start is told, to a part of the
 // daemons.
 inline constexpr std::size_t kMaxDaemonsToldAll = 100;
--- a/wigeonwalk/entry/runner_wait_test.cc
+++ b/wigeonwalk/entry/runner_wait_test.cc
@@ -152,11 +152,14 @@
     }
     Contention& contention =
       setting.state.QueueOf(ServiceName("plain"))->contention;
+    CHECK(setting.state.DaemonsWaiting(setting.time.Now()) == 0);
     while (contention.Share(setting.time.Now()) < 0.9) {
       contention.NoteWaiting(setting.time.Now());
       setting.time.RunUntil(setting.time.Now() + Contention::kNoteTime);
     }
 
+    CHECK(setting.state.DaemonsWaiting(setting.time.Now()) > 70);
+
     WHEN("a run ends")
     {
       running[1]->load.reset();
