http: keep the connection of a response that was given up

A connection to a runner whose response was given up for a slow caller was lost to the pool, since the share of memory that had ended stayed with it. The new test failed without this change and passes with it.

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -341,7 +341,7 @@
   if (connection.memory == nullptr) {
     return true;
   }
-  if (aBytes == 0 && connection.held && !connection.held->IsEnded()) {
+  if (aBytes == 0) {
     // The next response on this connection is another message.
     connection.held.reset();
   }
--- a/wigeonwalk/adapters/http/http_client_test.cc
+++ b/wigeonwalk/adapters/http/http_client_test.cc
@@ -301,3 +301,42 @@
     CHECK_FALSE(fixture.pool.CloseLongestIdle());
   }
 }
+
+// Guards against a connection that is lost because a response on it was given
+// up.
+SCENARIO("a response that was given up leaves its connection usable")
+{
+  constexpr std::size_t kBytes = 9 * 1'024 * 1'024;
+  const std::string answer = std::string(kOkHead) +
+                             "Content-Length: " + std::to_string(kBytes) +
+                             "\r\n\r\n" + std::string(kBytes, 'b');
+  Fixture fixture;
+  fixture.peer.answers = { { answer }, { answer }, { answer } };
+  const HttpRequest request{ .method = "GET", .target = "/" };
+  const std::string address = fixture.peer.Address();
+  int givenUp = 0;
+  bool ended = false;
+  const auto run = [&]() -> Task<void> {
+    FailureReason reason;
+    const TimePoint deadline = fixture.timer.Now() + 20s;
+    auto slow =
+      co_await fixture.pool.Acquire(address, Reuse::Allowed, deadline, reason);
+    co_await slow->Send(request, deadline, reason);
+    co_await slow->ReadResponse(deadline, reason);
+    slow->GiveUpIfSlow([&] { ++givenUp; });
+    co_await fixture.timer.WaitUntil(fixture.timer.Now() +
+                                     MessageMemory::kMaxWait);
+    const auto other = co_await fixture.pool.Exchange(
+      address, request, Reuse::Allowed, deadline, reason);
+    CHECK(other.has_value());
+    CHECK(givenUp == 1);
+    fixture.pool.Release(std::move(*slow));
+    ended = true;
+  };
+  boost::asio::co_spawn(fixture.context, run(), boost::asio::detached);
+  while (!ended) {
+    fixture.context.run_one();
+  }
+  CHECK(fixture.Call().has_value());
+  CHECK(fixture.pool.IdleCount() == 2);
+}
--- a/wigeonwalk/adapters/http/message_memory.cc
+++ b/wigeonwalk/adapters/http/message_memory.cc
@@ -62,7 +62,7 @@
     }
     largest->End();
   }
-  return true;
+  return !this->isEnded;
 }
 
 MessageMemory::Share*
