--- a/wigeonwalk/adapters/http/http_adopt.h
+++ b/wigeonwalk/adapters/http/http_adopt.h
@@ -3,7 +3,7 @@
 //   HttpConnection connection = AdoptConnection(std::move(socket), {});
 #pragma once
 
-#include "wigeonwalk/adapters/http/http_server.h"
+#include "wigeonwalk/adapters/http/http_connection.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
--- a/wigeonwalk/adapters/http/http_server.h
+++ b/wigeonwalk/adapters/http/http_connection.h
@@ -1,7 +1,7 @@
-// HTTP/1.1 server on Boost.Beast: a listener and its connections.
+// One accepted HTTP/1.1 connection, on Boost.Beast.
 //
-//   while (auto connection = co_await listener.Accept(reason)) {
-//     Spawn(ServeConnection(std::move(*connection)));
+//   while (auto request = co_await connection.ReadRequest(reason)) {
+//     co_await connection.WriteResponse(Answer(*request), true);
 //   }
 #pragma once
 
@@ -13,7 +13,6 @@
 #include "wigeonwalk/ports/task.h"
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -134,41 +133,4 @@
   std::unique_ptr<State> state;
 };
 
-// Listens on one TCP address.
-class HttpListener
-{
-public:
-  struct State;
-
-  // Listens on "IP:port"; port 0 selects a free port. Returns nothing with the
-  // reason if the address is malformed or in use.
-  static std::optional<HttpListener> Open(
-    boost::asio::any_io_executor aExecutor,
-    const std::string& aAddress,
-    HttpLimits aLimits,
-    FailureReason& aReason);
-
-  HttpListener(HttpListener&&) noexcept;
-  HttpListener& operator=(HttpListener&&) noexcept;
-  ~HttpListener();
-
-  // The port in use.
-  std::uint16_t Port() const;
-
-  // Waits for the next connection. Returns nothing with Cancelled once the
-  // listener is closed.
-  Task<std::optional<HttpConnection>> Accept(FailureReason& aReason);
-
-  // `aMakeRoom` is called each time that a connection can't be accepted for
-  // lack of descriptors.
-  void OnNoDescriptors(std::function<void()> aMakeRoom);
-
-  void Close();
-
-private:
-  explicit HttpListener(std::unique_ptr<State> aState);
-
-  std::unique_ptr<State> state;
-};
-
 } // namespace wigeonwalk
--- a/wigeonwalk/adapters/http/http_pool.cc
+++ b/wigeonwalk/adapters/http/http_pool.cc
@@ -39,10 +39,7 @@
                   FailureReason& aReason)
 {
   auto& connections = this->idle[aAddress];
-  const TimePoint oldest = this->timer.Now() - this->maxIdle;
-  std::erase_if(connections, [oldest](const Idle& aIdle) {
-    return aIdle.idleSince < oldest;
-  });
+  this->CloseExpired(connections, this->timer.Now());
   while (aReuse == Reuse::Allowed && !connections.empty()) {
     Idle last = std::move(connections.back());
     connections.pop_back();
@@ -76,24 +73,30 @@
                                     ? TimePoint::max()
                                     : now + keepAliveTimeout * 3 / 4;
   connections.push_back({ std::move(aConnection), now, reusableUntil });
-  this->CloseExpired(now);
+  this->CloseAllExpired(now);
   if (this->IdleCount() > this->maxIdleCount) {
     this->CloseLongestIdle();
   }
 }
 
 void
-HttpPool::CloseExpired(TimePoint aNow)
+HttpPool::CloseExpired(std::vector<Idle>& aConnections, TimePoint aNow)
+{
+  const TimePoint oldest = aNow - this->maxIdle;
+  std::erase_if(aConnections, [oldest](const Idle& aIdle) {
+    return aIdle.idleSince < oldest;
+  });
+}
+
+void
+HttpPool::CloseAllExpired(TimePoint aNow)
 {
-  if (aNow < this->expiredAt + this->maxIdle) {
+  if (aNow < this->lookedAt + this->maxIdle) {
     return;
   }
-  this->expiredAt = aNow;
-  const TimePoint oldest = aNow - this->maxIdle;
+  this->lookedAt = aNow;
   for (auto& [address, connections] : this->idle) {
-    std::erase_if(connections, [oldest](const Idle& aIdle) {
-      return aIdle.idleSince < oldest;
-    });
+    this->CloseExpired(connections, aNow);
   }
 }
 
--- a/wigeonwalk/adapters/http/http_pool.h
+++ b/wigeonwalk/adapters/http/http_pool.h
@@ -43,8 +43,8 @@
 class HttpPool
 {
 public:
-  // Most idle connections unless another number is set.
-  static constexpr std::size_t kMaxIdleCount = 2'000;
+  // Most idle connections, unless SetMaxIdleCount sets another number.
+  static constexpr std::size_t kDefaultMaxIdleCount = 2'000;
 
   // Connections that have been idle for longer than aMaxIdle are closed instead
   // of reused.
@@ -98,15 +98,17 @@
     TimePoint reusableUntil;
   };
 
-  // Closes what has been idle for too long, to any address. Looks at most once
-  // in each `maxIdle`.
-  void CloseExpired(TimePoint aNow);
+  // Closes what has been idle for too long. To all addresses only once in each
+  // `maxIdle`.
+  void CloseExpired(std::vector<Idle>& aConnections, TimePoint aNow);
+  void CloseAllExpired(TimePoint aNow);
 
   SystemTimer& timer;
   boost::asio::any_io_executor executor;
   Duration maxIdle;
-  std::size_t maxIdleCount = kMaxIdleCount;
-  TimePoint expiredAt;
+  std::size_t maxIdleCount = kDefaultMaxIdleCount;
+  // When all addresses were looked at.
+  TimePoint lookedAt;
   // Shared with connections, which may outlive the pool.
   std::shared_ptr<MessageMemory> heldMessages =
     std::make_shared<MessageMemory>();
--- a/wigeonwalk/adapters/http/message_memory.h
+++ b/wigeonwalk/adapters/http/message_memory.h
@@ -3,7 +3,7 @@
 //
 //   MessageMemory memory;
 //   MessageMemory::Share share(memory, [&] { connection.Close(); });
-//   if (!share.Resize(body.size())) { ... the message was ended ... }
+//   if (!share.Resize(body.size(), now)) { ... the message was ended ... }
 #pragma once
 
 #include "wigeonwalk/base/time.h"
@@ -56,7 +56,7 @@
 
     // Sets the number of bytes held. Returns false if the message was ended, or
     // if it is the largest one that can be and the limit is exceeded.
-    bool Resize(std::size_t aBytes, TimePoint aNow = TimePoint());
+    bool Resize(std::size_t aBytes, TimePoint aNow);
 
     // The whole message has been received. It still counts, but is not ended.
     void NoteComplete() { this->isComplete = true; }
--- a/wigeonwalk/adapters/http/message_memory_test.cc
+++ b/wigeonwalk/adapters/http/message_memory_test.cc
@@ -11,6 +11,7 @@
 
 constexpr std::size_t kLimit = MessageMemory::kMaxBytes;
 constexpr std::size_t kFree = MessageMemory::kUncountedBytes;
+constexpr TimePoint kNow(std::chrono::seconds(100));
 
 // Answers that are being received, and how many were ended in favour of others.
 struct Answers
@@ -19,7 +20,7 @@
   {
     this->shares.push_back(std::make_unique<MessageMemory::Share>(
       this->memory, [this] { ++this->ended; }));
-    CHECK(this->shares.back()->Resize(aBytes));
+    CHECK(this->shares.back()->Resize(aBytes, kNow));
     return *this->shares.back();
   }
 
@@ -42,67 +43,66 @@
 
   WHEN("the largest one grows beyond the limit")
   {
-    CHECK_FALSE(large.Resize(kLimit + kFree));
+    CHECK_FALSE(large.Resize(kLimit + kFree, kNow));
     THEN("it ends, and its memory counts no longer")
     {
       CHECK(answers.ended == 0);
       CHECK(large.IsEnded());
       CHECK(answers.memory.Bytes() == kLimit / 4);
-      CHECK(medium.Resize(kLimit + kFree));
+      CHECK(medium.Resize(kLimit + kFree, kNow));
     }
   }
 
   WHEN("another one grows beyond the limit")
   {
-    CHECK(medium.Resize(kLimit / 2 + kFree));
-    CHECK(ordinary.Resize(kFree + 1));
+    CHECK(medium.Resize(kLimit / 2 + kFree, kNow));
+    CHECK(ordinary.Resize(kFree + 1, kNow));
     THEN("the largest one ends in its place")
     {
       CHECK(answers.ended == 1);
       CHECK(large.IsEnded());
       CHECK_FALSE(medium.IsEnded());
-      CHECK_FALSE(large.Resize(1));
+      CHECK_FALSE(large.Resize(1, kNow));
       CHECK(answers.memory.Bytes() == kLimit / 2 + 1);
     }
   }
 
   WHEN("many of ordinary size arrive beside them")
   {
-    CHECK(medium.Resize(kLimit / 2 + kFree));
+    CHECK(medium.Resize(kLimit / 2 + kFree, kNow));
     for (int i = 0; i < 1'000; ++i) {
       answers.Add(kFree);
     }
     THEN("none ends")
     {
       CHECK(answers.ended == 0);
-      CHECK(ordinary.Resize(kFree));
+      CHECK(ordinary.Resize(kFree, kNow));
     }
   }
 
   WHEN("the largest one is complete")
   {
     large.NoteComplete();
-    CHECK_FALSE(medium.Resize(kLimit / 2 + 1 + kFree));
+    CHECK_FALSE(medium.Resize(kLimit / 2 + 1 + kFree, kNow));
     THEN("the next one ends, as the limit holds")
     {
       CHECK_FALSE(large.IsEnded());
       CHECK(medium.IsEnded());
-      CHECK(ordinary.Resize(kFree));
+      CHECK(ordinary.Resize(kFree, kNow));
     }
   }
 
   WHEN("complete ones wait for their receivers")
   {
     constexpr Duration kMaxWait = MessageMemory::kMaxWait;
-    const TimePoint start = TimePoint() + std::chrono::seconds(100);
     std::vector<MessageMemory::Share*> givenUp;
     large.NoteWaiting([&] { givenUp.push_back(&large); },
-                      start + std::chrono::milliseconds(500));
-    medium.NoteWaiting([&] { givenUp.push_back(&medium); }, start);
+                      kNow + std::chrono::milliseconds(500));
+    medium.NoteWaiting([&] { givenUp.push_back(&medium); }, kNow);
 
     THEN("the slowest one ends in favour of another one")
     {
-      CHECK(ordinary.Resize(kLimit / 4 + 1 + kFree, start + kMaxWait));
+      CHECK(ordinary.Resize(kLimit / 4 + 1 + kFree, kNow + kMaxWait));
       CHECK(givenUp == std::vector<MessageMemory::Share*>{ &medium });
       CHECK(medium.IsEnded());
       CHECK_FALSE(large.IsEnded());
@@ -111,14 +111,13 @@
 
     THEN("the next one ends too if that isn't enough")
     {
-      CHECK(ordinary.Resize(kLimit + kFree, start + kMaxWait * 2));
+      CHECK(ordinary.Resize(kLimit + kFree, kNow + kMaxWait * 2));
       CHECK(givenUp == std::vector<MessageMemory::Share*>{ &medium, &large });
     }
 
     THEN("none ends that has not waited long")
     {
-      CHECK_FALSE(
-        ordinary.Resize(kLimit / 4 + 1 + kFree, start + kMaxWait / 2));
+      CHECK_FALSE(ordinary.Resize(kLimit / 4 + 1 + kFree, kNow + kMaxWait / 2));
       CHECK(givenUp.empty());
       CHECK(ordinary.IsEnded());
     }
@@ -128,6 +127,6 @@
   {
     answers.shares.erase(answers.shares.begin());
     CHECK(answers.memory.Bytes() == kLimit / 4);
-    CHECK(medium.Resize(kLimit + kFree));
+    CHECK(medium.Resize(kLimit + kFree, kNow));
   }
 }
--- a/wigeonwalk/adapters/key_value/etcd_gateway_test.cc
+++ b/wigeonwalk/adapters/key_value/etcd_gateway_test.cc
@@ -1,3 +1,4 @@
+#include "wigeonwalk/adapters/http/http_listener.h"
 #include "wigeonwalk/adapters/key_value/etcd_gateway.h"
 #include "wigeonwalk/standins/key_value_standin.h"
 
--- a/wigeonwalk/adapters/openai/caller_session.h
+++ b/wigeonwalk/adapters/openai/caller_session.h
@@ -4,7 +4,7 @@
 //   co_await ServeCaller(std::move(connection), handler, context);
 #pragma once
 
-#include "wigeonwalk/adapters/http/http_server.h"
+#include "wigeonwalk/adapters/http/http_connection.h"
 #include "wigeonwalk/adapters/openai/openai_codec.h"
 #include "wigeonwalk/ports/front_end.h"
 
--- a/wigeonwalk/adapters/peer/peer_frame.cc
+++ b/wigeonwalk/adapters/peer/peer_frame.cc
@@ -4,6 +4,7 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include <random>
 #include <stdexcept>
 
 namespace wigeonwalk {
@@ -37,6 +38,24 @@
 
 } // namespace
 
+std::string
+ClusterKey::NewText()
+{
+  constexpr int kWords = 8;
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr int kDigitsOfWord = 8;
+  std::random_device source;
+  std::string key;
+  for (int i = 0; i < kWords; ++i) {
+    std::uint32_t word = source();
+    for (int digit = 0; digit < kDigitsOfWord; ++digit) {
+      key += kDigits[word & 0xF];
+      word >>= 4;
+    }
+  }
+  return key;
+}
+
 std::optional<ClusterKey>
 ClusterKey::FromText(std::string_view aText, FailureReason& aReason)
 {
--- a/wigeonwalk/adapters/peer/peer_frame.h
+++ b/wigeonwalk/adapters/peer/peer_frame.h
@@ -92,6 +92,9 @@
   static std::optional<ClusterKey> FromText(std::string_view aText,
                                             FailureReason& aReason);
 
+  // Returns the text of a new random key, in hexadecimal.
+  static std::string NewText();
+
   const std::string& Bytes() const { return this->bytes; }
 
 private:
--- a/wigeonwalk/adapters/settings/entry_settings_json.cc
+++ b/wigeonwalk/adapters/settings/entry_settings_json.cc
@@ -54,7 +54,7 @@
   aField("logLevel", aSettings.logLevel);
 }
 
-std::optional<std::map<AvailabilityZone, std::string>>
+std::optional<ZoneRegions>
 ParseRegions(std::string_view aText, std::vector<FailureReason>& aReasons)
 {
   using namespace settings_internal;
@@ -66,7 +66,7 @@
   if (!json) {
     return std::nullopt;
   }
-  std::map<AvailabilityZone, std::string> regions;
+  ZoneRegions regions;
   ReadValue(*json, regions);
   return regions;
 }
--- a/wigeonwalk/adapters/settings/entry_settings_json.h
+++ b/wigeonwalk/adapters/settings/entry_settings_json.h
@@ -23,7 +23,7 @@
 
 // Parses the regions of availability zones, a JSON object of zones and their
 // regions. On failure, returns nothing and adds every error.
-std::optional<std::map<AvailabilityZone, std::string>>
+std::optional<ZoneRegions>
 ParseRegions(std::string_view aText, std::vector<FailureReason>& aReasons);
 
 } // namespace wigeonwalk
--- a/wigeonwalk/daemon/daemon.cc
+++ b/wigeonwalk/daemon/daemon.cc
@@ -2,6 +2,7 @@
 
 #include "wigeonwalk/adapters/cpu/cpu_pool.h"
 #include "wigeonwalk/adapters/directory/directory_msgpack.h"
+#include "wigeonwalk/adapters/http/http_listener.h"
 #include "wigeonwalk/adapters/limits/limit_msgpack.h"
 #include "wigeonwalk/adapters/metrics/request_metrics_recorder.h"
 #include "wigeonwalk/adapters/openai/caller_session.h"
--- a/wigeonwalk/standins/accept_loop.h
+++ b/wigeonwalk/standins/accept_loop.h
@@ -6,7 +6,7 @@
 //   co_await AcceptAll(executor, address, serve, reason);
 #pragma once
 
-#include "wigeonwalk/adapters/http/http_server.h"
+#include "wigeonwalk/adapters/http/http_listener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/wigeonwalk/standins/engine_standin.h
+++ b/wigeonwalk/standins/engine_standin.h
@@ -5,8 +5,8 @@
 //   co_await engine.Run(reason);
 #pragma once
 
+#include "wigeonwalk/adapters/http/http_listener.h"
 #include "wigeonwalk/adapters/http/http_pool.h"
-#include "wigeonwalk/adapters/http/http_server.h"
 #include "wigeonwalk/standins/engine_model.h"
 
 #include <memory>
--- a/wigeonwalk/standins/plain_standin.h
+++ b/wigeonwalk/standins/plain_standin.h
@@ -5,7 +5,7 @@
 //   co_await service.Run(reason);
 #pragma once
 
-#include "wigeonwalk/adapters/http/http_server.h"
+#include "wigeonwalk/adapters/http/http_connection.h"
 
 #include <cstdint>
 #include <map>
--- a/wigeonwalk/standins/store_standin.h
+++ b/wigeonwalk/standins/store_standin.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "wigeonwalk/adapters/clock/system_timer.h"
-#include "wigeonwalk/adapters/http/http_server.h"
+#include "wigeonwalk/adapters/http/http_connection.h"
 #include "wigeonwalk/cache/piece_table.h"
 
 #include <optional>
