entry, fleet: decisions in the room of their topic, names read once more

Whether a failed request is sent again, and when its caller returns, are decisions of their own now (retry_decision). Loads that other daemons report belong to fleet/. ZoneRegions was defined twice.

--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "wigeonwalk/fleet/part_index.h"
+#include "wigeonwalk/fleet/peer_loads.h"
 #include "wigeonwalk/fleet/runner.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/peer_messages.h"
@@ -31,23 +32,6 @@
   bool operator==(const RunnerPause&) const = default;
 };
 
-// Requests and tokens that one daemon has in flight at one runner.
-struct RunnerLoadRow
-{
-  UpstreamId runner;
-  std::uint32_t inFlight = 0;
-  std::uint64_t tokensInFlight = 0;
-
-  bool operator==(const RunnerLoadRow&) const = default;
-};
-
-struct RunnerLoads
-{
-  std::vector<RunnerLoadRow> rows;
-
-  bool operator==(const RunnerLoads&) const = default;
-};
-
 // A long prompt was sent to a runner, where later requests wait for its
 // prefill, or its run has ended.
 struct RunnerWork
--- a/wigeonwalk/entry/entry_settings.h
+++ b/wigeonwalk/entry/entry_settings.h
@@ -5,9 +5,9 @@
 
 #include "wigeonwalk/base/ids.h"
 #include "wigeonwalk/base/time.h"
+#include "wigeonwalk/zones/home_regions.h"
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -67,7 +67,7 @@
   std::string region;
   // The region of each availability zone. A zone that is not listed is in an
   // unknown one.
-  std::map<AvailabilityZone, std::string> regions;
+  ZoneRegions regions;
   EntryListeners listen;
   CallerSettings callers;
   // Address of the registry.
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -5,12 +5,12 @@
 #pragma once
 
 #include "wigeonwalk/entry/admission.h"
+#include "wigeonwalk/entry/announced_prompt.h"
 #include "wigeonwalk/entry/answer_relay.h"
-#include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/forward_progress.h"
-#include "wigeonwalk/entry/pause_forecast.h"
 #include "wigeonwalk/entry/request_log.h"
+#include "wigeonwalk/entry/retry_decision.h"
 #include "wigeonwalk/entry/runner_wait.h"
 #include "wigeonwalk/ports/attempts.h"
 #include "wigeonwalk/ports/clock.h"
@@ -30,48 +30,6 @@
 
 namespace wigeonwalk {
 
-// Notifies other daemons of long prefills at a runner and of requests that
-// crash runners.
-template<typename T>
-concept WorkNotifier = requires(T& aNotifier, const RunnerWork& aWork)
-{
-  aNotifier.AnnounceWork(aWork);
-  aNotifier.AnnouncePoison();
-};
-
-// RAII guard: a long prompt at a runner, of which other daemons are told.
-template<WorkNotifier P>
-class AnnouncedPrompt
-{
-public:
-  AnnouncedPrompt(P& aPeers, std::shared_ptr<Runner> aRunner, RunnerWork aWork)
-    : peers(aPeers)
-    , runner(std::move(aRunner))
-    , work(std::move(aWork))
-  {
-    ++this->runner->longPrompts.count;
-    this->runner->longPrompts.tokens += this->work.memoryTokens;
-    this->work.atRunner = this->runner->longPrompts;
-    this->peers.AnnounceWork(this->work);
-  }
-  ~AnnouncedPrompt()
-  {
-    --this->runner->longPrompts.count;
-    this->runner->longPrompts.tokens -= this->work.memoryTokens;
-    this->work.tokensToPrefill = 0;
-    this->work.memoryTokens = 0;
-    this->work.atRunner = this->runner->longPrompts;
-    this->peers.AnnounceWork(this->work);
-  }
-  AnnouncedPrompt(const AnnouncedPrompt&) = delete;
-  AnnouncedPrompt& operator=(const AnnouncedPrompt&) = delete;
-
-private:
-  P& peers;
-  std::shared_ptr<Runner> runner;
-  RunnerWork work;
-};
-
 // Forwards one request and retries failed attempts. The EntryState must outlive
 // it.
 template<AttemptOpener U,
@@ -88,8 +46,6 @@
 
   // Timeout for connecting to a runner: several round trips between zones.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-  // Connection attempts for one request before it is refused.
-  static constexpr int kMaxConnectAttempts = 4;
   // How often a request that waits for the first configuration looks for it.
   static constexpr Duration kConfigurationPollInterval =
     std::chrono::milliseconds(20);
@@ -97,8 +53,6 @@
   // configuration: many times what the first read takes if the registry is
   // fast, and short compared with callers' timeouts.
   static constexpr Duration kStartupWait = std::chrono::milliseconds(600);
-  // Delay after which a caller should retry a request that did not run.
-  static constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
   // Prefills of at least this many tokens are announced to other daemons: the
   // next request at the runner waits for about 50 ms.
   static constexpr std::uint32_t kLongPrefillTokens = 2'048;
@@ -198,7 +152,14 @@
       }
       aProgress.failure = reason;
       this->NoteAttemptFailed(aRequest.facts, aProgress, *choice);
-      if (!this->MayRetry(aProgress)) {
+      const FailedRequest failed{ aProgress.admitted,
+                                  aProgress.tried,
+                                  aProgress.verdict,
+                                  aProgress.sentAttempts,
+                                  aProgress.connectAttempts,
+                                  aProgress.streamStarted,
+                                  aProgress.lastEventId.has_value() };
+      if (!MayRetry(this->state, failed, this->timer.Now())) {
         co_return;
       }
     }
@@ -403,61 +364,6 @@
               aProgress.sentAttempts);
   }
 
-  // Returns true if another attempt is safe (the request can't run twice, or
-  // may do so, and none of its parts is suspected to crash runners) and the
-  // route, the deadline and the retry budget allow it.
-  bool MayRetry(const Progress& aProgress)
-  {
-    const bool mayRunAgain =
-      aProgress.admitted.route->MayRunAgain() &&
-      (!aProgress.streamStarted ||
-       (aProgress.admitted.route->resumable && aProgress.lastEventId));
-    if (!MayRepeat(aProgress.verdict, mayRunAgain) ||
-        aProgress.sentAttempts >= aProgress.admitted.route->maxAttempts ||
-        aProgress.connectAttempts >= kMaxConnectAttempts) {
-      return false;
-    }
-    const TimePoint now = this->timer.Now();
-    const bool isSuspected =
-      this->state.partCrashes.StatusOf(aProgress.admitted.sharedParts, now) !=
-      PartStatus::Clear;
-    if (now >= aProgress.admitted.deadline ||
-        (isSuspected && aProgress.verdict != Verdict::NotRun)) {
-      return false;
-    }
-    const PauseForecast pauses = ForecastPause(
-      this->state, aProgress.admitted.service->name, aProgress.tried, now);
-    if (pauses.any && !pauses.untried) {
-      return false;
-    }
-    // A failed connection attempt does not count towards the retry budget, as
-    // nothing reached a runner.
-    return aProgress.sentAttempts == 0 ||
-           this->state.retryBudget.TrySpend(
-             aProgress.admitted.service->name, this->state.DaemonCount(), now);
-  }
-
-  // Returns the delay after which a caller should retry: when one of the
-  // runners may take its next request.
-  Duration RetryAfter(const EntryRequest& aRequest, const Progress& aProgress)
-  {
-    if (aProgress.retryAfter > Duration(0)) {
-      return aProgress.retryAfter;
-    }
-    if (aProgress.failure.code == ReasonCode::Poisoned) {
-      return PartCrashTracker::kRefusal;
-    }
-    if (aProgress.admitted.service == nullptr) {
-      return kRetryAfter;
-    }
-    const TimePoint now = this->timer.Now();
-    const PauseForecast pauses =
-      ForecastPause(this->state, aProgress.admitted.service->name, {}, now);
-    return pauses.any
-             ? RetryAfterPause(*pauses.any, SpreadOfRequest(aRequest.id), now)
-             : kRetryAfter;
-  }
-
   template<CallerExchange<Attempt> X>
   Task<void> Refuse(const EntryRequest& aRequest,
                     Progress& aProgress,
@@ -478,7 +384,13 @@
     refusal.verdict = aProgress.verdict;
     refusal.reason = aProgress.failure;
     if (aProgress.verdict == Verdict::NotRun) {
-      refusal.retryAfter = this->RetryAfter(aRequest, aProgress);
+      refusal.retryAfter = aProgress.retryAfter > Duration(0)
+                             ? aProgress.retryAfter
+                             : RetryAfterFailure(this->state,
+                                                 { aRequest.id,
+                                                   aProgress.admitted.service,
+                                                   aProgress.failure.code },
+                                                 this->timer.Now());
     }
     co_await aExchange.Refuse(refusal);
   }
--- a/wigeonwalk/entry/notice_limits.h
+++ b/wigeonwalk/entry/notice_limits.h
@@ -18,9 +18,9 @@
 inline constexpr std::size_t kMaxLoadRows = 12;
 // Up to this many daemons tell all others when a long prompt is sent to a
 // runner and when its run has ended: 34 KB/s for each daemon at 110 long
-// prompts a second. In a larger fleet only the start is told, to a part of the
-// daemons.
+// prompts a second in the fleet.
 inline constexpr std::size_t kMaxDaemonsToldAll = 100;
+// In a larger fleet only the start is told, to this many daemons.
 inline constexpr std::size_t kMaxWorkPeers = 24;
 // How often changes of parts are sent: twice within the maximum age of a
 // source's last report.
--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -12,7 +12,7 @@
 #include "wigeonwalk/entry/notice_limits.h"
 #include "wigeonwalk/entry/part_relay.h"
 #include "wigeonwalk/entry/part_reporter.h"
-#include "wigeonwalk/entry/peer_loads.h"
+#include "wigeonwalk/fleet/peer_loads.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/peer_channel.h"
 #include "wigeonwalk/ports/structured_log.h"
--- a/wigeonwalk/entry/registry_item_log.h
+++ b/wigeonwalk/entry/registry_item_log.h
@@ -1,8 +1,11 @@
-// Log lines for registry items before they are applied to the state.
+// Log lines for registry items, before they are applied to the state and, for
+// registrations of runners, afterwards.
 //
 //   LogRegistryItem(log, state, item, revision, now);
+//   LogRegistration(log, state, entry, change, now);
 #pragma once
 
+#include "wigeonwalk/entry/advice_handling.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/ports/structured_log.h"
@@ -104,4 +107,37 @@
   }
 }
 
+// Logs a registration of a runner that has started to leave, and the first one
+// of a start that is cold.
+template<StructuredLog L>
+void
+LogRegistration(L& aLog,
+                const EntryState& aState,
+                const RunnerEntry& aEntry,
+                FleetChange aChange,
+                TimePoint aNow)
+{
+  const bool isNew =
+    aChange == FleetChange::Added || aChange == FleetChange::Restarted;
+  if (aChange == FleetChange::StartedLeaving ||
+      (isNew && aEntry.state == RunnerState::Leaving)) {
+    LogLeaving(aLog, aState, aEntry, LeavingCause::Registry, aNow);
+  }
+  const auto* traits = aState.ColdTraitsOf(aEntry.service);
+  const auto runner = aState.fleet.Find(aEntry.id);
+  if (!isNew || traits == nullptr || runner == nullptr ||
+      !runner->coldStart.IsCold(*traits, aNow)) {
+    return;
+  }
+  aLog.Write(aNow,
+             LogLevel::Info,
+             "runner is cold",
+             {},
+             { { LogKey::Upstream, aEntry.id },
+               { LogKey::Zone, aEntry.zone },
+               { LogKey::Start, aEntry.startedAt },
+               { LogKey::Limit, runner->coldStart.ColdUntil(*traits) - aNow },
+               { LogKey::Expected, traits->requestsPerSecond } });
+}
+
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -4,7 +4,6 @@
 //   spawn(watch.Run());
 #pragma once
 
-#include "wigeonwalk/entry/advice_handling.h"
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/item_mirror.h"
@@ -373,8 +372,7 @@
         this->log, this->state, item, aChange.entry.modRevision, now);
       change = this->state.Apply(std::move(item), now, aOrigin);
       if (runner) {
-        this->LogIfLeaving(*runner, change);
-        this->LogIfCold(*runner, change);
+        LogRegistration(this->log, this->state, *runner, change, now);
         isRepeated = change == FleetChange::None;
       }
     }
@@ -400,44 +398,6 @@
     }
   }
 
-  void LogIfLeaving(const RunnerEntry& aEntry, FleetChange aChange)
-  {
-    const bool isNew =
-      aChange == FleetChange::Added || aChange == FleetChange::Restarted;
-    if (aChange == FleetChange::StartedLeaving ||
-        (isNew && aEntry.state == RunnerState::Leaving)) {
-      LogLeaving(this->log,
-                 this->state,
-                 aEntry,
-                 LeavingCause::Registry,
-                 this->timer.Now());
-    }
-  }
-
-  // Logs the first registration of a start that is cold.
-  void LogIfCold(const RunnerEntry& aEntry, FleetChange aChange)
-  {
-    const TimePoint now = this->timer.Now();
-    const auto* traits = this->state.ColdTraitsOf(aEntry.service);
-    const auto runner = this->state.fleet.Find(aEntry.id);
-    const bool isNew =
-      aChange == FleetChange::Added || aChange == FleetChange::Restarted;
-    if (!isNew || traits == nullptr || runner == nullptr ||
-        !runner->coldStart.IsCold(*traits, now)) {
-      return;
-    }
-    this->log.Write(
-      now,
-      LogLevel::Info,
-      "runner is cold",
-      {},
-      { { LogKey::Upstream, aEntry.id },
-        { LogKey::Zone, aEntry.zone },
-        { LogKey::Start, aEntry.startedAt },
-        { LogKey::Limit, runner->coldStart.ColdUntil(*traits) - now },
-        { LogKey::Expected, traits->requestsPerSecond } });
-  }
-
   EntryState& state;
   ItemMirror& mirror;
   S& store;
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -64,8 +64,8 @@
   if (aTurns >= 1) {
     return;
   }
-  const auto turn =
-    static_cast<std::uint64_t>(aNow.time_since_epoch() / Contention::kNoteTime);
+  const auto turn = static_cast<std::uint64_t>(aNow.time_since_epoch() /
+                                               Contention::kLookInterval);
   const HostId& host = aState.Settings().host;
   std::erase_if(aCandidates, [&](const std::shared_ptr<Runner>& aRunner) {
     return !HasTurn(host, aRunner->entry.id.Text(), turn, aTurns);
--- a/wigeonwalk/entry/runner_wait.h
+++ b/wigeonwalk/entry/runner_wait.h
@@ -48,7 +48,7 @@
 {
 public:
   // How often a waiting request looks for a runner.
-  static constexpr Duration kPollInterval = Contention::kNoteTime;
+  static constexpr Duration kPollInterval = Contention::kLookInterval;
   // Small prompts, and requests without a usable runner, wait for at most the
   // route's target latency divided by this.
   static constexpr int kShortWaitDivisor = 8;
--- a/wigeonwalk/entry/runner_wait_test.cc
+++ b/wigeonwalk/entry/runner_wait_test.cc
@@ -155,7 +155,7 @@
     CHECK(setting.state.DaemonsWaiting(setting.time.Now()) == 0);
     while (contention.Share(setting.time.Now()) < 0.9) {
       contention.NoteWaiting(setting.time.Now());
-      setting.time.RunUntil(setting.time.Now() + Contention::kNoteTime);
+      setting.time.RunUntil(setting.time.Now() + Contention::kLookInterval);
     }
 
     CHECK(setting.state.DaemonsWaiting(setting.time.Now()) > 70);
@@ -172,7 +172,7 @@
           taken += search->pick ? 1 : 0;
           search->load.reset();
           contention.NoteWaiting(setting.time.Now());
-          setting.time.RunUntil(setting.time.Now() + Contention::kNoteTime);
+          setting.time.RunUntil(setting.time.Now() + Contention::kLookInterval);
         }
         CHECK(taken > 0);
         CHECK(taken < 20);
--- a/wigeonwalk/fleet/peer_loads.cc
+++ b/wigeonwalk/fleet/peer_loads.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/entry/peer_loads.h"
+#include "wigeonwalk/fleet/peer_loads.h"
 
 #include "wigeonwalk/fleet/unheard_load.h"
 
@@ -48,6 +48,7 @@
       static_cast<double>(std::max<std::uint64_t>(sample.requests, 1));
     for (const auto& runner : sample.runners) {
       const double requests = unheard.At(SampledAt(*runner));
+      // Without fractions: a nearly idle fleet counts as idle.
       runner->othersInFlight += static_cast<std::uint32_t>(requests);
       runner->othersTokensInFlight +=
         static_cast<std::uint64_t>(requests * tokens);
--- a/wigeonwalk/fleet/peer_loads.h
+++ b/wigeonwalk/fleet/peer_loads.h
@@ -6,7 +6,6 @@
 #pragma once
 
 #include "wigeonwalk/base/enum_names.h"
-#include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/fleet/fleet.h"
 #include "wigeonwalk/fleet/peer_bookings.h"
 #include "wigeonwalk/ports/registry_items.h"
@@ -18,6 +17,23 @@
 
 namespace wigeonwalk {
 
+// Requests and tokens that one daemon has in flight at one runner.
+struct RunnerLoadRow
+{
+  UpstreamId runner;
+  std::uint32_t inFlight = 0;
+  std::uint64_t tokensInFlight = 0;
+
+  bool operator==(const RunnerLoadRow&) const = default;
+};
+
+struct RunnerLoads
+{
+  std::vector<RunnerLoadRow> rows;
+
+  bool operator==(const RunnerLoads&) const = default;
+};
+
 // What load reports cover.
 enum class ReportScope
 {
--- a/wigeonwalk/fleet/peer_loads_test.cc
+++ b/wigeonwalk/fleet/peer_loads_test.cc
@@ -1,4 +1,4 @@
-#include "wigeonwalk/entry/peer_loads.h"
+#include "wigeonwalk/fleet/peer_loads.h"
 
 #include <catch2/catch.hpp>
 
--- a/wigeonwalk/fleet/place_rules.h
+++ b/wigeonwalk/fleet/place_rules.h
@@ -12,7 +12,6 @@
 #include "wigeonwalk/zones/zones_out_of_use.h"
 
 #include <cstddef>
-#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -45,9 +44,7 @@
 class PlaceRules
 {
 public:
-  using Regions = std::map<AvailabilityZone, std::string>;
-
-  PlaceRules(const ZonesOutOfUse& aOutOfUse, const Regions& aRegions)
+  PlaceRules(const ZonesOutOfUse& aOutOfUse, const ZoneRegions& aRegions)
     : outOfUse(aOutOfUse)
     , regions(aRegions)
   {
@@ -72,7 +69,7 @@
 
 private:
   const ZonesOutOfUse& outOfUse;
-  const Regions& regions;
+  const ZoneRegions& regions;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/fleet/place_rules_test.cc
+++ b/wigeonwalk/fleet/place_rules_test.cc
@@ -24,10 +24,10 @@
 SCENARIO("a request is processed only where its place rules allow")
 {
   const TimePoint now = TimePoint() + 100s;
-  const PlaceRules::Regions regions{ { AvailabilityZone("a1"), "alps" },
-                                     { AvailabilityZone("a2"), "alps" },
-                                     { AvailabilityZone("b1"), "bay" },
-                                     { AvailabilityZone("c1"), "cape" } };
+  const ZoneRegions regions{ { AvailabilityZone("a1"), "alps" },
+                             { AvailabilityZone("a2"), "alps" },
+                             { AvailabilityZone("b1"), "bay" },
+                             { AvailabilityZone("c1"), "cape" } };
   const std::vector<std::shared_ptr<Runner>> runners{
     RunnerIn("a1"), RunnerIn("a2"), RunnerIn("b1"), RunnerIn("unlisted")
   };
--- a/wigeonwalk/queueing/contention.cc
+++ b/wigeonwalk/queueing/contention.cc
@@ -22,8 +22,8 @@
   if (aNow < this->notedUntil) {
     return;
   }
-  this->share = 1 - (1 - this->Share(aNow)) * Remaining(kNoteTime);
-  this->notedUntil = aNow + kNoteTime;
+  this->share = 1 - (1 - this->Share(aNow)) * Remaining(kLookInterval);
+  this->notedUntil = aNow + kLookInterval;
 }
 
 double
--- a/wigeonwalk/queueing/contention.h
+++ b/wigeonwalk/queueing/contention.h
@@ -18,12 +18,13 @@
 class Contention
 {
 public:
-  // How long one note counts: the interval between two looks for a runner.
-  static constexpr Duration kNoteTime = std::chrono::milliseconds(20);
+  // Interval between two looks for a runner: a note counts for as long, and a
+  // turn lasts as long.
+  static constexpr Duration kLookInterval = std::chrono::milliseconds(20);
   // Time constant of the mean.
   static constexpr Duration kMemory = std::chrono::milliseconds(500);
 
-  // Records that a prompt waits from now on for kNoteTime.
+  // Records that a prompt waits from now on for kLookInterval.
   void NoteWaiting(TimePoint aNow);
 
   // Returns the share of the recent time in which prompts waited.
--- a/wigeonwalk/queueing/contention_test.cc
+++ b/wigeonwalk/queueing/contention_test.cc
@@ -110,7 +110,7 @@
         ? 1
         : 1 / contention.Contenders(this->queues.size(), this->now);
     const auto turn = static_cast<std::uint64_t>(this->now.time_since_epoch() /
-                                                 Contention::kNoteTime);
+                                                 Contention::kLookInterval);
     std::vector<std::size_t> free;
     for (std::size_t i = 0; i < this->running.size(); ++i) {
       if (this->seen.front()[i] < kRoom &&
@@ -163,7 +163,7 @@
   WHEN("prompts have waited for two seconds")
   {
     TimePoint now = start;
-    for (; now < start + 2s; now += Contention::kNoteTime) {
+    for (; now < start + 2s; now += Contention::kLookInterval) {
       contention.NoteWaiting(now);
       contention.NoteWaiting(now + 1ms);
     }
--- a/wigeonwalk/routing/configuration_check.h
+++ b/wigeonwalk/routing/configuration_check.h
@@ -7,7 +7,6 @@
 #include "wigeonwalk/base/enum_names.h"
 #include "wigeonwalk/routing/routing_configuration.h"
 
-#include <map>
 #include <string>
 #include <vector>
 
@@ -47,9 +46,6 @@
   bool operator==(const ConfigurationFinding&) const = default;
 };
 
-// Region of each availability zone; empty if they are unknown.
-using ZoneRegions = std::map<AvailabilityZone, std::string>;
-
 // Returns errors, entries that can never match, and contradictions. Homes are
 // compared with the regions only if these are known.
 std::vector<ConfigurationFinding>
--- a/wigeonwalk/shares/member_shares.cc
+++ b/wigeonwalk/shares/member_shares.cc
@@ -55,7 +55,7 @@
 double
 PhaseOf(const HostId& aHost, std::string_view aKey)
 {
-  constexpr std::uint64_t kSteps = 1'024;
+  constexpr std::uint64_t kSteps = 1ULL << 32U;
   return static_cast<double>(RendezvousScore(aHost, aKey) % kSteps) / kSteps;
 }
 
--- a/wigeonwalk/shares/member_shares.h
+++ b/wigeonwalk/shares/member_shares.h
@@ -62,9 +62,10 @@
 double
 PhaseOf(const HostId& aHost, std::string_view aKey);
 
-// Returns true if it is a daemon's turn at `aKey`, of which each daemon gets
-// this share. Turns are drawn by lot, so that daemons need neither a common
-// clock nor a common list: two may have theirs at the same time.
+// Returns true if the turn with this number at `aKey` is the daemon's. Each
+// daemon has `aShare` of all turns there. They are drawn by lot, so that
+// daemons need neither a common clock nor a common list: two may have the same
+// turn.
 bool
 HasTurn(const HostId& aHost,
         std::string_view aKey,
--- a/wigeonwalk/zones/home_regions.h
+++ b/wigeonwalk/zones/home_regions.h
@@ -5,6 +5,9 @@
 //   if (homes.Allows(regionOfRunner)) { ... }
 #pragma once
 
+#include "wigeonwalk/base/ids.h"
+
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -12,6 +15,9 @@
 
 namespace wigeonwalk {
 
+// Region of each availability zone that is known.
+using ZoneRegions = std::map<AvailabilityZone, std::string>;
+
 // Immutable. Without homes, every region is allowed, also an unknown one. With
 // homes, an unknown region, the empty name, is none of them.
 class HomeRegions
