--- a/review/harness-2/runner.hpp
+++ b/review/harness-2/runner.hpp
@@ -72,7 +72,9 @@
   // back or has been silent for three heartbeats.
   void Crash(double aDownFor)
   {
-    this->down = true;
+    if (this->down.exchange(true)) {
+      return;
+    }
     this->listener.Shut();
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
