--- a/review/harness-2/harness.hpp
+++ b/review/harness-2/harness.hpp
@@ -985,8 +985,12 @@
     if (!this->connection.IsOpen() || !this->connection.Write(bytes)) {
       this->connection.Close();
       answer.isClosed = true;
+      RECORD("not sent: %s", aRequest.Field("X-Request-Id").c_str());
       return answer;
     }
+    RECORD("sent: %s %s",
+           aRequest.Field("X-Request-Id").c_str(),
+           aRequest.start.c_str());
     auto head = ReadHead(this->connection, until);
     if (!head) {
       answer.isClosed = this->connection.ended;
