http: refuse a field of more than 64 KiB instead of ending the process

Callers saw: all connections of a daemon closed at once, requests in progress without an answer, after one client had sent a header field or a trailer of more than 65,533 bytes. Settings need a max_header_bytes above 64 KiB for the field, or of 64 KiB for the trailer.

Cause: Beast stores no larger field and throws std::length_error for it. ReadRequest let it through, and the handler of the session's task rethrows everything but system errors.

Change: the parser's exception is the header limit (431, connection closed).

--- a/wigeonwalk/adapters/http/http_connection.cc
+++ b/wigeonwalk/adapters/http/http_connection.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -127,14 +128,20 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
-// Parses what has been read, as far as it is complete.
+// Parses what has been read, as far as it is complete. Beast stores no field
+// whose name or value exceeds 64 KiB and throws for it, whatever the limits on
+// the header and on trailers.
 void
 ParseBuffer(beast::flat_buffer& aBuffer,
             RequestParser& aParser,
             error_code& aError)
 {
-  const std::size_t parsed = aParser.put(aBuffer.data(), aError);
-  aBuffer.consume(parsed);
+  try {
+    const std::size_t parsed = aParser.put(aBuffer.data(), aError);
+    aBuffer.consume(parsed);
+  } catch (const std::length_error&) {
+    aError = http::error::header_limit;
+  }
   if (aError == http::error::need_more) {
     aError = {};
   }
--- a/wigeonwalk/base/failure_reason.h
+++ b/wigeonwalk/base/failure_reason.h
@@ -50,12 +50,14 @@
   Cancelled,
   DaemonStopping,
   ClaimUnknown,
+  // A fault of this program, such as an exception that nothing expects.
+  Internal,
 };
 
 template<>
 struct EnumNames<ReasonCode>
 {
-  static constexpr std::array<EnumName<ReasonCode>, 28> kTable{ {
+  static constexpr std::array<EnumName<ReasonCode>, 29> kTable{ {
     { ReasonCode::None, "none" },
     { ReasonCode::InvalidArgument, "invalid-argument" },
     { ReasonCode::UnknownKey, "unknown-key" },
@@ -84,6 +86,7 @@
     { ReasonCode::Cancelled, "cancelled" },
     { ReasonCode::DaemonStopping, "daemon-stopping" },
     { ReasonCode::ClaimUnknown, "claim-unknown" },
+    { ReasonCode::Internal, "internal" },
   } };
 };
 static_assert(HasCompleteTable<ReasonCode>());
