entry: answer a request that an exception ends

Callers saw: no answer until their own deadline, for a request whose forwarding threw. A TRACE with a body did it: Beast's framing of a request throws for it.

Cause: ServeRequest races the forwarding with the caller's leaving; the operator waits for the others if one throws. And the client framed requests with prepare_payload, which judges the method.

Change: ForwardRun takes an exception for a failure with the reason "internal": 503 if nothing had been sent, else 502 or a closed connection. Requests are framed by their body alone, so TRACE with a body is passed on unchanged.

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -10,7 +10,10 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
+#include <array>
 #include <charconv>
+#include <string_view>
 #include <utility>
 
 namespace wigeonwalk {
@@ -51,6 +54,21 @@
   aSocket.set_option(Option(kTcpUserTimeoutMs), ignored);
 }
 
+// Returns true if the request states its length. Without a body only methods
+// that usually have one do. A body is framed whatever the method says of it:
+// Beast's own framing throws for TRACE.
+bool
+HasLength(const HttpRequest& aRequest)
+{
+  static constexpr std::array<std::string_view, 3> kMethodsWithBody{ "POST",
+                                                                     "PUT",
+                                                                     "PATCH" };
+  return !aRequest.body.empty() ||
+         std::find(kMethodsWithBody.begin(),
+                   kMethodsWithBody.end(),
+                   aRequest.method) != kMethodsWithBody.end();
+}
+
 } // namespace
 
 struct HttpClientConnection::State
@@ -147,7 +165,9 @@
   }
   message.keep_alive(aRequest.keepAlive);
   message.body() = { aRequest.body.data(), aRequest.body.size() };
-  message.prepare_payload();
+  if (HasLength(aRequest)) {
+    message.content_length(aRequest.body.size());
+  }
   this->state->parser.reset();
   this->state->held.reset();
   ++this->state->requestsSent;
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -19,9 +19,11 @@
 #include "wigeonwalk/retry/verdict_rules.h"
 
 #include <boost/asio/this_coro.hpp>
+#include <boost/system/system_error.hpp>
 
 #include <algorithm>
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -80,17 +82,13 @@
   Task<void> Forward(const Request& aRequest, X& aExchange)
   {
     Progress progress{ .arrivedAt = this->timer.Now() };
-    FailureReason reason;
-    co_await this->AwaitConfiguration();
-    const bool admitted = AdmitRequest(this->state,
-                                       aRequest.facts,
-                                       progress.arrivedAt,
-                                       progress.admitted,
-                                       reason);
-    if (admitted) {
-      co_await this->RunAttempts(aRequest, progress, aExchange);
-    } else {
-      progress.failure = reason;
+    try {
+      co_await this->Process(aRequest, progress, aExchange);
+    } catch (const boost::system::system_error&) {
+      // Cancelled: the caller has left.
+      throw;
+    } catch (const std::exception& error) {
+      this->NoteException(aRequest.facts, progress, error);
     }
     if (!progress.done) {
       co_await this->Refuse(aRequest.facts, progress, aExchange);
@@ -105,6 +103,41 @@
   }
 
 private:
+  template<CallerExchange<Attempt> X>
+  Task<void> Process(const Request& aRequest, Progress& aProgress, X& aExchange)
+  {
+    FailureReason reason;
+    co_await this->AwaitConfiguration();
+    const bool admitted = AdmitRequest(this->state,
+                                       aRequest.facts,
+                                       aProgress.arrivedAt,
+                                       aProgress.admitted,
+                                       reason);
+    if (admitted) {
+      co_await this->RunAttempts(aRequest, aProgress, aExchange);
+    } else {
+      aProgress.failure = reason;
+    }
+  }
+
+  // Records a fault of this program, which must not leave the caller without an
+  // answer.
+  void NoteException(const EntryRequest& aRequest,
+                     Progress& aProgress,
+                     const std::exception& aError)
+  {
+    aProgress.verdict =
+      CombineVerdicts(aProgress.verdict, this->VerdictIfCancelled());
+    aProgress.failedAnswer.reset();
+    Fail(aProgress.failure, ReasonCode::Internal, aError.what());
+    this->log.Write(
+      this->timer.Now(),
+      LogLevel::Error,
+      "request failed by an exception",
+      aRequest.id,
+      { LogField(aProgress.failure), { LogKey::Verdict, aProgress.verdict } });
+  }
+
   // Waits for the first configuration if the process has just started.
   Task<void> AwaitConfiguration()
   {
--- a/wigeonwalk/entry/test_runners.h
+++ b/wigeonwalk/entry/test_runners.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,9 @@
   // An unsigned status that implies that the request did not run.
   ImplyNotRun,
   Hang,
+  // An exception of this program, before or after the request is sent.
+  ThrowUnsent,
+  ThrowSent,
 };
 
 inline constexpr std::uint64_t kEvents = 4;
@@ -170,10 +174,13 @@
       const TimePoint connectedAt = this->time->Now() + this->connectTime;
       co_await this->time->WaitUntil(connectedAt);
     }
+    const Script script = this->scripts.front();
+    if (script == Script::ThrowUnsent) {
+      throw std::length_error("too long");
+    }
     if (!aMaySend()) {
       co_return Fail(aReason, ReasonCode::Stale, "not wanted any more");
     }
-    const Script script = this->scripts.front();
     if (this->scripts.size() > 1) {
       this->scripts.pop_front();
     }
@@ -181,6 +188,9 @@
       co_return Fail(aReason, ReasonCode::ConnectRefused, "refused");
     }
     this->attempts.push_back(aSpec);
+    if (script == Script::ThrowSent) {
+      throw std::length_error("too long");
+    }
     if (script == Script::BreakWhileSending) {
       co_return Fail(aReason, ReasonCode::WriteFailedPartWay, "broken");
     }
