http: answers to HEAD have no body

Cause: the client's parser waited for the body that Content-Length announces, and the server wrote a body whatever the method was.

Change: the client skips the body of an answer to HEAD, the connection of a caller writes only the head, on all listeners, and keeps the runner's Content-Length.

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -101,6 +101,8 @@
   std::string address;
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::uint64_t requestsSent = 0;
+  // The response to the last request has no body.
+  bool isHeadOnly = false;
   bool failed = false;
   std::shared_ptr<MessageMemory> memory;
   // Refers to the memory and the stream.
@@ -171,6 +173,7 @@
   this->state->parser.reset();
   this->state->held.reset();
   ++this->state->requestsSent;
+  this->state->isHeadOnly = aRequest.method == kHeadMethod;
   this->state->ExpireAt(aDeadline);
   error_code error;
   co_await http::async_write(this->state->stream,
@@ -238,6 +241,7 @@
     }
     this->state->parser.emplace();
     this->state->parser->body_limit(kMaxResponseBytes);
+    this->state->parser->skip(this->state->isHeadOnly);
     headBytes += co_await http::async_read_header(
       this->state->stream,
       this->state->buffer,
--- a/wigeonwalk/adapters/http/http_connection.cc
+++ b/wigeonwalk/adapters/http/http_connection.cc
@@ -57,6 +57,8 @@
   beast::flat_buffer buffer;
   HttpLimits limits;
   HttpLimit limitMet = HttpLimit::None;
+  // The response to the last request has no body.
+  bool isHeadOnly = false;
   std::shared_ptr<MessageMemory> memory;
   // Refers to the memory and the stream.
   std::optional<MessageMemory::Share> held;
@@ -177,6 +179,28 @@
   return request;
 }
 
+// A response without a body keeps the length that its fields state: it is that
+// of the body which another method would get.
+http::response<http::string_body>
+ToMessage(HttpResponse aResponse, bool aIsHeadOnly)
+{
+  http::response<http::string_body> message;
+  message.version(11);
+  message.result(aResponse.status);
+  for (const HttpHeader& header : aResponse.headers) {
+    message.insert(header.name, header.value);
+  }
+  message.body() = std::move(aResponse.body);
+  const bool statesLength =
+    !FindHeader(aResponse.headers, "Content-Length").empty();
+  if (!aIsHeadOnly) {
+    message.prepare_payload();
+  } else if (!statesLength && !message.body().empty()) {
+    message.content_length(message.body().size());
+  }
+  return message;
+}
+
 } // namespace
 
 Task<bool>
@@ -264,6 +288,7 @@
   if (connection.buffer.size() == 0) {
     connection.ReleaseBuffer();
   }
+  connection.isHeadOnly = parser.get().method() == http::verb::head;
   connection.limitMet = mayHold ? LimitOf(error) : HttpLimit::Memory;
   if (connection.limitMet != HttpLimit::None) {
     co_return FailLimit(aReason, connection.limitMet);
@@ -280,21 +305,25 @@
 Task<bool>
 HttpConnection::WriteResponse(HttpResponse aResponse, bool aKeepAlive)
 {
-  http::response<http::string_body> message;
-  message.version(11);
-  message.result(aResponse.status);
-  for (const HttpHeader& header : aResponse.headers) {
-    message.insert(header.name, header.value);
-  }
+  State& connection = *this->state;
+  http::response<http::string_body> message =
+    ToMessage(std::move(aResponse), connection.isHeadOnly);
   message.keep_alive(aKeepAlive);
-  message.body() = std::move(aResponse.body);
-  message.prepare_payload();
+  http::response_serializer<http::string_body> serializer(message);
   error_code error;
-  this->state->stream.expires_after(this->state->limits.writeTimeout);
-  co_await http::async_write(this->state->stream,
-                             message,
-                             asio::redirect_error(asio::use_awaitable, error));
-  this->state->stream.expires_never();
+  connection.stream.expires_after(connection.limits.writeTimeout);
+  if (connection.isHeadOnly) {
+    co_await http::async_write_header(
+      connection.stream,
+      serializer,
+      asio::redirect_error(asio::use_awaitable, error));
+  } else {
+    co_await http::async_write(
+      connection.stream,
+      serializer,
+      asio::redirect_error(asio::use_awaitable, error));
+  }
+  connection.stream.expires_never();
   co_return !error;
 }
 
@@ -322,6 +351,9 @@
 Task<bool>
 HttpConnection::WriteChunk(std::string aChunk)
 {
+  if (this->state->isHeadOnly) {
+    co_return true;
+  }
   error_code error;
   this->state->stream.expires_after(this->state->limits.writeTimeout);
   co_await asio::async_write(this->state->stream,
@@ -334,6 +366,9 @@
 Task<bool>
 HttpConnection::EndStream()
 {
+  if (this->state->isHeadOnly) {
+    co_return true;
+  }
   error_code error;
   this->state->stream.expires_after(this->state->limits.writeTimeout);
   co_await asio::async_write(this->state->stream,
--- a/wigeonwalk/adapters/http/http_connection.h
+++ b/wigeonwalk/adapters/http/http_connection.h
@@ -112,12 +112,12 @@
   // response and then close the connection.
   Task<std::optional<HttpRequest>> ReadRequest(FailureReason& aReason);
 
-  // Writes a complete response. Returns false if the write failed, for example
-  // because the peer closed the connection.
+  // Writes a complete response; to HEAD only its header. Returns false if the
+  // write failed, for example because the peer closed the connection.
   Task<bool> WriteResponse(HttpResponse aResponse, bool aKeepAlive);
 
   // Write the header of a chunked response, one chunk, and the terminating
-  // chunk. Return false if the write failed.
+  // chunk; to HEAD only the header. Return false if the write failed.
   Task<bool> BeginStream(unsigned aStatus, std::vector<HttpHeader> aHeaders);
   Task<bool> WriteChunk(std::string aChunk);
   Task<bool> EndStream();
--- a/wigeonwalk/adapters/http/http_message.h
+++ b/wigeonwalk/adapters/http/http_message.h
@@ -32,6 +32,9 @@
   bool keepAlive = true;
 };
 
+// Method whose response has no body, whatever the fields of its header say.
+inline constexpr std::string_view kHeadMethod = "HEAD";
+
 // A response with its complete body.
 struct HttpResponse
 {
