fleet: bound the cached parts that a daemon remembers

Cause: PartIndex had no bound on its entries. Trim bounds the sum of the tokens that a client claims, so parts of one token each fill it by the million, and removals that a runner reports get lost.

Change: the setting callers.cachedParts (131,072, about 32 MB) bounds the holdings over all runners and stores. Beyond it the holder with the most loses its least recently used one, so prompts at one runner don't displace what is known of others.

--- a/wigeonwalk/adapters/metrics/metric_names.h
+++ b/wigeonwalk/adapters/metrics/metric_names.h
@@ -47,12 +47,14 @@
   RequestsSentToCold,
   CallerLimits,
   DaemonsWaiting,
+  CachedParts,
+  CachedPartsEvicted,
 };
 
 template<>
 struct EnumNames<Metric>
 {
-  static constexpr std::array<EnumName<Metric>, 32> kTable{ {
+  static constexpr std::array<EnumName<Metric>, 34> kTable{ {
     { Metric::TimeToFirstToken, "time_to_first_token" },
     { Metric::TimeBetweenTokens, "time_between_tokens" },
     { Metric::QueueTime, "queue_time" },
@@ -85,6 +87,8 @@
     { Metric::RequestsSentToCold, "sent_to_cold" },
     { Metric::CallerLimits, "limited" },
     { Metric::DaemonsWaiting, "waiting" },
+    { Metric::CachedParts, "cached" },
+    { Metric::CachedPartsEvicted, "evicted" },
   } };
 };
 static_assert(HasCompleteTable<Metric>());
@@ -123,7 +127,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 32> kMetricInfos{ {
+inline constexpr std::array<MetricInfo, 34> kMetricInfos{ {
   { Metric::TimeToFirstToken,
     MetricType::Histogram,
     "seconds",
@@ -284,6 +288,16 @@
     "daemons",
     "",
     "Daemons expected to have long prompts that wait for a runner's memory." },
+  { Metric::CachedParts,
+    MetricType::Gauge,
+    "parts",
+    "",
+    "Cached parts that are remembered, once for each holder." },
+  { Metric::CachedPartsEvicted,
+    MetricType::Counter,
+    "parts",
+    "",
+    "Cached parts that were forgotten because there were too many." },
 } };
 
 // Returns unit, type and labels of a metric.
--- a/wigeonwalk/adapters/settings/entry_settings_json.cc
+++ b/wigeonwalk/adapters/settings/entry_settings_json.cc
@@ -21,6 +21,7 @@
 {
   aField("connections", aCallers.connections);
   aField("requestBytes", aCallers.requestBytes);
+  aField("cachedParts", aCallers.cachedParts);
 }
 
 template<FieldsOf<EntryBounds> S>
--- a/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
+++ b/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
@@ -68,6 +68,11 @@
           "type": "integer", "minimum": 65536, "maximum": 68719476736,
           "default": 25165824, "x-unit": "bytes",
           "description": "Memory of requests that are being received or held. Beyond it, the largest that is still being received is refused, as not run; one request of the largest size always fits."
+        },
+        "cachedParts": {
+          "type": "integer", "minimum": 1024, "maximum": 100000000,
+          "default": 131072, "x-unit": "parts",
+          "description": "Most cached parts of prompts that are remembered, each counted once for each runner or store that holds it; about 250 bytes each. Beyond it, the least recently used part at the holder with the most is forgotten."
         }
       }
     },
--- a/wigeonwalk/entry/entry_settings.h
+++ b/wigeonwalk/entry/entry_settings.h
@@ -58,6 +58,9 @@
   // the largest that is still being received is refused. At least one request
   // of the largest size fits, whatever the limit says.
   std::uint64_t requestBytes = 24ULL * 1024 * 1024;
+  // Most cached parts of prompts that are remembered, each counted once for
+  // each runner or store that holds it.
+  std::uint32_t cachedParts = 131'072;
 };
 
 struct EntrySettings
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -19,7 +19,8 @@
 } // namespace
 
 EntryState::EntryState(EntrySettings aSettings)
-  : retryBudget({ .ratio = aSettings.bounds.repeatRatio,
+  : parts(aSettings.callers.cachedParts)
+  , retryBudget({ .ratio = aSettings.bounds.repeatRatio,
                   .slack = aSettings.bounds.repeatSlack,
                   .window = aSettings.bounds.repeatWindow })
   , partCrashes(HashBytes(aSettings.host.Text(), 0).low)
--- a/wigeonwalk/fleet/part_index.cc
+++ b/wigeonwalk/fleet/part_index.cc
@@ -24,6 +24,7 @@
     }
     record.tokens -= aHolding.tokens;
     record.partsByUse.erase(aHolding.lastUse);
+    --this->holdingCount;
     return true;
   });
   if (entry->second.empty()) {
@@ -40,11 +41,32 @@
   if (aTokens == 0) {
     return;
   }
+  if (this->holdingCount >= this->maxHoldings) {
+    this->EvictOne();
+  }
   const std::uint64_t use = ++this->uses;
   this->holdings[aPart].push_back({ aHolder, aTokens, use });
   HolderRecord& record = this->records[aHolder];
   record.tokens += aTokens;
   record.partsByUse.emplace(use, aPart);
+  ++this->holdingCount;
+}
+
+void
+PartIndex::EvictOne()
+{
+  const auto most = std::max_element(this->records.begin(),
+                                     this->records.end(),
+                                     [](const auto& aLeft, const auto& aRight) {
+                                       return aLeft.second.partsByUse.size() <
+                                              aRight.second.partsByUse.size();
+                                     });
+  if (most == this->records.end() || most->second.partsByUse.empty()) {
+    return;
+  }
+  const PartKey oldest = most->second.partsByUse.begin()->second;
+  this->Remove(most->first, oldest);
+  ++this->evicted;
 }
 
 void
--- a/wigeonwalk/fleet/part_index.h
+++ b/wigeonwalk/fleet/part_index.h
@@ -35,10 +35,20 @@
 
 // Contains the parts that holders reported, and those expected at a holder
 // because they were sent to it. The index is only a hint: a runner that lacks a
-// part computes it. Not thread-safe.
+// part computes it. Callers choose how many parts their prompts list, so the
+// number of holdings is bounded: beyond it the holder with the most of them
+// loses its least recently used one. Not thread-safe.
 class PartIndex
 {
 public:
+  // Default of the bound, which takes about 32 MB.
+  static constexpr std::size_t kDefaultMaxHoldings = 131'072;
+
+  explicit PartIndex(std::size_t aMaxHoldings = kDefaultMaxHoldings)
+    : maxHoldings(aMaxHoldings)
+  {
+  }
+
   // Sets how many leading tokens of a part a holder has. Zero removes the
   // entry.
   void Set(const UpstreamId& aHolder,
@@ -62,6 +72,12 @@
 
   std::size_t Parts() const { return this->holdings.size(); }
 
+  // The number of pairs of a part and its holder.
+  std::size_t Holdings() const { return this->holdingCount; }
+
+  // The number of holdings that were removed because there were too many.
+  std::uint64_t Evicted() const { return this->evicted; }
+
 private:
   struct HolderRecord
   {
@@ -71,7 +87,11 @@
 
   // Removes one holding, and its part if no holder is left.
   void Remove(const UpstreamId& aHolder, const PartKey& aPart);
+  void EvictOne();
 
+  std::size_t maxHoldings;
+  std::size_t holdingCount = 0;
+  std::uint64_t evicted = 0;
   std::unordered_map<PartKey, std::vector<PartHolding>> holdings;
   std::unordered_map<UpstreamId, HolderRecord> records;
   std::uint64_t uses = 0;
