platform: count what a request holds until it is answered

Callers saw: a daemon that needs more memory than its machine has, while clients wait for answers to requests with thousands of header fields or parts of a prompt, each within the limits of the configuration.

Cause: the memory of requests counts the bytes that are received. Decoded, a field takes 64 bytes three times, and a part of a prompt 144, however short it is, until the request is answered.

Change: the decoded request counts toward callers.requestBytes, too.

--- a/wigeonwalk/adapters/http/http_connection.cc
+++ b/wigeonwalk/adapters/http/http_connection.cc
@@ -44,13 +44,13 @@
       beast::flat_buffer(this->limits.headerBytes + kMaxReadBufferBytes);
   }
 
-  // Counts what is held of the present request. Returns false if it was ended.
-  // Requests wait for no receiver, so that the time is irrelevant.
-  bool Hold(std::size_t aBodyBytes)
+  // Counts what is held of the present request beside the buffer. Returns false
+  // if it was ended. Requests wait for no receiver, so that the time is
+  // irrelevant.
+  bool Hold(std::size_t aBytes)
   {
-    const std::size_t bytes =
-      this->buffer.capacity() + kRequestBodyCopies * aBodyBytes;
-    return !this->held || this->held->Resize(bytes, TimePoint());
+    return !this->held ||
+           this->held->Resize(this->buffer.capacity() + aBytes, TimePoint());
   }
 
   beast::tcp_stream stream;
@@ -282,7 +282,7 @@
     if (!error) {
       ParseBuffer(connection.buffer, parser, error);
     }
-    mayHold = connection.Hold(parser.get().body().size());
+    mayHold = connection.Hold(kRequestBodyCopies * parser.get().body().size());
   }
   connection.stream.expires_never();
   if (connection.buffer.size() == 0) {
@@ -415,6 +415,12 @@
   this->state->memory = std::move(aMemory);
 }
 
+bool
+HttpConnection::Hold(std::size_t aBytes)
+{
+  return this->state->Hold(aBytes);
+}
+
 HttpLimit
 HttpConnection::LimitMet() const
 {
--- a/wigeonwalk/adapters/http/http_connection.h
+++ b/wigeonwalk/adapters/http/http_connection.h
@@ -88,6 +88,11 @@
   // counts until the next one begins or the connection ends.
   void LimitHeldBytes(std::shared_ptr<MessageMemory> aMemory);
 
+  // Sets how many bytes are held of the request that was read, until the next
+  // one begins. Returns false if it must be refused because too many are held
+  // of all requests.
+  bool Hold(std::size_t aBytes);
+
   // The limit that the last request exceeded, if ReadRequest failed for it.
   HttpLimit LimitMet() const;
 
