http: count short answers that wait for their callers

Callers saw: a daemon that needs more memory than its machine has, while clients with small receive buffers take none of their answers of 60 KB.

Cause: the memory of answers left out the first 64 KiB of each, so that answers of ordinary size never end. 1,500 of them hold 90 MB.

Change: all bytes count. Up to twice the limit an answer of ordinary size still never ends while it is received; one that waits for its caller for a second may. Above that neither is spared, so all answers together hold 32 MiB at most.

The scenarios of message_memory_test counted without the first 64 KiB; they now state the same bounds with it, and the new ones for twice the limit. "Many of ordinary size" let 1,000 of them be held; that was the fault.

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -370,7 +370,7 @@
     connection.held.reset();
   }
   if (!connection.held) {
-    if (aBytes <= MessageMemory::kUncountedBytes) {
+    if (aBytes == 0) {
       return true;
     }
     connection.held.emplace(*connection.memory, [&connection] {
--- a/wigeonwalk/adapters/http/message_memory.cc
+++ b/wigeonwalk/adapters/http/message_memory.cc
@@ -50,29 +50,42 @@
   }
   this->SetCounted(aBytes - std::min(aBytes, this->memory.uncounted));
   while (this->memory.bytes > this->memory.maxBytes && this->counted > 0) {
-    if (Share* slowest = this->memory.Slowest(aNow)) {
-      slowest->End();
-      continue;
+    Share* ended = this->memory.ToEnd(*this, aNow);
+    if (ended == nullptr) {
+      break;
     }
-    Share* largest = this->memory.Largest();
-    if (largest == nullptr || largest == this) {
+    if (ended == this) {
       this->isEnded = true;
       this->SetCounted(0);
-      return false;
+    } else {
+      ended->End();
     }
-    largest->End();
   }
   return !this->isEnded;
 }
 
 MessageMemory::Share*
-MessageMemory::Slowest(TimePoint aNow) const
+MessageMemory::ToEnd(Share& aGrown, TimePoint aNow) const
+{
+  const bool isUrgent = this->bytes > kUrgentFactor * this->maxBytes;
+  if (Share* slowest = this->Slowest(isUrgent ? Duration(0) : kMaxWait, aNow)) {
+    return slowest;
+  }
+  const std::size_t spared = isUrgent ? 0 : this->ordinary;
+  if (Share* largest = this->Largest(spared)) {
+    return largest;
+  }
+  return aGrown.counted > spared ? &aGrown : nullptr;
+}
+
+MessageMemory::Share*
+MessageMemory::Slowest(Duration aMaxWait, TimePoint aNow) const
 {
   Share* slowest = nullptr;
   for (Share* share : this->shares) {
     const bool isCandidate = share->waitsSince && !share->isEnded &&
                              share->counted > 0 &&
-                             aNow - *share->waitsSince >= kMaxWait;
+                             aNow - *share->waitsSince >= aMaxWait;
     if (isCandidate &&
         (slowest == nullptr || share->waitsSince < slowest->waitsSince)) {
       slowest = share;
@@ -82,12 +95,12 @@
 }
 
 MessageMemory::Share*
-MessageMemory::Largest() const
+MessageMemory::Largest(std::size_t aOrdinary) const
 {
   Share* largest = nullptr;
   for (Share* share : this->shares) {
     const bool isCandidate =
-      !share->isComplete && !share->isEnded && share->counted > 0;
+      !share->isComplete && !share->isEnded && share->counted > aOrdinary;
     if (isCandidate &&
         (largest == nullptr || share->counted > largest->counted)) {
       largest = share;
--- a/wigeonwalk/adapters/http/message_memory.h
+++ b/wigeonwalk/adapters/http/message_memory.h
@@ -22,25 +22,30 @@
 // Messages of several faulty peers may each stay below the limit on one message
 // and together use up the memory. Above the limit on all, the message that has
 // waited longest for its receiver is ended, if there is one that has waited for
-// kMaxWait; else the largest message that is still being received. Messages of
-// ordinary size never are. Not thread-safe.
+// kMaxWait; else the largest message that is still being received, unless it is
+// of ordinary size. Above kUrgentFactor times the limit neither the wait nor
+// the size spares a message. Not thread-safe.
 class MessageMemory
 {
 public:
   // Limit on the counted bytes of all answers.
   static constexpr std::size_t kMaxBytes = kMaxResponseBytes;
-  // Bytes of each answer that are not counted.
-  static constexpr std::size_t kUncountedBytes = 64 * 1024;
+  // Largest answer of ordinary size.
+  static constexpr std::size_t kOrdinaryBytes = 64 * 1024;
+  static constexpr std::size_t kUrgentFactor = 2;
   // How long a complete message may wait for its receiver while others need the
   // memory.
   static constexpr Duration kMaxWait = std::chrono::seconds(1);
 
   // `aMaxBytes` is the limit on the counted bytes of all messages, `aUncounted`
-  // the number of bytes of each that are not counted.
+  // the number of bytes of each that are not counted. Messages that count for
+  // at most `aOrdinary` are of ordinary size.
   explicit MessageMemory(std::size_t aMaxBytes = kMaxBytes,
-                         std::size_t aUncounted = kUncountedBytes)
+                         std::size_t aUncounted = 0,
+                         std::size_t aOrdinary = kOrdinaryBytes)
     : maxBytes(aMaxBytes)
     , uncounted(aUncounted)
+    , ordinary(aOrdinary)
   {
   }
 
@@ -55,7 +60,7 @@
     Share& operator=(const Share&) = delete;
 
     // Sets the number of bytes held. Returns false if the message was ended, or
-    // if it is the largest one that can be and the limit is exceeded.
+    // if it is the one to be ended because the limit is exceeded.
     bool Resize(std::size_t aBytes, TimePoint aNow);
 
     // The whole message has been received. It still counts, but is not ended.
@@ -91,15 +96,20 @@
   void SetMaxBytes(std::size_t aMaxBytes) { this->maxBytes = aMaxBytes; }
 
 private:
-  // Returns the largest message that is still being received, or null.
-  Share* Largest() const;
+  // Returns the largest message that is still being received and counts for
+  // more than `aOrdinary`, or null.
+  Share* Largest(std::size_t aOrdinary) const;
   // Returns the message that has waited longest for its receiver, and for
-  // kMaxWait at least, or null.
-  Share* Slowest(TimePoint aNow) const;
+  // `aMaxWait` at least, or null.
+  Share* Slowest(Duration aMaxWait, TimePoint aNow) const;
+  // Returns the message to end now that `aGrown` has made the sum exceed the
+  // limit, or null for none.
+  Share* ToEnd(Share& aGrown, TimePoint aNow) const;
 
   std::vector<Share*> shares;
   std::size_t maxBytes;
   std::size_t uncounted;
+  std::size_t ordinary;
   std::size_t bytes = 0;
 };
 
--- a/wigeonwalk/adapters/http/message_memory_test.cc
+++ b/wigeonwalk/adapters/http/message_memory_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t kLimit = MessageMemory::kMaxBytes;
-constexpr std::size_t kFree = MessageMemory::kUncountedBytes;
+constexpr std::size_t kOrdinary = MessageMemory::kOrdinaryBytes;
 constexpr TimePoint kNow(std::chrono::seconds(100));
 
 // Answers that are being received, and how many were ended in favour of others.
@@ -36,27 +36,27 @@
 SCENARIO("the largest answer ends when all together are too large")
 {
   Answers answers;
-  MessageMemory::Share& large = answers.Add(kLimit / 2 + kFree);
-  MessageMemory::Share& medium = answers.Add(kLimit / 4 + kFree);
-  MessageMemory::Share& ordinary = answers.Add(kFree);
-  CHECK(answers.memory.Bytes() == kLimit / 2 + kLimit / 4);
+  MessageMemory::Share& large = answers.Add(kLimit / 2);
+  MessageMemory::Share& medium = answers.Add(kLimit / 4);
+  MessageMemory::Share& ordinary = answers.Add(kOrdinary);
+  CHECK(answers.memory.Bytes() == kLimit / 2 + kLimit / 4 + kOrdinary);
 
   WHEN("the largest one grows beyond the limit")
   {
-    CHECK_FALSE(large.Resize(kLimit + kFree, kNow));
+    CHECK_FALSE(large.Resize(kLimit, kNow));
     THEN("it ends, and its memory counts no longer")
     {
       CHECK(answers.ended == 0);
       CHECK(large.IsEnded());
-      CHECK(answers.memory.Bytes() == kLimit / 4);
-      CHECK(medium.Resize(kLimit + kFree, kNow));
+      CHECK(answers.memory.Bytes() == kLimit / 4 + kOrdinary);
+      CHECK(medium.Resize(kLimit - kOrdinary, kNow));
     }
   }
 
   WHEN("another one grows beyond the limit")
   {
-    CHECK(medium.Resize(kLimit / 2 + kFree, kNow));
-    CHECK(ordinary.Resize(kFree + 1, kNow));
+    CHECK(medium.Resize(kLimit / 2 - kOrdinary, kNow));
+    CHECK(ordinary.Resize(kOrdinary + 1, kNow));
     THEN("the largest one ends in its place")
     {
       CHECK(answers.ended == 1);
@@ -69,26 +69,36 @@
 
   WHEN("many of ordinary size arrive beside them")
   {
-    CHECK(medium.Resize(kLimit / 2 + kFree, kNow));
-    for (int i = 0; i < 1'000; ++i) {
-      answers.Add(kFree);
+    constexpr std::size_t kMany = 2 * kLimit / kOrdinary - 1;
+    for (std::size_t i = 0; i < kMany; ++i) {
+      answers.Add(kOrdinary);
     }
-    THEN("none ends")
+    THEN("only the others end")
     {
-      CHECK(answers.ended == 0);
-      CHECK(ordinary.Resize(kFree, kNow));
+      CHECK(answers.ended == 2);
+      CHECK(large.IsEnded());
+      CHECK(medium.IsEnded());
+      CHECK(ordinary.Resize(kOrdinary, kNow));
+    }
+    THEN("no more are held than twice the limit")
+    {
+      CHECK(answers.memory.Bytes() == 2 * kLimit);
+      MessageMemory::Share late(answers.memory, [] {});
+      CHECK(late.Resize(1, kNow));
+      CHECK(answers.ended == 3);
+      CHECK(answers.memory.Bytes() == 2 * kLimit - kOrdinary + 1);
     }
   }
 
   WHEN("the largest one is complete")
   {
     large.NoteComplete();
-    CHECK_FALSE(medium.Resize(kLimit / 2 + 1 + kFree, kNow));
+    CHECK_FALSE(medium.Resize(kLimit / 2 + 1, kNow));
     THEN("the next one ends, as the limit holds")
     {
       CHECK_FALSE(large.IsEnded());
       CHECK(medium.IsEnded());
-      CHECK(ordinary.Resize(kFree, kNow));
+      CHECK(ordinary.Resize(kOrdinary, kNow));
     }
   }
 
@@ -102,7 +112,7 @@
 
     THEN("the slowest one ends in favour of another one")
     {
-      CHECK(ordinary.Resize(kLimit / 4 + 1 + kFree, kNow + kMaxWait));
+      CHECK(ordinary.Resize(kLimit / 4 + 1, kNow + kMaxWait));
       CHECK(givenUp == std::vector<MessageMemory::Share*>{ &medium });
       CHECK(medium.IsEnded());
       CHECK_FALSE(large.IsEnded());
@@ -111,22 +121,56 @@
 
     THEN("the next one ends too if that isn't enough")
     {
-      CHECK(ordinary.Resize(kLimit + kFree, kNow + kMaxWait * 2));
+      CHECK(ordinary.Resize(kLimit, kNow + kMaxWait * 2));
       CHECK(givenUp == std::vector<MessageMemory::Share*>{ &medium, &large });
     }
 
     THEN("none ends that has not waited long")
     {
-      CHECK_FALSE(ordinary.Resize(kLimit / 4 + 1 + kFree, kNow + kMaxWait / 2));
+      CHECK_FALSE(ordinary.Resize(kLimit / 4 + 1, kNow + kMaxWait / 2));
       CHECK(givenUp.empty());
       CHECK(ordinary.IsEnded());
     }
+
+    THEN("they end at once if twice the limit is exceeded")
+    {
+      CHECK_FALSE(ordinary.Resize(2 * kLimit, kNow + kMaxWait / 2));
+      CHECK(givenUp == std::vector<MessageMemory::Share*>{ &medium, &large });
+      CHECK(ordinary.IsEnded());
+    }
   }
 
   WHEN("one is given up")
   {
     answers.shares.erase(answers.shares.begin());
-    CHECK(answers.memory.Bytes() == kLimit / 4);
-    CHECK(medium.Resize(kLimit + kFree, kNow));
+    CHECK(answers.memory.Bytes() == kLimit / 4 + kOrdinary);
+    CHECK(medium.Resize(kLimit - kOrdinary, kNow));
+  }
+}
+
+// Guards against callers that take none of their short answers: each is of
+// ordinary size, all together are not.
+SCENARIO("short answers that wait for their receivers count")
+{
+  Answers answers;
+  std::size_t givenUp = 0;
+  constexpr std::size_t kMany = kLimit / kOrdinary;
+  for (std::size_t i = 0; i < kMany; ++i) {
+    answers.Add(kOrdinary).NoteWaiting([&] { ++givenUp; }, kNow);
+  }
+  CHECK(answers.memory.Bytes() == kLimit);
+
+  THEN("a further one is received while they have not waited long")
+  {
+    CHECK(answers.Add(1).Resize(kOrdinary, kNow));
+    CHECK(givenUp == 0);
+  }
+
+  THEN("one of them ends for it afterwards")
+  {
+    MessageMemory::Share further(answers.memory, [] {});
+    CHECK(further.Resize(kOrdinary, kNow + MessageMemory::kMaxWait));
+    CHECK(givenUp == 1);
+    CHECK(answers.memory.Bytes() == kLimit);
   }
 }
