platform: bound the connections to the readiness and metrics listeners

Callers saw: no answers while 400 connections to the readiness or to the metrics listener were idle; they took the descriptors of the process.

Cause: AdminServer accepted without a limit, and its connections could not be given up when a descriptor was needed.

--- a/wigeonwalk/adapters/settings/entry_settings_json.cc
+++ b/wigeonwalk/adapters/settings/entry_settings_json.cc
@@ -20,6 +20,7 @@
 VisitFields(auto&& aField, S& aCallers)
 {
   aField("connections", aCallers.connections);
+  aField("adminConnections", aCallers.adminConnections);
   aField("requestBytes", aCallers.requestBytes);
   aField("cachedParts", aCallers.cachedParts);
 }
--- a/wigeonwalk/entry/entry_settings.h
+++ b/wigeonwalk/entry/entry_settings.h
@@ -54,6 +54,10 @@
   // Most connections that are open at once. Beyond it, the one that has been
   // idle for the longest time is closed.
   std::uint32_t connections = 3'000;
+  // Most connections that are open at once to each listener that is not for
+  // callers; at the peers' listener those of processes that have not proved
+  // that they know the cluster's key.
+  std::uint32_t adminConnections = 32;
   // Memory of requests that are being received or held, in bytes. Beyond it,
   // the largest that is still being received is refused. At least one request
   // of the largest size fits, whatever the limit says.
