peer: bound what processes without the cluster's key make a daemon hold

Callers saw: a daemon that needs more memory than its machine has, or has no descriptor left, after connections to its peers' listener from processes that don't know the cluster's key.

Cause: the header of a frame, which is not authenticated, made the transport take up to 4 MiB before the first byte of the payload, for each of up to 1,000 connections that nothing else bounded.

Change: memory is taken for bytes that have arrived; all frames that are being received together take 16 MiB at most, beyond which the connection of the largest is closed.

--- a/wigeonwalk/adapters/peer/deferred_transport.h
+++ b/wigeonwalk/adapters/peer/deferred_transport.h
@@ -7,6 +7,7 @@
 
 #include "wigeonwalk/adapters/peer/peer_transport.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -22,6 +23,12 @@
   {
   }
 
+  // Applies to a transport that is opened later.
+  void SetMaxUnproven(std::size_t aConnections)
+  {
+    this->settings.maxUnproven = aConnections;
+  }
+
   // Starts listening on "IP:port". Returns false with the reason on failure;
   // Open may then be called again.
   template<PeerHandler H>
@@ -30,7 +37,7 @@
             H& aHandler,
             FailureReason& aReason)
   {
-    this->transport.emplace(this->executor, std::move(aKey));
+    this->transport.emplace(this->executor, std::move(aKey), this->settings);
     this->transport->Serve(aHandler);
     if (!this->transport->Listen(aAddress, aReason)) {
       this->transport.reset();
@@ -63,6 +70,7 @@
 
 private:
   boost::asio::any_io_executor executor;
+  PeerTransportSettings settings;
   std::optional<PeerTransport> transport;
 };
 
--- a/wigeonwalk/adapters/peer/internal/transport_calls.cc
+++ b/wigeonwalk/adapters/peer/internal/transport_calls.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -114,6 +115,41 @@
   co_return !error;
 }
 
+// Takes memory only for bytes that have arrived: the header, which says how
+// many there are, is not authenticated before the tag at the end is.
+Task<bool>
+PeerTransport::State::ReadRest(Connection& aConnection,
+                               std::size_t aSize,
+                               std::string& aFrame,
+                               FailureReason& aReason)
+{
+  constexpr std::size_t kReadBytes = 64 * 1024;
+  MessageMemory::Share held(this->frames,
+                            [&aConnection] { aConnection.Close(); });
+  while (aFrame.size() < aSize) {
+    const std::size_t have = aFrame.size();
+    aFrame.resize(std::min(aSize, have + kReadBytes));
+    const bool isHeld = held.Resize(aFrame.capacity(), this->timer.Now());
+    if (!isHeld) {
+      Fail(aReason,
+           ReasonCode::TooLarge,
+           "largest of the frames that are being received, which together "
+           "exceed the limit");
+      co_return false;
+    }
+    Error error;
+    const std::size_t read = co_await aConnection.socket.async_read_some(
+      boost::asio::buffer(aFrame.data() + have, aFrame.size() - have),
+      boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    aFrame.resize(have + read);
+    if (error) {
+      Fail(aReason, ReasonCode::ConnectionLostAfterWrite, error.message());
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
 Task<std::optional<std::string>>
 PeerTransport::State::ReadFrame(Connection& aConnection,
                                 FrameKind aKind,
@@ -135,18 +171,15 @@
     if (aKind == FrameKind::Call) {
       aConnection.Arm(this->settings.frameTimeout);
     }
-    frame.resize(kFrameHeaderBytes + *length + kFrameTagBytes);
-    co_await boost::asio::async_read(
-      aConnection.socket,
-      boost::asio::buffer(frame.data() + kFrameHeaderBytes,
-                          *length + kFrameTagBytes),
-      boost::asio::redirect_error(boost::asio::use_awaitable, error));
-    if (error) {
-      co_return Fail(
-        aReason, ReasonCode::ConnectionLostAfterWrite, error.message());
+    const std::size_t size = kFrameHeaderBytes + *length + kFrameTagBytes;
+    const bool isRead =
+      co_await this->ReadRest(aConnection, size, frame, aReason);
+    if (!isRead) {
+      co_return std::nullopt;
     }
     this->counters.bytesReceived += frame.size();
     if (const auto payload = OpenFrame(this->key, aKind, frame, fault)) {
+      aConnection.isProven = true;
       co_return std::string(*payload);
     }
   }
--- a/wigeonwalk/adapters/peer/internal/transport_state.h
+++ b/wigeonwalk/adapters/peer/internal/transport_state.h
@@ -3,12 +3,14 @@
 
 #include "wigeonwalk/adapters/address/endpoint.h"
 #include "wigeonwalk/adapters/clock/system_timer.h"
+#include "wigeonwalk/adapters/http/message_memory.h"
 #include "wigeonwalk/adapters/peer/peer_transport.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string_view>
@@ -40,6 +42,10 @@
   bool TimedOut() const { return this->timedOut; }
 
   Tcp::socket socket;
+  // For inbound connections: an authenticated frame has arrived, and the order
+  // in which the connections were accepted.
+  bool isProven = false;
+  std::uint64_t number = 0;
   // For pooled connections: when the connection became idle.
   TimePoint idleSince;
 
@@ -96,6 +102,18 @@
   // Closes idle connections that are too old to be reused.
   void PurgeIdle();
 
+  // Makes room for another inbound connection. Returns false if there is none.
+  bool AdmitConnection();
+  // Returns the oldest inbound connection that is not proven, if there are too
+  // many of them, else null.
+  peer_internal::ConnectionPtr SurplusUnproven() const;
+
+  // Reads the rest of a frame of the given size, whose header is in `aFrame`.
+  Task<bool> ReadRest(peer_internal::Connection& aConnection,
+                      std::size_t aSize,
+                      std::string& aFrame,
+                      FailureReason& aReason);
+
   // Reads one frame and returns its payload, or nothing with the reason.
   Task<std::optional<std::string>> ReadFrame(
     peer_internal::Connection& aConnection,
@@ -110,11 +128,14 @@
   PeerTransportSettings settings;
   SystemTimer timer;
   PeerTransportCounters counters;
+  // Frames that are being received.
+  MessageMemory frames;
   OnDatagram onDatagram;
   OnCall onCall;
   peer_internal::Tcp::acceptor acceptor;
   peer_internal::Udp::socket datagrams;
   std::set<peer_internal::ConnectionPtr> serverConnections;
+  std::uint64_t lastConnection = 0;
   std::set<peer_internal::ConnectionPtr> clientConnections;
   std::map<std::string, std::vector<peer_internal::ConnectionPtr>> idle;
   TimePoint lastPurge;
--- a/wigeonwalk/adapters/peer/peer_transport.cc
+++ b/wigeonwalk/adapters/peer/peer_transport.cc
@@ -22,6 +22,10 @@
 
 namespace {
 
+// Bytes of each frame that don't count toward the memory of all: most frames
+// are smaller.
+constexpr std::size_t kUncountedFrameBytes = 8 * 1024;
+
 std::string
 FormatEndpoint(const Tcp::endpoint& aEndpoint)
 {
@@ -127,6 +131,7 @@
   , key(std::move(aKey))
   , settings(aSettings)
   , timer(aExecutor)
+  , frames(aSettings.maxFrameMemory, kUncountedFrameBytes, 0)
   , acceptor(aExecutor)
   , datagrams(aExecutor)
 {
@@ -235,11 +240,12 @@
                                      std::chrono::milliseconds(100));
       continue;
     }
-    if (this->serverConnections.size() >= this->settings.maxConnections) {
+    if (!this->AdmitConnection()) {
       this->counters.connectionsRefused += 1;
       continue;
     }
     auto connection = std::make_shared<Connection>(std::move(socket));
+    connection->number = ++this->lastConnection;
     this->serverConnections.insert(connection);
     boost::asio::co_spawn(
       this->executor,
@@ -250,6 +256,34 @@
   }
 }
 
+bool
+PeerTransport::State::AdmitConnection()
+{
+  if (const ConnectionPtr surplus = this->SurplusUnproven()) {
+    this->counters.connectionsRefused += 1;
+    this->serverConnections.erase(surplus);
+    surplus->Close();
+  }
+  return this->serverConnections.size() < this->settings.maxConnections;
+}
+
+ConnectionPtr
+PeerTransport::State::SurplusUnproven() const
+{
+  ConnectionPtr oldest;
+  std::size_t unproven = 0;
+  for (const ConnectionPtr& connection : this->serverConnections) {
+    if (connection->isProven) {
+      continue;
+    }
+    ++unproven;
+    if (oldest == nullptr || connection->number < oldest->number) {
+      oldest = connection;
+    }
+  }
+  return unproven >= this->settings.maxUnproven ? oldest : nullptr;
+}
+
 Task<void>
 PeerTransport::State::ReceiveDatagrams()
 {
--- a/wigeonwalk/adapters/peer/peer_transport.h
+++ b/wigeonwalk/adapters/peer/peer_transport.h
@@ -27,6 +27,13 @@
   // Maximum number of inbound connections. At the target cluster size, each
   // other daemon opens about three.
   std::size_t maxConnections = 1'000;
+  // Maximum number of inbound connections on which no authenticated frame has
+  // arrived. Beyond it the oldest of them is closed.
+  std::size_t maxUnproven = 32;
+  // Limit on the memory of all inbound frames that are being received. Beyond
+  // it the connection of the largest one is closed. Fits some of the largest
+  // calls.
+  std::size_t maxFrameMemory = 16 * 1024 * 1024;
   // A server closes a connection that has had no call for this long. A client
   // stops reusing an idle connection after a third of this time.
   Duration idleTimeout = std::chrono::seconds(60);
--- a/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
+++ b/wigeonwalk/adapters/settings/internal/entry_settings_schema.h
@@ -67,7 +67,7 @@
         "adminConnections": {
           "type": "integer", "minimum": 4, "maximum": 1000000,
           "default": 32, "x-unit": "connections",
-          "description": "Most connections that are open at once to each listener that is not for callers; at the peers' listener those of processes that have not proved that they know the cluster's key. At most an eighth of the descriptors that are left to everything but callers. Beyond it, the one that has been idle for the longest time is closed."
+          "description": "Most connections that are open at once to each of the listeners for readiness and metrics. At most an eighth of the descriptors that are left to everything but callers. Beyond it, the one that has been idle for the longest time is closed."
         },
         "requestBytes": {
           "type": "integer", "minimum": 65536, "maximum": 68719476736,
