http: cut callers that stop reading, not those that read slowly

Callers saw: answers of several MB cut 10 s after their first byte, although the caller was still reading them at 150 or 200 KB/s.

Cause: the write timeout counted for the whole answer, or for a whole chunk of a stream.

One that takes a byte now and then is cut as before. The kernel buffers at most 64 KB that the caller's window does not admit yet, so that progress is seen.

--- a/wigeonwalk/adapters/http/http_connection.cc
+++ b/wigeonwalk/adapters/http/http_connection.cc
@@ -9,7 +9,11 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -26,6 +30,23 @@
 // Buffer of a connection that waits for its next request: most requests fit.
 constexpr std::size_t kIdleReadBytes = 2 * 1024;
 
+// Least number of bytes that a peer must take in each write timeout.
+constexpr std::size_t kMinWrittenBytes = 4 * 1024;
+
+// Bytes that the system buffers beyond those that the peer's window admits.
+// With more, a peer that reads steadily would seem to take nothing for a long
+// time.
+constexpr int kMaxUnsentBytes = 64 * 1024;
+
+void
+LimitUnsent(asio::ip::tcp::socket& aSocket)
+{
+  using Option =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+  error_code ignored;
+  aSocket.set_option(Option(kMaxUnsentBytes), ignored);
+}
+
 } // namespace
 
 struct HttpConnection::State
@@ -35,8 +56,25 @@
     , limits(aLimits)
   {
     this->ReleaseBuffer();
+    LimitUnsent(this->stream.socket());
+  }
+
+  // Begin and continue the time in which the peer must take kMinWrittenBytes.
+  void BeginWrite()
+  {
+    this->writtenBytes = 0;
+    this->stream.expires_after(this->limits.writeTimeout);
+  }
+  void NoteWritten(std::size_t aBytes)
+  {
+    this->writtenBytes += aBytes;
+    if (this->writtenBytes >= kMinWrittenBytes) {
+      this->BeginWrite();
+    }
   }
 
+  Task<bool> WriteAll(std::string aBytes);
+
   // Frees a buffer that has grown; it must be empty.
   void ReleaseBuffer()
   {
@@ -59,6 +97,8 @@
   HttpLimit limitMet = HttpLimit::None;
   // The response to the last request has no body.
   bool isHeadOnly = false;
+  // Since the write timeout began.
+  std::size_t writtenBytes = 0;
   std::shared_ptr<MessageMemory> memory;
   // Refers to the memory and the stream.
   std::optional<MessageMemory::Share> held;
@@ -310,18 +350,16 @@
     ToMessage(std::move(aResponse), connection.isHeadOnly);
   message.keep_alive(aKeepAlive);
   http::response_serializer<http::string_body> serializer(message);
+  serializer.split(connection.isHeadOnly);
   error_code error;
-  connection.stream.expires_after(connection.limits.writeTimeout);
-  if (connection.isHeadOnly) {
-    co_await http::async_write_header(
-      connection.stream,
-      serializer,
-      asio::redirect_error(asio::use_awaitable, error));
-  } else {
-    co_await http::async_write(
+  connection.BeginWrite();
+  while (!error && !serializer.is_done() &&
+         !(connection.isHeadOnly && serializer.is_header_done())) {
+    const std::size_t written = co_await http::async_write_some(
       connection.stream,
       serializer,
       asio::redirect_error(asio::use_awaitable, error));
+    connection.NoteWritten(written);
   }
   connection.stream.expires_never();
   co_return !error;
@@ -348,19 +386,35 @@
   co_return !error;
 }
 
+Task<bool>
+HttpConnection::State::WriteAll(std::string aBytes)
+{
+  error_code error;
+  std::size_t done = 0;
+  this->BeginWrite();
+  while (!error && done < aBytes.size()) {
+    const std::size_t written = co_await this->stream.async_write_some(
+      asio::buffer(aBytes) + done,
+      asio::redirect_error(asio::use_awaitable, error));
+    this->NoteWritten(written);
+    done += written;
+  }
+  this->stream.expires_never();
+  co_return !error;
+}
+
 Task<bool>
 HttpConnection::WriteChunk(std::string aChunk)
 {
   if (this->state->isHeadOnly) {
     co_return true;
   }
-  error_code error;
-  this->state->stream.expires_after(this->state->limits.writeTimeout);
-  co_await asio::async_write(this->state->stream,
-                             http::make_chunk(asio::buffer(aChunk)),
-                             asio::redirect_error(asio::use_awaitable, error));
-  this->state->stream.expires_never();
-  co_return !error;
+  std::array<char, 24> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", aChunk.size());
+  aChunk.insert(0, size.data());
+  aChunk += "\r\n";
+  const bool written = co_await this->state->WriteAll(std::move(aChunk));
+  co_return written;
 }
 
 Task<bool>
@@ -369,13 +423,9 @@
   if (this->state->isHeadOnly) {
     co_return true;
   }
-  error_code error;
-  this->state->stream.expires_after(this->state->limits.writeTimeout);
-  co_await asio::async_write(this->state->stream,
-                             http::make_chunk_last(),
-                             asio::redirect_error(asio::use_awaitable, error));
-  this->state->stream.expires_never();
-  co_return !error;
+  std::string last("0\r\n\r\n");
+  const bool written = co_await this->state->WriteAll(std::move(last));
+  co_return written;
 }
 
 Task<void>
--- a/wigeonwalk/adapters/http/http_connection.h
+++ b/wigeonwalk/adapters/http/http_connection.h
@@ -37,7 +37,8 @@
   Duration idleTimeout = std::chrono::seconds(60);
   // Longest time to read a request, from its first byte to its last.
   Duration readTimeout = std::chrono::seconds(10);
-  // Longest time for one write, of a response or of a chunk, to complete.
+  // Longest time in which the peer may take less than 4 KiB, or the rest, of
+  // what is written.
   Duration writeTimeout = std::chrono::seconds(30);
 };
 
