http: drop the trailers of requests

Callers saw: nothing; runners got trailers of a chunked request as header fields, where they pass for fields that were checked.

Cause: the parser adds trailers to the fields of the header, and the request was taken from it once it was complete.

Change: the fields are taken when the header is complete.

--- a/wigeonwalk/adapters/http/http_connection.cc
+++ b/wigeonwalk/adapters/http/http_connection.cc
@@ -170,17 +170,41 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
-// Parses what has been read, as far as it is complete. Beast stores no field
+// Returns the request without its body.
+HttpRequest
+HeadOf(const http::request<http::string_body>& aMessage)
+{
+  HttpRequest request;
+  request.method = std::string(aMessage.method_string());
+  request.target = std::string(aMessage.target());
+  request.keepAlive = aMessage.keep_alive();
+  for (const auto& field : aMessage) {
+    request.headers.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  return request;
+}
+
+// Parses what has been read, as far as it is complete, and takes the head once
+// it is. Trailers are dropped: Beast adds them to the fields of the header,
+// where they would pass for fields that were checked. Beast stores no field
 // whose name or value exceeds 64 KiB and throws for it, whatever the limits on
 // the header and on trailers.
 void
 ParseBuffer(beast::flat_buffer& aBuffer,
             RequestParser& aParser,
+            std::optional<HttpRequest>& aHead,
             error_code& aError)
 {
   try {
-    const std::size_t parsed = aParser.put(aBuffer.data(), aError);
-    aBuffer.consume(parsed);
+    aBuffer.consume(aParser.put(aBuffer.data(), aError));
+    if (!aError && !aHead && aParser.is_header_done()) {
+      aHead = HeadOf(aParser.get());
+      aParser.eager(true);
+      if (!aParser.is_done() && aBuffer.size() > 0) {
+        aBuffer.consume(aParser.put(aBuffer.data(), aError));
+      }
+    }
   } catch (const std::length_error&) {
     aError = http::error::header_limit;
   }
@@ -204,21 +228,6 @@
   return std::min(wanted, aBuffer.max_size() - aBuffer.size());
 }
 
-HttpRequest
-ToHttpRequest(http::request<http::string_body>&& aMessage)
-{
-  HttpRequest request;
-  request.method = std::string(aMessage.method_string());
-  request.target = std::string(aMessage.target());
-  request.keepAlive = aMessage.keep_alive();
-  for (const auto& field : aMessage) {
-    request.headers.push_back(
-      { std::string(field.name_string()), std::string(field.value()) });
-  }
-  request.body = std::move(aMessage.body());
-  return request;
-}
-
 // A response without a body keeps the length that its fields state: it is that
 // of the body which another method would get.
 http::response<http::string_body>
@@ -306,9 +315,9 @@
   parser.header_limit(connection.limits.headerBytes);
   parser.body_limit(connection.limits.bodyBytes);
   connection.stream.expires_after(connection.limits.readTimeout);
-  parser.eager(true);
+  std::optional<HttpRequest> request;
   bool mayHold = true;
-  ParseBuffer(connection.buffer, parser, error);
+  ParseBuffer(connection.buffer, parser, request, error);
   while (!parser.is_done() && !error && mayHold) {
     const std::size_t wanted = BytesToRead(parser, connection.buffer);
     if (wanted == 0) {
@@ -320,7 +329,7 @@
       asio::redirect_error(asio::use_awaitable, error));
     connection.buffer.commit(bytes);
     if (!error) {
-      ParseBuffer(connection.buffer, parser, error);
+      ParseBuffer(connection.buffer, parser, request, error);
     }
     mayHold = connection.Hold(kRequestBodyCopies * parser.get().body().size());
   }
@@ -339,7 +348,8 @@
   if (connection.held) {
     connection.held->NoteComplete();
   }
-  co_return ToHttpRequest(parser.release());
+  request->body = std::move(parser.get().body());
+  co_return request;
 }
 
 Task<bool>
