entry: claims beyond a runner's memory don't shut out others

Change: a request counts for at most one runner's memory. A prompt that exceeds it is refused at once, as no runner can hold it (503, not run).

--- a/wigeonwalk/entry/admission.cc
+++ b/wigeonwalk/entry/admission.cc
@@ -44,6 +44,44 @@
   return true;
 }
 
+std::vector<SharedPart>
+SharedPartsOf(const Prompt& aPrompt)
+{
+  std::vector<SharedPart> shared;
+  auto partsAfter = static_cast<std::uint32_t>(aPrompt.parts.size());
+  for (const PromptPart& part : aPrompt.parts) {
+    --partsAfter;
+    if (partsAfter > 0) {
+      shared.push_back({ HashOfPart(aPrompt.model, part.id), partsAfter });
+    }
+  }
+  return shared;
+}
+
+// Refuses a prompt that no runner can hold.
+bool
+AdmitPrompt(const EntryRequest& aRequest,
+            AdmittedRequest& aAdmitted,
+            FailureReason& aReason)
+{
+  if (!aRequest.prompt) {
+    return true;
+  }
+  const auto& engine = aAdmitted.service->engine;
+  const std::uint64_t runnerTokens = engine ? engine->cacheTokens : 0;
+  aAdmitted.sharedParts = SharedPartsOf(*aRequest.prompt);
+  aAdmitted.memoryTokens = aRequest.prompt->MemoryTokens(runnerTokens);
+  if (runnerTokens == 0 || aRequest.prompt->inputTokens <= runnerTokens) {
+    return true;
+  }
+  Fail(aReason,
+       ReasonCode::Overloaded,
+       "the prompt of " + std::to_string(aRequest.prompt->inputTokens) +
+         " tokens exceeds the memory of a runner, " +
+         std::to_string(runnerTokens));
+  return false;
+}
+
 // Refuses a request whose fingerprint has crashed too many runners.
 bool
 AdmitFingerprint(EntryState& aState,
@@ -73,20 +111,6 @@
   return true;
 }
 
-std::vector<SharedPart>
-SharedPartsOf(const Prompt& aPrompt)
-{
-  std::vector<SharedPart> shared;
-  auto partsAfter = static_cast<std::uint32_t>(aPrompt.parts.size());
-  for (const PromptPart& part : aPrompt.parts) {
-    --partsAfter;
-    if (partsAfter > 0) {
-      shared.push_back({ HashOfPart(aPrompt.model, part.id), partsAfter });
-    }
-  }
-  return shared;
-}
-
 // Refuses a request that may outlast a stopping daemon, or limits its deadline.
 bool
 AdmitBeforeStop(const EntryState& aState,
@@ -145,10 +169,8 @@
     return false;
   }
   aState.retryBudget.RecordRequest(aAdmitted.service->name, aNow);
-  if (aRequest.prompt) {
-    aAdmitted.sharedParts = SharedPartsOf(*aRequest.prompt);
-  }
-  return AdmitFingerprint(aState, aRequest, aNow, aAdmitted, aReason) &&
+  return AdmitPrompt(aRequest, aAdmitted, aReason) &&
+         AdmitFingerprint(aState, aRequest, aNow, aAdmitted, aReason) &&
          AdmitParts(aState, aAdmitted, aNow, aReason);
 }
 
--- a/wigeonwalk/entry/admission.h
+++ b/wigeonwalk/entry/admission.h
@@ -40,6 +40,10 @@
   // the route's.
   std::uint32_t Priority() const;
 
+  // Engine memory that the request takes at most, in tokens; zero without a
+  // prompt.
+  std::uint64_t memoryTokens = 0;
+
   MetricScope Scope() const;
 };
 
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -229,10 +229,8 @@
                            FailureReason& aReason)
   {
     const TimePoint sentAt = this->timer.Now();
-    const auto& prompt = aRequest.facts.prompt;
-    RunnerLoad load(aChoice.runner,
-                    prompt ? prompt->inputTokens + prompt->maxOutputTokens : 0,
-                    aChoice.prefillTokens);
+    RunnerLoad load(
+      aChoice.runner, aProgress.admitted.memoryTokens, aChoice.prefillTokens);
     const TimePoint connectBy =
       std::min(aProgress.admitted.deadline, sentAt + kConnectTimeout);
     bool isWanted = true;
@@ -277,7 +275,7 @@
                         aChoice.runner,
                         RunnerWork{ aProgress.lastRunner,
                                     aChoice.prefillTokens,
-                                    prompt->MemoryTokens(),
+                                    aProgress.admitted.memoryTokens,
                                     this->QueueOf(aProgress)->ExpectedRun() });
     }
     const SentAttempt sent{ aChoice, load, sentAt };
@@ -309,7 +307,7 @@
   void NoteReleased(const EntryRequest& aRequest, const Progress& aProgress)
   {
     if (aRequest.prompt) {
-      this->QueueOf(aProgress)->NoteReleased(aRequest.prompt->MemoryTokens(),
+      this->QueueOf(aProgress)->NoteReleased(aProgress.admitted.memoryTokens,
                                              this->timer.Now());
     }
   }
--- a/wigeonwalk/entry/runner_wait.h
+++ b/wigeonwalk/entry/runner_wait.h
@@ -77,7 +77,7 @@
       co_return std::nullopt;
     }
     const QueuePlace place(
-      queue, { rank, OrganisationOf(aSearch), TokensOf(aSearch.request) });
+      queue, { rank, OrganisationOf(aSearch), aSearch.admitted.memoryTokens });
     const TimePoint giveUpAt = this->GiveUpAt(aSearch);
     if (this->IsRefusedByForecast(aSearch, place, giveUpAt, aFailure)) {
       co_return std::nullopt;
@@ -121,11 +121,6 @@
     WaitQueue::Ticket ticket;
   };
 
-  static std::uint64_t TokensOf(const EntryRequest& aRequest)
-  {
-    return aRequest.prompt ? aRequest.prompt->MemoryTokens() : 0;
-  }
-
   static OrganisationId OrganisationOf(const RunnerSearch& aSearch)
   {
     const auto* organisation = aSearch.admitted.organisation;
@@ -155,7 +150,7 @@
   {
     const auto& engine = aSearch.admitted.service->engine;
     return !aSearch.resumes && engine &&
-           IsLargeRequest(TokensOf(aSearch.request), engine->cacheTokens);
+           IsLargeRequest(aSearch.admitted.memoryTokens, engine->cacheTokens);
   }
 
   // Within a priority, small prompts precede large ones: they use memory that
--- a/wigeonwalk/entry/runner_wait_test.cc
+++ b/wigeonwalk/entry/runner_wait_test.cc
@@ -41,7 +41,8 @@
     std::optional<TimePoint> endedAt;
   };
 
-  std::shared_ptr<Search> Start(std::uint32_t aTokens)
+  std::shared_ptr<Search> Start(std::uint32_t aTokens,
+                                std::uint32_t aMaxOutputTokens = 0)
   {
     auto search = std::make_shared<Search>();
     search->request.id = RequestId("q-" + std::to_string(++this->started));
@@ -49,8 +50,9 @@
     search->request.target = "/stream/" + std::to_string(this->started);
     search->request.apiKey = "key";
     search->request.callerTimeout = 10s;
-    search->request.prompt =
-      Prompt{ ModelName("m"), aTokens, 0, { { "own", aTokens } } };
+    search->request.prompt = Prompt{
+      ModelName("m"), aTokens, aMaxOutputTokens, { { "own", aTokens } }
+    };
     FailureReason reason;
     search->startedAt = this->time.Now();
     REQUIRE(AdmitRequest(this->state,
@@ -73,7 +75,7 @@
     aSearch->endedAt = this->time.Now();
     if (aSearch->pick) {
       aSearch->load = std::make_unique<RunnerLoad>(
-        aSearch->pick->runner, aSearch->request.prompt->MemoryTokens(), 0);
+        aSearch->pick->runner, aSearch->admitted.memoryTokens, 0);
     }
   }
 
@@ -225,3 +227,56 @@
     }
   }
 }
+
+// Guards against callers that shut out others by the numbers that they claim.
+SCENARIO("a caller claims more memory than a runner has")
+{
+  constexpr std::uint32_t kEndless = 4'000'000'000;
+  Setting setting;
+
+  WHEN("its prompt exceeds the memory")
+  {
+    EntryRequest request;
+    request.host = "a.example";
+    request.target = "/stream/7";
+    request.apiKey = "key";
+    request.prompt = Prompt{ ModelName("m"), kRunnerTokens + 1, 0, {} };
+    AdmittedRequest admitted;
+    FailureReason reason;
+
+    THEN("it is refused at once")
+    {
+      CHECK_FALSE(AdmitRequest(
+        setting.state, request, setting.time.Now(), admitted, reason));
+      CHECK(reason.code == ReasonCode::Overloaded);
+    }
+  }
+
+  WHEN("its answer might exceed it")
+  {
+    const auto claiming = setting.Start(100, kEndless);
+    REQUIRE(claiming->pick);
+
+    THEN("it counts as one runner's memory")
+    {
+      CHECK(claiming->admitted.memoryTokens == kRunnerTokens);
+      CHECK(claiming->pick->runner->tokensInFlight == kRunnerTokens);
+      const auto other = setting.Start(12'000);
+      REQUIRE(other->pick);
+      CHECK(other->pick->runner != claiming->pick->runner);
+    }
+
+    THEN("a large prompt that waits behind more of them is not refused for it")
+    {
+      const auto second = setting.Start(100, kEndless);
+      REQUIRE(second->pick);
+      const auto third = setting.Start(100, kEndless);
+      const auto queue = setting.state.QueueOf(ServiceName("plain"));
+      for (int i = 0; i < 32; ++i) {
+        queue->NoteReleased(kRunnerTokens, setting.time.Now());
+      }
+      const auto ordinary = setting.Start(12'000);
+      CHECK_FALSE(ordinary->endedAt);
+    }
+  }
+}
--- a/wigeonwalk/fleet/prompt.h
+++ b/wigeonwalk/fleet/prompt.h
@@ -6,6 +6,7 @@
 
 #include "wigeonwalk/base/ids.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -29,10 +30,14 @@
   std::uint32_t maxOutputTokens = 0;
   std::vector<PromptPart> parts;
 
-  // Engine memory that the request takes at most, in tokens.
-  std::uint64_t MemoryTokens() const
+  // Engine memory that the request takes at most at a runner with
+  // `aRunnerTokens`, zero if that is unknown. In tokens. Callers may claim any
+  // number; what exceeds a runner must not count against other requests.
+  std::uint64_t MemoryTokens(std::uint64_t aRunnerTokens) const
   {
-    return std::uint64_t(this->inputTokens) + this->maxOutputTokens;
+    const std::uint64_t claimed =
+      std::uint64_t(this->inputTokens) + this->maxOutputTokens;
+    return aRunnerTokens > 0 ? std::min(claimed, aRunnerTokens) : claimed;
   }
 
   bool operator==(const Prompt&) const = default;
--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -156,7 +156,7 @@
   double wait = own / costs.readTokensPerMs + ToSeconds(others) * 1'000;
   const std::uint64_t needed = aRunner.tokensInFlight +
                                aRunner.othersTokensInFlight +
-                               aQuery.prompt.MemoryTokens();
+                               aQuery.prompt.MemoryTokens(aQuery.runnerTokens);
   if (aQuery.runnerTokens > 0) {
     const double fill =
       static_cast<double>(needed) /
@@ -335,7 +335,7 @@
   if (aQuery.runnerTokens == 0) {
     return true;
   }
-  const std::uint64_t needed = aQuery.prompt.MemoryTokens();
+  const std::uint64_t needed = aQuery.prompt.MemoryTokens(aQuery.runnerTokens);
   const double share = IsLargeRequest(needed, aQuery.runnerTokens)
                          ? kLargeMemoryShare
                          : kMemoryShare;
