http: refuse answers whose status is none

One below 100 counted as an interim response: its body, or another answer behind it, was taken for the answer.

Cause: ReadHead takes each number of three digits for a status, and each below 200 for an interim response.

Change: what is not between 100 and 599 is malformed: 502, may have run. This holds for runners, stores, the registry and the daemons' other calls.

--- a/wigeonwalk/adapters/http/http_client.cc
+++ b/wigeonwalk/adapters/http/http_client.cc
@@ -36,7 +36,9 @@
 constexpr std::size_t kMaxHeadBytes = 16 * 1024;
 
 constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 // TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays
 // unacknowledged for this long, which bounds the time to detect an unresponsive
@@ -251,7 +253,8 @@
     if (!error && headBytes > kMaxHeadBytes) {
       error = http::error::header_limit;
     }
-    if (!error && status == kSwitchingProtocols) {
+    const bool isStatus = status >= kFirstStatus && status <= kLastStatus;
+    if (!error && (!isStatus || status == kSwitchingProtocols)) {
       error = http::error::bad_status;
     }
   }
--- a/wigeonwalk/adapters/http/http_client_test.cc
+++ b/wigeonwalk/adapters/http/http_client_test.cc
@@ -46,11 +46,10 @@
     std::optional<HttpResponse> response;
     bool ended = false;
     const auto call = [&]() -> Task<void> {
-      const HttpRequest request{ .method = "GET", .target = "/" };
       const std::string address = aPeer.Address();
       const TimePoint deadline = this->timer.Now() + 20s;
       response = co_await this->pool.Exchange(
-        address, request, Reuse::Allowed, deadline, this->reason);
+        address, this->request, Reuse::Allowed, deadline, this->reason);
       ended = true;
     };
     boost::asio::co_spawn(this->context, call(), boost::asio::detached);
@@ -64,6 +63,7 @@
   SystemTimer timer;
   HttpPool pool;
   TestPeer peer;
+  HttpRequest request{ .method = "GET", .target = "/" };
   FailureReason reason;
 };
 
@@ -149,6 +149,64 @@
   }
 }
 
+// Guards against a peer in trouble whose head has a number that is no status:
+// it is neither an interim response nor the final one.
+SCENARIO("a response whose status is none is malformed")
+{
+  Fixture fixture;
+  const auto status = GENERATE(values<std::string>({ "000",
+                                                     "001",
+                                                     "099",
+                                                     "600",
+                                                     "999",
+                                                     "0",
+                                                     "20",
+                                                     "2000",
+                                                     "-20",
+                                                     "2x0",
+                                                     "" }));
+  const std::string after = GENERATE(
+    "\r\n", "Content-Length: 0\r\n\r\n", "Content-Length: 2\r\n\r\nok");
+  CAPTURE(status, after);
+  fixture.peer.answers = { { "HTTP/1.1 " + status + " Trouble\r\n" + after,
+                             PeerEnd::Close } };
+  CHECK_FALSE(fixture.Call().has_value());
+  CHECK(fixture.reason.code == ReasonCode::MalformedResponse);
+
+  THEN("a response behind it is not taken for the answer")
+  {
+    fixture.peer.answers = {
+      { "HTTP/1.1 " + status + " Trouble\r\n\r\n" + kWhole, PeerEnd::Close }
+    };
+    CHECK_FALSE(fixture.Call().has_value());
+  }
+}
+
+// Guards against the part of a response that came before the request was sent
+// as a whole, and that counts as complete once the write has failed.
+SCENARIO("an early response that breaks off is not complete")
+{
+  Fixture fixture;
+  const auto end = GENERATE(PeerEnd::Close, PeerEnd::Reset);
+  const std::string part = GENERATE(
+    as<std::string>(),
+    "HTTP/1.1 200 OK\r\n\r\npart",
+    "HTTP/1.0 200 OK\r\n\r\npart",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+  const std::size_t bodyBytes = GENERATE(100'000, 32'000'000);
+  CAPTURE(NameOf(end), part, bodyBytes);
+  // The peer reads only the head: its system resets the connection also where
+  // it closes it.
+  fixture.request.method = "POST";
+  fixture.request.body = std::string(bodyBytes, 'b');
+  fixture.peer.answers = { { part, end } };
+  CHECK_FALSE(fixture.Call().has_value());
+  CHECK((fixture.reason.code == ReasonCode::WriteFailedPartWay ||
+         fixture.reason.code == ReasonCode::ConnectionLostAfterWrite));
+}
+
 // Guards against responses that look complete but are not, and against
 // connections that are kept although they can serve nothing more.
 SCENARIO("a response without a length ends with its connection")
