entry: don't remember models that only a caller has named

Callers saw: nothing yet; a daemon's memory grows with each model that clients name and a runner refuses for its weights (421).

Cause: the refusal sets the version of the request's model in the runner's list, whatever the model is.

Change: only of models that the runner has or whose weights were published.

Evidence: the scenario "a runner refuses requests for models that nobody has published" failed before and passes.

--- a/wigeonwalk/entry/answer_relay.h
+++ b/wigeonwalk/entry/answer_relay.h
@@ -166,8 +166,14 @@
                            const AnswerHead& aHead,
                            const RunnerPick& aPick)
   {
-    if (aHead.otherWeights && aRequest.prompt) {
-      aPick.runner->SetVersion(aRequest.prompt->model, *aHead.otherWeights);
+    if (!aHead.otherWeights || !aRequest.prompt) {
+      return;
+    }
+    // Callers may name any model; a runner's list must not grow with them.
+    const ModelName& model = aRequest.prompt->model;
+    if (aPick.runner->VersionOf(model) > 0 ||
+        this->state.WeightsOf(model).Newest().version > 0) {
+      aPick.runner->SetVersion(model, *aHead.otherWeights);
     }
   }
 
--- a/wigeonwalk/entry/answer_relay_test.cc
+++ b/wigeonwalk/entry/answer_relay_test.cc
@@ -112,6 +112,24 @@
   }
 }
 
+// Guards against callers that make a daemon remember each model they name.
+SCENARIO("a runner refuses requests for models that nobody has published")
+{
+  TestEntry entry;
+  entry.runners.scripts = { Script::SecondWeights };
+  constexpr int kModels = 20;
+  for (int i = 0; i < kModels; ++i) {
+    entry.prompt =
+      Prompt{ ModelName("odd-" + std::to_string(i)), 16, 4, { { "p-1", 16 } } };
+    entry.content = i;
+    entry.Send("lookup");
+  }
+  REQUIRE(entry.runners.attempts.size() >= kModels);
+  for (const auto& runner : entry.state.fleet.All()) {
+    CHECK(runner->entry.models.empty());
+  }
+}
+
 // Guards against answers on replaced weights that leave no trace in the logs.
 SCENARIO("an answer on old weights is counted")
 {
