daemon: bound what all callers make it hold

Callers saw: a wigeonwalkd that needs more memory than its machine has, while clients stop in the middle of long bodies, and no answer while others keep idle connections: it enforced neither a limit on the sum of requests nor its own setting callerLimits.connections.

Cause: only the entry daemon had these limits.

Change: callerLimits.requestBytes (24 MiB) bounds the requests that are received or held; callerLimits.connections, and three quarters of the descriptors, bound the connections, of which the longest idle one is closed. A completion that throws closes its connection instead of waiting for the caller to leave.

--- a/wigeonwalk/adapters/openai/caller_session.h
+++ b/wigeonwalk/adapters/openai/caller_session.h
@@ -4,13 +4,17 @@
 //   co_await ServeCaller(std::move(connection), handler, context);
 #pragma once
 
-#include "wigeonwalk/adapters/http/http_connection.h"
+#include "wigeonwalk/adapters/http/idle_connections.h"
 #include "wigeonwalk/adapters/openai/openai_codec.h"
 #include "wigeonwalk/ports/front_end.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/system/system_error.hpp>
 
+#include <cstddef>
+#include <exception>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -28,6 +32,11 @@
   std::function<bool()> stopping;
   // Number of requests being served.
   std::uint64_t* openRequests = nullptr;
+  // Memory of the requests that are being received or held.
+  std::shared_ptr<MessageMemory> requestMemory;
+  IdleConnections idle;
+  // Connections of callers that are open.
+  std::size_t connections = 0;
 };
 
 // Writes one answer, either as server-sent events or as a single body.
@@ -114,6 +123,24 @@
     } -> std::same_as<Task<std::optional<PlainResponse>>>;
 };
 
+// Handles one request. An exception closes the connection: the race in
+// ServeRequest would otherwise wait for the caller to leave.
+template<RequestHandler Handler>
+Task<void>
+CompleteRequest(Handler& aHandler,
+                const CompletionRequest& aCompletion,
+                OpenAiSink& aSink,
+                HttpConnection& aConnection)
+{
+  try {
+    co_await aHandler.Complete(aCompletion, aSink);
+  } catch (const boost::system::system_error&) {
+    throw;
+  } catch (const std::exception&) {
+    aConnection.Close();
+  }
+}
+
 // Serves one decoded request. Returns false if the connection must be closed.
 template<RequestHandler Handler>
 Task<bool>
@@ -144,7 +171,8 @@
   // If the caller closes its connection, the request is cancelled, which
   // releases its resources.
   const auto finished =
-    co_await (aHandler.Complete(completion, sink) || aConnection.WaitClosed());
+    co_await (CompleteRequest(aHandler, completion, sink, aConnection) ||
+              aConnection.WaitClosed());
   co_return finished.index() == 0 && sink.ConnectionUsable() && aKeepAlive;
 }
 
@@ -187,9 +215,16 @@
             Handler& aHandler,
             CallerContext& aContext)
 {
+  CountedConnection counted(aContext.connections);
+  aConnection.LimitHeldBytes(aContext.requestMemory);
   bool open = true;
   while (open) {
     FailureReason reason;
+    const bool arrived =
+      co_await aContext.idle.Wait(aConnection, counted, reason);
+    if (!arrived) {
+      co_return;
+    }
     auto request = co_await aConnection.ReadRequest(reason);
     if (!request && reason.code == ReasonCode::Cancelled) {
       co_return;
--- a/wigeonwalk/adapters/settings/daemon_settings_json.cc
+++ b/wigeonwalk/adapters/settings/daemon_settings_json.cc
@@ -16,6 +16,7 @@
   aField("bodyBytes", aLimits.bodyBytes);
   aField("readTimeout", aLimits.readTimeout);
   aField("connections", aLimits.connections);
+  aField("requestBytes", aLimits.requestBytes);
 }
 
 template<FieldsOf<PeerSettings> S>
--- a/wigeonwalk/adapters/settings/internal/daemon_settings_schema.h
+++ b/wigeonwalk/adapters/settings/internal/daemon_settings_schema.h
@@ -105,7 +105,12 @@
         "connections": {
           "type": "integer", "minimum": 1, "maximum": 1000000,
           "default": 20000, "x-unit": "connections",
-          "description": "Most caller connections open at once."
+          "description": "Most caller connections open at once, and at most three quarters of the process's descriptors. Beyond it, the one that has been idle for the longest time is closed."
+        },
+        "requestBytes": {
+          "type": "integer", "minimum": 65536, "maximum": 68719476736,
+          "default": 25165824, "x-unit": "bytes",
+          "description": "Memory of requests that are being received or held. Beyond it, the largest that is still being received is refused, as not run; one request of the largest size always fits."
         }
       }
     },
--- a/wigeonwalk/daemon/daemon.cc
+++ b/wigeonwalk/daemon/daemon.cc
@@ -2,6 +2,7 @@
 
 #include "wigeonwalk/adapters/cpu/cpu_pool.h"
 #include "wigeonwalk/adapters/directory/directory_msgpack.h"
+#include "wigeonwalk/adapters/http/descriptor_limit.h"
 #include "wigeonwalk/adapters/http/http_listener.h"
 #include "wigeonwalk/adapters/limits/limit_msgpack.h"
 #include "wigeonwalk/adapters/metrics/request_metrics_recorder.h"
@@ -16,6 +17,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -67,6 +69,28 @@
   return limits;
 }
 
+// Bytes of each request that don't count toward the memory of all.
+constexpr std::size_t kUncountedRequestBytes = 8 * 1024;
+
+// One request of the largest size always fits.
+std::size_t
+MaxRequestBytes(const CallerLimits& aLimits)
+{
+  return std::max<std::size_t>(aLimits.requestBytes,
+                               kRequestBodyCopies * aLimits.bodyBytes +
+                                 kMaxReadBufferBytes + aLimits.headerBytes);
+}
+
+// Leaves a quarter of the descriptors to everything but callers.
+std::size_t
+MaxConnections(const CallerLimits& aLimits)
+{
+  const std::size_t descriptors = DescriptorLimit();
+  return std::max<std::size_t>(
+    std::min<std::size_t>(aLimits.connections, descriptors - descriptors / 4),
+    1);
+}
+
 LogLevel
 LogLevelOf(const std::string& aName)
 {
@@ -147,6 +171,8 @@
     };
     this->callerContext.healthy = [this] { return this->Healthy(); };
     this->callerContext.openRequests = &this->openRequests;
+    this->callerContext.requestMemory = std::make_shared<MessageMemory>(
+      MaxRequestBytes(this->settings.callerLimits), kUncountedRequestBytes, 0);
     this->callerContext.stopping = [this] { return this->stopping; };
     this->cluster.SetForwardHandler(
       [this](const ForwardedCall& aCall) { return this->Answer(aCall); });
@@ -205,10 +231,14 @@
   Task<void> AcceptCallers(HttpListener& aListener)
   {
     FailureReason closed;
+    const std::size_t most = MaxConnections(this->settings.callerLimits);
     while (auto connection = co_await aListener.Accept(closed)) {
-      asio::co_spawn(this->context,
-                     this->ServeConnection(std::move(*connection)),
-                     asio::detached);
+      if (this->callerContext.connections < most ||
+          this->callerContext.idle.CloseLongest()) {
+        asio::co_spawn(this->context,
+                       this->ServeConnection(std::move(*connection)),
+                       asio::detached);
+      }
     }
   }
 
--- a/wigeonwalk/serving/daemon_settings.h
+++ b/wigeonwalk/serving/daemon_settings.h
@@ -21,7 +21,13 @@
   std::uint64_t bodyBytes = 4 * 1024 * 1024;
   // Longest time from the first byte of a request to its last.
   Duration readTimeout = std::chrono::seconds(10);
+  // Most connections that are open at once, and at most three quarters of the
+  // process's descriptors. Beyond it, the one that has been idle for the
+  // longest time is closed.
   std::uint32_t connections = 20'000;
+  // Memory of requests that are being received or held, in bytes. Beyond it,
+  // the largest that is still being received is refused.
+  std::uint64_t requestBytes = 24ULL * 1024 * 1024;
 };
 
 // Another daemon that the settings list.
