fleet: no KV cache between runners whose weights are unknown

Cause: all unknown versions of a model share one salt, so a part that a runner of one version holds under it is fetched by a runner of another.

Change: a runner of unknown version neither fetches parts nor saves them once weights of the model were published; what it holds itself is of its own weights.

--- a/wigeonwalk/fleet/runner_choice.cc
+++ b/wigeonwalk/fleet/runner_choice.cc
@@ -370,6 +370,12 @@
       scores.zone = std::max(scores.zone, score);
     }
   }
+  // All unknown versions share a salt, so between such runners parts of one
+  // version would pass for those of another.
+  const auto sourcesFor = [&](WeightNumber aVersion) {
+    const bool mayTransfer = aVersion > 0 || aQuery.newest == 0;
+    return mayTransfer ? aHolders : std::span<const CacheHolder>();
+  };
   KeysByVersion keys;
   std::optional<EngineChoice> best;
   for (const auto& runner : eligible) {
@@ -381,7 +387,7 @@
     const VersionKeys& versionKeys = KeysOf(keys, aQuery, version);
     const PlacementCosts& costs = aQuery.costs;
     choice.cost =
-      PlanParts(aQuery, versionKeys, aIndex, aHolders, choice) +
+      PlanParts(aQuery, versionKeys, aIndex, sourcesFor(version), choice) +
       QueueingMs(aQuery, *runner, aNow) +
       CrossZoneMs(costs, aQuery.zone, runner->entry.zone, aQuery.bodyBytes) +
       costs.failureMs * runner->health.FailureRate(aNow) +
@@ -402,7 +408,7 @@
   if (best) {
     const VersionKeys& versionKeys = KeysOf(keys, aQuery, best->version);
     best->salt = versionKeys.salt;
-    PlanSaves(aQuery, versionKeys, aIndex, aHolders, *best);
+    PlanSaves(aQuery, versionKeys, aIndex, sourcesFor(best->version), *best);
   }
   return best;
 }
--- a/wigeonwalk/fleet/runner_choice_test.cc
+++ b/wigeonwalk/fleet/runner_choice_test.cc
@@ -79,6 +79,33 @@
 
 } // namespace
 
+// Guards against KV cache of other weights: all unknown versions have the same
+// salt.
+SCENARIO("a runner whose weights are unknown takes no parts from others")
+{
+  Setting setting;
+  setting.runners = { MakeRunner("r-1", "north", 0) };
+  setting.holders = { StoreHolder("s-north", "north") };
+  setting.index.Set(UpstreamId("s-north"), setting.SharedKey(0), 12'800);
+
+  THEN("nor does it give any, once weights were published")
+  {
+    const auto choice = setting.Choose();
+    REQUIRE(choice.has_value());
+    CHECK(choice->fetchedTokens == 0);
+    CHECK_FALSE(choice->fetchFrom[0].has_value());
+    CHECK_FALSE(choice->saveTo[0].has_value());
+  }
+
+  THEN("it does if there is only one version")
+  {
+    setting.newest = 0;
+    const auto choice = setting.Choose();
+    REQUIRE(choice.has_value());
+    CHECK(choice->fetchedTokens == 12'800);
+  }
+}
+
 // Guards against recomputing parts that a runner or store has cached.
 SCENARIO("a prompt is placed where its parts are cached")
 {
