fleet: entries that lack fields don't replace what a runner has said

Cause: another writer's entry without the time of the start counted as another start, so that the runner's own word that it leaves was ignored from then on. One without models made its weights unknown.

Change: what an entry lacks is taken from what the runner has said before: its start, also shortly after its registration is gone, and the models of this start.

--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -34,18 +34,19 @@
                         ItemOrigin aOrigin)
 {
   const auto known = this->fleet.Find(aEntry.id);
+  const RunnerEntry entry = this->fleet.Complete(aEntry);
   const FleetChange change = aOrigin == ItemOrigin::Restored
-                               ? this->fleet.RegisterRestored(aEntry, aNow)
-                               : this->fleet.Register(aEntry);
+                               ? this->fleet.RegisterRestored(entry, aNow)
+                               : this->fleet.Register(entry);
   this->generation += change == FleetChange::None ? 0 : 1;
   if (change == FleetChange::Restarted) {
-    this->ForgetHolder(aEntry.id);
-    if (known->entry.startedAt != aEntry.startedAt) {
+    this->ForgetHolder(entry.id);
+    if (known->entry.startedAt != entry.startedAt) {
       this->fleet.NoteReplaced(*known, aNow);
     }
   }
-  this->NoteRegistered(aEntry.id, change);
-  this->NoteColdStart(aEntry, change, aNow);
+  this->NoteRegistered(entry.id, change);
+  this->NoteColdStart(entry, change, aNow);
   return change;
 }
 
--- a/wigeonwalk/fleet/fleet.cc
+++ b/wigeonwalk/fleet/fleet.cc
@@ -1,10 +1,34 @@
 #include "wigeonwalk/fleet/fleet.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 #include <utility>
 
 namespace wigeonwalk {
 
+RunnerEntry
+Fleet::Complete(RunnerEntry aEntry) const
+{
+  const auto registered = this->Find(aEntry.id);
+  if (aEntry.startedAt == 0 && registered != nullptr) {
+    aEntry.startedAt = registered->entry.startedAt;
+  } else if (aEntry.startedAt == 0) {
+    // The last start that is remembered of a runner that is gone.
+    const auto after = this->former.upper_bound(
+      { aEntry.id, std::numeric_limits<std::int64_t>::max() });
+    if (after != this->former.begin() &&
+        std::prev(after)->first.first == aEntry.id) {
+      aEntry.startedAt = std::prev(after)->first.second;
+    }
+  }
+  if (aEntry.models.empty() && registered != nullptr &&
+      registered->entry.startedAt == aEntry.startedAt) {
+    aEntry.models = registered->entry.models;
+  }
+  return aEntry;
+}
+
 FleetChange
 Fleet::Register(const RunnerEntry& aEntry)
 {
