--- a/wigeonwalk/adapters/peer/peer_transport.h
+++ b/wigeonwalk/adapters/peer/peer_transport.h
@@ -29,7 +29,7 @@
   std::size_t maxConnections = 1'000;
   // Maximum number of inbound connections on which no authenticated frame has
   // arrived. Beyond it the oldest of them is closed.
-  std::size_t maxUnproven = 32;
+  std::size_t maxUnproven = 128;
   // Limit on the memory of all inbound frames that are being received. Beyond
   // it the connection of the largest one is closed. Fits some of the largest
   // calls.
