entry: log how a configuration came and by which one a request was routed

Nothing in the logs told whether a daemon had learnt late, and on whose word it had relied meanwhile.

'configuration in force' now has its source (watch, listing, daemon) and the longest time ago that it can have been made; 'request finished' has the configuration by which it was routed. No decision changes.

--- a/wigeonwalk/entry/registry_item_log.h
+++ b/wigeonwalk/entry/registry_item_log.h
@@ -1,7 +1,7 @@
 // Log lines for registry items, before they are applied to the state and, for
 // registrations of runners, afterwards.
 //
-//   LogRegistryItem(log, state, item, revision, now);
+//   LogRegistryItem(log, state, item, arrival, now);
 //   LogRegistration(log, state, entry, change, now);
 #pragma once
 
@@ -10,11 +10,42 @@
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/ports/structured_log.h"
 
+#include <array>
 #include <cstdint>
 #include <variant>
 
 namespace wigeonwalk {
 
+// How a daemon learnt of a change of the registry.
+enum class ItemSource
+{
+  Watch,
+  // A read of all items.
+  Listing,
+  // Another daemon.
+  Daemon,
+};
+
+template<>
+struct EnumNames<ItemSource>
+{
+  static constexpr std::array<EnumName<ItemSource>, 3> kTable{ {
+    { ItemSource::Watch, "watch" },
+    { ItemSource::Listing, "listing" },
+    { ItemSource::Daemon, "daemon" },
+  } };
+};
+static_assert(HasCompleteTable<ItemSource>());
+
+// Where a change comes from, and the longest time ago that it can have been
+// made: for which the daemon had no word on the registry.
+struct ChangeArrival
+{
+  ItemSource source = ItemSource::Watch;
+  Duration age{ 0 };
+  std::int64_t revision = 0;
+};
+
 // Logs the recorded ages of weights that this daemon did not observe.
 template<StructuredLog L>
 void
@@ -65,7 +96,7 @@
 LogRegistryItem(L& aLog,
                 const EntryState& aState,
                 const RegistryItem& aItem,
-                std::int64_t aRevision,
+                const ChangeArrival& aArrival,
                 TimePoint aNow)
 {
   constexpr StringLiteral kNamed("weights named");
@@ -77,7 +108,9 @@
                {},
                { { LogKey::Version, routing->version },
                  { LogKey::Count, routing->routes.size() },
-                 { LogKey::Revision, aRevision } });
+                 { LogKey::Revision, aArrival.revision },
+                 { LogKey::Source, aArrival.source },
+                 { LogKey::Age, aArrival.age } });
   } else if (const auto* named = std::get_if<DesiredWeights>(&aItem)) {
     aLog.Write(aNow,
                LogLevel::Info,
@@ -85,14 +118,14 @@
                {},
                { { LogKey::Model, named->model },
                  { LogKey::Version, named->version },
-                 { LogKey::Revision, aRevision } });
+                 { LogKey::Revision, aArrival.revision } });
   } else if (const auto* order = std::get_if<ZoneOrder>(&aItem)) {
-    aLog.Write(
-      aNow,
-      LogLevel::Info,
-      "zone is out of use",
-      {},
-      { { LogKey::Zone, order->zone }, { LogKey::Revision, aRevision } });
+    aLog.Write(aNow,
+               LogLevel::Info,
+               "zone is out of use",
+               {},
+               { { LogKey::Zone, order->zone },
+                 { LogKey::Revision, aArrival.revision } });
   } else if (const auto* record = std::get_if<WeightsRecord>(&aItem)) {
     LogWeightsRecord(aLog, aState, *record, aNow);
   } else if (const auto* checkpoint = std::get_if<WeightsCheckpoint>(&aItem)) {
@@ -102,7 +135,7 @@
                  "weights checkpoint read",
                  {},
                  { { LogKey::Age, aNow - checkpoint->recordedUntil },
-                   { LogKey::Revision, aRevision } });
+                   { LogKey::Revision, aArrival.revision } });
     }
   }
 }
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -118,6 +118,7 @@
   // copy have been removed.
   void ApplyReported(const RegistryChanges& aReported)
   {
+    this->source = ItemSource::Daemon;
     if (aReported.full) {
       std::vector<KeyValueEntry> items;
       for (const WatchEvent& change : aReported.changes) {
@@ -194,6 +195,7 @@
       co_return false;
     }
     this->NoteAnswer(this->timer.Now());
+    this->source = ItemSource::Listing;
     this->ApplyListing(*listing, before->revision);
     this->hasListing = true;
     this->log.Write(this->timer.Now(),
@@ -222,6 +224,7 @@
     // An answer is read after the deadline if the process was paused.
     this->missedChanges |= this->timer.Now() > deadline;
     this->NoteAnswer(this->timer.Now());
+    this->source = ItemSource::Watch;
     for (const WatchEvent& change : batch->events) {
       // A listing or a report of another daemon may lack changes that lie
       // between two equal states.
@@ -280,6 +283,7 @@
   {
     const TimePoint now = this->timer.Now();
     this->answeredAt = now;
+    this->knownBefore = this->state.registryKnownAt;
     this->state.registryKnownAt =
       std::max(this->state.registryKnownAt, aKnownAt);
     if (!this->state.registryUnreachable) {
@@ -368,8 +372,11 @@
       if (const auto* entry = std::get_if<RunnerEntry>(&item)) {
         runner = *entry;
       }
-      LogRegistryItem(
-        this->log, this->state, item, aChange.entry.modRevision, now);
+      LogRegistryItem(this->log,
+                      this->state,
+                      item,
+                      this->ArrivalOf(aChange.entry.modRevision, now),
+                      now);
       change = this->state.Apply(std::move(item), now, aOrigin);
       if (runner) {
         LogRegistration(this->log, this->state, *runner, change, now);
@@ -388,6 +395,15 @@
     return !isRepeated;
   }
 
+  // Returns how a change arrived that is applied now.
+  ChangeArrival ArrivalOf(std::int64_t aRevision, TimePoint aNow) const
+  {
+    const TimePoint known = this->answeredAt == aNow
+                              ? this->knownBefore
+                              : this->state.registryKnownAt;
+    return { this->source, aNow - known, aRevision };
+  }
+
   // An entry that can't be read names no runner, whatever it said before. Of
   // other items, the last readable one holds.
   void ApplyUnreadable(const std::string& aKey)
@@ -410,6 +426,9 @@
   std::uint32_t failedWatches = 0;
   Duration readTimeout = kReadTimeout;
   TimePoint answeredAt;
+  // When the registry was last known before its last answer.
+  TimePoint knownBefore;
+  ItemSource source = ItemSource::Listing;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/request_log.h
+++ b/wigeonwalk/entry/request_log.h
@@ -136,6 +136,8 @@
                                ? Duration(0)
                                : aEnd.firstByteAt - aEnd.arrivedAt;
   const Route* route = aAdmitted.route;
+  const std::uint64_t configuration =
+    aAdmitted.routes ? aAdmitted.routes->Configuration().version : 0;
   aLog.Write(aNow,
              LogLevel::Info,
              "request finished",
@@ -147,6 +149,7 @@
                { LogKey::Status, aEnd.status },
                { LogKey::Verdict, aEnd.verdict },
                LogField(aEnd.failure),
+               { LogKey::Configuration, configuration },
                { LogKey::Count, aEnd.sentAttempts },
                { LogKey::FirstByte, firstByte },
                { LogKey::Elapsed, aNow - aEnd.arrivedAt } });
--- a/wigeonwalk/ports/log_field.h
+++ b/wigeonwalk/ports/log_field.h
@@ -87,12 +87,14 @@
   Cause,
   Part,
   Expected,
+  Source,
+  Configuration,
 };
 
 template<>
 struct EnumNames<LogKey>
 {
-  static constexpr std::array<EnumName<LogKey>, 34> kTable{ {
+  static constexpr std::array<EnumName<LogKey>, 36> kTable{ {
     { LogKey::Organisation, "organisation" },
     { LogKey::Service, "service" },
     { LogKey::Model, "model" },
@@ -127,6 +129,8 @@
     { LogKey::Cause, "cause" },
     { LogKey::Part, "part" },
     { LogKey::Expected, "expected" },
+    { LogKey::Source, "source" },
+    { LogKey::Configuration, "configuration" },
   } };
 };
 static_assert(HasCompleteTable<LogKey>());
