entry: a registry call gets what is left of the bound, not the whole

Cause: two limits in series, each a fraction of the same bound. A daemon relies on a reader for up to 1.5 s from its last word and only then calls the registry itself, with a timeout of 0.75 x the bound (2.25 s of 3 s). Where that first call hangs, because its connection died silently a moment before, the next one starts 4.05 s after the last word. The same holds for the pause between two calls (0.6 + 2.25 + 0.2 s).

A call now lasts until a time that is counted from when the registry was last known, so the retry falls within the bound.

--- a/wigeonwalk/entry/registry_relay_test.cc
+++ b/wigeonwalk/entry/registry_relay_test.cc
@@ -149,6 +149,24 @@
     }
   }
 
+  WHEN("the readers are gone after the others' connections have died")
+  {
+    for (const auto& daemon : setting.daemons) {
+      daemon->service.AddLinkFault(
+        { .fault = KeyValueFault::DeadConnection, .from = setting.time.Now() });
+    }
+    for (RegistryDaemon* reader : readers) {
+      reader->endpoint.alive = false;
+    }
+    setting.service.Store("config", "2");
+    setting.RunFor(bound);
+
+    THEN("the first call of the others does not take up all of the bound")
+    {
+      CHECK(setting.CountAt(2, readers) == others);
+    }
+  }
+
   WHEN("one reader is paused")
   {
     readers[0]->endpoint.pausedUntil = setting.time.Now() + 5s;
--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -30,9 +30,10 @@
 class RegistryWatch
 {
 public:
-  // Timeout of a watch call, as a fraction of the shortest time within which a
-  // change must be applied: if a call hangs, the change is still applied in
-  // time after its timeout.
+  // Until when a watch call may take, counted from the time at which the
+  // registry was last known, as a fraction of the shortest time within which a
+  // change must be applied: if a call hangs, the next one still applies the
+  // change in time.
   static constexpr double kWatchTimeoutFraction = 0.75;
   // Minimum interval between the starts of two watch calls, as a fraction of
   // the shortest time within which a change must be applied, and its least
@@ -150,16 +151,20 @@
 private:
   // The first call after an outage does not wait long for changes: its response
   // marks the registry's return, from which on the grace period for missing
-  // registrations runs.
-  Duration WatchTimeout() const
+  // registrations runs. Other calls have what is left of the bound: a part of
+  // it has passed since the registry was last known, on the word of a reader or
+  // between two calls.
+  Duration WatchTimeout(TimePoint aNow) const
   {
     if (this->state.registryUnreachable) {
       return kRecoveryProbeTimeout;
     }
-    const Duration timeout =
+    const Duration bound =
       FromSeconds(kWatchTimeoutFraction * ToSeconds(this->ShortestBound()));
-    return this->state.isAskedForChanges ? std::min(timeout, kMaxReaderWatch)
-                                         : timeout;
+    const Duration longest =
+      this->state.isAskedForChanges ? std::min(bound, kMaxReaderWatch) : bound;
+    const Duration left = this->state.registryKnownAt + bound - aNow;
+    return std::clamp(left, std::min(kRecoveryProbeTimeout, longest), longest);
   }
 
   Duration MinWatchInterval() const
@@ -211,7 +216,7 @@
   {
     const std::int64_t next = this->mirror.Revision() + 1;
     const TimePoint startedAt = this->timer.Now();
-    const TimePoint deadline = startedAt + this->WatchTimeout();
+    const TimePoint deadline = startedAt + this->WatchTimeout(startedAt);
     this->NoteGapBefore(startedAt);
     const std::string all;
     const auto batch = co_await this->store.Watch(all, next, deadline, aReason);
--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -284,9 +284,10 @@
   RegistryDaemon(VirtualTime& aTime,
                  FakeKeyValue& aService,
                  PeerNetwork& aNetwork,
-                 const std::string& aHost)
+                 const std::string& aHost,
+                 const EntryBounds& aBounds = {})
     : service(aService.Connect())
-    , state(MakeSettings(aHost))
+    , state(MakeSettings(aHost, aBounds))
     , watch(state, mirror, service, decoder, aTime, log)
     , endpoint(aNetwork.Add("peer-" + aHost, "north"))
     , channel(aNetwork, endpoint)
--- a/wigeonwalk/entry/test_settings.h
+++ b/wigeonwalk/entry/test_settings.h
@@ -9,11 +9,12 @@
 
 // Settings of a daemon in the zone "north".
 inline EntrySettings
-MakeSettings(const std::string& aHost)
+MakeSettings(const std::string& aHost, const EntryBounds& aBounds = {})
 {
   EntrySettings settings;
   settings.host = HostId(aHost);
   settings.zone = AvailabilityZone("north");
+  settings.bounds = aBounds;
   return settings;
 }
 
--- a/wigeonwalk/testing/fake_key_value.cc
+++ b/wigeonwalk/testing/fake_key_value.cc
@@ -172,6 +172,16 @@
   return nullptr;
 }
 
+bool
+FakeKeyValue::ReplaceDeadConnection()
+{
+  const TimePoint now = this->state->time.Now();
+  return std::erase_if(this->linkFaults, [now](const KeyValueFaultRow& aRow) {
+           return aRow.fault == KeyValueFault::DeadConnection &&
+                  aRow.from <= now;
+         }) > 0;
+}
+
 void
 FakeKeyValue::CountCall(KeyValueCall aCall)
 {
@@ -220,8 +230,10 @@
     co_await time.WaitUntil(std::min(aDeadline, time.Now() + kLatency / 2));
     co_return Fail(aReason, ReasonCode::ConnectRefused, "connection refused");
   }
-  if (this->FindFault(KeyValueFault::Silent, aKey)) {
+  if (this->ReplaceDeadConnection() ||
+      this->FindFault(KeyValueFault::Silent, aKey)) {
     co_await time.WaitUntil(aDeadline);
+    this->ReplaceDeadConnection();
     co_return Fail(aReason, ReasonCode::ResponseTimeout, "no answer in time");
   }
   const KeyValueFaultRow* slow = this->FindFault(KeyValueFault::Slow, aKey);
--- a/wigeonwalk/testing/fake_key_value.h
+++ b/wigeonwalk/testing/fake_key_value.h
@@ -44,18 +44,22 @@
   QuietWatch,
   // At `from`, all leases attached to keys under the prefix lapse.
   LeaseLapsed,
+  // The connection has died without a reset: the next call is dropped without
+  // an answer, and later ones use a new connection. Of one connection only.
+  DeadConnection,
 };
 
 template<>
 struct EnumNames<KeyValueFault>
 {
-  static constexpr std::array<EnumName<KeyValueFault>, 6> kTable{ {
+  static constexpr std::array<EnumName<KeyValueFault>, 7> kTable{ {
     { KeyValueFault::Down, "down" },
     { KeyValueFault::Silent, "silent" },
     { KeyValueFault::Slow, "slow" },
     { KeyValueFault::AnswerLost, "answer-lost" },
     { KeyValueFault::QuietWatch, "quiet-watch" },
     { KeyValueFault::LeaseLapsed, "lease-lapsed" },
+    { KeyValueFault::DeadConnection, "dead-connection" },
   } };
 };
 static_assert(HasCompleteTable<KeyValueFault>());
@@ -177,6 +181,8 @@
 
   const KeyValueFaultRow* FindFault(KeyValueFault aFault,
                                     const std::string& aKey) const;
+  // Returns true if the connection is dead, and replaces it.
+  bool ReplaceDeadConnection();
   void CountCall(KeyValueCall aCall);
   Task<void> WaitForPauseEnd();
 
