entry: a stream that breaks off goes on only at the version that began it

Cause: the version of a runner's software was not decoded, and a stream that broke off within an answer went on at any runner of the service.

The origin of a stream, its service and the version of the start that sent the first event, is now known from the registration, and only runners of the same origin may continue it, also those with recent failures. An unknown version equals none. A start whose registrations contradict each other has an unknown one. If no runner of the origin is left, the stream is broken off at once.

Evidence: with the two checks taken out, 'a stream goes on only at the software version that began it' fails (events of a second version in the answer).

--- a/wigeonwalk/entry/answer_relay.h
+++ b/wigeonwalk/entry/answer_relay.h
@@ -282,6 +282,7 @@
   {
     aProgress.firstByteAt = this->timer.Now();
     aProgress.streamStarted = true;
+    aProgress.origin = aPick.runner->Origin();
     const MetricScope scope = aProgress.admitted.Scope();
     this->measures.TimeToFirstToken(
       scope, aProgress.firstByteAt - aProgress.arrivedAt);
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -243,12 +243,15 @@
 std::vector<std::shared_ptr<Runner>>
 EntryState::Candidates(const ServiceName& aService,
                        const std::vector<UpstreamId>& aTried,
-                       TimePoint aNow) const
+                       TimePoint aNow,
+                       const StreamOrigin* aResumed) const
 {
   std::vector<std::shared_ptr<Runner>> all = this->fleet.RunnersOf(aService);
   std::erase_if(all, [&](const std::shared_ptr<Runner>& aRunner) {
     return std::find(aTried.begin(), aTried.end(), aRunner->entry.id) !=
              aTried.end() ||
+           (aResumed != nullptr &&
+            !MayContinue(*aResumed, aRunner->Origin())) ||
            aNow < aRunner->pausedUntil || aRunner->IsGone(aNow) ||
            !this->MaySend(*aRunner, aNow);
   });
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -94,11 +94,13 @@
   }
 
   // Returns the runners of a service that may get a request now. Runners with
-  // recent failures are included only if there are no others.
+  // recent failures are included only if there are no others. `aResumed` is the
+  // origin of the stream that the request continues; null if it begins anew.
   std::vector<std::shared_ptr<Runner>> Candidates(
     const ServiceName& aService,
     const std::vector<UpstreamId>& aTried,
-    TimePoint aNow) const;
+    TimePoint aNow,
+    const StreamOrigin* aResumed = nullptr) const;
 
   // Returns true if a new request may be sent to the runner now, as far as the
   // runner and the operator have said.
--- a/wigeonwalk/entry/forward_progress.h
+++ b/wigeonwalk/entry/forward_progress.h
@@ -3,6 +3,7 @@
 
 #include "wigeonwalk/entry/admission.h"
 #include "wigeonwalk/entry/request_log.h"
+#include "wigeonwalk/fleet/stream_origin.h"
 #include "wigeonwalk/ports/attempts.h"
 
 #include <cstdint>
@@ -34,6 +35,8 @@
   // The answer of the present attempt has begun and gone on.
   bool answerGoesOn = false;
   std::optional<std::uint64_t> lastEventId;
+  // Which runners may continue the caller's stream, once it has begun.
+  StreamOrigin origin;
   // When the first bytes of a runner's response were relayed; the epoch if none
   // were.
   TimePoint firstByteAt;
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -191,7 +191,8 @@
                                   aProgress.sentAttempts,
                                   aProgress.connectAttempts,
                                   aProgress.streamStarted,
-                                  aProgress.lastEventId.has_value() };
+                                  aProgress.lastEventId.has_value(),
+                                  aProgress.origin.IsKnown() };
       if (!MayRetry(this->state, failed, this->timer.Now())) {
         co_return;
       }
@@ -206,7 +207,8 @@
                                aProgress.admitted,
                                aProgress.tried,
                                aProgress.arrivedAt,
-                               aProgress.streamStarted };
+                               aProgress.streamStarted ? &aProgress.origin
+                                                       : nullptr };
     SearchFailure failure;
     auto choice = co_await this->wait.Find(search, failure);
     if (choice) {
--- a/wigeonwalk/entry/leaving_test.cc
+++ b/wigeonwalk/entry/leaving_test.cc
@@ -24,6 +24,7 @@
   entry.zone = AvailabilityZone("north");
   entry.slots = 4;
   entry.startedAt = aStartedAt;
+  entry.softwareVersion = "v1";
   return entry;
 }
 
--- a/wigeonwalk/entry/retry_decision.cc
+++ b/wigeonwalk/entry/retry_decision.cc
@@ -10,8 +10,8 @@
   const AdmittedRequest& admitted = aFailed.admitted;
   const bool mayRunAgain =
     admitted.route->MayRunAgain() &&
-    (!aFailed.streamStarted ||
-     (admitted.route->resumable && aFailed.knowsLastEvent));
+    (!aFailed.streamStarted || (admitted.route->resumable &&
+                                aFailed.knowsLastEvent && aFailed.knowsOrigin));
   if (!MayRepeat(aFailed.verdict, mayRunAgain) ||
       aFailed.sentAttempts >= admitted.route->maxAttempts ||
       aFailed.connectAttempts >= kMaxConnectAttempts) {
--- a/wigeonwalk/entry/retry_decision.h
+++ b/wigeonwalk/entry/retry_decision.h
@@ -32,6 +32,8 @@
   // The caller has received a part of a stream.
   bool streamStarted = false;
   bool knowsLastEvent = false;
+  // The version of the software that began the stream is known.
+  bool knowsOrigin = false;
 };
 
 // Returns true if another attempt is safe (the request can't run twice, or may
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -148,7 +148,7 @@
            TimePoint aNow)
 {
   Candidates candidates =
-    aState.Candidates(aAdmitted.service->name, aTried, aNow);
+    aState.Candidates(aAdmitted.service->name, aTried, aNow, aRules.resumed);
   std::erase_if(candidates, [&](const std::shared_ptr<Runner>& aRunner) {
     return !aState.Places().IsHome(aRunner->entry.zone, aAdmitted.homes);
   });
--- a/wigeonwalk/entry/runner_pick.h
+++ b/wigeonwalk/entry/runner_pick.h
@@ -34,12 +34,17 @@
   Duration replacedFor{ 0 };
 };
 
-// Which runners a prompt may use now.
+// Which runners a request may use now.
 struct PickRules
 {
+  // For prompts only.
   RoomRule room = RoomRule::Ignored;
-  // Part of the runners at which it is this daemon's turn, from 0 to 1.
+  // For prompts only: part of the runners at which it is this daemon's turn,
+  // from 0 to 1.
   double turns = 1;
+  // The origin of the stream that the request continues; null if it begins
+  // anew.
+  const StreamOrigin* resumed = nullptr;
 };
 
 // Returns the cache domain of a request by the newest configuration: it may
@@ -49,7 +54,7 @@
 CurrentCacheDomain(const EntryState& aState, const AdmittedRequest& aAdmitted);
 
 // Returns the runner with the lowest expected cost among those not in `aTried`,
-// or nothing if none can be used now. `aRules` apply to prompts only.
+// or nothing if none can be used now.
 std::optional<RunnerPick>
 PickRunner(const EntryState& aState,
            const EntryRequest& aRequest,
--- a/wigeonwalk/entry/runner_wait.h
+++ b/wigeonwalk/entry/runner_wait.h
@@ -27,8 +27,11 @@
   const AdmittedRequest& admitted;
   const std::vector<UpstreamId>& tried;
   TimePoint arrivedAt;
-  // The caller has received events of a stream that goes on elsewhere.
-  bool resumes = false;
+  // The origin of a stream of which the caller has received events; null if the
+  // request begins anew.
+  const StreamOrigin* resumed = nullptr;
+
+  bool Resumes() const { return this->resumed != nullptr; }
 };
 
 // Why no runner was found; the request has not been sent.
@@ -67,13 +70,14 @@
   {
     const auto queue = this->state.QueueOf(aSearch.admitted.service->name);
     const std::uint32_t rank = this->QueueRank(aSearch);
-    if (aSearch.resumes || !queue->requests.HasWaiting(rank)) {
+    if (aSearch.Resumes() || !queue->requests.HasWaiting(rank)) {
       auto pick = this->PickNow(aSearch, *queue);
       if (pick) {
         co_return pick;
       }
     }
-    if (this->IsRefusedByPlace(aSearch, aFailure)) {
+    if (this->IsRefusedByPlace(aSearch, aFailure) ||
+        this->IsRefusedByOrigin(aSearch, aFailure)) {
       co_return std::nullopt;
     }
     const QueuePlace place(
@@ -84,7 +88,8 @@
     }
     while (this->timer.Now() < giveUpAt) {
       if (this->IsRefusedByPause(aSearch, giveUpAt, aFailure) ||
-          this->IsRefusedByPlace(aSearch, aFailure)) {
+          this->IsRefusedByPlace(aSearch, aFailure) ||
+          this->IsRefusedByOrigin(aSearch, aFailure)) {
         co_return std::nullopt;
       }
       const TimePoint next =
@@ -149,7 +154,7 @@
   bool WaitsForRoom(const RunnerSearch& aSearch) const
   {
     const auto& engine = aSearch.admitted.service->engine;
-    return !aSearch.resumes && engine &&
+    return !aSearch.Resumes() && engine &&
            IsLargeRequest(aSearch.admitted.memoryTokens, engine->cacheTokens);
   }
 
@@ -247,12 +252,34 @@
     return true;
   }
 
+  // Returns true with the reason if no runner is left that may continue the
+  // stream.
+  bool IsRefusedByOrigin(const RunnerSearch& aSearch,
+                         SearchFailure& aFailure) const
+  {
+    if (!aSearch.Resumes()) {
+      return false;
+    }
+    const auto runners =
+      this->state.fleet.RunnersOf(aSearch.admitted.service->name);
+    const bool isAnyLeft =
+      std::any_of(runners.begin(), runners.end(), [&](const auto& aRunner) {
+        return MayContinue(*aSearch.resumed, aRunner->Origin());
+      });
+    if (!isAnyLeft) {
+      Fail(aFailure.reason,
+           ReasonCode::Unavailable,
+           "no runner of the software version that began the stream");
+    }
+    return !isAnyLeft;
+  }
+
   // Picks a runner with room. A large prompt takes turns with those that wait
   // at other daemons, as all of them see the same room.
   std::optional<RunnerPick> PickNow(const RunnerSearch& aSearch,
                                     const ServiceQueue& aQueue) const
   {
-    if (aSearch.resumes) {
+    if (aSearch.Resumes()) {
       return this->Pick(aSearch, {});
     }
     PickRules rules{ RoomRule::Required };
@@ -285,8 +312,9 @@
   }
 
   std::optional<RunnerPick> Pick(const RunnerSearch& aSearch,
-                                 const PickRules& aRules) const
+                                 PickRules aRules) const
   {
+    aRules.resumed = aSearch.resumed;
     return PickRunner(this->state,
                       aSearch.request,
                       aSearch.admitted,
--- a/wigeonwalk/entry/test_entry.h
+++ b/wigeonwalk/entry/test_entry.h
@@ -83,6 +83,7 @@
       entry.address = id;
       entry.zone = AvailabilityZone("north");
       entry.slots = 4;
+      entry.softwareVersion = "v1";
       this->state.Apply(entry, this->time.Now());
     }
   }
--- a/wigeonwalk/fleet/fleet.cc
+++ b/wigeonwalk/fleet/fleet.cc
@@ -22,10 +22,14 @@
       aEntry.startedAt = std::prev(after)->first.second;
     }
   }
-  if (aEntry.models.empty() && registered != nullptr &&
-      registered->entry.startedAt == aEntry.startedAt) {
+  const bool isSameStart =
+    registered != nullptr && registered->entry.startedAt == aEntry.startedAt;
+  if (isSameStart && aEntry.models.empty()) {
     aEntry.models = registered->entry.models;
   }
+  if (isSameStart && aEntry.softwareVersion.empty()) {
+    aEntry.softwareVersion = registered->entry.softwareVersion;
+  }
   return aEntry;
 }
 
@@ -52,6 +56,9 @@
   runner.missingUntil.reset();
   const bool wasDoubted = runner.doubtedUntil != TimePoint();
   runner.doubtedUntil = TimePoint();
+  runner.isVersionDisputed |=
+    !runner.entry.softwareVersion.empty() && !aEntry.softwareVersion.empty() &&
+    runner.entry.softwareVersion != aEntry.softwareVersion;
   if (runner.entry == aEntry) {
     return wasDoubted ? FleetChange::Updated : FleetChange::None;
   }
--- a/wigeonwalk/fleet/fleet.h
+++ b/wigeonwalk/fleet/fleet.h
@@ -66,8 +66,9 @@
   static constexpr std::size_t kMaxFormer = 4'096;
 
   // Returns the entry with what it lacks and the runner has said before: its
-  // start and, for the same start, its models. Another writer may leave them
-  // out; that makes no other start of it, and no other weights.
+  // start and, for the same start, its models and the version of its software.
+  // Another writer may leave them out; that makes no other start of it, and no
+  // other weights or software.
   RunnerEntry Complete(RunnerEntry aEntry) const;
 
   // A start that had been leaving when it was removed or replaced gets no
--- a/wigeonwalk/fleet/fleet_test.cc
+++ b/wigeonwalk/fleet/fleet_test.cc
@@ -209,3 +209,46 @@
     CHECK(KeyOfPart("a", "bc") != KeyOfPart("ab", "c"));
   }
 }
+
+// Guards against a stream that goes on at another version of the software,
+// because another writer's entry has changed the version of a runner's start.
+SCENARIO("the software version of a runner's start does not change")
+{
+  Fleet fleet;
+  RunnerEntry entry = MakeEntry("r-1");
+  entry.softwareVersion = "v1";
+  fleet.Register(entry);
+  const auto runner = fleet.Find(entry.id);
+  REQUIRE(runner->SoftwareVersion() == "v1");
+
+  WHEN("a later entry lacks it")
+  {
+    entry.softwareVersion.clear();
+    entry.slots += 1;
+    fleet.Register(fleet.Complete(entry));
+    CHECK(runner->SoftwareVersion() == "v1");
+  }
+
+  WHEN("a later entry has another one")
+  {
+    entry.softwareVersion = "v2";
+    fleet.Register(fleet.Complete(entry));
+
+    THEN("it is unknown from then on")
+    {
+      CHECK(runner->SoftwareVersion().empty());
+      entry.softwareVersion = "v1";
+      fleet.Register(fleet.Complete(entry));
+      CHECK(runner->SoftwareVersion().empty());
+    }
+  }
+
+  WHEN("the runner starts again with another version")
+  {
+    entry.startedAt += 1;
+    entry.softwareVersion = "v2";
+    fleet.Register(fleet.Complete(entry));
+    CHECK(fleet.Find(entry.id)->SoftwareVersion() == "v2");
+    CHECK(runner->SoftwareVersion() == "v1");
+  }
+}
--- a/wigeonwalk/fleet/runner.h
+++ b/wigeonwalk/fleet/runner.h
@@ -10,6 +10,7 @@
 #include "wigeonwalk/fleet/cold_start.h"
 #include "wigeonwalk/fleet/requested_pause.h"
 #include "wigeonwalk/fleet/runner_health.h"
+#include "wigeonwalk/fleet/stream_origin.h"
 
 #include <cstdint>
 #include <memory>
@@ -62,6 +63,9 @@
   // the same id with an empty cache. Zero if not given.
   std::int64_t startedAt = 0;
   std::vector<LoadedModel> models;
+  // Version of the runner's software, as opposed to that of its weights; empty
+  // if not given.
+  std::string softwareVersion;
   // How much longer the runner is cold, counted from the registration; nothing
   // if it does not say so.
   std::optional<Duration> coldRemaining;
@@ -85,6 +89,9 @@
   RunnerEntry entry;
   // Gets no new requests. Never reset for this start of the runner.
   bool leaving = false;
+  // Registrations of this start have given different versions of its software,
+  // of which only one can be right. Never reset for this start of the runner.
+  bool isVersionDisputed = false;
   // Set if the registration disappeared right after an outage of the registry:
   // the runner is removed at this time unless it registers again before.
   std::optional<TimePoint> missingUntil;
@@ -139,6 +146,19 @@
   // `aPrefillTime` and starts after the other prefills recorded so far.
   void NoteOthersPrefill(Duration aPrefillTime, TimePoint aNow);
 
+  // Returns the version of the runner's software, or an empty text if unknown.
+  std::string SoftwareVersion() const
+  {
+    return this->isVersionDisputed ? std::string()
+                                   : this->entry.softwareVersion;
+  }
+
+  // Returns the origin of the streams that the runner begins.
+  StreamOrigin Origin() const
+  {
+    return { this->entry.service, this->SoftwareVersion() };
+  }
+
   // Returns the version of a model's weights, or zero if unknown.
   WeightNumber VersionOf(const ModelName& aModel) const;
   void SetVersion(const ModelName& aModel, WeightNumber aVersion);
