entry: streams are taken up only at the software version that began them

Cause: a take-up was placed like a new stream. Nothing remembered where a stream began, least of all after all daemons were killed.

Change: the daemon that gets a stream's first event records its origin before the caller gets the event, and tells others; a take-up goes on only at a known origin, else it is refused at once as not run.

--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.cc
@@ -218,6 +218,26 @@
   });
 }
 
+std::string
+EntryMsgpack::EncodeStream(const StreamRecord& aRecord) const
+{
+  return PackMessage(Json::array({ aRecord.key.high,
+                                   aRecord.key.low,
+                                   aRecord.origin.service.Text(),
+                                   aRecord.origin.version }));
+}
+
+std::optional<StreamRecord>
+EntryMsgpack::DecodeStream(const std::string& aPayload) const
+{
+  return UnpackMessage(aPayload, [](const Json& aJson) {
+    return StreamRecord{ { aJson.at(0).get<std::uint64_t>(),
+                           aJson.at(1).get<std::uint64_t>() },
+                         { ServiceName(aJson.at(2).get<std::string>()),
+                           aJson.at(3).get<std::string>() } };
+  });
+}
+
 std::string
 EntryMsgpack::EncodeQuery(const RegistryQuery& aQuery) const
 {
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack.h
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack.h
@@ -29,6 +29,8 @@
   std::string EncodePartEvidence(const PartNotice& aNotice) const;
   std::optional<PartNotice> DecodePartEvidence(
     const std::string& aPayload) const;
+  std::string EncodeStream(const StreamRecord& aRecord) const;
+  std::optional<StreamRecord> DecodeStream(const std::string& aPayload) const;
   std::string EncodeQuery(const RegistryQuery& aQuery) const;
   std::optional<RegistryQuery> DecodeQuery(const std::string& aPayload) const;
   std::string EncodeChanges(const RegistryChanges& aChanges) const;
--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -71,6 +71,9 @@
     CHECK(codec.DecodePartEvidence(codec.EncodePartEvidence(crash)) == crash);
     const PartNotice answer{ { { 1, 2 }, 0 }, 0, 0, 3min, 3min };
     CHECK(codec.DecodePartEvidence(codec.EncodePartEvidence(answer)) == answer);
+
+    const StreamRecord stream{ { 1, 2 }, { ServiceName("s"), "v1.2" } };
+    CHECK(codec.DecodeStream(codec.EncodeStream(stream)) == stream);
   }
 
   SECTION("for the registry, with values of arbitrary bytes")
@@ -149,6 +152,7 @@
     CHECK_FALSE(codec.DecodeQuery(broken).has_value());
     CHECK_FALSE(codec.DecodeChanges(broken).has_value());
     CHECK_FALSE(codec.DecodePartEvidence(broken).has_value());
+    CHECK_FALSE(codec.DecodeStream(broken).has_value());
   }
 }
 
--- a/wigeonwalk/adapters/metrics/metric_names.h
+++ b/wigeonwalk/adapters/metrics/metric_names.h
@@ -49,12 +49,13 @@
   DaemonsWaiting,
   CachedParts,
   CachedPartsEvicted,
+  StreamsTakenUp,
 };
 
 template<>
 struct EnumNames<Metric>
 {
-  static constexpr std::array<EnumName<Metric>, 34> kTable{ {
+  static constexpr std::array<EnumName<Metric>, 35> kTable{ {
     { Metric::TimeToFirstToken, "time_to_first_token" },
     { Metric::TimeBetweenTokens, "time_between_tokens" },
     { Metric::QueueTime, "queue_time" },
@@ -89,6 +90,7 @@
     { Metric::DaemonsWaiting, "waiting" },
     { Metric::CachedParts, "cached" },
     { Metric::CachedPartsEvicted, "evicted" },
+    { Metric::StreamsTakenUp, "taken_up" },
   } };
 };
 static_assert(HasCompleteTable<Metric>());
@@ -127,7 +129,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 34> kMetricInfos{ {
+inline constexpr std::array<MetricInfo, 35> kMetricInfos{ {
   { Metric::TimeToFirstToken,
     MetricType::Histogram,
     "seconds",
@@ -298,6 +300,12 @@
     "parts",
     "",
     "Cached parts that were forgotten because there were too many." },
+  { Metric::StreamsTakenUp,
+    MetricType::Counter,
+    "streams",
+    "source",
+    "Broken streams that callers took up again, by how it was found which "
+    "software version began them." },
 } };
 
 // Returns unit, type and labels of a metric.
--- a/wigeonwalk/entry/admission.cc
+++ b/wigeonwalk/entry/admission.cc
@@ -174,6 +174,23 @@
          AdmitParts(aState, aAdmitted, aNow, aReason);
 }
 
+bool
+SelectService(AdmittedRequest& aAdmitted, const ServiceName& aService)
+{
+  const auto& services = aAdmitted.route->services;
+  const bool isOfRoute = std::any_of(
+    services.begin(), services.end(), [&](const WeightedService& aPart) {
+      return aPart.service == aService;
+    });
+  const auto* service =
+    isOfRoute ? aAdmitted.routes->FindService(aService) : nullptr;
+  if (service == nullptr) {
+    return false;
+  }
+  aAdmitted.service = service;
+  return true;
+}
+
 bool
 AdmitParts(const EntryState& aState,
            const AdmittedRequest& aAdmitted,
--- a/wigeonwalk/entry/admission.h
+++ b/wigeonwalk/entry/admission.h
@@ -58,6 +58,11 @@
              AdmittedRequest& aAdmitted,
              FailureReason& aReason);
 
+// Sends an admitted request to a service. Returns false if its route does not
+// lead there.
+bool
+SelectService(AdmittedRequest& aAdmitted, const ServiceName& aService);
+
 // Returns false with the reason if a part of the prompt is refused because it
 // crashes runners. Evidence may arrive at any time, so this is checked before
 // each attempt.
--- a/wigeonwalk/entry/answer_relay.h
+++ b/wigeonwalk/entry/answer_relay.h
@@ -23,6 +23,13 @@
 
 namespace wigeonwalk {
 
+// Tells other daemons where a stream began.
+template<typename T>
+concept OriginAnnouncer = requires(T& aPeers, const StreamRecord& aRecord)
+{
+  aPeers.AnnounceOrigin(aRecord);
+};
+
 // An attempt that was sent: its runner, the load it adds there, and when it was
 // sent.
 struct SentAttempt
@@ -35,14 +42,19 @@
 // A non-streaming response is buffered completely before any of it is relayed,
 // so that a failed attempt can be retried. A stream is relayed event by event.
 // Keeps no state between requests; the EntryState must outlive it.
-template<RunnerExchange Attempt, RequestMetrics M, Timer T, StructuredLog L>
+template<RunnerExchange Attempt,
+         OriginAnnouncer P,
+         RequestMetrics M,
+         Timer T,
+         StructuredLog L>
 class AnswerRelay
 {
 public:
   using Progress = ForwardProgress<Attempt>;
 
-  AnswerRelay(EntryState& aState, M& aMeasures, T& aTimer, L& aLog)
+  AnswerRelay(EntryState& aState, P& aPeers, M& aMeasures, T& aTimer, L& aLog)
     : state(aState)
+    , peers(aPeers)
     , measures(aMeasures)
     , timer(aTimer)
     , log(aLog)
@@ -282,7 +294,7 @@
   {
     aProgress.firstByteAt = this->timer.Now();
     aProgress.streamStarted = true;
-    aProgress.origin = aPick.runner->Origin();
+    this->NoteOrigin(aPick, aProgress);
     const MetricScope scope = aProgress.admitted.Scope();
     this->measures.TimeToFirstToken(
       scope, aProgress.firstByteAt - aProgress.arrivedAt);
@@ -295,6 +307,29 @@
     this->NoteParts(*aRequest.prompt, aPick.spec, engine->cacheTokens);
   }
 
+  // Records where the caller's stream began or went on, before it has events
+  // that it may take up elsewhere.
+  void NoteOrigin(const RunnerPick& aPick, Progress& aProgress)
+  {
+    // Another start of the runner may have answered if it has registered since
+    // the request was sent.
+    const UpstreamId& runner = aPick.runner->entry.id;
+    const auto present = this->state.fleet.Find(runner);
+    const StreamOrigin origin = present == nullptr || present == aPick.runner
+                                  ? aPick.runner->Origin()
+                                  : StreamOrigin{ aPick.runner->entry.service };
+    if (aProgress.isTakeUp && aProgress.origin != origin) {
+      aProgress.origin.version.clear();
+    } else {
+      aProgress.origin = origin;
+    }
+    if (aProgress.streamKey) {
+      const StreamRecord record{ *aProgress.streamKey, aProgress.origin };
+      this->state.streamOrigins.Record(record, runner, this->timer.Now());
+      this->peers.AnnounceOrigin(record);
+    }
+  }
+
   // A runner that has generated its first token holds all parts of the prompt.
   // Its cache events confirm this later.
   void NoteParts(const Prompt& aPrompt,
@@ -317,6 +352,7 @@
   }
 
   EntryState& state;
+  P& peers;
   M& measures;
   T& timer;
   L& log;
--- a/wigeonwalk/entry/entry_notices.h
+++ b/wigeonwalk/entry/entry_notices.h
@@ -9,6 +9,7 @@
 #include "wigeonwalk/retry/leaving_upstreams.h"
 #include "wigeonwalk/retry/part_evidence.h"
 #include "wigeonwalk/retry/poison_tracker.h"
+#include "wigeonwalk/retry/stream_origins.h"
 
 #include <concepts>
 #include <cstddef>
@@ -124,6 +125,7 @@
                                     const PoisonNotice& aPoison,
                                     const LeavingNotice& aLeaving,
                                     const PartNotice& aPart,
+                                    const StreamRecord& aStream,
                                     const PeerNotice& aNotice,
                                     const RegistryQuery& aQuery,
                                     const RegistryChanges& aChanges,
@@ -171,6 +173,12 @@
   {
     aCodec.DecodePartEvidence(aPayload)
     } -> std::same_as<std::optional<PartNotice>>;
+  {
+    aCodec.EncodeStream(aStream)
+    } -> std::same_as<std::string>;
+  {
+    aCodec.DecodeStream(aPayload)
+    } -> std::same_as<std::optional<StreamRecord>>;
   {
     aCodec.EncodeQuery(aQuery)
     } -> std::same_as<std::string>;
--- a/wigeonwalk/entry/entry_request.h
+++ b/wigeonwalk/entry/entry_request.h
@@ -30,6 +30,10 @@
   // Absent if the request is not for a model.
   std::optional<Prompt> prompt;
   std::size_t bodyBytes = 0;
+  // The caller has events of a stream and wants the rest of it.
+  bool continuesStream = false;
+  // The attempt that brought the first of these events; empty if not named.
+  RequestId firstAttempt;
   // Hash of method, target and body.
   Hash128 contentHash;
 };
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -44,6 +44,10 @@
     if (known->entry.startedAt != entry.startedAt) {
       this->fleet.NoteReplaced(*known, aNow);
     }
+    if (known->SoftwareVersion() != entry.softwareVersion) {
+      this->streamOrigins.NoteOtherVersion(
+        entry.id, TimePoint(std::chrono::milliseconds(entry.startedAt)));
+    }
   }
   this->NoteRegistered(entry.id, change);
   this->NoteColdStart(entry, change, aNow);
@@ -77,6 +81,12 @@
     this->weightsRecordedUntil = checkpoint->recordedUntil;
     return FleetChange::None;
   }
+  if (const auto* batch = std::get_if<StreamBatch>(&aItem)) {
+    for (const StreamRecord& record : batch->streams) {
+      this->streamOrigins.Record(record, UpstreamId(), aNow);
+    }
+    return FleetChange::None;
+  }
   ++this->generation;
   if (auto* configuration = std::get_if<RoutingConfiguration>(&aItem)) {
     if (this->routes == nullptr ||
@@ -94,6 +104,12 @@
       this->recordedWeights[record->model].Record(
         { row.version, std::min(row.publishedAt, aNow), row.revision, true });
     }
+  } else if (auto* versions = std::get_if<StreamVersions>(&aItem)) {
+    if (!versions->isComplete && this->streamVersions) {
+      versions->origins =
+        MergeOrigins(versions->origins, this->streamVersions->origins);
+    }
+    this->streamVersions = std::move(*versions);
   } else if (const auto* order = std::get_if<ZoneOrder>(&aItem)) {
     this->zonesOutOfUse.TakeOut(order->zone, aNow);
   } else if (auto* member = std::get_if<EntryMember>(&aItem)) {
@@ -377,6 +393,45 @@
   return HistoryOf(this->recordedWeights, aModel);
 }
 
+std::vector<StreamOrigin>
+EntryState::ServingOrigins() const
+{
+  std::vector<StreamOrigin> origins;
+  if (this->routes == nullptr) {
+    return origins;
+  }
+  std::vector<ServiceName> services;
+  for (const Route& route : this->routes->Configuration().routes) {
+    if (route.CanBeResumed()) {
+      for (const WeightedService& part : route.services) {
+        services.push_back(part.service);
+      }
+    }
+  }
+  for (const auto& runner : this->fleet.All()) {
+    const ServiceName& service = runner->entry.service;
+    const StreamOrigin origin = runner->Origin();
+    if (std::find(services.begin(), services.end(), service) !=
+          services.end() &&
+        std::find(origins.begin(), origins.end(), origin) == origins.end()) {
+      origins.push_back(origin);
+    }
+  }
+  std::sort(origins.begin(), origins.end());
+  return origins;
+}
+
+std::optional<StreamOrigin>
+EntryState::OnlyStreamOrigin(TimePoint aNow) const
+{
+  const Duration age = aNow - this->registryKnownAt;
+  if (!this->streamVersions ||
+      age > this->settings.bounds.configurationPropagation) {
+    return std::nullopt;
+  }
+  return OnlyOrigin(*this->streamVersions, this->ServingOrigins());
+}
+
 std::shared_ptr<ServiceQueue>
 EntryState::QueueOf(const ServiceName& aService)
 {
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -12,6 +12,7 @@
 #include "wigeonwalk/fleet/place_rules.h"
 #include "wigeonwalk/fleet/runner_advice.h"
 #include "wigeonwalk/fleet/runner_choice.h"
+#include "wigeonwalk/fleet/stream_versions.h"
 #include "wigeonwalk/fleet/weight_history.h"
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/queueing/service_queue.h"
@@ -19,6 +20,8 @@
 #include "wigeonwalk/retry/part_crash_tracker.h"
 #include "wigeonwalk/retry/poison_tracker.h"
 #include "wigeonwalk/retry/sliding_window_budget.h"
+#include "wigeonwalk/retry/stream_origins.h"
+#include "wigeonwalk/retry/stream_take_up.h"
 #include "wigeonwalk/routing/route_table.h"
 #include "wigeonwalk/shares/member_shares.h"
 
@@ -184,6 +187,14 @@
     return this->weightsRecordedUntil;
   }
 
+  // Returns the origins of all registered runners that may begin streams which
+  // can be taken up again, in ascending order.
+  std::vector<StreamOrigin> ServingOrigins() const;
+
+  // Returns the only origin that such a stream can have, or nothing if there
+  // may be several or this daemon may have missed one.
+  std::optional<StreamOrigin> OnlyStreamOrigin(TimePoint aNow) const;
+
   // Returns the queue of requests that wait for a runner of the service.
   // Waiting requests share it, because a cancelled one may end after the state.
   std::shared_ptr<ServiceQueue> QueueOf(const ServiceName& aService);
@@ -233,6 +244,13 @@
   SlidingWindowBudget retryBudget;
   PoisonTracker poison;
   PartCrashTracker partCrashes;
+  // Where the last streams began that may be taken up again.
+  StreamOrigins streamOrigins;
+  // The origins that streams may have; nothing before the registry's list is
+  // known.
+  std::optional<StreamVersions> streamVersions;
+  // Streams that callers took up again, by how their origin was found.
+  std::array<std::uint64_t, EnumNames<TakeUpSource>::kTable.size()> takeUps{};
   // How often weights were found that may have been published earlier.
   std::uint64_t foundWeights = 0;
   // The registry has not answered for some time.
--- a/wigeonwalk/entry/forward_progress.h
+++ b/wigeonwalk/entry/forward_progress.h
@@ -37,6 +37,16 @@
   std::optional<std::uint64_t> lastEventId;
   // Which runners may continue the caller's stream, once it has begun.
   StreamOrigin origin;
+  // The caller has events of it from an earlier attempt.
+  bool isTakeUp = false;
+  // Identifies the stream if it may be taken up again.
+  std::optional<Hash128> streamKey;
+
+  // The origin that runners must have; null if any may begin the stream.
+  const StreamOrigin* Resumed() const
+  {
+    return this->streamStarted || this->isTakeUp ? &this->origin : nullptr;
+  }
   // When the first bytes of a runner's response were relayed; the epoch if none
   // were.
   TimePoint firstByteAt;
--- a/wigeonwalk/entry/forward_run.h
+++ b/wigeonwalk/entry/forward_run.h
@@ -39,6 +39,7 @@
          RequestMetrics M,
          Timer T,
          StructuredLog L>
+requires OriginSource<P> && OriginAnnouncer<P>
 class ForwardRun
 {
 public:
@@ -72,7 +73,7 @@
     , timer(aTimer)
     , log(aLog)
     , wait(aState, aTimer)
-    , relay(aState, aMeasures, aTimer, aLog)
+    , relay(aState, aPeers, aMeasures, aTimer, aLog)
   {
   }
 
@@ -113,13 +114,58 @@
                                        aProgress.arrivedAt,
                                        aProgress.admitted,
                                        reason);
-    if (admitted) {
+    const bool mayRun =
+      admitted && co_await this->FindOrigin(aRequest.facts, aProgress, reason);
+    if (mayRun) {
       co_await this->RunAttempts(aRequest, aProgress, aExchange);
     } else {
       aProgress.failure = reason;
     }
   }
 
+  // Finds the origin of a stream that the caller takes up again. Returns false
+  // with the reason if no runner may continue it.
+  Task<bool> FindOrigin(const EntryRequest& aRequest,
+                        Progress& aProgress,
+                        FailureReason& aReason)
+  {
+    AdmittedRequest& admitted = aProgress.admitted;
+    if (!admitted.route->CanBeResumed()) {
+      co_return true;
+    }
+    aProgress.isTakeUp = aRequest.continuesStream;
+    const RequestId& first =
+      aProgress.isTakeUp ? aRequest.firstAttempt : aRequest.id;
+    if (!first.Empty()) {
+      aProgress.streamKey = StreamKey(first,
+                                      admitted.Scope().organisation,
+                                      aRequest.host,
+                                      aRequest.contentHash);
+    }
+    if (!aProgress.isTakeUp) {
+      co_return true;
+    }
+    const auto only = this->state.OnlyStreamOrigin(this->timer.Now());
+    const TakeUp found = co_await ResolveTakeUp(
+      this->state.streamOrigins, this->peers, aProgress.streamKey, only);
+    ++this->state.takeUps[static_cast<std::size_t>(found.source)];
+    LogTakeUp(this->log, this->timer.Now(), aRequest, found);
+    aProgress.origin = found.origin;
+    if (!found.origin.IsKnown()) {
+      Fail(aReason,
+           ReasonCode::Unavailable,
+           "the software version that began the stream is not known");
+      co_return false;
+    }
+    if (!SelectService(admitted, found.origin.service)) {
+      Fail(aReason,
+           ReasonCode::Unavailable,
+           "the route does not lead to the service that began the stream");
+      co_return false;
+    }
+    co_return true;
+  }
+
   // Records a fault of this program, which must not leave the caller without an
   // answer.
   void NoteException(const EntryRequest& aRequest,
@@ -207,8 +253,7 @@
                                aProgress.admitted,
                                aProgress.tried,
                                aProgress.arrivedAt,
-                               aProgress.streamStarted ? &aProgress.origin
-                                                       : nullptr };
+                               aProgress.Resumed() };
     SearchFailure failure;
     auto choice = co_await this->wait.Find(search, failure);
     if (choice) {
@@ -450,7 +495,7 @@
   T& timer;
   L& log;
   RunnerWait<T> wait;
-  AnswerRelay<Attempt, M, T, L> relay;
+  AnswerRelay<Attempt, P, M, T, L> relay;
   // The present attempt may have reached a runner.
   bool isAtRunner = false;
   // The combined verdict on the attempts that failed.
--- a/wigeonwalk/entry/request_log.h
+++ b/wigeonwalk/entry/request_log.h
@@ -7,6 +7,7 @@
 #include "wigeonwalk/entry/admission.h"
 #include "wigeonwalk/entry/runner_pick.h"
 #include "wigeonwalk/ports/structured_log.h"
+#include "wigeonwalk/retry/stream_take_up.h"
 #include "wigeonwalk/retry/verdict_rules.h"
 
 #include <cstdint>
@@ -83,6 +84,24 @@
                { LogKey::Count, aSentAttempts } });
 }
 
+// Logs that a caller takes a stream up again, and whether its origin is known.
+template<StructuredLog L>
+void
+LogTakeUp(L& aLog,
+          TimePoint aNow,
+          const EntryRequest& aRequest,
+          const TakeUp& aFound)
+{
+  aLog.Write(aNow,
+             LogLevel::Info,
+             "stream taken up",
+             aRequest.id,
+             { { LogKey::Attempt, aRequest.firstAttempt },
+               { LogKey::Source, aFound.source },
+               { LogKey::Service, aFound.origin.service },
+               LogField::Name(LogKey::Version, aFound.origin.version) });
+}
+
 // Logs that an attempt at a runner failed.
 template<StructuredLog L>
 void
--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -54,6 +54,24 @@
     std::max(std::min(aPick.spec.timeLeft, usable), Duration(0));
 }
 
+// Removes runners whose version is not listed yet, if there are others: a
+// stream that such a runner begins may be taken for one of a listed version.
+void
+KeepListed(const EntryState& aState, Candidates& aCandidates)
+{
+  if (!aState.streamVersions) {
+    return;
+  }
+  const auto isListed = [&aState](const std::shared_ptr<Runner>& aRunner) {
+    return aState.streamVersions->Lists(aRunner->Origin());
+  };
+  if (std::any_of(aCandidates.begin(), aCandidates.end(), isListed)) {
+    std::erase_if(aCandidates, [&](const std::shared_ptr<Runner>& aRunner) {
+      return !isListed(aRunner);
+    });
+  }
+}
+
 // Removes the runners at which it is not this daemon's turn.
 void
 KeepTurns(const EntryState& aState,
@@ -152,6 +170,9 @@
   std::erase_if(candidates, [&](const std::shared_ptr<Runner>& aRunner) {
     return !aState.Places().IsHome(aRunner->entry.zone, aAdmitted.homes);
   });
+  if (aRules.resumed == nullptr && aAdmitted.route->CanBeResumed()) {
+    KeepListed(aState, candidates);
+  }
   if (aRequest.prompt) {
     KeepTurns(aState, candidates, aRules.turns, aNow);
   }
--- /dev/null
+++ b/wigeonwalk/entry/stream_batch_writer.h
@@ -0,0 +1,117 @@
+// Writes to the registry where streams began, for take-ups after all daemons
+// were lost.
+//
+//   StreamBatchWriter writer(state, store, items, timer);
+//   spawn(writer.Run());
+#pragma once
+
+#include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/notice_limits.h"
+#include "wigeonwalk/ports/clock.h"
+#include "wigeonwalk/ports/key_value.h"
+#include "wigeonwalk/ports/registry_items.h"
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace wigeonwalk {
+
+// Only while streams may have several origins, and only at the daemons that
+// RecordsStream names: the calls don't grow with the fleet. A record that was
+// not written when all daemons are lost is missing, and the take-up is refused.
+// One task.
+template<KeyValueService S, RegistryItemCodec E, Timer T>
+class StreamBatchWriter
+{
+public:
+  static constexpr Duration kInterval = std::chrono::milliseconds(200);
+  static constexpr Duration kCallTimeout = std::chrono::milliseconds(500);
+  // Batches are removed with their lease, which is replaced before its end.
+  static constexpr Duration kTimeToLive = std::chrono::seconds(30);
+  static constexpr Duration kLeaseUse = std::chrono::seconds(10);
+  // Records of this time are kept, and written once another origin is possible.
+  static constexpr Duration kMaxWait = std::chrono::seconds(10);
+
+  StreamBatchWriter(EntryState& aState, S& aStore, const E& aCodec, T& aTimer)
+    : state(aState)
+    , store(aStore)
+    , codec(aCodec)
+    , timer(aTimer)
+  {
+  }
+
+  // Runs for the lifetime of the daemon.
+  Task<void> Run()
+  {
+    while (true) {
+      this->Collect(this->timer.Now());
+      if (!this->waiting.empty() && !this->state.registryUnreachable &&
+          !this->state.OnlyStreamOrigin(this->timer.Now())) {
+        co_await this->Write();
+      }
+      co_await this->timer.WaitUntil(this->timer.Now() + kInterval);
+    }
+  }
+
+private:
+  void Collect(TimePoint aNow)
+  {
+    for (StreamRecord& record : this->state.streamOrigins.TakeUnwritten()) {
+      if (RecordsStream(this->state, record.key)) {
+        this->waiting.emplace_back(aNow, std::move(record));
+      }
+    }
+    while (!this->waiting.empty() &&
+           aNow - this->waiting.front().first > kMaxWait) {
+      this->waiting.pop_front();
+    }
+  }
+
+  Task<void> Write()
+  {
+    const TimePoint now = this->timer.Now();
+    const TimePoint deadline = now + kCallTimeout;
+    FailureReason reason;
+    if (!this->lease || now - this->leasedAt >= kLeaseUse) {
+      this->lease =
+        co_await this->store.GrantLease(kTimeToLive, deadline, reason);
+      this->leasedAt = now;
+    }
+    if (!this->lease) {
+      co_return;
+    }
+    StreamBatch batch;
+    batch.writer = this->state.Settings().host;
+    batch.number = now.time_since_epoch().count();
+    for (const auto& [recordedAt, record] : this->waiting) {
+      batch.streams.push_back(record);
+    }
+    const std::size_t count = batch.streams.size();
+    const KeyValueEntry item = this->codec.Encode(batch);
+    const PutRequest put{ .key = item.key,
+                          .value = item.value,
+                          .lease = *this->lease };
+    const WriteResult result = co_await this->store.Put(put, deadline, reason);
+    if (result.outcome == WriteOutcome::Applied) {
+      this->waiting.erase(this->waiting.begin(),
+                          this->waiting.begin() +
+                            static_cast<std::ptrdiff_t>(count));
+    } else {
+      this->lease.reset();
+    }
+  }
+
+  EntryState& state;
+  S& store;
+  const E& codec;
+  T& timer;
+  // Oldest first, with the time since which they wait.
+  std::deque<std::pair<TimePoint, StreamRecord>> waiting;
+  std::optional<LeaseId> lease;
+  TimePoint leasedAt;
+};
+
+} // namespace wigeonwalk
--- a/wigeonwalk/entry/test_entry.h
+++ b/wigeonwalk/entry/test_entry.h
@@ -20,8 +20,24 @@
 {
   void AnnounceWork(const RunnerWork& aWork) { this->work.push_back(aWork); }
   void AnnouncePoison() {}
+  void AnnounceOrigin(const StreamRecord& aRecord)
+  {
+    this->streams.push_back(aRecord);
+  }
+  Task<std::optional<StreamOrigin>> AskOrigin(Hash128 aKey)
+  {
+    ++this->asked;
+    const auto found = this->kept.find(aKey);
+    co_return found == this->kept.end() ? std::nullopt
+                                        : std::optional(found->second);
+  }
 
   std::vector<RunnerWork> work;
+  // Streams of which others were told.
+  std::vector<StreamRecord> streams;
+  // Streams that others know, and how often they were asked.
+  std::map<Hash128, StreamOrigin> kept;
+  int asked = 0;
 };
 
 // Counts how requests ended.
@@ -101,13 +117,16 @@
   FakeCaller Send(const std::string& aRoute, std::string aKey = "key")
   {
     FakeRunners::Request request;
-    request.facts.id = RequestId("q-1");
     request.facts.host = "a.example";
     request.facts.target = "/" + aRoute + "/7";
     request.facts.contentHash = HashBytes(request.facts.target, this->content);
     request.facts.apiKey = std::move(aKey);
     request.facts.callerTimeout = this->callerTimeout;
     request.facts.prompt = this->prompt;
+    request.facts.id = this->requestId;
+    request.facts.firstAttempt = this->firstAttempt;
+    request.facts.continuesStream =
+      this->hasLastEvent || !this->firstAttempt.Empty();
     this->runners.stream = aRoute == "stream" || aRoute == "resumable";
     FakeCaller caller;
     TestRun run(this->state,
@@ -130,6 +149,11 @@
   Duration callerTimeout = std::chrono::seconds(10);
   // Requests with different numbers have different content.
   std::uint64_t content = 0;
+  // Of the request that is sent, and of the attempt that it resumes.
+  RequestId requestId{ "q-1" };
+  RequestId firstAttempt;
+  // The caller has events of a stream.
+  bool hasLastEvent = false;
   // The prompt of each request that is sent.
   std::optional<Prompt> prompt;
 };
--- a/wigeonwalk/entry/test_registry.h
+++ b/wigeonwalk/entry/test_registry.h
@@ -18,9 +18,11 @@
 namespace wigeonwalk {
 
 // Decodes items: "config" and "weights/MODEL" hold a version, "runners/ID" a
-// state and possibly a start, "members/HOST" an address, "zones/ZONE" anything,
-// "published/MODEL" versions with their times in microseconds, and "checkpoint"
-// a time. All runners are in the zone "north".
+// state and possibly a start and a version of the software, "members/HOST" an
+// address, "zones/ZONE" anything, "published/MODEL" versions with their times
+// in microseconds, "checkpoint" a time, and "streams" an incarnation and
+// versions of the service "s", which the configuration's only route streams
+// from. All runners are in the zone "north".
 struct TestDecoder
 {
   RegistryItem Decode(const KeyValueEntry& aEntry, FailureReason& aReason) const
@@ -32,6 +34,12 @@
     if (aEntry.key == "config") {
       RoutingConfiguration configuration;
       configuration.version = std::stoul(aEntry.value);
+      Route route;
+      route.name = "streams";
+      route.kind = RequestKind::Streaming;
+      route.resumable = true;
+      route.services = { { ServiceName("s"), 1 } };
+      configuration.routes.push_back(route);
       return configuration;
     }
     if (aEntry.key.starts_with("members/")) {
@@ -55,6 +63,34 @@
       }
       return record;
     }
+    if (aEntry.key.starts_with("batches/")) {
+      StreamBatch batch;
+      std::istringstream fields(aEntry.value);
+      std::string key;
+      std::string version;
+      while (fields >> key >> version) {
+        batch.streams.push_back(
+          { ParseHash128(key).value_or(Hash128()),
+            { ServiceName("s"), version == "unknown" ? "" : version } });
+      }
+      return batch;
+    }
+    if (aEntry.key == "streams") {
+      StreamVersions versions;
+      std::istringstream fields(aEntry.value);
+      fields >> versions.incarnation;
+      std::string version;
+      std::vector<StreamOrigin> listed;
+      while (fields >> version) {
+        listed.push_back(version == "unknown"
+                           ? StreamOrigin()
+                           : StreamOrigin{ ServiceName("s"), version });
+      }
+      versions.origins = MergeOrigins(listed, {});
+      versions.isComplete =
+        versions.incarnation == IncarnationOf(aEntry.modRevision);
+      return versions;
+    }
     if (aEntry.key == "checkpoint") {
       return WeightsCheckpoint{ TimePoint(Duration(std::stol(aEntry.value))) };
     }
@@ -71,7 +107,7 @@
     entry.address = "10.0.0.1:1";
     std::istringstream fields(aEntry.value);
     std::string state;
-    fields >> state >> entry.startedAt;
+    fields >> state >> entry.startedAt >> entry.softwareVersion;
     entry.state = ParseName<RunnerState>(state).value_or(RunnerState::Ready);
     return entry;
   }
@@ -88,6 +124,30 @@
     return entry;
   }
 
+  KeyValueEntry Encode(const StreamBatch& aBatch) const
+  {
+    KeyValueEntry entry;
+    entry.key =
+      "batches/" + aBatch.writer.Text() + "/" + std::to_string(aBatch.number);
+    for (const StreamRecord& record : aBatch.streams) {
+      entry.value +=
+        record.key.ToHex() + " " +
+        (record.origin.IsKnown() ? record.origin.version : "unknown") + " ";
+    }
+    return entry;
+  }
+
+  KeyValueEntry Encode(const StreamVersions& aVersions) const
+  {
+    KeyValueEntry entry;
+    entry.key = "streams";
+    entry.value = std::to_string(aVersions.incarnation);
+    for (const StreamOrigin& origin : aVersions.origins) {
+      entry.value += origin.IsKnown() ? " " + origin.version : " unknown";
+    }
+    return entry;
+  }
+
   KeyValueEntry Encode(const WeightsCheckpoint& aCheckpoint) const
   {
     KeyValueEntry entry;
@@ -204,6 +264,22 @@
     notice.age = Duration(age);
     return notice;
   }
+  std::string EncodeStream(const StreamRecord& aRecord) const
+  {
+    return aRecord.key.ToHex() + ' ' + aRecord.origin.service.Text() + ' ' +
+           aRecord.origin.version;
+  }
+  std::optional<StreamRecord> DecodeStream(const std::string& aPayload) const
+  {
+    std::istringstream fields(aPayload);
+    std::string key;
+    std::string service;
+    StreamRecord record;
+    fields >> key >> service >> record.origin.version;
+    record.key = ParseHash128(key).value_or(Hash128());
+    record.origin.service = ServiceName(service);
+    return record;
+  }
   std::string EncodeQuery(const RegistryQuery& aQuery) const
   {
     return std::to_string(aQuery.revision) +
--- a/wigeonwalk/ports/peer_messages.h
+++ b/wigeonwalk/ports/peer_messages.h
@@ -82,12 +82,13 @@
   HeldParts,
   PartEvidence,
   PartEvidenceQuery,
+  StreamOrigin,
 };
 
 template<>
 struct EnumNames<NoticeKind>
 {
-  static constexpr std::array<EnumName<NoticeKind>, 8> kTable{ {
+  static constexpr std::array<EnumName<NoticeKind>, 9> kTable{ {
     { NoticeKind::Poison, "poison" },
     { NoticeKind::Leaving, "leaving" },
     { NoticeKind::RunnerPause, "runner-pause" },
@@ -96,6 +97,7 @@
     { NoticeKind::HeldParts, "held-parts" },
     { NoticeKind::PartEvidence, "part-evidence" },
     { NoticeKind::PartEvidenceQuery, "part-evidence-query" },
+    { NoticeKind::StreamOrigin, "stream-origin" },
   } };
 };
 static_assert(HasCompleteTable<NoticeKind>());
@@ -229,18 +231,20 @@
   DemandReport,
   Timeline,
   RegistryChanges,
+  StreamOrigin,
 };
 
 template<>
 struct EnumNames<ForwardedKind>
 {
-  static constexpr std::array<EnumName<ForwardedKind>, 6> kTable{ {
+  static constexpr std::array<EnumName<ForwardedKind>, 7> kTable{ {
     { ForwardedKind::ClaimAppend, "claim-append" },
     { ForwardedKind::DirectoryLookup, "directory-lookup" },
     { ForwardedKind::DirectoryUpdate, "directory-update" },
     { ForwardedKind::DemandReport, "demand-report" },
     { ForwardedKind::Timeline, "timeline" },
     { ForwardedKind::RegistryChanges, "registry-changes" },
+    { ForwardedKind::StreamOrigin, "stream-origin" },
   } };
 };
 static_assert(HasCompleteTable<ForwardedKind>());
--- a/wigeonwalk/ports/registry_items.h
+++ b/wigeonwalk/ports/registry_items.h
@@ -6,6 +6,7 @@
 
 #include "wigeonwalk/base/time.h"
 #include "wigeonwalk/fleet/runner.h"
+#include "wigeonwalk/fleet/stream_versions.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/routing/routing_configuration.h"
 
@@ -94,6 +95,8 @@
                                   DesiredWeights,
                                   WeightsRecord,
                                   WeightsCheckpoint,
+                                  StreamVersions,
+                                  StreamBatch,
                                   RunnerEntry,
                                   ZoneOrder,
                                   EntryMember>;
@@ -121,7 +124,9 @@
 template<typename T>
 concept RegistryEncoder = requires(const T& aEncoder,
                                    const WeightsRecord& aRecord,
-                                   const WeightsCheckpoint& aCheckpoint)
+                                   const WeightsCheckpoint& aCheckpoint,
+                                   const StreamVersions& aVersions,
+                                   const StreamBatch& aBatch)
 {
   {
     aEncoder.Encode(aRecord)
@@ -129,6 +134,12 @@
   {
     aEncoder.Encode(aCheckpoint)
     } -> std::same_as<KeyValueEntry>;
+  {
+    aEncoder.Encode(aVersions)
+    } -> std::same_as<KeyValueEntry>;
+  {
+    aEncoder.Encode(aBatch)
+    } -> std::same_as<KeyValueEntry>;
 };
 
 template<typename T>
--- a/wigeonwalk/routing/routing_configuration.h
+++ b/wigeonwalk/routing/routing_configuration.h
@@ -82,6 +82,12 @@
            (this->kind == RequestKind::Streaming && this->resumable);
   }
 
+  // Returns true if its streams may be continued after they broke off.
+  bool CanBeResumed() const
+  {
+    return this->kind == RequestKind::Streaming && this->resumable;
+  }
+
   bool operator==(const Route&) const = default;
 };
 
