--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -259,6 +259,22 @@
   CHECK(mostParts + loadBytes + relayBytes + workBytes <= 22'000);
 }
 
+// Guards against messages about streams that take up the bound of 22 KB/s per
+// daemon at the target's size: one request in ten streams and can be resumed.
+TEST_CASE("messages about the origins of streams at the target's size")
+{
+  constexpr double kStreamsPerSecond = 1.77;
+  constexpr std::size_t kTold = kOriginKeepers + 1;
+  const EntryMsgpack codec;
+  const StreamRecord record{ { 0, ~0ULL },
+                             { ServiceName("service-123"), "v1.12" } };
+  const std::size_t message =
+    WireBytes({ { NoticeKind::StreamOrigin, codec.EncodeStream(record) } });
+  const double sent = static_cast<double>(message * kTold) * kStreamsPerSecond;
+  CAPTURE(message, sent);
+  CHECK(sent <= 22'000);
+}
+
 // Guards against messages above the bound of 22 KB/s per daemon when all
 // daemons are restarted at once while all 31 models get new weights: each is
 // asked as often as it asks others.
