entry: messages about where streams began in a class of their own

OriginExchange holds them: telling the daemons that keep an origin, asking them, and answering. No behaviour changes.

--- a/wigeonwalk/entry/peer_exchange.h
+++ b/wigeonwalk/entry/peer_exchange.h
@@ -10,10 +10,10 @@
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/held_parts.h"
 #include "wigeonwalk/entry/notice_limits.h"
+#include "wigeonwalk/entry/origin_exchange.h"
 #include "wigeonwalk/entry/part_relay.h"
 #include "wigeonwalk/entry/part_reporter.h"
 #include "wigeonwalk/fleet/peer_loads.h"
-#include "wigeonwalk/membership/rendezvous.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/peer_channel.h"
 #include "wigeonwalk/ports/structured_log.h"
@@ -68,6 +68,7 @@
     , timer(aTimer)
     , log(aLog)
     , partReporter(aState, aChannel, aCodec, aTimer, aLog)
+    , origins(aState, aChannel, aCodec, aTimer)
   {
   }
 
@@ -81,10 +82,7 @@
         this->ApplyLoads(now);
       }
       this->SendLeaving(now);
-      for (const StreamRecord& record :
-           this->state.streamOrigins.TakeChanged()) {
-        this->AnnounceOrigin(record);
-      }
+      this->origins.AnnounceChanged();
       this->partReporter.Report();
       co_await this->timer.WaitUntil(now + kLoopInterval);
     }
@@ -158,49 +156,16 @@
     }
   }
 
-  // Tells the daemons that keep it where a stream began: its caller may take it
-  // up again at any daemon, also when this one is gone.
+  // Tells the daemons that keep it where a stream began.
   void AnnounceOrigin(const StreamRecord& aRecord)
   {
-    const PeerNotice notice{ NoticeKind::StreamOrigin,
-                             this->codec.EncodeStream(aRecord) };
-    const HostId recorder = StreamRecorder(this->state, aRecord.key);
-    bool isRecorderTold = recorder == this->state.Settings().host;
-    for (const EntryMember& member : this->OriginKeepers(aRecord.key)) {
-      isRecorderTold |= member.host == recorder;
-      this->SendNotice(member, notice);
-    }
-    const auto member = this->state.members.find(recorder);
-    if (!isRecorderTold && member != this->state.members.end()) {
-      this->SendNotice(member->second, notice);
-    }
+    this->origins.Announce(aRecord);
   }
 
-  // Asks the daemons that keep it where a stream began, one after the other.
+  // Asks the daemons that keep it where a stream began.
   Task<std::optional<StreamOrigin>> AskOrigin(Hash128 aKey)
   {
-    PeerCall call;
-    call.from = this->state.Settings().host;
-    const StreamRecord query{ aKey, {} };
-    call.body = ForwardedCall{ ForwardedKind::StreamOrigin,
-                               this->codec.EncodeStream(query) };
-    std::vector<EntryMember> keepers = this->OriginKeepers(aKey);
-    keepers.resize(std::min(keepers.size(), kOriginKeepers));
-    for (const EntryMember& keeper : keepers) {
-      FailureReason ignored;
-      const TimePoint deadline = this->timer.Now() + kOriginCallTimeout;
-      const auto answer = co_await this->channel.Call(
-        keeper.peerAddress, call, deadline, ignored);
-      const auto* body =
-        answer ? std::get_if<ForwardedAnswer>(&answer->body) : nullptr;
-      const auto record = body && !body->payload.empty()
-                            ? this->codec.DecodeStream(body->payload)
-                            : std::nullopt;
-      if (record && record->key == aKey) {
-        co_return record->origin;
-      }
-    }
-    co_return std::nullopt;
+    return this->origins.Ask(aKey);
   }
 
   void OnDatagram(const PeerDatagram& aDatagram)
@@ -248,7 +213,7 @@
     if (forwarded->kind == ForwardedKind::RegistryChanges) {
       payload = this->relay.Answer(forwarded->payload);
     } else if (forwarded->kind == ForwardedKind::StreamOrigin) {
-      payload = this->AnswerOrigin(forwarded->payload);
+      payload = this->origins.Answer(forwarded->payload);
     }
     if (!payload) {
       co_return std::nullopt;
@@ -271,39 +236,6 @@
     return others;
   }
 
-  // Returns the other daemons that keep the origin of a stream, the first to be
-  // asked first.
-  std::vector<EntryMember> OriginKeepers(const Hash128& aKey) const
-  {
-    std::vector<EntryMember> others = this->Others();
-    const bool keepsAll = others.size() < kMaxDaemonsKeepingAllOrigins;
-    std::vector<HostId> hosts;
-    for (const EntryMember& member : others) {
-      hosts.push_back(member.host);
-    }
-    std::vector<EntryMember> keepers;
-    for (const HostId& host : RankOwners(
-           aKey.ToHex(), hosts, keepsAll ? hosts.size() : kOriginKeepers)) {
-      keepers.push_back(this->state.members.at(host));
-    }
-    return keepers;
-  }
-
-  // Returns the encoded origin of a stream, an empty text if it is not known
-  // here, or nothing if the query is malformed.
-  std::optional<std::string> AnswerOrigin(const std::string& aQuery) const
-  {
-    const auto query = this->codec.DecodeStream(aQuery);
-    if (!query) {
-      return std::nullopt;
-    }
-    const auto origin = this->state.streamOrigins.Find(query->key);
-    if (!origin) {
-      return std::string();
-    }
-    return this->codec.EncodeStream({ query->key, *origin });
-  }
-
   // Returns true if all daemons are told of all long prompts.
   bool TellsAll() const
   {
@@ -365,9 +297,7 @@
         this->partReporter.OnQuery(aSender);
         break;
       case NoticeKind::StreamOrigin:
-        if (const auto stream = this->codec.DecodeStream(aNotice.payload)) {
-          this->state.streamOrigins.Record(*stream, UpstreamId(), now);
-        }
+        this->origins.OnNotice(aNotice);
         break;
       case NoticeKind::Leaving:
         if (const auto leaving = this->codec.DecodeLeaving(aNotice)) {
@@ -506,6 +436,7 @@
   T& timer;
   L& log;
   PartReporter<P, C, T, L> partReporter;
+  OriginExchange<P, C, T> origins;
   PeerLoads peerLoads;
   TimePoint loadsAt;
   TimePoint leavingAt;
