entry: say from when the end of a watch call is counted

The comment on kWatchTimeoutFraction could be read as a duration; it is the latest end of a call, counted from when the registry was last known. Comment only.

--- a/wigeonwalk/entry/registry_watch.h
+++ b/wigeonwalk/entry/registry_watch.h
@@ -30,10 +30,9 @@
 class RegistryWatch
 {
 public:
-  // Until when a watch call may take, counted from the time at which the
-  // registry was last known, as a fraction of the shortest time within which a
-  // change must be applied: if a call hangs, the next one still applies the
-  // change in time.
+  // Latest end of a watch call, counted from when the registry was last known,
+  // as a fraction of the shortest time within which a change must be applied:
+  // if a call hangs, the next one still applies the change in time.
   static constexpr double kWatchTimeoutFraction = 0.75;
   // Minimum interval between the starts of two watch calls, as a fraction of
   // the shortest time within which a change must be applied, and its least
