entry: look once at each candidate's version

A new stream goes to runners whose version is listed. The candidates were tested twice, with a copy of the version each time; one pass keeps their order as before. No behaviour changes; entry_test passed.

--- a/wigeonwalk/entry/runner_pick.cc
+++ b/wigeonwalk/entry/runner_pick.cc
@@ -65,10 +65,10 @@
   const auto isListed = [&aState](const std::shared_ptr<Runner>& aRunner) {
     return aState.streamVersions->Lists(aRunner->Origin());
   };
-  if (std::any_of(aCandidates.begin(), aCandidates.end(), isListed)) {
-    std::erase_if(aCandidates, [&](const std::shared_ptr<Runner>& aRunner) {
-      return !isListed(aRunner);
-    });
+  const auto unlisted =
+    std::stable_partition(aCandidates.begin(), aCandidates.end(), isListed);
+  if (unlisted != aCandidates.begin()) {
+    aCandidates.erase(unlisted, aCandidates.end());
   }
 }
 
