fleet, retry: the decisions on streams' versions in their rooms

Which list of versions the registry should have was decided within the task that writes it, and who keeps and who records the origin of a stream in entry/notice_limits.cc. Both are decisions without a socket: the first is now fleet/stream_version_upkeep.h, the second retry/stream_keepers.h, each with tests of its own. entry/ only calls them. No behaviour changes.

--- a/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
+++ b/wigeonwalk/adapters/entry_notices/entry_msgpack_test.cc
@@ -7,6 +7,7 @@
 #include "wigeonwalk/entry/registry_readers.h"
 #include "wigeonwalk/membership/rendezvous.h"
 #include "wigeonwalk/retry/part_crash_tracker.h"
+#include "wigeonwalk/retry/stream_keepers.h"
 
 #include <catch2/catch.hpp>
 
--- a/wigeonwalk/entry/entry_state.cc
+++ b/wigeonwalk/entry/entry_state.cc
@@ -393,34 +393,6 @@
   return HistoryOf(this->recordedWeights, aModel);
 }
 
-std::vector<StreamOrigin>
-EntryState::ServingOrigins() const
-{
-  std::vector<StreamOrigin> origins;
-  if (this->routes == nullptr) {
-    return origins;
-  }
-  std::vector<ServiceName> services;
-  for (const Route& route : this->routes->Configuration().routes) {
-    if (route.CanBeResumed()) {
-      for (const WeightedService& part : route.services) {
-        services.push_back(part.service);
-      }
-    }
-  }
-  for (const auto& runner : this->fleet.All()) {
-    const ServiceName& service = runner->entry.service;
-    const StreamOrigin origin = runner->Origin();
-    if (std::find(services.begin(), services.end(), service) !=
-          services.end() &&
-        std::find(origins.begin(), origins.end(), origin) == origins.end()) {
-      origins.push_back(origin);
-    }
-  }
-  std::sort(origins.begin(), origins.end());
-  return origins;
-}
-
 std::optional<StreamOrigin>
 EntryState::OnlyStreamOrigin(TimePoint aNow) const
 {
@@ -429,7 +401,7 @@
       age > this->settings.bounds.configurationPropagation) {
     return std::nullopt;
   }
-  return OnlyOrigin(*this->streamVersions, this->ServingOrigins());
+  return OnlyOrigin(*this->streamVersions, this->ServingStreamOrigins());
 }
 
 std::shared_ptr<ServiceQueue>
@@ -452,6 +424,16 @@
   return share * static_cast<double>(this->DaemonCount());
 }
 
+std::vector<HostId>
+EntryState::DaemonHosts() const
+{
+  std::vector<HostId> hosts;
+  for (const auto& [host, member] : this->members) {
+    hosts.push_back(host);
+  }
+  return hosts;
+}
+
 std::size_t
 EntryState::DaemonCount() const
 {
--- a/wigeonwalk/entry/entry_state.h
+++ b/wigeonwalk/entry/entry_state.h
@@ -12,7 +12,7 @@
 #include "wigeonwalk/fleet/place_rules.h"
 #include "wigeonwalk/fleet/runner_advice.h"
 #include "wigeonwalk/fleet/runner_choice.h"
-#include "wigeonwalk/fleet/stream_versions.h"
+#include "wigeonwalk/fleet/stream_version_upkeep.h"
 #include "wigeonwalk/fleet/weight_history.h"
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/queueing/service_queue.h"
@@ -189,7 +189,12 @@
 
   // Returns the origins of all registered runners that may begin streams which
   // can be taken up again, in ascending order.
-  std::vector<StreamOrigin> ServingOrigins() const;
+  std::vector<StreamOrigin> ServingStreamOrigins() const
+  {
+    return this->routes == nullptr
+             ? std::vector<StreamOrigin>()
+             : ServingOrigins(this->fleet, this->routes->Configuration());
+  }
 
   // Returns the only origin that such a stream can have, or nothing if there
   // may be several or this daemon may have missed one.
@@ -216,6 +221,7 @@
 
   // The number of daemons, this one included.
   std::size_t DaemonCount() const;
+  std::vector<HostId> DaemonHosts() const;
 
   const EntrySettings& Settings() const { return this->settings; }
 
--- a/wigeonwalk/entry/notice_limits.h
+++ b/wigeonwalk/entry/notice_limits.h
@@ -34,24 +34,7 @@
 // Daemons that get each new mark in one round.
 inline constexpr int kLeavingFanout = 4;
 
-// Up to this many daemons tell all others where a stream began; in a larger
-// fleet, as many as kOriginKeepers are told, which also bounds how many are
-// asked.
-inline constexpr std::size_t kMaxDaemonsKeepingAllOrigins = 12;
-inline constexpr std::size_t kOriginKeepers = 3;
+// Bound on one question to another daemon where a stream began.
 inline constexpr Duration kOriginCallTimeout = std::chrono::milliseconds(100);
 
-// Daemons that write to the registry where streams began; each stream is
-// written by one of them.
-inline constexpr std::size_t kStreamRecorders = 2;
-
-// Returns the daemon that writes the record of a stream; none if no daemon is
-// known.
-HostId
-StreamRecorder(const EntryState& aState, const Hash128& aKey);
-
-// Returns true if this daemon does.
-bool
-RecordsStream(const EntryState& aState, const Hash128& aKey);
-
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/origin_exchange.h
+++ b/wigeonwalk/entry/origin_exchange.h
@@ -8,9 +8,9 @@
 #include "wigeonwalk/entry/entry_notices.h"
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/notice_limits.h"
-#include "wigeonwalk/membership/rendezvous.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/peer_channel.h"
+#include "wigeonwalk/retry/stream_keepers.h"
 
 #include <algorithm>
 #include <optional>
@@ -21,8 +21,7 @@
 
 namespace wigeonwalk {
 
-// The origin of each stream is kept by a few daemons, in a small cluster by
-// all. Keeps no state of its own; the EntryState must outlive it.
+// Keeps no state of its own; the EntryState must outlive it.
 template<PeerChannel P, EntryNoticeCodec C, Timer T>
 class OriginExchange
 {
@@ -39,7 +38,8 @@
   // up again at any daemon, also when this one is gone.
   void Announce(const StreamRecord& aRecord)
   {
-    const HostId recorder = StreamRecorder(this->state, aRecord.key);
+    const HostId recorder =
+      RecorderOf(StreamRecorders(this->state.DaemonHosts()), aRecord.key);
     bool isRecorderTold = recorder == this->state.Settings().host;
     for (const EntryMember& member : this->Keepers(aRecord.key)) {
       isRecorderTold |= member.host == recorder;
@@ -115,16 +115,14 @@
   // asked first.
   std::vector<EntryMember> Keepers(const Hash128& aKey) const
   {
-    std::vector<HostId> hosts;
+    std::vector<HostId> others;
     for (const auto& [host, member] : this->state.members) {
       if (host != this->state.Settings().host && !member.peerAddress.empty()) {
-        hosts.push_back(host);
+        others.push_back(host);
       }
     }
-    const bool keepsAll = hosts.size() < kMaxDaemonsKeepingAllOrigins;
     std::vector<EntryMember> keepers;
-    for (const HostId& host : RankOwners(
-           aKey.ToHex(), hosts, keepsAll ? hosts.size() : kOriginKeepers)) {
+    for (const HostId& host : StreamKeepers(aKey, others)) {
       keepers.push_back(this->state.members.at(host));
     }
     return keepers;
--- a/wigeonwalk/entry/stream_batch_writer.h
+++ b/wigeonwalk/entry/stream_batch_writer.h
@@ -6,10 +6,10 @@
 #pragma once
 
 #include "wigeonwalk/entry/entry_state.h"
-#include "wigeonwalk/entry/notice_limits.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/registry_items.h"
+#include "wigeonwalk/retry/stream_keepers.h"
 
 #include <algorithm>
 #include <deque>
@@ -19,9 +19,10 @@
 
 namespace wigeonwalk {
 
-// Only while streams may have several origins, and only at the daemons that
-// RecordsStream names: the calls don't grow with the fleet. A record that was
-// not written when all daemons are lost is missing, and the take-up is refused.
+// Only while streams may have several origins, and only the streams of which
+// this daemon is the recorder: the calls don't grow with the fleet. A record
+// that was not written when all daemons are lost is missing, and the take-up is
+// refused.
 // One task.
 template<KeyValueService S, RegistryItemCodec E, Timer T>
 class StreamBatchWriter
@@ -59,8 +60,9 @@
 private:
   void Collect(TimePoint aNow)
   {
+    const auto recorders = StreamRecorders(this->state.DaemonHosts());
     for (StreamRecord& record : this->state.streamOrigins.TakeUnwritten()) {
-      if (RecordsStream(this->state, record.key)) {
+      if (RecorderOf(recorders, record.key) == this->state.Settings().host) {
         this->waiting.emplace_back(aNow, std::move(record));
       }
     }
--- a/wigeonwalk/entry/stream_version_recorder.h
+++ b/wigeonwalk/entry/stream_version_recorder.h
@@ -7,14 +7,13 @@
 
 #include "wigeonwalk/entry/entry_state.h"
 #include "wigeonwalk/entry/item_mirror.h"
-#include "wigeonwalk/fleet/stream_versions.h"
+#include "wigeonwalk/fleet/stream_version_upkeep.h"
 #include "wigeonwalk/membership/rendezvous.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/registry_items.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -22,10 +21,8 @@
 
 namespace wigeonwalk {
 
-// Writes the list when a registered runner's version is missing in it, when it
-// is from an older copy of the registry, and when a version has had no runners
-// for kRetention. The daemons are ranked, and each leaves the write to those
-// above it for some time. One task.
+// Writes the list whenever StreamVersionUpkeep has a newer one. The daemons are
+// ranked, and each leaves the write to those above it for some time. One task.
 template<KeyValueService S, RegistryItemCodec E, Timer T>
 class StreamVersionRecorder
 {
@@ -36,9 +33,6 @@
   // Additional wait for each place in the ranking: a daemon learns of another
   // one's write by its next watch call.
   static constexpr Duration kRankDelay = std::chrono::seconds(1);
-  // How long after its last runner a version stays listed, because its streams
-  // may be taken up again.
-  static constexpr Duration kRetention = std::chrono::hours(24);
 
   StreamVersionRecorder(const EntryState& aState,
                         const ItemMirror& aMirror,
@@ -76,7 +70,10 @@
         now >= this->checkAt) {
       this->checkedGeneration = this->state.Generation();
       this->checkAt = now + kRetryDelay;
-      this->UpdateWanted(now);
+      this->wanted = this->upkeep.Update(this->state.streamVersions,
+                                         this->Item() != nullptr,
+                                         this->state.ServingStreamOrigins(),
+                                         now);
     }
     if (!this->wanted) {
       this->wantedSince.reset();
@@ -86,44 +83,6 @@
     return now - *this->wantedSince >= this->RankDelay();
   }
 
-  // Determines the list that the registry should have, if it differs.
-  void UpdateWanted(TimePoint aNow)
-  {
-    this->wanted.reset();
-    const std::vector<StreamOrigin> serving = this->state.ServingOrigins();
-    const auto& known = this->state.streamVersions;
-    if (serving.empty() && !known) {
-      return;
-    }
-    const bool isListed = this->Item() != nullptr;
-    const bool isLost = known && (!isListed || !known->isComplete);
-    auto origins = known ? MergeOrigins(known->origins, serving) : serving;
-    this->DropUnused(origins, serving, aNow);
-    if (isLost) {
-      origins = MergeOrigins(origins, { StreamOrigin() });
-    }
-    if (isLost || !known || origins != known->origins) {
-      this->wanted = std::move(origins);
-    }
-  }
-
-  void DropUnused(std::vector<StreamOrigin>& aOrigins,
-                  const std::vector<StreamOrigin>& aServing,
-                  TimePoint aNow)
-  {
-    for (const StreamOrigin& origin : aServing) {
-      this->unusedSince.erase(origin);
-    }
-    std::erase_if(aOrigins, [&](const StreamOrigin& aOrigin) {
-      const bool serves =
-        std::binary_search(aServing.begin(), aServing.end(), aOrigin);
-      return !serves &&
-             aNow -
-                 this->unusedSince.try_emplace(aOrigin, aNow).first->second >=
-               kRetention;
-    });
-  }
-
   const KeyValueEntry* Item() const
   {
     return this->mirror.Find(this->codec.Encode(StreamVersions{}).key);
@@ -131,10 +90,7 @@
 
   Duration RankDelay() const
   {
-    std::vector<HostId> hosts;
-    for (const auto& [host, member] : this->state.members) {
-      hosts.push_back(host);
-    }
+    const std::vector<HostId> hosts = this->state.DaemonHosts();
     const auto ranked = RankOwners("stream versions", hosts, hosts.size());
     const auto self =
       std::find(ranked.begin(), ranked.end(), this->state.Settings().host);
@@ -169,14 +125,13 @@
   S& store;
   const E& codec;
   T& timer;
+  StreamVersionUpkeep upkeep;
   // The list that the registry should have instead of the present one, and
   // since when.
   std::optional<std::vector<StreamOrigin>> wanted;
   std::optional<TimePoint> wantedSince;
   std::optional<std::uint64_t> checkedGeneration;
   TimePoint checkAt;
-  // Since when listed versions have had no runners.
-  std::map<StreamOrigin, TimePoint> unusedSince;
   std::int64_t writtenAt = 0;
   TimePoint retryAt;
 };
