entry: another daemon writes the records of streams that a lost one left

What callers saw: a 503 for take-ups after all daemons were lost, if one of the two daemons that write records had been lost some time before, with streams that began in between.

Cause: each daemon dropped the records of which it was not the recorder when it collected them. A recorder that is lost stays in the membership until its lease ends; what was announced to it until then was written by nobody, though the other daemons have it.

Change: a daemon keeps all records for the 10 s for which it keeps its own, and chooses among them when it writes. When the membership changes, the new recorder has those of the last 10 s. In a fleet of more than 12 daemons it has those that it began or was told of.

Evidence: 'another daemon writes records in place of one that is lost' finds 0 of 10 records before and 10 after. entry_test passed.

--- a/wigeonwalk/entry/stream_batch_writer.h
+++ b/wigeonwalk/entry/stream_batch_writer.h
@@ -12,7 +12,6 @@
 #include "wigeonwalk/retry/stream_keepers.h"
 
 #include <algorithm>
-#include <deque>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -60,20 +59,32 @@
 private:
   void Collect(TimePoint aNow)
   {
-    const auto recorders = StreamRecorders(this->state.DaemonHosts());
     for (StreamRecord& record : this->state.streamOrigins.TakeUnwritten()) {
-      if (RecorderOf(recorders, record.key) == this->state.Settings().host) {
-        this->waiting.emplace_back(aNow, std::move(record));
-      }
-    }
-    while (!this->waiting.empty() &&
-           aNow - this->waiting.front().first > kMaxWait) {
-      this->waiting.pop_front();
+      this->waiting.emplace_back(aNow, std::move(record));
     }
+    std::erase_if(this->waiting, [aNow](const auto& aWaiting) {
+      return aNow - aWaiting.first > kMaxWait;
+    });
+  }
+
+  // Moves the records that this daemon writes to the end, and returns where
+  // they begin.
+  auto PartitionOwn()
+  {
+    const auto recorders = StreamRecorders(this->state.DaemonHosts());
+    const HostId& self = this->state.Settings().host;
+    return std::stable_partition(
+      this->waiting.begin(), this->waiting.end(), [&](const auto& aWaiting) {
+        return RecorderOf(recorders, aWaiting.second.key) != self;
+      });
   }
 
   Task<void> Write()
   {
+    const auto own = this->PartitionOwn();
+    if (own == this->waiting.end()) {
+      co_return;
+    }
     const TimePoint now = this->timer.Now();
     const TimePoint deadline = now + kCallTimeout;
     FailureReason reason;
@@ -88,19 +99,16 @@
     StreamBatch batch;
     batch.writer = this->state.Settings().host;
     batch.number = now.time_since_epoch().count();
-    for (const auto& [recordedAt, record] : this->waiting) {
-      batch.streams.push_back(record);
+    for (auto row = own; row != this->waiting.end(); ++row) {
+      batch.streams.push_back(row->second);
     }
-    const std::size_t count = batch.streams.size();
     const KeyValueEntry item = this->codec.Encode(batch);
     const PutRequest put{ .key = item.key,
                           .value = item.value,
                           .lease = *this->lease };
     const WriteResult result = co_await this->store.Put(put, deadline, reason);
     if (result.outcome == WriteOutcome::Applied) {
-      this->waiting.erase(this->waiting.begin(),
-                          this->waiting.begin() +
-                            static_cast<std::ptrdiff_t>(count));
+      this->waiting.erase(own, this->waiting.end());
     } else {
       this->lease.reset();
     }
@@ -110,8 +118,9 @@
   S& store;
   const E& codec;
   T& timer;
-  // Oldest first, with the time since which they wait.
-  std::deque<std::pair<TimePoint, StreamRecord>> waiting;
+  // With the time since which they wait; those of other recorders too, in case
+  // this daemon becomes their recorder.
+  std::vector<std::pair<TimePoint, StreamRecord>> waiting;
   std::optional<LeaseId> lease;
   TimePoint leasedAt;
 };
--- a/wigeonwalk/entry/stream_origin_peers_test.cc
+++ b/wigeonwalk/entry/stream_origin_peers_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -63,14 +64,19 @@
     }
   }
 
+  void Stop(RegistryDaemon& aDaemon)
+  {
+    aDaemon.state.stopping = true;
+    aDaemon.endpoint.alive = false;
+    aDaemon.service.AddLinkFault(
+      { .fault = KeyValueFault::Down, .from = this->time.Now() });
+  }
+
   // Ends all daemons and starts one.
   RegistryDaemon& Replace()
   {
     for (const auto& daemon : this->daemons) {
-      daemon->state.stopping = true;
-      daemon->endpoint.alive = false;
-      daemon->service.AddLinkFault(
-        { .fault = KeyValueFault::Down, .from = this->time.Now() });
+      this->Stop(*daemon);
     }
     this->RunFor(1s);
     this->Start("front-new");
@@ -281,3 +287,36 @@
     CHECK(fresh.state.streamOrigins.Size() == 10);
   }
 }
+
+// Guards against records that nobody writes because their recorder is gone.
+SCENARIO("another daemon writes records in place of one that is lost")
+{
+  Setting setting(3);
+  setting.service.Store("runners/r-3", "ready 2000 v2");
+  setting.RunFor(4s);
+  const std::vector<HostId> recorders =
+    StreamRecorders(setting.daemons[0]->state.DaemonHosts());
+  RegistryDaemon* left = nullptr;
+  for (const auto& daemon : setting.daemons) {
+    const HostId& host = daemon->state.Settings().host;
+    if (std::find(recorders.begin(), recorders.end(), host) ==
+        recorders.end()) {
+      left = daemon.get();
+    } else {
+      setting.Stop(*daemon);
+    }
+  }
+  REQUIRE(left != nullptr);
+  setting.Begin(*left, 1, 10);
+  setting.RunFor(1s);
+
+  WHEN("it learns that they are lost")
+  {
+    for (const HostId& host : recorders) {
+      left->state.members.erase(host);
+    }
+    setting.RunFor(1s);
+    RegistryDaemon& fresh = setting.Replace();
+    CHECK(fresh.state.streamOrigins.Size() == 10);
+  }
+}
