entry: records of streams are written again after the registry's restore

What callers saw: a 503 for take-ups if the registry had been restored from a copy and all daemons were lost some seconds later: the records that lay in the registry since the copy was taken were gone.

Cause: a record was written once. Daemons that went on running still had it, but nothing told them that the written one was lost.

--- a/wigeonwalk/entry/stream_batch_writer.h
+++ b/wigeonwalk/entry/stream_batch_writer.h
@@ -1,17 +1,19 @@
 // Writes to the registry where streams began, for take-ups after all daemons
 // were lost.
 //
-//   StreamBatchWriter writer(state, store, items, timer);
+//   StreamBatchWriter writer(state, mirror, store, items, timer);
 //   spawn(writer.Run());
 #pragma once
 
 #include "wigeonwalk/entry/entry_state.h"
+#include "wigeonwalk/entry/item_mirror.h"
 #include "wigeonwalk/ports/clock.h"
 #include "wigeonwalk/ports/key_value.h"
 #include "wigeonwalk/ports/registry_items.h"
 #include "wigeonwalk/retry/stream_keepers.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -21,7 +23,7 @@
 // Only while streams may have several origins, and only the streams of which
 // this daemon is the recorder: the calls don't grow with the fleet. A record
 // that was not written when all daemons are lost is missing, and the take-up is
-// refused.
+// refused. After a restore of the registry, records are written again.
 // One task.
 template<KeyValueService S, RegistryItemCodec E, Timer T>
 class StreamBatchWriter
@@ -35,8 +37,13 @@
   // Records of this time are kept, and written once another origin is possible.
   static constexpr Duration kMaxWait = std::chrono::seconds(10);
 
-  StreamBatchWriter(EntryState& aState, S& aStore, const E& aCodec, T& aTimer)
+  StreamBatchWriter(EntryState& aState,
+                    const ItemMirror& aMirror,
+                    S& aStore,
+                    const E& aCodec,
+                    T& aTimer)
     : state(aState)
+    , mirror(aMirror)
     , store(aStore)
     , codec(aCodec)
     , timer(aTimer)
@@ -59,6 +66,12 @@
 private:
   void Collect(TimePoint aNow)
   {
+    const std::int64_t present = this->mirror.Revision();
+    if (this->revision != 0 &&
+        IncarnationOf(present) != IncarnationOf(this->revision)) {
+      this->state.streamOrigins.MarkUnwritten(aNow - kTimeToLive);
+    }
+    this->revision = present;
     for (StreamRecord& record : this->state.streamOrigins.TakeUnwritten()) {
       this->waiting.emplace_back(aNow, std::move(record));
     }
@@ -115,6 +128,7 @@
   }
 
   EntryState& state;
+  const ItemMirror& mirror;
   S& store;
   const E& codec;
   T& timer;
@@ -123,6 +137,8 @@
   std::vector<std::pair<TimePoint, StreamRecord>> waiting;
   std::optional<LeaseId> lease;
   TimePoint leasedAt;
+  // Last known revision of the registry.
+  std::int64_t revision = 0;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/stream_origin_peers_test.cc
+++ b/wigeonwalk/entry/stream_origin_peers_test.cc
@@ -47,7 +47,7 @@
       daemon.state, daemon.mirror, daemon.service, daemon.decoder, this->time));
     this->time.Spawn(this->recorders.back()->Run());
     this->writers.push_back(std::make_unique<Writer>(
-      daemon.state, daemon.service, daemon.decoder, this->time));
+      daemon.state, daemon.mirror, daemon.service, daemon.decoder, this->time));
     this->time.Spawn(this->writers.back()->Run());
   }
 
@@ -274,6 +274,23 @@
     }
   }
 
+  WHEN("the registry is restored from a copy that lacks them")
+  {
+    setting.service.Store("runners/r-3", "ready 2000 v2");
+    setting.RunFor(4s);
+    setting.service.TakeCopy();
+    setting.Begin(*setting.daemons[0], 1, kStreams);
+    setting.RunFor(10s);
+    setting.service.RestoreCopy();
+    setting.RunFor(3s);
+
+    THEN("they are written again")
+    {
+      RegistryDaemon& fresh = setting.Replace();
+      CHECK(fresh.state.streamOrigins.Size() == kStreams);
+    }
+  }
+
   WHEN("a write fails")
   {
     setting.service.Store("runners/r-3", "ready 2000 v2");
--- a/wigeonwalk/retry/stream_origins.cc
+++ b/wigeonwalk/retry/stream_origins.cc
@@ -75,6 +75,17 @@
   return taken;
 }
 
+void
+StreamOrigins::MarkUnwritten(TimePoint aSince)
+{
+  for (const auto& [recordedAt, key] : this->order) {
+    const Row& row = this->rows.at(key);
+    if (row.recordedAt >= aSince) {
+      this->NoteUnwritten({ key, row.origin });
+    }
+  }
+}
+
 void
 StreamOrigins::NoteUnwritten(const StreamRecord& aRecord)
 {
--- a/wigeonwalk/retry/stream_origins.h
+++ b/wigeonwalk/retry/stream_origins.h
@@ -65,6 +65,10 @@
   // has become unknown; at most the last kMaxUnwritten.
   std::vector<StreamRecord> TakeUnwritten();
 
+  // Records that what was written of the streams recorded since a time is lost:
+  // TakeUnwritten returns them again.
+  void MarkUnwritten(TimePoint aSince);
+
   std::size_t Size() const { return this->rows.size(); }
 
 private:
--- a/wigeonwalk/retry/stream_origins_test.cc
+++ b/wigeonwalk/retry/stream_origins_test.cc
@@ -80,6 +80,18 @@
     CHECK(origins.Size() == 1);
   }
 
+  WHEN("what was written of them is lost")
+  {
+    origins.Record(MakeRecord(2, "v1"), runner, kStart + 5s);
+    CHECK(origins.TakeUnwritten().size() == 2);
+    CHECK(origins.TakeUnwritten().empty());
+    origins.MarkUnwritten(kStart + 1s);
+    CHECK(origins.TakeUnwritten() == std::vector{ MakeRecord(2, "v1") });
+    origins.Record(MakeRecord(1, "v1"), runner, kStart + 6s);
+    origins.MarkUnwritten(kStart + 1s);
+    CHECK(origins.TakeUnwritten().size() == 2);
+  }
+
   WHEN("very many streams begin")
   {
     for (std::uint64_t i = 2; i < 2 * StreamOrigins::kMaxStreams; ++i) {
