entry: a reader that has read a listing doesn't hide earlier removals

'runner changed' shows that the daemons that follow front-kalutara-1 never applied revisions 156, 159, 162 and 168 to 170, all of them removals, and all changes in between. That reader had started at 21.00 s and read a listing at revision 170.

Cause: a reader answers its followers with the items changed since their revision and the tombstones of removed ones. A listing has no tombstones. What was written and removed between the last revision that the reader knew and the listing is neither an item nor a tombstone there, yet the answer counts as complete up to the reader's revision. A follower then keeps a removed runner, member or order until it reads a listing itself.

Change: the mirror remembers the revisions between which it knows only a listing. A daemon whose revision lies within gets a full copy; one that is not ahead of what was known before gets changes as before.

registry_restore_test: a daemon at number 0 of a new incarnation, before the listing, was expected to get changes. It may know keys that the listing no longer has, so it needs a full copy. The check now says so, and that one at the listing's revision gets changes.

--- a/wigeonwalk/entry/item_mirror.cc
+++ b/wigeonwalk/entry/item_mirror.cc
@@ -111,10 +111,21 @@
       changes.push_back(std::move(removal));
     }
   }
+  this->NoteListing(aRevision);
   this->NoteRevision(aRevision);
   return changes;
 }
 
+void
+ItemMirror::NoteListing(std::int64_t aRevision)
+{
+  if (aRevision > this->revision) {
+    this->droppedUpTo = std::max(this->droppedUpTo, this->listedUpTo);
+    this->listedFrom = this->revision;
+    this->listedUpTo = aRevision;
+  }
+}
+
 void
 ItemMirror::NoteRevision(std::int64_t aRevision)
 {
@@ -124,7 +135,9 @@
 std::optional<std::vector<WatchEvent>>
 ItemMirror::ChangesSince(std::int64_t aRevision) const
 {
-  if (aRevision < this->droppedUpTo || this->IsOutdated(aRevision)) {
+  const bool isInGap =
+    aRevision > this->listedFrom && aRevision < this->listedUpTo;
+  if (aRevision < this->droppedUpTo || isInGap || this->IsOutdated(aRevision)) {
     return std::nullopt;
   }
   std::vector<WatchEvent> changes;
--- a/wigeonwalk/entry/item_mirror.h
+++ b/wigeonwalk/entry/item_mirror.h
@@ -48,9 +48,9 @@
   void NoteRevision(std::int64_t aRevision);
   std::int64_t Revision() const { return this->revision; }
 
-  // Returns the changes after a revision, oldest first, or nothing if
-  // tombstones after it may have been dropped, or if it is of an earlier
-  // incarnation.
+  // Returns the changes after a revision, oldest first, or nothing if removals
+  // after it may be missing (tombstones were dropped, or a listing skipped
+  // them), or if it is of an earlier incarnation.
   std::optional<std::vector<WatchEvent>> ChangesSince(
     std::int64_t aRevision) const;
 
@@ -73,12 +73,18 @@
   // one.
   bool IsOutdated(std::int64_t aRevision) const;
   void DropTombstones();
+  void NoteListing(std::int64_t aRevision);
 
   std::map<std::string, Item> items;
   std::size_t tombstones = 0;
   std::int64_t revision = 0;
-  // Tombstones up to this revision may have been dropped.
+  // Tombstones up to this revision may be missing.
   std::int64_t droppedUpTo = 0;
+  // The last listing and what was known before it. Keys that were written and
+  // removed between these revisions are known here neither as items nor as
+  // removed.
+  std::int64_t listedFrom = 0;
+  std::int64_t listedUpTo = 0;
 };
 
 } // namespace wigeonwalk
--- a/wigeonwalk/entry/item_mirror_test.cc
+++ b/wigeonwalk/entry/item_mirror_test.cc
@@ -105,6 +105,71 @@
   }
 }
 
+// Guards against a removed runner that others keep, because the daemon that
+// they ask has started or read a listing since it was removed.
+SCENARIO("a listing does not tell which keys were removed before it")
+{
+  ItemMirror mirror;
+
+  WHEN("nothing was known before")
+  {
+    mirror.Replace({ Put("a", 2).entry, Put("c", 7).entry }, 9);
+
+    THEN("a daemon that is behind it needs a full copy")
+    {
+      CHECK_FALSE(mirror.ChangesSince(2).has_value());
+      CHECK_FALSE(mirror.ChangesSince(8).has_value());
+      CHECK(mirror.ChangesSince(9)->empty());
+    }
+
+    THEN("later changes are told to one that is not")
+    {
+      mirror.Apply(Removal("a", 11));
+      mirror.NoteRevision(11);
+      CHECK(mirror.ChangesSince(9)->size() == 1);
+      CHECK(mirror.ChangesSince(10)->size() == 1);
+    }
+  }
+
+  WHEN("changes up to an earlier revision were known")
+  {
+    mirror.Apply(Put("a", 2));
+    mirror.Apply(Put("b", 3));
+    mirror.NoteRevision(5);
+    mirror.Replace({ Put("a", 2).entry }, 9);
+
+    THEN("a daemon that is not ahead of that gets the removals")
+    {
+      const auto changes = mirror.ChangesSince(5);
+      REQUIRE(changes.has_value());
+      REQUIRE(changes->size() == 1);
+      CHECK(changes->front().deleted);
+    }
+
+    THEN("one that is needs a full copy, as it may know other keys")
+    {
+      CHECK_FALSE(mirror.ChangesSince(6).has_value());
+    }
+
+    THEN("one within an earlier gap needs it after further listings")
+    {
+      mirror.Replace({ Put("a", 2).entry }, 20);
+      CHECK_FALSE(mirror.ChangesSince(6).has_value());
+      CHECK_FALSE(mirror.ChangesSince(12).has_value());
+      CHECK(mirror.ChangesSince(9).has_value());
+      CHECK(mirror.ChangesSince(20).has_value());
+    }
+  }
+
+  WHEN("the listing is no newer than what was known")
+  {
+    mirror.Apply(Put("a", 2));
+    mirror.NoteRevision(9);
+    mirror.Replace({ Put("a", 2).entry }, 9);
+    CHECK(mirror.ChangesSince(1).has_value());
+  }
+}
+
 // Guards against heartbeats that every daemon sends on to the others, and
 // against a removed runner whose return is taken for a heartbeat.
 SCENARIO("changes of no consequence are not passed on")
--- a/wigeonwalk/entry/registry_restore_test.cc
+++ b/wigeonwalk/entry/registry_restore_test.cc
@@ -396,6 +396,7 @@
   THEN("only a full copy brings a daemon of the earlier incarnation up to date")
   {
     CHECK(!mirror.ChangesSince(60).has_value());
-    CHECK(mirror.ChangesSince(MakeRevision(1, 0)).has_value());
+    CHECK(!mirror.ChangesSince(MakeRevision(1, 0)).has_value());
+    CHECK(mirror.ChangesSince(MakeRevision(1, 21)).has_value());
   }
 }
